Build the thin whole path as separate processes

Ruled out: geventhttpclient's own client, whose request loop sends again on a closed kept connection and could run work twice; only its parser is used. Conclusion: the path stands; replication, storage, limits, the fleet and the fault matrix follow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+# The two commands are `make run` and `make test`; each sets up .venv itself.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+SEED ?= 1
+MINUTES ?= 1
+
+.PHONY: run test bench proof soak lint format types schema clean
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements-dev.txt
+	$(VENV)/bin/pip install --quiet --no-build-isolation --no-deps --editable .
+	touch $(STAMP)
+
+run: $(STAMP)
+	$(PYTHON) -m dev.run_deployment $(if $(KEEP),--keep,)
+
+test: $(STAMP)
+	$(PYTHON) -m features.run_features $(ONLY)
+
+bench: $(STAMP)
+	$(PYTHON) -m bench.run_benchmarks $(ONLY)
+
+proof: $(STAMP)
+	$(PYTHON) -m dev.run_proof --seed=$(SEED) $(if $(ONLY),--only=$(ONLY),) $(if $(LONG),--long_minutes=$(LONG),)
+
+soak: $(STAMP)
+	$(PYTHON) -m dev.run_soak --seed=$(SEED) --minutes=$(MINUTES)
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff check bambookeel features bench dev
+	$(VENV)/bin/pylint bambookeel bench dev
+	$(VENV)/bin/pylint --disable=not-callable,no-value-for-parameter,unused-argument features
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --quiet --fix --select I bambookeel features bench dev
+	$(VENV)/bin/pyink --quiet bambookeel features bench dev
+
+check-format: $(STAMP)
+	$(VENV)/bin/pyink --check --quiet bambookeel features bench dev
+
+types: $(STAMP)
+	$(VENV)/bin/mypy
+
+schema: $(STAMP)
+	$(PYTHON) -m bambookeel.tools.generate_schema
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/bambookeel/api/__init__.py
@@ -0,0 +1,1 @@
+"""The resource API of operators."""
--- /dev/null
+++ b/bambookeel/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log as pure steps: (state, event) -> (state, effects)."""
--- /dev/null
+++ b/bambookeel/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the control role: replica, state streams, leases, planner."""
--- /dev/null
+++ b/bambookeel/control/events.py
@@ -0,0 +1,95 @@
+"""Messages between the tasks of a control process."""
+
+import dataclasses
+
+import gevent.event
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.state import commands
+from bambookeel.state import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """A timer's message."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FromPeer:
+    """A message from a process, which may be the own one."""
+
+    peer: ids.ProcessId
+    message: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDown:
+    """The link to a process has ended."""
+
+    peer: ids.ProcessId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LocalCommand:
+    """A command from the own API; the outcome goes to `reply`.
+
+    The reply is a `commands.CommandOutcome`, or a `NotCommitted`.
+    """
+
+    command: commands.Command
+    reply: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LocalRead:
+    """Asks for the state with every acknowledged change; to `reply`.
+
+    The reply is a `model.State`, or a `NotCommitted`.
+    """
+
+    reply: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotCommitted:
+    """A command or read that got no answer from a leader.
+
+    Attributes:
+        may_take_effect: Whether the command may still be committed.
+        detail: One sentence.
+    """
+
+    may_take_effect: bool
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """One committed log entry has been applied.
+
+    Attributes:
+        state: The state after it.
+        changed: What it changed.
+    """
+
+    state: model.State
+    changed: tuple[model.StoredResource, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopReplica:
+    """The process stops: leadership is to be handed over."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadershipChanged:
+    """This replica became leader, or ceased to be.
+
+    Attributes:
+        term: The term.
+        is_leader: Whether this replica leads it.
+    """
+
+    term: ids.Term
+    is_leader: bool
--- /dev/null
+++ b/bambookeel/control/process.py
@@ -0,0 +1,137 @@
+"""Builds and runs a control process from its settings."""
+
+import functools
+
+from bambookeel.api import operator_app
+from bambookeel.control import events
+from bambookeel.control import lease_task
+from bambookeel.control import replica_task
+from bambookeel.control import stream_task
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import settings as core_settings
+from bambookeel.net import admin_app
+from bambookeel.net import http_server
+from bambookeel.net import links
+from bambookeel.runtime import clock
+from bambookeel.runtime import logs
+from bambookeel.runtime import supervisor
+from bambookeel.runtime import timers
+
+
+class ControlProcess:
+    """The parts of a control process, under one supervisor."""
+
+    def __init__(
+        self,
+        settings: core_settings.ControlSettings,
+        replica: replica_task.ReplicaTask,
+    ) -> None:
+        self._settings = settings
+        self._stopping = False
+        self._supervisor = supervisor.Supervisor("control")
+        self._timers = timers.TimerService()
+        self._links = self._build_links()
+        self._replica = replica
+        self._leases = lease_task.LeaseTask(
+            settings.leases, replica, self._links.send
+        )
+        self._streams = stream_task.StreamTask(replica, self._links.send)
+        listeners = [self._streams.mailbox, self._leases.mailbox]
+        replica.connect(self._links.send, listeners)
+        app = operator_app.OperatorApp(
+            replica.mailbox, settings.bootstrap_key_sha256
+        )
+        self._api = http_server.Server(settings.api_listen, app)
+        self._admin = http_server.Server(
+            settings.admin_listen, admin_app.AdminApp(self.find_unready_reason)
+        )
+
+    @classmethod
+    def from_config(
+        cls, settings: core_settings.ControlSettings
+    ) -> "ControlProcess":
+        """Builds the process; opens no socket yet.
+
+        Args:
+            settings: Checked settings.
+
+        Returns:
+            The process.
+        """
+        control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
+        replica = replica_task.ReplicaTask(
+            ids.ProcessId(settings.process_id), control
+        )
+        return cls(settings, replica)
+
+    def _build_links(self) -> links.PeerLinks:
+        settings = self._settings
+        peers = settings.control + settings.entries
+        link_settings = links.LinkSettings(
+            settings.peer_listen,
+            {ids.ProcessId(p.process_id): p.address for p in peers},
+            settings.links.heartbeat_ms,
+            settings.links.timeout_ms,
+        )
+        identity = messages.Hello(
+            ids.ProcessId(settings.process_id),
+            messages.ProcessRole.CONTROL,
+            ids.DataCentre(settings.data_centre),
+            ids.Incarnation(clock.read_wall_ms()),
+            ids.LinkNumber(0),
+        )
+        return links.PeerLinks(link_settings, identity, self._deliver)
+
+    def _deliver(
+        self, event: links.LinkUp | links.Received | links.LinkDown
+    ) -> None:
+        """Hands what the links deliver to the task that handles it.
+
+        Args:
+            event: A change of a link, or a message.
+        """
+        match event:
+            case links.Received(peer, messages.Subscribe() as message):
+                self._streams.mailbox.put(events.FromPeer(peer, message))
+            case links.Received(peer, messages.EntryHeartbeat() as message):
+                self._leases.mailbox.put(events.FromPeer(peer, message))
+            case links.Received(peer, message):
+                self._replica.mailbox.put(events.FromPeer(peer, message))
+            case links.LinkDown(peer):
+                self._streams.mailbox.put(events.PeerDown(peer))
+                self._replica.mailbox.put(events.PeerDown(peer))
+
+    def find_unready_reason(self) -> str:
+        """Tells why the balancer should not send to this process.
+
+        Returns:
+            The reason, or empty when the process is ready.
+        """
+        return "stopping" if self._stopping else ""
+
+    def start(self) -> None:
+        """Starts all tasks and opens the sockets."""
+        self._replica.subscribe_timers(self._timers)
+        self._leases.subscribe_timers(self._timers)
+        self._supervisor.start_task("timers", self._timers.run)
+        self._supervisor.start_task("replica", self._replica.run)
+        self._supervisor.start_task("leases", self._leases.run)
+        self._supervisor.start_task("streams", self._streams.run)
+        self._links.listen()
+        for peer in self._links.get_dialled_peers():
+            dial = functools.partial(self._links.dial_forever, peer)
+            self._supervisor.start_task(f"dial-{peer}", dial)
+        self._admin.start()
+        self._api.start()
+        logs.log_event("started", listen=self._settings.api_listen)
+
+    def stop(self) -> None:
+        """Stops the process's tasks and closes its sockets."""
+        self._stopping = True
+        logs.log_event("stopping")
+        self._api.stop(timeout=5)
+        self._supervisor.stop()
+        self._links.close()
+        self._admin.stop(timeout=0)
+        logs.log_event("stopped")
--- /dev/null
+++ b/bambookeel/core/checking.py
@@ -0,0 +1,154 @@
+"""Checks plain data into frozen data classes and reports every fault.
+
+`msgspec.convert` stops at the first fault; operators want all of them in one
+run. This module converts field by field, gathers the faults with their places,
+and gives the record only when there is none.
+"""
+
+import dataclasses
+import difflib
+import typing
+
+import msgspec
+from returns import result
+
+from bambookeel.core import faults
+
+Checked = result.Result[typing.Any, tuple[faults.Fault, ...]]
+
+
+def _is_record_type(annotation: typing.Any) -> bool:
+    return isinstance(annotation, type) and dataclasses.is_dataclass(annotation)
+
+
+def _check_value(
+    data: typing.Any, annotation: typing.Any, place: str
+) -> tuple[typing.Any, list[faults.Fault]]:
+    """Checks one value of any type.
+
+    Args:
+        data: Plain data, as JSON gives it.
+        annotation: The type that it should have.
+        place: Path of the value, for faults.
+
+    Returns:
+        The converted value, meaningless beside faults, and the faults.
+    """
+    if _is_record_type(annotation):
+        return _check_record(data, annotation, place)
+    arguments = typing.get_args(annotation)
+    is_tuple = typing.get_origin(annotation) is tuple
+    if is_tuple and _is_record_type(arguments[0]) and isinstance(data, list):
+        return _check_records(data, arguments[0], place)
+    try:
+        return msgspec.convert(data, annotation), []
+    except msgspec.ValidationError as error:
+        message = f"{error} (found {data!r})"
+        return None, [faults.Fault(place, message)]
+
+
+def _check_records(
+    items: list[typing.Any], record_type: type, place: str
+) -> tuple[typing.Any, list[faults.Fault]]:
+    """Checks a list of records.
+
+    Args:
+        items: Plain data of each.
+        record_type: The data class of each.
+        place: Path of the list.
+
+    Returns:
+        The records as a tuple, and the faults of all.
+    """
+    records = []
+    found: list[faults.Fault] = []
+    for i, item in enumerate(items):
+        record, item_faults = _check_record(item, record_type, f"{place}[{i}]")
+        records.append(record)
+        found.extend(item_faults)
+    return tuple(records), found
+
+
+def _check_record(
+    data: typing.Any, record_type: type, place: str
+) -> tuple[typing.Any, list[faults.Fault]]:
+    """Checks one record field by field.
+
+    Args:
+        data: Plain data, which should be an object.
+        record_type: The data class.
+        place: Path of the record; empty at the top.
+
+    Returns:
+        The record, or None beside faults, and the faults.
+    """
+    if not isinstance(data, dict):
+        message = f"expected an object, found {data!r}"
+        return None, [faults.Fault(place or "top", message)]
+    hints = typing.get_type_hints(record_type, include_extras=True)
+    prefix = f"{place}." if place else ""
+    found = _find_unknown_fields(data, list(hints), prefix)
+    values = {}
+    for field in dataclasses.fields(record_type):
+        field_place = prefix + field.name
+        if field.name not in data:
+            if _is_required(field):
+                message = "required field is missing"
+                found.append(faults.Fault(field_place, message))
+            continue
+        value, field_faults = _check_value(
+            data[field.name], hints[field.name], field_place
+        )
+        values[field.name] = value
+        found.extend(field_faults)
+    if found:
+        return None, found
+    return record_type(**values), []
+
+
+def _is_required(field: typing.Any) -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def _find_unknown_fields(
+    data: dict[str, typing.Any], known: list[str], prefix: str
+) -> list[faults.Fault]:
+    """Finds fields that the record does not have.
+
+    Args:
+        data: The object found.
+        known: Names of the record's fields.
+        prefix: Path before the field names.
+
+    Returns:
+        A fault for each, with the closest known name.
+    """
+    found = []
+    for name in data:
+        if name in known:
+            continue
+        close = difflib.get_close_matches(name, known, n=1)
+        hint = f"; did you mean {close[0]!r}?" if close else ""
+        accepted = ", ".join(known)
+        message = f"unknown field{hint} (accepted: {accepted})"
+        found.append(faults.Fault(prefix + name, message))
+    return found
+
+
+def check_record(data: typing.Any, record_type: type) -> Checked:
+    """Checks plain data into a data class.
+
+    Args:
+        data: Plain data, as JSON gives it.
+        record_type: The frozen data class.
+
+    Returns:
+        Success with the record, or Failure with every fault.
+    """
+    record, found = _check_record(data, record_type, "")
+    if found:
+        return result.Failure(tuple(found))
+    return result.Success(record)
--- /dev/null
+++ b/bambookeel/core/messages.py
@@ -0,0 +1,567 @@
+"""Messages between the system's own processes.
+
+Each message is a frozen data class; `net.codec` turns it into a capnp envelope
+by the schema that `tools.generate_schema` writes from `MESSAGE_TYPES`. To add a
+message, append its class to that tuple; to add a field, append it to its class.
+Neither may be reordered or removed, so that processes of two versions
+understand each other during a roll-out.
+
+Times are durations in milliseconds: the clocks of two processes are never
+compared.
+"""
+
+# pylint: disable=too-many-lines
+
+import dataclasses
+import enum
+import typing
+
+from bambookeel.core import ids
+from bambookeel.core import outcomes
+
+
+class ProcessRole(enum.IntEnum):
+    """The role of a process, told when a link opens."""
+
+    ENTRY = 0
+    CONTROL = 1
+
+
+class BackendState(enum.IntEnum):
+    """What a backend server says of itself."""
+
+    SERVING = 0
+    LEAVING = 1
+
+
+# --- Links ---
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """The first message on a link, in both directions."""
+
+    process_id: ids.ProcessId
+    role: ProcessRole
+    data_centre: ids.DataCentre
+    incarnation: ids.Incarnation
+    link_number: ids.LinkNumber
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkHeartbeat:
+    """Proof of life of a link, sent by both ends."""
+
+    sequence: int
+
+
+# --- Consensus ---
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogEntry:
+    """One entry of the replicated log.
+
+    Attributes:
+        term: Term of the leader that appended it.
+        index: Position in the log, from 1.
+        is_membership: Whether the payload is a membership record.
+        payload: Encoded command or membership; empty for a leader's first.
+    """
+
+    term: ids.Term
+    index: ids.LogIndex
+    is_membership: bool
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Asks for a vote, or with `is_pre_vote` whether one would be given."""
+
+    term: ids.Term
+    candidate: ids.ProcessId
+    last_index: ids.LogIndex
+    last_term: ids.Term
+    is_pre_vote: bool
+    # Set on a leadership hand-over: voters skip the check for a live leader.
+    is_hand_over: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VoteReply:
+    """Answers a `VoteRequest`."""
+
+    term: ids.Term
+    voter: ids.ProcessId
+    granted: bool
+    is_pre_vote: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendRequest:
+    """Replicates entries, or with none proves that the leader lives.
+
+    `round_number` comes back in the reply, so that the leader can tell which
+    of its heartbeats a quorum has answered.
+    """
+
+    term: ids.Term
+    leader: ids.ProcessId
+    previous_index: ids.LogIndex
+    previous_term: ids.Term
+    entries: tuple[LogEntry, ...]
+    commit_index: ids.LogIndex
+    round_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendReply:
+    """Answers an `AppendRequest`, or a complete snapshot.
+
+    Attributes:
+        match_index: On success the last index known to match and be synced;
+            on failure a hint where the leader should try next.
+    """
+
+    term: ids.Term
+    follower: ids.ProcessId
+    success: bool
+    match_index: ids.LogIndex
+    round_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotPart:
+    """One part of a snapshot that replaces a follower's log."""
+
+    term: ids.Term
+    leader: ids.ProcessId
+    last_index: ids.LogIndex
+    last_term: ids.Term
+    offset: int
+    data: bytes
+    is_last: bool
+    round_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotPartReply:
+    """Acknowledges a part; the leader sends the one at `next_offset`."""
+
+    term: ids.Term
+    follower: ids.ProcessId
+    last_index: ids.LogIndex
+    next_offset: int
+    round_number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeoutNow:
+    """Asks a caught-up follower to start an election at once."""
+
+    term: ids.Term
+    leader: ids.ProcessId
+
+
+# --- Control: commands and reads ---
+
+
+class CommandStatus(enum.IntEnum):
+    """What became of a proposed command."""
+
+    COMMITTED = 0
+    # Not the leader, or refused before the log: it will never take effect.
+    NOT_RUN = 1
+    # Appended, but the outcome is not known here; send the same id again.
+    UNKNOWN = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Propose:
+    """Asks the leader to commit a command (bytes of `state.commands`)."""
+
+    command_id: ids.CommandId
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProposeReply:
+    """Answers `Propose` with the command's encoded outcome."""
+
+    command_id: ids.CommandId
+    status: CommandStatus
+    leader: ids.ProcessId
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadIndexRequest:
+    """Asks the leader for an index that covers every acknowledged change."""
+
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadIndexReply:
+    """Answers `ReadIndexRequest`; `confirmed` is false on a non-leader."""
+
+    nonce: int
+    confirmed: bool
+    index: ids.LogIndex
+    leader: ids.ProcessId
+
+
+# --- Control: followers of state ---
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Asks a control replica for changes after `from_version`."""
+
+    from_version: ids.StateVersion
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateChange:
+    """One change of the replicated state.
+
+    Attributes:
+        version: The state version after the change.
+        payload: Encoded resources that changed (bytes of `state.changes`).
+    """
+
+    version: ids.StateVersion
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeBatch:
+    """Changes in order; with `is_snapshot` they replace all before them."""
+
+    is_snapshot: bool
+    is_last: bool
+    to_version: ids.StateVersion
+    changes: tuple[StateChange, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldLease:
+    """One dispatch lease as its holder sees it."""
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    # Set once when the holder gives the lease up.
+    released: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryHeartbeat:
+    """An entry's regular report to control.
+
+    It renews the entry's dispatch leases, proves the freshness of its key
+    table and tells which state version it has applied.
+    """
+
+    nonce: int
+    applied_version: ids.StateVersion
+    stopping: bool
+    held: tuple[HeldLease, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryHeartbeatReply:
+    """Answers an `EntryHeartbeat`.
+
+    `committed_version` covers every change acknowledged before the heartbeat
+    arrived, if `is_leader`. The leases in `renewed` hold for `lease_ms` from
+    the moment the heartbeat was sent.
+    """
+
+    nonce: int
+    is_leader: bool
+    leader: ids.ProcessId
+    committed_version: ids.StateVersion
+    lease_ms: int
+    renewed: tuple[HeldLease, ...]
+
+
+# --- Limits ---
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamDemand:
+    """What one service's dispatcher has of a team and wants for it."""
+
+    team: ids.TeamName
+    service: ids.ServiceName
+    running: int
+    waiting: int
+    # The largest allotment that the dispatcher may still be using.
+    held: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllotmentRequest:
+    """A dispatcher's demand, sent to the control leader."""
+
+    nonce: int
+    demands: tuple[TeamDemand, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allotment:
+    """How many of a team's requests one service may run at once."""
+
+    team: ids.TeamName
+    service: ids.ServiceName
+    amount: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllotmentReply:
+    """Answers `AllotmentRequest`; holds for `lease_ms` from its sending."""
+
+    nonce: int
+    lease_ms: int
+    allotments: tuple[Allotment, ...]
+
+
+# --- Dispatch ---
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendAnnouncement:
+    """A backend server's announcement as an entry received it.
+
+    Attributes:
+        age_ms: Time since the entry received it.
+        lease_ms: How long it holds.
+        running: Requests in its slots, by its own count.
+    """
+
+    service: ids.ServiceName
+    backend_id: ids.BackendId
+    address: str
+    incarnation: ids.Incarnation
+    sequence: int
+    state: BackendState
+    slots: int
+    connections: int
+    lease_ms: int
+    age_ms: int
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcquireSlot:
+    """Asks a service's dispatcher for a slot.
+
+    Attributes:
+        remaining_ms: Time until the request's deadline.
+        idempotency_key: The caller's key, prefixed by its team; or empty.
+        waited_ms: Time already spent waiting at an earlier holder.
+    """
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    team: ids.TeamName
+    urgent: bool
+    remaining_ms: int
+    idempotency_key: ids.IdempotencyKey
+    waited_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotGranted:
+    """Grants a slot of one backend server.
+
+    Attributes:
+        start_within_ms: The grant ends unless the request is sent by then.
+        connection_allowance: Connections the entry may hold to the server.
+    """
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    grant_id: ids.GrantId
+    backend_id: ids.BackendId
+    address: str
+    incarnation: ids.Incarnation
+    start_within_ms: int
+    connection_allowance: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotRefused:
+    """Refuses a slot; the request did not run."""
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    reason: outcomes.Reason
+    detail: str
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotDuplicate:
+    """Tells that a request with the same Idempotency-Key came before."""
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    first_request_id: ids.RequestId
+    first_entry: ids.ProcessId
+    finished: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotReleased:
+    """Returns a slot once the request's end is known.
+
+    Attributes:
+        backend_fault: Whether the backend server failed the request.
+        hold_ms: How long the slot must still count, because the request may
+            be running unseen; 0 when its end is known.
+    """
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    grant_id: ids.GrantId
+    outcome: outcomes.OutcomeKind
+    backend_fault: bool
+    duration_ms: int
+    hold_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelWaiting:
+    """Takes waiting requests out of a service's queue."""
+
+    service: ids.ServiceName
+    request_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutstandingRequest:
+    """A granted request as its entry reports it to a new holder."""
+
+    request_id: ids.RequestId
+    team: ids.TeamName
+    backend_id: ids.BackendId
+    incarnation: ids.Incarnation
+    epoch: ids.Epoch
+    grant_id: ids.GrantId
+    remaining_ms: int
+    idempotency_key: ids.IdempotencyKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdempotencyRecord:
+    """What an entry remembers of a request with an Idempotency-Key."""
+
+    idempotency_key: ids.IdempotencyKey
+    request_id: ids.RequestId
+    entry: ids.ProcessId
+    finished: bool
+    outcome: outcomes.OutcomeKind
+    remaining_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecoverRequest:
+    """A new holder asks an entry what it has outstanding for a service.
+
+    From then on the entry refuses grants of an older epoch.
+    """
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecoverReply:
+    """Answers `RecoverRequest`."""
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    outstanding: tuple[OutstandingRequest, ...]
+    announcements: tuple[BackendAnnouncement, ...]
+    records: tuple[IdempotencyRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchAnswer:
+    """Asks the first entry for the kept answer of a finished request."""
+
+    request_id: ids.RequestId
+    first_request_id: ids.RequestId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHeader:
+    """One header field of an HTTP answer."""
+
+    name: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerCopy:
+    """Answers `FetchAnswer`; the body is only there when `found`."""
+
+    request_id: ids.RequestId
+    found: bool
+    status: int
+    headers: tuple[AnswerHeader, ...]
+    body: bytes
+
+
+# The order gives each message its number on the wire: append only.
+MESSAGE_TYPES: tuple[type, ...] = (
+    Hello,
+    LinkHeartbeat,
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotPart,
+    SnapshotPartReply,
+    TimeoutNow,
+    Propose,
+    ProposeReply,
+    ReadIndexRequest,
+    ReadIndexReply,
+    Subscribe,
+    ChangeBatch,
+    EntryHeartbeat,
+    EntryHeartbeatReply,
+    AllotmentRequest,
+    AllotmentReply,
+    BackendAnnouncement,
+    AcquireSlot,
+    SlotGranted,
+    SlotRefused,
+    SlotDuplicate,
+    SlotReleased,
+    CancelWaiting,
+    RecoverRequest,
+    RecoverReply,
+    FetchAnswer,
+    AnswerCopy,
+)
+
+# Records that appear only inside messages.
+NESTED_TYPES: tuple[type, ...] = (
+    LogEntry,
+    StateChange,
+    HeldLease,
+    TeamDemand,
+    Allotment,
+    OutstandingRequest,
+    IdempotencyRecord,
+    AnswerHeader,
+)
+
+# Any of MESSAGE_TYPES; `match` tells them apart.
+Message = typing.Any
--- /dev/null
+++ b/bambookeel/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin daemons: read settings, build the parts, supervise them."""
--- /dev/null
+++ b/bambookeel/daemons/lifecycle.py
@@ -0,0 +1,53 @@
+"""Runs a daemon's process from its settings to a signal."""
+
+from collections.abc import Callable
+import signal
+import typing
+
+from absl import app
+from absl import flags
+import gevent
+import gevent.event
+
+from bambookeel.runtime import logs
+from bambookeel.runtime import settings_file
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "Settings file, JSON with comments."
+)
+
+
+class Process(typing.Protocol):
+    """What the two roles have in common."""
+
+    def start(self) -> None:
+        """Starts all tasks and opens the sockets."""
+
+    def stop(self) -> None:
+        """Stops without cutting what is in flight."""
+
+
+def run_daemon(
+    settings_type: type, build: Callable[[typing.Any], Process]
+) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then stops it.
+
+    Args:
+        settings_type: The data class of its settings.
+        build: Builds the process from its settings; opens no socket.
+    """
+
+    def run_process(_arguments: list[str]) -> None:
+        path = typing.cast(str, _SETTINGS.value)
+        settings = settings_file.load_or_exit(path, settings_type)
+        logs.set_up_logs(settings.process_id, settings.data_centre)
+        stop_wanted = gevent.event.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, stop_wanted.set)
+        process = build(settings)
+        process.start()
+        stop_wanted.wait()
+        process.stop()
+
+    flags.mark_flag_as_required("settings")
+    app.run(run_process)
--- /dev/null
+++ b/bambookeel/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on slots, queues, shares, limits and retries."""
--- /dev/null
+++ b/bambookeel/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the entry role: callers, announcements, dispatch, state follower."""
--- /dev/null
+++ b/bambookeel/entry/announcements.py
@@ -0,0 +1,118 @@
+"""Announcements of backend servers, as they reach this entry.
+
+A backend server announces itself to any entry, through the balancer. The entry
+checks the announcement and passes it to the service's dispatcher.
+"""
+
+import dataclasses
+from typing import Annotated
+
+import msgspec
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import resources
+from bambookeel.core import settings
+from bambookeel.entry import follower_task
+from bambookeel.entry import router
+from bambookeel.entry import view
+
+_MAX_SLOTS = 4_096
+_MAX_LEASE_MS = 60_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnnouncementDocument:
+    """The JSON body of `POST /announce`.
+
+    Attributes:
+        service: The service that the backend server runs.
+        backend_id: Its name, unique within the service.
+        address: Where it takes requests, `ip:port`.
+        incarnation: Grows with each of its restarts.
+        sequence: Grows with each announcement of one incarnation.
+        state: `serving` or `leaving`.
+        slots: Requests that it runs at once.
+        connections: Connections that it accepts.
+        lease_ms: How long this announcement holds.
+        running: Requests in its slots now.
+    """
+
+    service: resources.Name
+    backend_id: resources.Name
+    address: settings.Address
+    incarnation: Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+    sequence: Annotated[int, msgspec.Meta(ge=0, lt=2**62)]
+    state: str
+    slots: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+    lease_ms: Annotated[int, msgspec.Meta(ge=100, le=_MAX_LEASE_MS)]
+    running: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+_STATES = {
+    "serving": messages.BackendState.SERVING,
+    "leaving": messages.BackendState.LEAVING,
+}
+
+
+def parse_announcement(body: bytes) -> messages.BackendAnnouncement:
+    """Parses and checks an announcement.
+
+    Args:
+        body: JSON.
+
+    Returns:
+        The announcement as a message.
+
+    Raises:
+        msgspec.ValidationError: If a field is missing or out of bounds.
+        msgspec.DecodeError: If the body is no JSON.
+    """
+    document = msgspec.json.decode(body, type=AnnouncementDocument)
+    if document.state not in _STATES:
+        raise msgspec.ValidationError(
+            f"state {document.state!r} is not one of {sorted(_STATES)}"
+        )
+    return messages.BackendAnnouncement(
+        service=ids.ServiceName(document.service),
+        backend_id=ids.BackendId(document.backend_id),
+        address=document.address,
+        incarnation=ids.Incarnation(document.incarnation),
+        sequence=document.sequence,
+        state=_STATES[document.state],
+        slots=document.slots,
+        connections=document.connections,
+        lease_ms=document.lease_ms,
+        age_ms=0,
+        running=document.running,
+    )
+
+
+class Announcements:
+    """Passes announcements to dispatchers."""
+
+    def __init__(
+        self,
+        follower: follower_task.FollowerTask,
+        route: router.Router,
+    ) -> None:
+        self._follower = follower
+        self._router = route
+
+    def take(self, body: bytes) -> None:
+        """Takes in one announcement.
+
+        Args:
+            body: JSON.
+
+        Raises:
+            msgspec.ValidationError: If a field is missing or out of bounds.
+            msgspec.DecodeError: If the body is no JSON.
+        """
+        announcement = parse_announcement(body)
+        assigned = view.get_dispatcher(
+            self._follower.view, announcement.service
+        )
+        if assigned is not None and assigned.holder:
+            self._router.send(ids.ProcessId(assigned.holder), announcement)
--- /dev/null
+++ b/bambookeel/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on pools, availability budgets, waves, moves and placement."""
--- /dev/null
+++ b/bambookeel/net/__init__.py
@@ -0,0 +1,1 @@
+"""Peer links between processes and HTTP towards everyone else."""
--- /dev/null
+++ b/bambookeel/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks, mailboxes, supervision, timers, logs and metrics."""
--- /dev/null
+++ b/bambookeel/runtime/settings_file.py
@@ -0,0 +1,73 @@
+"""Reads settings files: JSON with comments.
+
+Takes a path and a data class of `core.settings` and gives the checked record,
+or every fault with its place. `load_or_exit` is what daemons call: it prints
+the faults and exits with status 2 before any socket opens.
+"""
+
+import pathlib
+import sys
+import typing
+
+import pyjson5
+from returns import result
+
+from bambookeel.core import checking
+from bambookeel.core import faults
+
+EXIT_BAD_SETTINGS = 2
+
+
+def parse_settings(text: str, record_type: type) -> checking.Checked:
+    """Parses and checks the text of a settings file.
+
+    Args:
+        text: JSON with comments.
+        record_type: The data class that it should give.
+
+    Returns:
+        Success with the record, or Failure with every fault.
+    """
+    try:
+        data = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        return result.Failure((faults.Fault("syntax", str(error)),))
+    return checking.check_record(data, record_type)
+
+
+def load_settings(path: str, record_type: type) -> checking.Checked:
+    """Reads and checks a settings file.
+
+    Args:
+        path: The file.
+        record_type: The data class that it should give.
+
+    Returns:
+        Success with the record, or Failure with every fault.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Failure((faults.Fault("file", str(error)),))
+    return parse_settings(text, record_type)
+
+
+def load_or_exit(path: str, record_type: type) -> typing.Any:
+    """Reads a settings file, or ends the process with its faults.
+
+    Args:
+        path: The file.
+        record_type: The data class that it should give.
+
+    Returns:
+        The record.
+    """
+    match load_settings(path, record_type):
+        case result.Success(record):
+            return record
+        case result.Failure(found):
+            for fault in found:
+                print(
+                    f"{path}: {fault.place}: {fault.message}", file=sys.stderr
+                )
+    sys.exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/bambookeel/state/__init__.py
@@ -0,0 +1,1 @@
+"""Resources and how one committed command changes them."""
--- /dev/null
+++ b/bambookeel/state/model.py
@@ -0,0 +1,120 @@
+"""The replicated state and what changed in it.
+
+The state is one immutable record. Applying a command gives a new state and the
+list of changed resources, which followers receive and apply in the same order.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from bambookeel.core import ids
+from bambookeel.core import resources
+from bambookeel.state import commands
+
+ResourceKey = tuple[resources.Kind, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """All replicated resources.
+
+    Attributes:
+        version: Log index of the last command applied.
+        by_key: Resources by kind and name.
+        outcomes: Outcomes of recent commands by id, oldest first.
+    """
+
+    version: ids.StateVersion = ids.StateVersion(0)
+    by_key: Mapping[ResourceKey, resources.Resource] = dataclasses.field(
+        default_factory=dict
+    )
+    outcomes: Mapping[ids.CommandId, commands.CommandOutcome] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredResource:
+    """A resource as followers and snapshots receive it.
+
+    Attributes:
+        kind: The kind.
+        name: The name.
+        version: State version of its last change.
+        spec_version: State version of the last change of its spec.
+        spec: The spec as plain data; None once deleted.
+        status: The status.
+    """
+
+    kind: resources.Kind
+    name: str
+    version: ids.StateVersion
+    spec_version: ids.StateVersion
+    spec: dict[str, Any] | None
+    status: resources.Status
+
+
+def store_resource(resource: resources.Resource) -> StoredResource:
+    """Converts a resource for followers and snapshots.
+
+    Args:
+        resource: The resource.
+
+    Returns:
+        Its stored form.
+    """
+    return StoredResource(
+        kind=resource.kind,
+        name=resource.name,
+        version=resource.version,
+        spec_version=resource.spec_version,
+        spec=msgspec.to_builtins(resource.spec),
+        status=resource.status,
+    )
+
+
+def restore_resource(stored: StoredResource) -> resources.Resource:
+    """Undoes `store_resource`.
+
+    Args:
+        stored: The stored form of a resource that is not deleted.
+
+    Returns:
+        The resource.
+    """
+    spec_type = resources.SPEC_TYPES[stored.kind]
+    return resources.Resource(
+        kind=stored.kind,
+        name=stored.name,
+        version=stored.version,
+        spec_version=stored.spec_version,
+        spec=msgspec.convert(stored.spec, spec_type),
+        status=stored.status,
+    )
+
+
+def encode_changes(changed: tuple[StoredResource, ...]) -> bytes:
+    """Encodes the resources that one command changed.
+
+    Args:
+        changed: Their stored forms.
+
+    Returns:
+        JSON bytes, the payload of `messages.StateChange`.
+    """
+    return msgspec.json.encode(changed)
+
+
+def decode_changes(payload: bytes) -> tuple[StoredResource, ...]:
+    """Decodes what `encode_changes` gave.
+
+    Args:
+        payload: JSON bytes.
+
+    Returns:
+        The stored resources.
+    """
+    return msgspec.json.decode(payload, type=tuple[StoredResource, ...])
--- /dev/null
+++ b/bambookeel/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Synced log and snapshot files under one data folder."""
--- /dev/null
+++ b/bambookeel/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for operators and developers."""
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that print one comparable line each."""
--- /dev/null
+++ b/bench/run_benchmarks.py
@@ -0,0 +1,26 @@
+"""Runs every measurement, or those whose names are given.
+
+Each module of this folder called `bench_*` has a function `measure()` that
+gives result lines; a line is printed as
+`bench=<name> <metric>=<value> bound=<value> ratio=<value>`.
+"""
+
+import importlib
+import pathlib
+import sys
+
+
+def main() -> None:
+    """Runs the measurements and prints their lines."""
+    wanted = sys.argv[1:]
+    for path in sorted(pathlib.Path(__file__).parent.glob("bench_*.py")):
+        name = path.stem.removeprefix("bench_")
+        if wanted and name not in wanted:
+            continue
+        module = importlib.import_module(f"bench.{path.stem}")
+        for line in module.measure():
+            print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/dev/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: launcher, fake backend servers, proof and soak runs."""
--- /dev/null
+++ b/dev/run_deployment.py
@@ -0,0 +1,128 @@
+"""`make run`: starts a small deployment and sends requests through it.
+
+Prints one line a second of progress and closes with one line of key=value
+pairs; exits 1 if a request was lost, doubled or crossed. With `--keep` the
+deployment stays up until Ctrl-C, which stops it gracefully.
+"""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+# pylint: disable=wrong-import-position
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+from absl import app  # noqa: E402
+from absl import flags  # noqa: E402
+import gevent  # noqa: E402
+
+from dev import audit  # noqa: E402
+from dev import deployment  # noqa: E402
+from dev import load  # noqa: E402
+
+_KEEP = flags.DEFINE_bool("keep", False, "Leave the deployment up.")
+_REQUESTS = flags.DEFINE_integer("requests", 600, "Requests to send.")
+_CALLERS = flags.DEFINE_integer("callers", 12, "Callers side by side.")
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
+_BASE_PORT = flags.DEFINE_integer("base_port", 18_000, "First port.")
+_FOLDER = flags.DEFINE_string("folder", "run-output", "Settings and logs.")
+
+
+def _print_progress(sender: load.Load) -> None:
+    while True:
+        gevent.sleep(1)
+        told = [record.told.value for record in sender.records]
+        counts = " ".join(
+            f"{value.value}={told.count(value.value)}" for value in audit.Told
+        )
+        print(f"progress sent={len(told)} {counts}", flush=True)
+
+
+def _wait_until_served(sender: load.Load) -> None:
+    """Waits until every service has answered one request."""
+    ends_at = time.monotonic() + 20
+    while time.monotonic() < ends_at:
+        told = {sender.send_one().told for _ in range(8)}
+        if told == {audit.Told.ANSWERED}:
+            break
+        gevent.sleep(0.2)
+    sender.records.clear()
+
+
+def _print_addresses(running: deployment.Deployment) -> None:
+    for name in running.entry_names:
+        print(f"entry={running.get_address(name, 'http')}")
+    for name in running.control_names:
+        print(f"control={running.get_address(name, 'http')}")
+    team, key = next(iter(running.team_keys.items()))
+    entry = running.get_entry_addresses()[0]
+    service = running.shape.services[0]
+    print(f"A request of team {team}:")
+    print(
+        f"  curl -H 'Authorization: Bearer {key}' -d 'body'"
+        f" http://{entry}/services/{service}/work"
+    )
+    print(f"The operator's key: {running.operator_key}", flush=True)
+
+
+def run_deployment(_arguments: list[str]) -> None:
+    """Starts the deployment, sends the requests, stops it."""
+    folder = pathlib.Path(_FOLDER.value) / time.strftime("%Y%m%d-%H%M%S")
+    running = deployment.Deployment(
+        folder, deployment.Shape(), _BASE_PORT.value
+    )
+    try:
+        running.start()
+        outcome = _send_requests(running)
+        print(outcome.render(), flush=True)
+        if _KEEP.value:
+            _print_addresses(running)
+            while True:
+                gevent.sleep(1)
+    except KeyboardInterrupt:
+        print("stopping", flush=True)
+    finally:
+        codes = running.stop()
+    failed = {name: code for name, code in codes.items() if code != 0}
+    if failed:
+        print(f"exit statuses: {failed}", file=sys.stderr)
+    if failed or (not _KEEP.value and not outcome.holds()):
+        sys.exit(1)
+
+
+def _send_requests(running: deployment.Deployment) -> audit.Audit:
+    """Sends the requests and audits them.
+
+    Args:
+        running: The deployment.
+
+    Returns:
+        The audit.
+    """
+    sender = load.Load(
+        running.get_entry_addresses(),
+        running.shape.services,
+        running.team_keys,
+        _SEED.value,
+    )
+    _wait_until_served(sender)
+    progress = gevent.spawn(_print_progress, sender)
+    sender.run_callers(
+        _CALLERS.value, lambda: len(sender.records) < _REQUESTS.value
+    )
+    progress.kill()
+    backends = [
+        running.get_address(name, "http") for name in running.list_backends()
+    ]
+    return audit.audit_calls(sender.records, load.collect_runs(backends))
+
+
+def main() -> None:
+    """Starts the launcher."""
+    app.run(run_deployment)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests: one folder for each promise, steps and fakes beside them."""
--- /dev/null
+++ b/features/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the system's interfaces."""
--- /dev/null
+++ b/features/run_features.py
@@ -0,0 +1,176 @@
+"""Runs the features and closes with `N passed, N failed, N skipped`.
+
+Each folder below `features/` runs in a behave process of its own, a few side by
+side. Scenarios listed in KNOWN-RED.txt are run and printed; their failure does
+not fail the run, and one that passes must be taken off the list.
+"""
+
+from concurrent import futures
+import dataclasses
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+
+_ROOT = pathlib.Path(__file__).parent
+_KNOWN_RED = _ROOT.parent / "KNOWN-RED.txt"
+_NOT_FOLDERS = ("steps", "fakes", "__pycache__")
+_WORKERS = 4
+# One folder may take this long before it counts as failed.
+_FOLDER_TIMEOUT_S = 600
+
+
+@dataclasses.dataclass(frozen=True)
+class ScenarioResult:
+    """One scenario's result.
+
+    Attributes:
+        test: Feature file and scenario name.
+        status: `passed`, `failed` or `skipped`.
+        error: What failed.
+    """
+
+    test: str
+    status: str
+    error: str
+
+
+def read_known_red() -> list[str]:
+    """Reads the tests listed in KNOWN-RED.txt.
+
+    Returns:
+        The values of its `test:` lines.
+    """
+    if not _KNOWN_RED.exists():
+        return []
+    text = _KNOWN_RED.read_text(encoding="utf-8")
+    return re.findall(r"^test:\s*(.+?)\s*$", text, re.MULTILINE)
+
+
+def _get_status(scenario: dict) -> tuple[str, str]:
+    """Derives a scenario's status from its steps.
+
+    Args:
+        scenario: Behave's JSON of the scenario.
+
+    Returns:
+        The status, and the message of the failed step.
+    """
+    for step in scenario.get("steps", []):
+        outcome = step.get("result", {"status": "untested"})
+        if outcome["status"] == "passed":
+            continue
+        message = outcome.get("error_message", outcome["status"])
+        if isinstance(message, list):
+            message = "\n".join(message)
+        return "failed", f"{step['name']}\n{message}"
+    if scenario.get("status") == "skipped":
+        return "skipped", ""
+    return "passed" if scenario.get("status") == "passed" else "failed", ""
+
+
+def run_folder(folder: str, arguments: list[str]) -> list[ScenarioResult]:
+    """Runs the features of one folder.
+
+    Args:
+        folder: Its name below `features/`.
+        arguments: Further arguments of behave.
+
+    Returns:
+        The results of its scenarios.
+    """
+    with tempfile.TemporaryDirectory() as scratch:
+        output = pathlib.Path(scratch) / "results.json"
+        command = [sys.executable, "-m", "behave", "--no-capture"]
+        command += ["--format=json", f"--outfile={output}", "--no-summary"]
+        command += [str(_ROOT / folder), *arguments]
+        environment = dict(os.environ, PYTHONHASHSEED="0")
+        try:
+            done = subprocess.run(
+                command,
+                cwd=_ROOT.parent,
+                env=environment,
+                capture_output=True,
+                text=True,
+                timeout=_FOLDER_TIMEOUT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired:
+            return [ScenarioResult(folder, "failed", "timed out")]
+        try:
+            features = json.loads(output.read_text(encoding="utf-8"))
+        except (OSError, ValueError):
+            text = done.stdout[-4000:] + done.stderr[-4000:]
+            return [ScenarioResult(folder, "failed", text)]
+    results = _collect_results(features)
+    if done.returncode != 0 and all(r.status != "failed" for r in results):
+        text = done.stdout[-4000:] + done.stderr[-4000:]
+        results.append(ScenarioResult(folder, "failed", text))
+    return results
+
+
+def _collect_results(features: list[dict]) -> list[ScenarioResult]:
+    results = []
+    for feature in features:
+        path = feature["location"].rpartition(":")[0]
+        for element in feature.get("elements", []):
+            if element["type"] == "background":
+                continue
+            status, error = _get_status(element)
+            test = f"{path}: {element['name']}"
+            results.append(ScenarioResult(test, status, error))
+    return results
+
+
+def main() -> None:
+    """Runs all folders, or those named, and exits 1 on a failure."""
+    wanted = sys.argv[1:]
+    folders = sorted(
+        path.name
+        for path in _ROOT.iterdir()
+        if path.is_dir() and path.name not in _NOT_FOLDERS
+    )
+    if wanted:
+        folders = [name for name in folders if name in wanted]
+    results: list[ScenarioResult] = []
+    with futures.ThreadPoolExecutor(_WORKERS) as pool:
+        for found in pool.map(lambda name: run_folder(name, []), folders):
+            results.extend(found)
+    sys.exit(_report(results))
+
+
+def _report(results: list[ScenarioResult]) -> int:
+    """Prints failures, known failures and the closing line.
+
+    Args:
+        results: All results.
+
+    Returns:
+        The exit status.
+    """
+    known = read_known_red()
+    passed = failed = skipped = 0
+    for result in results:
+        if result.test in known:
+            print(f"known red: {result.test}: {result.status}")
+            if result.status == "passed":
+                print("  it passes now: take it off KNOWN-RED.txt")
+            skipped += 1
+            continue
+        if result.status == "passed":
+            passed += 1
+            continue
+        if result.status == "skipped":
+            skipped += 1
+            continue
+        failed += 1
+        print(f"FAILED {result.test}\n{result.error}\n")
+    print(f"{passed} passed, {failed} failed, {skipped} skipped")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Step definitions."""
