--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 MINUTES ?= 1
+BASE_PORT ?= 18000
 
-.PHONY: run test bench proof soak lint format types schema clean
+.PHONY: run test bench proof soak lint format check-format types schema clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -14,7 +15,7 @@
 	touch $(STAMP)
 
 run: $(STAMP)
-	$(PYTHON) -m dev.run_deployment $(if $(KEEP),--keep,)
+	$(PYTHON) -m dev.run_deployment --base_port=$(BASE_PORT) $(if $(KEEP),--keep,)
 
 test: $(STAMP)
 	$(PYTHON) -m features.run_features $(ONLY)
@@ -23,10 +24,10 @@
 	$(PYTHON) -m bench.run_benchmarks $(ONLY)
 
 proof: $(STAMP)
-	$(PYTHON) -m dev.run_proof --seed=$(SEED) $(if $(ONLY),--only=$(ONLY),) $(if $(LONG),--long_minutes=$(LONG),)
+	$(PYTHON) -m dev.run_proof --base_port=$(BASE_PORT) --seed=$(SEED) $(if $(ONLY),--only=$(ONLY),) $(if $(LONG),--long_minutes=$(LONG),)
 
 soak: $(STAMP)
-	$(PYTHON) -m dev.run_soak --seed=$(SEED) --minutes=$(MINUTES)
+	$(PYTHON) -m dev.run_soak --base_port=$(BASE_PORT) --seed=$(SEED) --minutes=$(MINUTES)
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff check bambookeel features bench dev
