--- /dev/null
+++ b/bambookeel/control/allotment_task.py
@@ -0,0 +1,120 @@
+"""Answers dispatchers' reports with allotments of the teams' limits.
+
+Only the leader within its own lease answers, and only the current holder of a
+service. The decisions are in `dispatch.allotments`. The fleet part may report
+the tasks of a pool's jobs as a service named `jobs/POOL` through the mailbox.
+"""
+
+from bambookeel.control import events
+from bambookeel.control import replica_task
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import resources
+from bambookeel.core import settings as core_settings
+from bambookeel.dispatch import allotments
+from bambookeel.runtime import clock
+from bambookeel.runtime import logs
+from bambookeel.runtime import mailbox
+from bambookeel.state import model
+
+
+class AllotmentTask:
+    """Owns the leader's accounts of the teams' limits."""
+
+    def __init__(
+        self,
+        process_id: ids.ProcessId,
+        leases: core_settings.LeaseTimings,
+        replica: replica_task.ReplicaTask,
+        send: replica_task.SendMessage,
+    ) -> None:
+        self.mailbox = mailbox.Mailbox("allotments")
+        self._process_id = process_id
+        self._leases = leases
+        self._replica = replica
+        self._send = send
+        self._keeper = allotments.Keeper()
+        self._rules: allotments.Rules | None = None
+        self._holders: dict[ids.ServiceName, ids.ProcessId] = {}
+        self._rules_version = ids.StateVersion(0)
+
+    def run(self) -> None:
+        """Handles messages until the task is killed."""
+        while True:
+            self._handle(self.mailbox.get())
+
+    def _handle(self, event: object) -> None:
+        match event:
+            case events.FromPeer(peer, messages.AllotmentRequest() as request):
+                self._answer(peer, request)
+
+    def _answer(
+        self, peer: ids.ProcessId, request: messages.AllotmentRequest
+    ) -> None:
+        """Answers one report, as leader.
+
+        Args:
+            peer: The process that sent it.
+            request: The report.
+        """
+        current = self._replica.view
+        if not current.leads(clock.read_now_ms()):
+            return
+        if self._keeper.term != current.term:
+            allotments.become_leader(self._keeper, current.term)
+            logs.log_event("allotments_start", term=current.term)
+        rules = self._read_rules(current.state)
+        services = tuple(
+            report
+            for report in request.services
+            if self._is_holder(rules, peer, report)
+        )
+        checked = messages.AllotmentRequest(
+            request.nonce, request.demands, services, request.answered_term
+        )
+        reply = allotments.take_request(
+            self._keeper, rules, checked, self._leases.allotment_ms
+        )
+        if reply is not None:
+            self._send(peer, reply)
+
+    def _is_holder(
+        self,
+        rules: allotments.Rules,
+        peer: ids.ProcessId,
+        report: messages.ServiceReport,
+    ) -> bool:
+        if report.service.startswith(allotments.JOBS_PREFIX):
+            return peer == self._process_id
+        if rules.epochs.get(report.service) != report.epoch:
+            return False
+        return self._holders.get(report.service) == peer
+
+    def _read_rules(self, state: model.State) -> allotments.Rules:
+        """Reads limits and holders from the replicated state.
+
+        Args:
+            state: The state.
+
+        Returns:
+            The rules, read again only when the state has changed.
+        """
+        if self._rules is not None and self._rules_version == state.version:
+            return self._rules
+        limits: dict[ids.TeamName, int] = {}
+        epochs: dict[ids.ServiceName, ids.Epoch] = {}
+        self._holders = {}
+        for (_, name), resource in state.by_key.items():
+            match resource.spec:
+                case resources.TeamSpec(upper_limit=upper_limit):
+                    limits[ids.TeamName(name)] = upper_limit
+                case resources.DispatcherSpec(holder=holder, epoch=epoch):
+                    is_declared = (resources.Kind.SERVICE, name) in state.by_key
+                    if not holder or not is_declared:
+                        continue
+                    service = ids.ServiceName(name)
+                    epochs[service] = ids.Epoch(epoch)
+                    self._holders[service] = ids.ProcessId(holder)
+        self._rules = allotments.Rules(limits, epochs)
+        self._rules_version = state.version
+        return self._rules
--- a/bambookeel/control/lease_keeper.py
+++ b/bambookeel/control/lease_keeper.py
@@ -27,6 +27,9 @@
         stopping: Entries that are about to stop.
         lease_until_ms: When the lease of a service's holder ends at the latest.
         released: Epochs that their holder has given up, by service.
+        closed: Epochs whose successor has been proposed, by service; they are
+            never renewed again.
+        term: The term that this process leads.
     """
 
     lease_ms: int
@@ -42,15 +45,38 @@
     released: dict[ids.ServiceName, ids.Epoch] = dataclasses.field(
         default_factory=dict
     )
+    closed: dict[ids.ServiceName, ids.Epoch] = dataclasses.field(
+        default_factory=dict
+    )
+    term: ids.Term = ids.Term(0)
+
+
+def lead_term(keeper: LeaseKeeper, term: ids.Term, now_ms: int) -> None:
+    """Notes that this process leads a term now.
+
+    Called whenever it acts as leader, within its own lease. Then no earlier
+    leader can renew anything any more, so the wait for what it renewed counts
+    from the first call of a term.
+
+    Args:
+        keeper: The keeper.
+        term: The term.
+        now_ms: The time.
+    """
+    if keeper.leader_since_ms is None or keeper.term != term:
+        become_leader(keeper, term, now_ms)
 
 
-def become_leader(keeper: LeaseKeeper, now_ms: int) -> None:
+def become_leader(keeper: LeaseKeeper, term: ids.Term, now_ms: int) -> None:
     """Starts a leader's term with nothing known of earlier leases.
 
     Args:
         keeper: The keeper.
+        term: The term.
         now_ms: The time.
     """
+    keeper.term = term
+    keeper.closed.clear()
     keeper.leader_since_ms = now_ms
     keeper.heard_at_ms.clear()
     keeper.stopping.clear()
@@ -101,6 +127,9 @@
             continue
         if keeper.released.get(lease.service) == lease.epoch:
             continue
+        if keeper.closed.get(lease.service) == lease.epoch:
+            # A successor may be committed at any moment.
+            continue
         keeper.lease_until_ms[lease.service] = now_ms + keeper.lease_ms
         renewed.append(lease)
     return tuple(renewed)
@@ -189,6 +218,9 @@
         holder = min(candidates, key=lambda entry: (load[entry], entry))
         load[holder] += 1
         planned.append(_build_assignment(state, service, holder))
+        spec = _get_assignment(state, service)
+        if spec is not None:
+            keeper.closed[service] = ids.Epoch(spec.epoch)
     return tuple(planned)
 
 
--- a/bambookeel/control/lease_task.py
+++ b/bambookeel/control/lease_task.py
@@ -56,8 +56,6 @@
                 self._assign_dispatchers(now_ms)
             case events.FromPeer(peer, messages.EntryHeartbeat() as heartbeat):
                 self._answer_heartbeat(peer, heartbeat, now_ms)
-            case events.LeadershipChanged(_, True):
-                lease_keeper.become_leader(self._keeper, now_ms)
             case events.LeadershipChanged(_, False):
                 lease_keeper.lose_leadership(self._keeper)
 
@@ -65,12 +63,17 @@
         current = self._replica.view
         if not current.leads(now_ms):
             return
+        lease_keeper.lead_term(self._keeper, current.term, now_ms)
         planned = lease_keeper.plan_assignments(
             self._keeper, current.state, now_ms
         )
         for change in planned:
             epoch = change.spec["epoch"]
-            command_id = f"dispatch-{current.term}-{change.name}-{epoch}"
+            # The version keeps a refused try apart from the next one.
+            command_id = (
+                f"dispatch-{current.term}-{change.name}-{epoch}"
+                f"-{change.expected_version}"
+            )
             command = commands.Command(
                 ids.CommandId(command_id),
                 "lease-keeper",
@@ -97,6 +100,7 @@
         leads = current.leads(now_ms)
         renewed: tuple[messages.HeldLease, ...] = ()
         if leads:
+            lease_keeper.lead_term(self._keeper, current.term, now_ms)
             renewed = lease_keeper.take_heartbeat(
                 self._keeper, current.state, peer, heartbeat, now_ms
             )
--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -3,6 +3,7 @@
 import functools
 
 from bambookeel.api import operator_app
+from bambookeel.control import allotment_task
 from bambookeel.control import events
 from bambookeel.control import lease_task
 from bambookeel.control import replica_task
@@ -36,6 +37,12 @@
         self._leases = lease_task.LeaseTask(
             settings.leases, replica, self._links.send
         )
+        self._allotments = allotment_task.AllotmentTask(
+            ids.ProcessId(settings.process_id),
+            settings.leases,
+            replica,
+            self._links.send,
+        )
         self._streams = stream_task.StreamTask(replica, self._links.send)
         listeners = [self._streams.mailbox, self._leases.mailbox]
         replica.connect(self._links.send, listeners)
@@ -96,6 +103,8 @@
                 self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, messages.EntryHeartbeat() as message):
                 self._leases.mailbox.put(events.FromPeer(peer, message))
+            case links.Received(peer, messages.AllotmentRequest() as message):
+                self._allotments.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, message):
                 self._replica.mailbox.put(events.FromPeer(peer, message))
             case links.LinkDown(peer):
@@ -117,6 +126,7 @@
         self._supervisor.start_task("timers", self._timers.run)
         self._supervisor.start_task("replica", self._replica.run)
         self._supervisor.start_task("leases", self._leases.run)
+        self._supervisor.start_task("allotments", self._allotments.run)
         self._supervisor.start_task("streams", self._streams.run)
         self._links.listen()
         for peer in self._links.get_dialled_peers():
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -301,12 +301,35 @@
     held: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceReport:
+    """Marks the account of one service as whole within its message.
+
+    Attributes:
+        epoch: The holder's epoch.
+        complete: In a request, whether the holder counts everything that
+            earlier holders granted; in a reply, whether `earlier` of the
+            service's allotments is known.
+    """
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    complete: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AllotmentRequest:
-    """A dispatcher's demand, sent to the control leader."""
+    """A dispatcher's demand, sent to the control leader.
+
+    A team without a demand has nothing running, waiting or held in the
+    services reported.
+    """
 
     nonce: int
     demands: tuple[TeamDemand, ...]
+    services: tuple[ServiceReport, ...] = ()
+    # Term of the leader whose reply was last adopted.
+    answered_term: ids.Term = ids.Term(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -316,15 +339,22 @@
     team: ids.TeamName
     service: ids.ServiceName
     amount: int
+    # The most that earlier holders of the service may have running.
+    earlier: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AllotmentReply:
-    """Answers `AllotmentRequest`; holds for `lease_ms` from its sending."""
+    """Answers `AllotmentRequest`; holds for `lease_ms` from its sending.
+
+    Only the reply to the newest request is adopted.
+    """
 
     nonce: int
     lease_ms: int
     allotments: tuple[Allotment, ...]
+    term: ids.Term = ids.Term(0)
+    services: tuple[ServiceReport, ...] = ()
 
 
 # --- Dispatch ---
@@ -338,6 +368,7 @@
         age_ms: Time since the entry received it.
         lease_ms: How long it holds.
         running: Requests in its slots, by its own count.
+        hops: Entries that have passed it on.
     """
 
     service: ids.ServiceName
@@ -351,6 +382,7 @@
     lease_ms: int
     age_ms: int
     running: int
+    hops: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -379,6 +411,11 @@
     Attributes:
         start_within_ms: The grant ends unless the request is sent by then.
         connection_allowance: Connections the entry may hold to the server.
+        waited_ms: Time from the arrival of `AcquireSlot` to the grant. An
+            entry that counts `waited_ms + start_within_ms` from the sending
+            of `AcquireSlot` by its own clock never starts a request later
+            than `start_within_ms` after the grant was made, also when the
+            grant arrives late.
     """
 
     request_id: ids.RequestId
@@ -390,6 +427,7 @@
     incarnation: ids.Incarnation
     start_within_ms: int
     connection_allowance: int
+    waited_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -517,6 +555,51 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepRecords:
+    """Asks a process to keep copies of a service's idempotency records.
+
+    A record with `remaining_ms` 0 is to be dropped.
+    """
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    nonce: int
+    records: tuple[IdempotencyRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsKept:
+    """Answers `KeepRecords`."""
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsRequest:
+    """A holder asks a process for its copies and its age."""
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsReply:
+    """Answers `RecordsRequest`.
+
+    Attributes:
+        uptime_ms: Age of the process; what an earlier life of it has
+            outstanding is not in its `RecoverReply`.
+    """
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    uptime_ms: int
+    records: tuple[IdempotencyRecord, ...]
+
+
 # The order gives each message its number on the wire: append only.
 MESSAGE_TYPES: tuple[type, ...] = (
     Hello,
@@ -549,6 +632,10 @@
     RecoverReply,
     FetchAnswer,
     AnswerCopy,
+    KeepRecords,
+    RecordsKept,
+    RecordsRequest,
+    RecordsReply,
 )
 
 # Records that appear only inside messages.
@@ -561,6 +648,7 @@
     OutstandingRequest,
     IdempotencyRecord,
     AnswerHeader,
+    ServiceReport,
 )
 
 # Any of MESSAGE_TYPES; `match` tells them apart.
--- /dev/null
+++ b/bambookeel/dispatch/announcing.py
@@ -0,0 +1,60 @@
+"""Takes announcements of backend servers into a dispatcher's state.
+
+While a new holder has not heard every entry, a server's slots are granted only
+from a settled announcement on: one made after the last grant of an earlier
+holder must have started. What the server then runs beyond the known grants
+counts as used by entries that were not heard.
+"""
+
+from bambookeel.core import messages
+from bambookeel.dispatch import backend_table
+from bambookeel.dispatch import effects
+from bambookeel.dispatch import ending
+from bambookeel.dispatch import granting
+from bambookeel.dispatch import service
+
+
+def _count_unseen(
+    state: service.ServiceState, backend: backend_table.Backend
+) -> None:
+    """Counts slots that unheard entries may use, from a settled sample.
+
+    Args:
+        state: The service's state.
+        backend: The server, with a new announcement.
+    """
+    settled_at_ms = (state.started_at_ms or 0) + service.START_WITHIN_MS
+    if state.started_at_ms is None or backend.sampled_at_ms < settled_at_ms:
+        return
+    beyond = backend.announcement.running - backend.granted
+    backend.unseen = max(0, beyond)
+    backend.counted = True
+
+
+def take_announcement(
+    state: service.ServiceState,
+    announcement: messages.BackendAnnouncement,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Takes in a backend server's announcement.
+
+    Args:
+        state: The service's state.
+        announcement: The announcement.
+        now_ms: The time.
+
+    Returns:
+        Grants that it made possible.
+    """
+    backend = backend_table.take_announcement(
+        state.backends, announcement, now_ms
+    )
+    if backend is None:
+        return []
+    if not state.counts_all and not backend.counted:
+        _count_unseen(state, backend)
+    else:
+        backend.counted = True
+    ending.free_proved_slots(state, backend)
+    backend_table.refresh(state.backends, backend)
+    return granting.grant_slots(state, now_ms)
--- /dev/null
+++ b/bambookeel/dispatch/copies.py
@@ -0,0 +1,287 @@
+"""Copies of idempotency records at a second process.
+
+The entry of a request remembers its key, and so does the holder. Where both
+stand in one data centre, or are one process, an entry elsewhere keeps a copy
+before the request is granted. So a lost data centre takes no record with it.
+"""
+
+import dataclasses
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from bambookeel.dispatch import effects
+from bambookeel.dispatch import fair_queue
+from bambookeel.dispatch import granting
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import service
+
+# Time after which another process is asked to keep a copy.
+_RETRY_AFTER_MS = 300
+NOBODY = ids.ProcessId("")
+# Time in which a holder gives a restarted entry its records back.
+_RESTORE_WITHIN_MS = 5_000
+# Records in one message.
+_PART_RECORDS = 500
+
+
+def choose_copy_holder(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    without: ids.ProcessId,
+) -> ids.ProcessId | None:
+    """Chooses who keeps a copy of a record.
+
+    Args:
+        state: The service's state.
+        entry: The entry that has the record itself.
+        without: A process that did not answer, or empty.
+
+    Returns:
+        A process, or None when the holder's own record is enough or nobody
+        else is there.
+    """
+    own = state.deployment.process_id
+    centres = state.deployment.data_centres
+    if centres.get(entry) != centres.get(own):
+        return None
+    others = [
+        process
+        for process in sorted(state.reachable)
+        if process not in (own, entry, without) and process in centres
+    ]
+    elsewhere = [p for p in others if centres[p] != centres.get(entry)]
+    if not elsewhere and entry != own:
+        # One data centre is left: the entry and the holder are two copies.
+        return None
+    candidates = elsewhere or others
+    if not candidates:
+        return None
+    return candidates[state.last_nonce % len(candidates)]
+
+
+def protect_key(
+    state: service.ServiceState,
+    waiting: fair_queue.Waiting,
+    now_ms: int,
+    asked: list[effects.Effect],
+    without: ids.ProcessId = NOBODY,
+) -> bool:
+    """Records a request's key and asks for a copy where one is needed.
+
+    Args:
+        state: The service's state.
+        waiting: The request, not in the queue yet.
+        now_ms: The time.
+        asked: Gets the message to the copy's holder.
+        without: A process that did not answer, or empty.
+
+    Returns:
+        Whether the request may be queued at once.
+    """
+    request = waiting.request
+    key = request.idempotency_key
+    if not key:
+        return True
+    target = choose_copy_holder(state, waiting.entry, without)
+    record = idempotency.Record(
+        request.request_id,
+        waiting.entry,
+        False,
+        outcomes.OutcomeKind.UNKNOWN,
+        waiting.deadline_ms + state.spec.idempotency_ttl_ms,
+        target or ids.ProcessId(""),
+    )
+    idempotency.put(state.records, key, record)
+    if target is None:
+        return True
+    state.last_nonce += 1
+    state.copying[state.last_nonce] = service.Copying(waiting, target, now_ms)
+    state.copying_requests[request.request_id] = state.last_nonce
+    exported = idempotency.export(key, record, now_ms)
+    keep = messages.KeepRecords(
+        state.service, state.epoch, state.last_nonce, (exported,)
+    )
+    asked.append(effects.Send(target, keep))
+    return False
+
+
+def take_kept(
+    state: service.ServiceState, kept: messages.RecordsKept, now_ms: int
+) -> list[effects.Effect]:
+    """Queues the request whose record now has a copy.
+
+    Args:
+        state: The service's state.
+        kept: The copy holder's answer.
+        now_ms: The time.
+
+    Returns:
+        Grants.
+    """
+    if kept.epoch != state.epoch:
+        return []
+    copying = state.copying.pop(kept.nonce, None)
+    if copying is None:
+        return []
+    waiting = copying.waiting
+    del state.copying_requests[waiting.request.request_id]
+    if waiting.deadline_ms > now_ms:
+        fair_queue.add(state.queue, waiting)
+        return granting.grant_slots(state, now_ms)
+    # The tick refuses it.
+    fair_queue.add(state.queue, waiting)
+    return []
+
+
+def retry_copies(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Asks another process where a copy was not confirmed in time.
+
+    Args:
+        state: The service's state.
+        now_ms: The time.
+
+    Returns:
+        The messages.
+    """
+    asked: list[effects.Effect] = []
+    for nonce, copying in list(state.copying.items()):
+        if now_ms - copying.asked_at_ms < _RETRY_AFTER_MS:
+            continue
+        del state.copying[nonce]
+        waiting = copying.waiting
+        del state.copying_requests[waiting.request.request_id]
+        if protect_key(state, waiting, now_ms, asked, copying.target):
+            fair_queue.add(state.queue, waiting)
+    return asked
+
+
+def _send_copies(
+    state: service.ServiceState,
+    target: ids.ProcessId,
+    keys: list[ids.IdempotencyKey],
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Sends copies of records in parts.
+
+    Args:
+        state: The service's state.
+        target: Who keeps them.
+        keys: Which records.
+        now_ms: The time.
+
+    Returns:
+        The messages.
+    """
+    asked: list[effects.Effect] = []
+    for start in range(0, len(keys), _PART_RECORDS):
+        part = tuple(
+            idempotency.export(key, state.records.by_key[key], now_ms)
+            for key in keys[start : start + _PART_RECORDS]
+        )
+        keep = messages.KeepRecords(state.service, state.epoch, 0, part)
+        asked.append(effects.Send(target, keep))
+    return asked
+
+
+def restore_copies(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    reply: messages.RecordsReply,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Gives a restarted process the records back that it should keep.
+
+    Args:
+        state: The service's state.
+        entry: The process.
+        reply: What it keeps.
+        now_ms: The time.
+
+    Returns:
+        The messages.
+    """
+    started_at_ms = state.started_at_ms or now_ms
+    if now_ms - reply.uptime_ms <= started_at_ms:
+        return []
+    if entry == state.deployment.process_id:
+        return []
+    kept = {copy.idempotency_key for copy in reply.records}
+    lost = [
+        key
+        for key, record in state.records.by_key.items()
+        if entry in (record.entry, record.copy_at) and key not in kept
+    ]
+    return _send_copies(state, entry, lost, now_ms)
+
+
+def spread_records(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Copies recovered records out of the new holder's data centre.
+
+    Args:
+        state: The service's state.
+        now_ms: The time.
+
+    Returns:
+        The messages.
+    """
+    keys_by_target: dict[ids.ProcessId, list[ids.IdempotencyKey]] = {}
+    for key, record in list(state.records.by_key.items()):
+        target = choose_copy_holder(state, record.entry, NOBODY)
+        if target is None:
+            continue
+        state.records.by_key[key] = dataclasses.replace(record, copy_at=target)
+        keys_by_target.setdefault(target, []).append(key)
+    asked: list[effects.Effect] = []
+    for target, keys in keys_by_target.items():
+        asked.extend(_send_copies(state, target, keys, now_ms))
+    return asked
+
+
+def _has_whole_life(
+    state: service.ServiceState, account: service.EntryAccount
+) -> bool:
+    """Tells whether an entry told every record that it had to keep.
+
+    What a restarted entry has lost, the earlier holder has given back to it
+    soon after; only a restart shortly before the take-over leaves a doubt.
+
+    Args:
+        state: The service's state.
+        account: What was heard of the entry.
+
+    Returns:
+        Whether it was heard and did not restart just before.
+    """
+    if not account.told_outstanding or account.alive_since_ms is None:
+        return False
+    started_at_ms = state.started_at_ms or 0
+    return account.alive_since_ms + _RESTORE_WITHIN_MS <= started_at_ms
+
+
+def check_records(state: service.ServiceState) -> None:
+    """Ends the refusal of unknown Idempotency-Keys where no record is missing.
+
+    A record is kept by processes of two data centres, or by two processes
+    where one data centre is left.
+
+    Args:
+        state: The service's state.
+    """
+    if not state.records.incomplete_until_ms or not state.ready:
+        return
+    centres = state.deployment.data_centres
+    unheard = [
+        entry
+        for entry, account in state.accounts.items()
+        if not _has_whole_life(state, account)
+    ]
+    lost_centres = {centres[entry] for entry in unheard}
+    all_centres = set(centres.values())
+    one_centre_lost = len(lost_centres) == 1 and len(all_centres) > 1
+    if not unheard or len(unheard) == 1 or one_centre_lost:
+        state.records.incomplete_until_ms = 0
--- a/bambookeel/dispatch/dispatcher.py
+++ b/bambookeel/dispatch/dispatcher.py
@@ -1,141 +1,159 @@
-"""Decides which waiting request gets which slot of one service.
+"""The steps of one service's dispatcher.
 
 One process at a time holds a service's dispatch lease and runs these steps.
-Every step takes the service's state, a message and the time, changes the state
-and gives effects. There is no clock, socket or task in here.
+Each takes the service's state, what happened and the time, changes the state
+and gives effects; the other modules of the package hold the decisions. There
+is no clock, socket or task in here.
 """
 
-from collections import OrderedDict
-import dataclasses
+from collections.abc import Mapping
 
 from bambookeel.core import faults
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.core import outcomes
 from bambookeel.core import resources
+from bambookeel.dispatch import admission
+from bambookeel.dispatch import announcing
+from bambookeel.dispatch import backend_table
+from bambookeel.dispatch import copies
 from bambookeel.dispatch import effects
+from bambookeel.dispatch import ending
+from bambookeel.dispatch import fair_queue
+from bambookeel.dispatch import granting
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import outliers
+from bambookeel.dispatch import recovery
+from bambookeel.dispatch import service
+from bambookeel.dispatch import team_limits
 
-# Time that an entry has to use a grant.
-START_WITHIN_MS = 500
-_RETRY_AFTER_MS = 500
+# When an entry that asked a former holder should ask the next one.
+_HAND_OVER_RETRY_MS = 100
 
 
-@dataclasses.dataclass(slots=True)
-class Backend:
-    """A backend server as the dispatcher knows it.
+def check_epoch(held: int, assigned: int) -> None:
+    """Checks that a service's epoch only grows.
 
-    Attributes:
-        announcement: Its newest announcement.
-        expires_at_ms: When its lease ends.
-        granted: Slots in use.
+    Args:
+        held: The epoch of the state held so far, or 0.
+        assigned: The epoch that control has assigned.
     """
+    faults.check_invariant(
+        assigned > held, f"epoch {assigned} after epoch {held}"
+    )
 
-    announcement: messages.BackendAnnouncement
-    expires_at_ms: int
-    granted: int = 0
 
+def renew_lease(
+    state: service.ServiceState,
+    until_ms: int,
+    reachable: set[ids.ProcessId],
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Extends the dispatch lease; the first one begins recovery.
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Waiting:
-    """A request in the queue.
+    Args:
+        state: The service's state.
+        until_ms: When the lease ends, on the own clock.
+        reachable: Entries with a link, the own process included.
+        now_ms: The time.
 
-    Attributes:
-        entry: The process that asked.
-        request: What it asked.
-        deadline_ms: When the caller stops waiting, on the own clock.
+    Returns:
+        Questions to entries, and grants.
     """
+    state.lease_until_ms = max(state.lease_until_ms, until_ms)
+    if state.started_at_ms is None:
+        return recovery.begin(state, reachable, now_ms)
+    return granting.grant_slots(state, now_ms)
 
-    entry: ids.ProcessId
-    request: messages.AcquireSlot
-    deadline_ms: int
 
+def release_lease(state: service.ServiceState) -> list[effects.Effect]:
+    """Gives the lease up; nothing is granted from now on.
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
-    """A slot in use.
+    Args:
+        state: The service's state.
 
-    Attributes:
-        entry: The process that uses it.
-        request_id: For which request.
-        team: For which team.
-        backend_id: Whose slot.
-        incarnation: Of which life of the backend server.
+    Returns:
+        Refusals, so that entries ask the next holder.
     """
+    state.released = True
+    return admission.refuse_all(
+        state, "the dispatcher is handed over", _HAND_OVER_RETRY_MS
+    )
 
-    entry: ids.ProcessId
-    request_id: ids.RequestId
-    team: ids.TeamName
-    backend_id: ids.BackendId
-    incarnation: ids.Incarnation
-
-
-@dataclasses.dataclass(slots=True)
-class ServiceState:
-    """Everything that the holder of one service's lease knows.
-
-    Attributes:
-        service: The service.
-        epoch: The holder's epoch.
-        spec: The service's declared settings.
-        backends: Backend servers by id.
-        waiting: The queue, oldest first.
-        grants: Slots in use by grant id.
-        last_grant_id: The newest grant's id.
+
+def set_teams(
+    state: service.ServiceState,
+    teams: Mapping[ids.TeamName, resources.TeamSpec],
+) -> None:
+    """Takes in the teams' shares and limits.
+
+    Args:
+        state: The service's state.
+        teams: All teams.
     """
+    state.weights = {team: spec.share_weight for team, spec in teams.items()}
+    state.upper_limits = {
+        team: spec.upper_limit for team, spec in teams.items()
+    }
+    for team in state.queue.teams:
+        fair_queue.set_weight(state.queue, team, get_weight(state, team))
 
-    service: ids.ServiceName
-    epoch: ids.Epoch
-    spec: resources.ServiceSpec
-    backends: dict[ids.BackendId, Backend] = dataclasses.field(
-        default_factory=dict
-    )
-    waiting: OrderedDict[ids.RequestId, Waiting] = dataclasses.field(
-        default_factory=OrderedDict
-    )
-    grants: dict[ids.GrantId, Grant] = dataclasses.field(default_factory=dict)
-    last_grant_id: int = 0
+
+def get_weight(state: service.ServiceState, team: ids.TeamName) -> float:
+    """Finds a team's share weight.
+
+    Args:
+        state: The service's state.
+        team: The team.
+
+    Returns:
+        Its weight; that of requests without a team is low.
+    """
+    return state.weights.get(team, service.NO_TEAM_WEIGHT)
 
 
-def handle_announcement(
-    state: ServiceState,
-    announcement: messages.BackendAnnouncement,
+def handle_message(
+    state: service.ServiceState,
+    peer: ids.ProcessId,
+    message: messages.Message,
     now_ms: int,
 ) -> list[effects.Effect]:
-    """Takes in a backend server's announcement.
+    """Takes in a message for the service.
 
     Args:
         state: The service's state.
-        announcement: The announcement.
-        now_ms: The time.
+        peer: Who sent it.
+        message: The message.
+        now_ms: The time, read right before.
 
     Returns:
-        Grants that the announcement made possible.
+        What to do.
     """
-    remaining_ms = announcement.lease_ms - announcement.age_ms
-    if remaining_ms <= 0:
-        return []
-    known = state.backends.get(announcement.backend_id)
-    if known is None:
-        known = Backend(announcement, now_ms + remaining_ms)
-        state.backends[announcement.backend_id] = known
-    new_order = (announcement.incarnation, announcement.sequence)
-    old = known.announcement
-    if new_order < (old.incarnation, old.sequence):
-        return []
-    if announcement.incarnation != old.incarnation:
-        known.granted = 0
-    known.announcement = announcement
-    known.expires_at_ms = now_ms + remaining_ms
-    return grant_slots(state, now_ms)
+    match message:
+        case messages.AcquireSlot():
+            return handle_acquire(state, peer, message, now_ms)
+        case messages.SlotReleased():
+            return ending.take_release(state, message, now_ms)
+        case messages.CancelWaiting():
+            admission.cancel(state, message.request_ids)
+        case messages.BackendAnnouncement():
+            return announcing.take_announcement(state, message, now_ms)
+        case messages.RecoverReply():
+            return recovery.take_outstanding(state, peer, message, now_ms)
+        case messages.RecordsReply():
+            return recovery.take_records(state, peer, message, now_ms)
+        case messages.RecordsKept():
+            return copies.take_kept(state, message, now_ms)
+    return []
 
 
 def handle_acquire(
-    state: ServiceState,
+    state: service.ServiceState,
     entry: ids.ProcessId,
     request: messages.AcquireSlot,
     now_ms: int,
 ) -> list[effects.Effect]:
-    """Queues a request, and grants it a slot if one is free.
+    """Takes in a request for a slot.
 
     Args:
         state: The service's state.
@@ -144,161 +162,117 @@
         now_ms: The time.
 
     Returns:
-        Grants and refusals.
+        Grants, refusals and copies to keep.
     """
-    if len(state.waiting) >= state.spec.queue_bound:
+    if state.released:
         refusal = messages.SlotRefused(
             request.request_id,
             state.service,
-            outcomes.Reason.QUEUE_FULL,
-            f"{len(state.waiting)} requests wait already",
-            _RETRY_AFTER_MS,
+            outcomes.Reason.NO_DISPATCHER,
+            "the dispatcher is handed over",
+            _HAND_OVER_RETRY_MS,
         )
         return [effects.Send(entry, refusal)]
-    deadline_ms = now_ms + request.remaining_ms
-    state.waiting[request.request_id] = Waiting(entry, request, deadline_ms)
-    return grant_slots(state, now_ms)
+    if request.team not in state.queue.teams:
+        weight = get_weight(state, request.team)
+        fair_queue.set_weight(state.queue, request.team, weight)
+    return admission.take_request(state, entry, request, now_ms)
 
 
-def handle_release(
-    state: ServiceState, release: messages.SlotReleased, now_ms: int
+def take_allotments(
+    state: service.ServiceState,
+    reply: messages.AllotmentReply,
+    until_ms: int,
+    now_ms: int,
 ) -> list[effects.Effect]:
-    """Frees a slot.
+    """Takes in control's reply to the newest report.
 
     Args:
         state: The service's state.
-        release: The release.
+        reply: The reply, with the allotments of this and other services.
+        until_ms: When the allotments' lease ends on the own clock.
         now_ms: The time.
 
     Returns:
-        Grants that the free slot made possible.
+        Grants, and whether control should hear of it soon.
     """
-    if release.epoch != state.epoch:
-        return []
-    grant = state.grants.pop(release.grant_id, None)
-    if grant is None:
+    own = None
+    for report in reply.services:
+        if report.service == state.service and report.epoch == state.epoch:
+            own = report
+    if own is None:
         return []
-    backend = state.backends.get(grant.backend_id)
-    if backend and backend.announcement.incarnation == grant.incarnation:
-        backend.granted -= 1
-        faults.check_invariant(backend.granted >= 0, "slots in use below zero")
-    return grant_slots(state, now_ms)
-
-
-def handle_cancel(state: ServiceState, cancel: messages.CancelWaiting) -> None:
-    """Takes requests out of the queue.
-
-    Args:
-        state: The service's state.
-        cancel: Which requests.
-    """
-    for request_id in cancel.request_ids:
-        state.waiting.pop(ids.RequestId(request_id), None)
-
-
-def handle_tick(state: ServiceState, now_ms: int) -> list[effects.Effect]:
-    """Drops silent backend servers and requests past their deadline.
-
-    Args:
-        state: The service's state.
-        now_ms: The time.
-
-    Returns:
-        Refusals and grants.
-    """
+    allotted = tuple(
+        allotment
+        for allotment in reply.allotments
+        if allotment.service == state.service
+    )
     asked: list[effects.Effect] = []
-    for waiting in list(state.waiting.values()):
-        if waiting.deadline_ms > now_ms:
-            continue
-        del state.waiting[waiting.request.request_id]
-        refusal = messages.SlotRefused(
-            waiting.request.request_id,
-            state.service,
-            outcomes.Reason.DEADLINE_UNREACHABLE,
-            "no slot became free before the deadline",
-            0,
-        )
-        asked.append(effects.Send(waiting.entry, refusal))
-    asked.extend(grant_slots(state, now_ms))
+    if not state.limits.complete and state.ready and own.complete:
+        team_limits.assume_unheard(state.limits, allotted)
+        asked.append(effects.AskAllotments())
+    for allotment in allotted:
+        limit = team_limits.get_limit(state.limits, allotment.team)
+        lowered = allotment.amount < limit.allotment
+        team_limits.take_allotment(state.limits, allotment, until_ms)
+        if lowered:
+            # Control can give the rest away once it hears of this.
+            asked.append(effects.AskAllotments())
+        if team_limits.has_room(limit):
+            fair_queue.unblock_team(state.queue, allotment.team)
+    asked.extend(granting.grant_slots(state, now_ms))
     return asked
 
 
-def _choose_backend(state: ServiceState, now_ms: int) -> Backend | None:
-    """Chooses the least loaded backend server with a free slot.
-
-    Args:
-        state: The service's state.
-        now_ms: The time.
-
-    Returns:
-        The backend server, or None when no slot is free.
-    """
-    best = None
-    for backend in state.backends.values():
-        if backend.expires_at_ms <= now_ms:
-            continue
-        if backend.announcement.state is not messages.BackendState.SERVING:
-            continue
-        if backend.granted >= backend.announcement.slots:
-            continue
-        if best is None or backend.granted < best.granted:
-            best = backend
-    return best
-
-
-def grant_slots(state: ServiceState, now_ms: int) -> list[effects.Effect]:
-    """Grants free slots to waiting requests.
+def list_demands(
+    state: service.ServiceState, now_ms: int
+) -> tuple[messages.TeamDemand, ...]:
+    """Lists what the service has and wants of each team's limit.
 
     Args:
         state: The service's state.
         now_ms: The time.
 
     Returns:
-        One message for each grant.
+        One record for each team with anything to tell.
     """
-    asked: list[effects.Effect] = []
-    while state.waiting:
-        backend = _choose_backend(state, now_ms)
-        if backend is None:
-            break
-        _, waiting = state.waiting.popitem(last=False)
-        asked.append(_grant_slot(state, backend, waiting))
-    return asked
+    waiting = {}
+    for name, team in state.queue.teams.items():
+        count = team.count()
+        if count:
+            waiting[name] = count
+            team_limits.get_limit(state.limits, name)
+    return team_limits.list_demands(
+        state.limits, state.service, waiting, now_ms
+    )
 
 
-def _grant_slot(
-    state: ServiceState, backend: Backend, waiting: Waiting
-) -> effects.Effect:
-    """Grants one slot to one request.
+def handle_tick(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Ends what has run out, and grants what became possible.
 
     Args:
         state: The service's state.
-        backend: Whose slot.
-        waiting: The request.
+        now_ms: The time.
 
     Returns:
-        The message to its entry.
+        Refusals, questions, grants and events to log.
     """
-    state.last_grant_id += 1
-    grant_id = ids.GrantId(state.last_grant_id)
-    announcement = backend.announcement
-    backend.granted += 1
-    state.grants[grant_id] = Grant(
-        waiting.entry,
-        waiting.request.request_id,
-        waiting.request.team,
-        announcement.backend_id,
-        announcement.incarnation,
-    )
-    granted = messages.SlotGranted(
-        waiting.request.request_id,
-        state.service,
-        state.epoch,
-        grant_id,
-        announcement.backend_id,
-        announcement.address,
-        announcement.incarnation,
-        START_WITHIN_MS,
-        announcement.connections,
-    )
-    return effects.Send(waiting.entry, granted)
+    asked = admission.refuse_expired(state, now_ms)
+    asked.extend(ending.end_unreported(state, now_ms))
+    idempotency.drop_expired(state.records, now_ms)
+    asked.extend(copies.retry_copies(state, now_ms))
+    granting.charge_long_requests(state, now_ms)
+    for backend in outliers.eject_outliers(state.backends, now_ms):
+        fields: dict[str, str | int | float] = {
+            "service": state.service,
+            "backend": backend.announcement.backend_id,
+            "until_ms": backend.ejected_until_ms - now_ms,
+        }
+        asked.append(effects.Record("backend_ejected", fields))
+    backend_table.refresh_all(state.backends, now_ms)
+    state.slots = backend_table.count_slots(state.backends, now_ms)
+    asked.extend(recovery.check_progress(state, now_ms))
+    asked.extend(granting.grant_slots(state, now_ms))
+    return asked
--- a/bambookeel/dispatch/effects.py
+++ b/bambookeel/dispatch/effects.py
@@ -31,4 +31,9 @@
     fields: dict[str, str | int | float]
 
 
-Effect = Send | Record
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAllotments:
+    """Ask control soon, because a team's allotment holds requests back."""
+
+
+Effect = Send | Record | AskAllotments
--- /dev/null
+++ b/bambookeel/dispatch/ending.py
@@ -0,0 +1,232 @@
+"""Ends grants: returned by their entry, run out, or proved to have ended.
+
+A request whose end is not known keeps its slot and its team's charge until its
+deadline has passed at the backend server.
+"""
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from bambookeel.dispatch import averages
+from bambookeel.dispatch import backend_table
+from bambookeel.dispatch import effects
+from bambookeel.dispatch import fair_queue
+from bambookeel.dispatch import grant_table
+from bambookeel.dispatch import granting
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import outliers
+from bambookeel.dispatch import service
+from bambookeel.dispatch import team_limits
+
+# Failed requests that are remembered for the retry budget.
+_MAX_FAILED_ONCE = 5_000
+_FAILED_ONCE_MS = 30_000
+
+
+def _release_grant(
+    state: service.ServiceState, grant: grant_table.Grant
+) -> None:
+    if grant.holds_slot:
+        backend_table.free_slot(
+            state.backends, grant.backend_id, grant.incarnation
+        )
+    team_limits.release(state.limits, grant.team)
+    fair_queue.unblock_team(state.queue, grant.team)
+
+
+def _correct_charge(
+    state: service.ServiceState, grant: grant_table.Grant, used_ms: float
+) -> None:
+    """Corrects a team's charge to its real use.
+
+    Args:
+        state: The service's state.
+        grant: The ended grant.
+        used_ms: Time that the slot was in use.
+    """
+    fair_queue.charge(state.queue, grant.team, used_ms - grant.charged_ms)
+    team_use = state.use.get(grant.team)
+    if team_use is None:
+        team_use = averages.Average()
+        state.use[grant.team] = team_use
+    averages.add_sample(team_use, used_ms)
+    averages.add_sample(state.overall_use, used_ms)
+
+
+def _note_failure(
+    state: service.ServiceState, grant: grant_table.Grant, now_ms: int
+) -> None:
+    state.failed_once[grant.request_id] = now_ms
+    while state.failed_once:
+        oldest = next(iter(state.failed_once))
+        age_ms = now_ms - state.failed_once[oldest]
+        if age_ms < _FAILED_ONCE_MS:
+            if len(state.failed_once) <= _MAX_FAILED_ONCE:
+                return
+        del state.failed_once[oldest]
+
+
+def take_release(
+    state: service.ServiceState, release: messages.SlotReleased, now_ms: int
+) -> list[effects.Effect]:
+    """Takes in an entry's report of how a request ended.
+
+    Args:
+        state: The service's state.
+        release: The report.
+        now_ms: The time.
+
+    Returns:
+        Grants that the free slot made possible.
+    """
+    key = (release.epoch, release.grant_id)
+    grant = state.grants.by_key.get(key)
+    if grant is None or grant.request_id != release.request_id:
+        return []
+    asked: list[effects.Effect] = []
+    backend = state.backends.by_id.get(grant.backend_id)
+    if backend and backend.announcement.incarnation == grant.incarnation:
+        if release.backend_fault or (
+            release.outcome is outcomes.OutcomeKind.ANSWERED
+        ):
+            outliers.note_result(
+                backend, release.backend_fault, release.duration_ms
+            )
+    if release.outcome is outcomes.OutcomeKind.NOT_RUN:
+        _note_failure(state, grant, now_ms)
+    _finish_record(state, grant, release.outcome, now_ms, asked)
+    if release.hold_ms > 0:
+        ends_at_ms = now_ms + release.hold_ms + grant_table.GRACE_MS
+        grant_table.extend(state.grants, grant, ends_at_ms)
+        return asked
+    grant_table.remove(state.grants, key)
+    _correct_charge(state, grant, now_ms - grant.granted_at_ms)
+    _release_grant(state, grant)
+    asked.extend(granting.grant_slots(state, now_ms))
+    return asked
+
+
+def _finish_record(
+    state: service.ServiceState,
+    grant: grant_table.Grant,
+    outcome: outcomes.OutcomeKind,
+    now_ms: int,
+    asked: list[effects.Effect],
+) -> None:
+    """Ends the record of a request's Idempotency-Key, and its copy.
+
+    Args:
+        state: The service's state.
+        grant: The request's grant.
+        outcome: How it ended.
+        now_ms: The time.
+        asked: Gets the message to the copy's holder.
+    """
+    key = grant.idempotency_key
+    if not key:
+        return
+    record = state.records.by_key.get(key)
+    expires_at_ms = now_ms + state.spec.idempotency_ttl_ms
+    idempotency.finish(
+        state.records, key, grant.request_id, outcome, expires_at_ms
+    )
+    if record is None or not record.copy_at:
+        return
+    if outcome is not outcomes.OutcomeKind.NOT_RUN:
+        return
+    dropped = messages.IdempotencyRecord(
+        key, grant.request_id, grant.entry, True, outcome, 0
+    )
+    keep = messages.KeepRecords(state.service, state.epoch, 0, (dropped,))
+    asked.append(effects.Send(record.copy_at, keep))
+
+
+def end_unreported(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Ends grants whose deadline has passed without a report.
+
+    Args:
+        state: The service's state.
+        now_ms: The time.
+
+    Returns:
+        What to log.
+    """
+    asked: list[effects.Effect] = []
+    for grant in grant_table.take_ended(state.grants, now_ms):
+        _release_grant(state, grant)
+        _finish_record(
+            state, grant, outcomes.OutcomeKind.UNKNOWN, now_ms, asked
+        )
+        fields: dict[str, str | int | float] = {
+            "service": state.service,
+            "request": grant.request_id,
+            "entry": grant.entry,
+        }
+        asked.append(effects.Record("grant_ran_out", fields))
+    return asked
+
+
+def end_unknown_to_entry(
+    state: service.ServiceState, grant: grant_table.Grant
+) -> None:
+    """Ends a grant that never reached its entry.
+
+    Args:
+        state: The service's state.
+        grant: The grant.
+    """
+    grant_table.remove(state.grants, grant.key)
+    fair_queue.charge(state.queue, grant.team, -grant.charged_ms)
+    _release_grant(state, grant)
+
+
+def free_proved_slots(
+    state: service.ServiceState, backend: backend_table.Backend
+) -> None:
+    """Frees slots of lost entries by the backend server's own count.
+
+    Only grants old enough to be in the count are weighed. What the server runs
+    beyond the requests of live entries may be those of lost ones; the rest of
+    the lost ones have ended. Their teams stay charged until the deadline.
+
+    Args:
+        state: The service's state.
+        backend: The server, with a new announcement.
+    """
+    announcement = backend.announcement
+    settled_ms = backend.sampled_at_ms - service.SETTLE_MS
+    lost = []
+    live = 0
+    for grant in grant_table.list_at(
+        state.grants, announcement.backend_id, announcement.incarnation
+    ):
+        if grant.granted_at_ms > settled_ms:
+            continue
+        if grant.entry in state.reachable:
+            live += 1
+            continue
+        lost.append(grant)
+    beyond = max(0, announcement.running - live)
+    for grant in lost[: max(0, len(lost) - beyond)]:
+        grant.holds_slot = False
+        backend_table.free_slot(
+            state.backends, grant.backend_id, grant.incarnation
+        )
+    backend.unseen = min(backend.unseen, beyond)
+
+
+def get_outstanding_of(
+    state: service.ServiceState, entry: ids.ProcessId
+) -> list[grant_table.Grant]:
+    """Lists the grants of one entry.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+
+    Returns:
+        Its grants.
+    """
+    return [g for g in state.grants.by_key.values() if g.entry == entry]
--- /dev/null
+++ b/bambookeel/dispatch/granting.py
@@ -0,0 +1,160 @@
+"""Gives free slots to waiting requests.
+
+The caller has checked the dispatch lease by the clock right before. A grant
+takes the fair queue's next request whose team has room in its allotment, and
+the least loaded backend server.
+"""
+
+import heapq
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.dispatch import backend_table
+from bambookeel.dispatch import effects
+from bambookeel.dispatch import fair_queue
+from bambookeel.dispatch import grant_table
+from bambookeel.dispatch import service
+from bambookeel.dispatch import team_limits
+
+
+def _count_connections(
+    state: service.ServiceState,
+    backend: backend_table.Backend,
+    entry: ids.ProcessId,
+) -> int:
+    """Counts the connections that an entry may hold to a server.
+
+    Connections in use follow the grants; what the slots leave is divided over
+    all entries for reuse, less the allowance for probes.
+
+    Args:
+        state: The service's state.
+        backend: The server.
+        entry: The entry, its newest grant counted.
+
+    Returns:
+        The number of connections.
+    """
+    announcement = backend.announcement
+    in_use = 0
+    life = (announcement.backend_id, announcement.incarnation)
+    for key in state.grants.by_life.get(life, ()):
+        if state.grants.by_key[key].entry == entry:
+            in_use += 1
+    spare = announcement.connections - announcement.slots
+    spare -= state.deployment.probe_connections
+    entries = max(1, len(state.deployment.data_centres))
+    return in_use + max(0, spare) // entries
+
+
+def _grant_slot(
+    state: service.ServiceState,
+    backend: backend_table.Backend,
+    waiting: fair_queue.Waiting,
+    use_ms: float,
+    now_ms: int,
+) -> effects.Effect:
+    """Grants one slot to one request.
+
+    Args:
+        state: The service's state.
+        backend: Whose slot.
+        waiting: The request.
+        use_ms: What its team was charged.
+        now_ms: The time.
+
+    Returns:
+        The message to its entry.
+    """
+    state.grants.last_id += 1
+    grant_id = ids.GrantId(state.grants.last_id)
+    announcement = backend.announcement
+    request = waiting.request
+    grant = grant_table.Grant(
+        (state.epoch, grant_id),
+        waiting.entry,
+        request.request_id,
+        request.team,
+        announcement.backend_id,
+        announcement.incarnation,
+        now_ms,
+        max(waiting.deadline_ms, now_ms + service.START_WITHIN_MS)
+        + grant_table.GRACE_MS,
+        use_ms,
+        request.idempotency_key,
+    )
+    grant_table.add(state.grants, grant)
+    backend_table.use_slot(
+        state.backends, announcement.backend_id, announcement.incarnation
+    )
+    team_limits.charge(state.limits, request.team)
+    heapq.heappush(state.recharges, (now_ms + int(use_ms) + 1, grant.key))
+    grant.message = messages.SlotGranted(
+        request.request_id,
+        state.service,
+        state.epoch,
+        grant_id,
+        announcement.backend_id,
+        announcement.address,
+        announcement.incarnation,
+        service.START_WITHIN_MS,
+        _count_connections(state, backend, waiting.entry),
+        now_ms - waiting.queued_at_ms,
+    )
+    return effects.Send(waiting.entry, grant.message)
+
+
+def grant_slots(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Grants free slots to waiting requests.
+
+    Args:
+        state: The service's state.
+        now_ms: The time.
+
+    Returns:
+        One message for each grant, and whether control should be asked.
+    """
+    asked: list[effects.Effect] = []
+    if not service.may_grant(state, now_ms):
+        return asked
+    needs_allotment = False
+    while True:
+        team = fair_queue.find_next_team(state.queue)
+        if team is None:
+            break
+        backend = backend_table.choose(state.backends, now_ms)
+        if backend is None:
+            break
+        if not team_limits.may_start(state.limits, team.team, now_ms):
+            fair_queue.block_team(team)
+            limit = team_limits.get_limit(state.limits, team.team)
+            needs_allotment |= team_limits.must_tell(limit, now_ms)
+            continue
+        use_ms = service.get_expected_use(state, team.team)
+        waiting = fair_queue.start(state.queue, team, use_ms)
+        asked.append(_grant_slot(state, backend, waiting, use_ms, now_ms))
+    if needs_allotment:
+        asked.append(effects.AskAllotments())
+    return asked
+
+
+def charge_long_requests(state: service.ServiceState, now_ms: int) -> None:
+    """Charges teams for requests that run longer than expected.
+
+    Args:
+        state: The service's state.
+        now_ms: The time.
+    """
+    while state.recharges and state.recharges[0][0] <= now_ms:
+        _, key = heapq.heappop(state.recharges)
+        grant = state.grants.by_key.get(key)
+        if grant is None:
+            continue
+        # Doubling keeps the number of charges small for very long requests.
+        more_ms = max(grant.charged_ms, 1.0)
+        fair_queue.charge(state.queue, grant.team, more_ms)
+        grant.charged_ms += more_ms
+        due_ms = grant.granted_at_ms + int(grant.charged_ms) + 1
+        heapq.heappush(state.recharges, (due_ms, key))
--- /dev/null
+++ b/bambookeel/dispatch/idempotency.py
@@ -0,0 +1,162 @@
+"""Records of Idempotency-Keys at a service's dispatcher.
+
+A key's record exists from the moment its first request is queued until the
+time to live after it ended. A record goes when its request did not run, since
+the repeat may then run. Before a request with a key is granted, a second
+process holds its record, in another data centre where there is one.
+"""
+
+from collections import OrderedDict
+import dataclasses
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+
+# Records of one service; past it a request with a new key is refused.
+MAX_RECORDS = 100_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """What is remembered of a key.
+
+    Attributes:
+        request_id: Its first request.
+        entry: The process that took it.
+        finished: Whether the first request has ended.
+        outcome: How it ended.
+        expires_at_ms: When the record may go.
+        copy_at: The process that holds a copy, or empty.
+    """
+
+    request_id: ids.RequestId
+    entry: ids.ProcessId
+    finished: bool
+    outcome: outcomes.OutcomeKind
+    expires_at_ms: int
+    copy_at: ids.ProcessId = ids.ProcessId("")
+
+
+@dataclasses.dataclass(slots=True)
+class RecordTable:
+    """The records of one service.
+
+    Attributes:
+        by_key: Records by key, the oldest first.
+        incomplete_until_ms: Until when a record of an earlier holder may be
+            missing here; no request with an unknown key runs before.
+    """
+
+    by_key: OrderedDict[ids.IdempotencyKey, Record] = dataclasses.field(
+        default_factory=OrderedDict
+    )
+    incomplete_until_ms: int = 0
+
+
+def put(table: RecordTable, key: ids.IdempotencyKey, record: Record) -> None:
+    """Adds or renews a key's record.
+
+    Args:
+        table: The records.
+        key: The key.
+        record: The record.
+    """
+    table.by_key[key] = record
+    table.by_key.move_to_end(key)
+
+
+def finish(
+    table: RecordTable,
+    key: ids.IdempotencyKey,
+    request_id: ids.RequestId,
+    outcome: outcomes.OutcomeKind,
+    expires_at_ms: int,
+) -> None:
+    """Takes in the end of a request with a key.
+
+    Args:
+        table: The records.
+        key: The key.
+        request_id: The request that ended.
+        outcome: How it ended; one that did not run leaves no record.
+        expires_at_ms: When the record may go.
+    """
+    record = table.by_key.get(key)
+    if record is None or record.request_id != request_id:
+        return
+    if outcome is outcomes.OutcomeKind.NOT_RUN:
+        del table.by_key[key]
+        return
+    ended = dataclasses.replace(
+        record, finished=True, outcome=outcome, expires_at_ms=expires_at_ms
+    )
+    put(table, key, ended)
+
+
+def merge(
+    table: RecordTable,
+    copies: tuple[messages.IdempotencyRecord, ...],
+    now_ms: int,
+) -> None:
+    """Takes in records that another process kept.
+
+    Args:
+        table: The records.
+        copies: The records; what is known to have ended stays so, and one
+            without remaining time is dropped.
+        now_ms: The time.
+    """
+    for copy in copies:
+        known = table.by_key.get(copy.idempotency_key)
+        if known is not None and known.finished and not copy.finished:
+            continue
+        if copy.remaining_ms <= 0:
+            if known is not None and known.request_id == copy.request_id:
+                del table.by_key[copy.idempotency_key]
+            continue
+        record = Record(
+            copy.request_id,
+            copy.entry,
+            copy.finished,
+            copy.outcome,
+            now_ms + copy.remaining_ms,
+        )
+        put(table, copy.idempotency_key, record)
+
+
+def export(
+    key: ids.IdempotencyKey, record: Record, now_ms: int
+) -> messages.IdempotencyRecord:
+    """Converts a record for another process.
+
+    Args:
+        key: The key.
+        record: Its record.
+        now_ms: The time.
+
+    Returns:
+        The record as a message carries it.
+    """
+    return messages.IdempotencyRecord(
+        key,
+        record.request_id,
+        record.entry,
+        record.finished,
+        record.outcome,
+        max(0, record.expires_at_ms - now_ms),
+    )
+
+
+def drop_expired(table: RecordTable, now_ms: int) -> None:
+    """Drops records whose time is over, a bounded number at once.
+
+    Args:
+        table: The records.
+        now_ms: The time.
+    """
+    while table.by_key:
+        key, record = next(iter(table.by_key.items()))
+        if record.expires_at_ms > now_ms:
+            return
+        del table.by_key[key]
--- /dev/null
+++ b/bambookeel/dispatch/recovery.py
@@ -0,0 +1,344 @@
+"""What a new holder learns before and after it starts to grant.
+
+Its first lease begins recovery: every entry is asked what it has outstanding
+and which idempotency records it keeps. The holder grants once each reachable
+entry has answered or a wait is over. While an entry is not heard, slots that a
+backend server reports in use beyond the known ones count as used, and teams
+are charged what earlier holders may have granted, until that has ended.
+
+An entry that restarted answers only for its new life; what its earlier life
+had counts until the longest deadline has passed.
+"""
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.dispatch import announcing
+from bambookeel.dispatch import backend_table
+from bambookeel.dispatch import copies
+from bambookeel.dispatch import effects
+from bambookeel.dispatch import ending
+from bambookeel.dispatch import grant_table
+from bambookeel.dispatch import granting
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import service
+from bambookeel.dispatch import team_limits
+
+# The wait for an entry that is linked but does not answer.
+_ANSWER_WAIT_MS = 1_500
+# An unanswered question is repeated after this time.
+_ASK_AGAIN_MS = 300
+_FIRST_EPOCH = ids.Epoch(1)
+
+
+def begin(
+    state: service.ServiceState,
+    reachable: set[ids.ProcessId],
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Begins recovery with the epoch's first lease.
+
+    Args:
+        state: The state of the new epoch.
+        reachable: Entries with a link, the own process included.
+        now_ms: The time.
+
+    Returns:
+        Questions to the entries.
+    """
+    state.started_at_ms = now_ms
+    state.reachable = set(reachable)
+    for entry in state.deployment.data_centres:
+        state.accounts[entry] = service.EntryAccount()
+    longest_ms = state.spec.deadline_ms + grant_table.GRACE_MS
+    state.limits.unheard_until_ms = now_ms + longest_ms
+    if state.epoch == _FIRST_EPOCH:
+        # Nobody held the lease before.
+        for account in state.accounts.values():
+            account.covered = True
+        _finish_accounts(state)
+    else:
+        ttl_ms = state.spec.idempotency_ttl_ms
+        state.records.incomplete_until_ms = now_ms + ttl_ms
+    asked: list[effects.Effect] = []
+    if state.epoch != _FIRST_EPOCH:
+        for entry in sorted(reachable):
+            asked.extend(ask_entry(state, entry, now_ms))
+    asked.extend(check_progress(state, now_ms))
+    return asked
+
+
+def ask_entry(
+    state: service.ServiceState, entry: ids.ProcessId, now_ms: int
+) -> list[effects.Effect]:
+    """Asks an entry what it has outstanding and which records it keeps.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        now_ms: The time.
+
+    Returns:
+        The two questions.
+    """
+    account = state.accounts.get(entry)
+    if account is None or state.started_at_ms is None:
+        return []
+    if account.asked_at_ms is None:
+        account.asked_at_ms = now_ms
+    account.repeated_at_ms = now_ms
+    recover = messages.RecoverRequest(state.service, state.epoch)
+    records = messages.RecordsRequest(state.service, state.epoch)
+    return [effects.Send(entry, records), effects.Send(entry, recover)]
+
+
+def take_entry_up(
+    state: service.ServiceState, entry: ids.ProcessId, now_ms: int
+) -> list[effects.Effect]:
+    """Asks an entry with a new link; the old one may have lost messages.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        now_ms: The time.
+
+    Returns:
+        Questions to the entry.
+    """
+    state.reachable.add(entry)
+    account = state.accounts.get(entry)
+    if account is None:
+        return []
+    # Answers to earlier questions were lost with the old link.
+    account.asked_at_ms = None
+    account.alive_since_ms = None
+    account.told_outstanding = False
+    return ask_entry(state, entry, now_ms)
+
+
+def take_entry_down(state: service.ServiceState, entry: ids.ProcessId) -> None:
+    """Takes in the loss of a link; grants of the entry go on counting.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+    """
+    state.reachable.discard(entry)
+
+
+def take_records(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    reply: messages.RecordsReply,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Takes in the records that a process keeps.
+
+    Args:
+        state: The service's state.
+        entry: The process.
+        reply: Its answer.
+        now_ms: The time.
+
+    Returns:
+        Copies that it has lost, and grants where its answer was awaited.
+    """
+    account = state.accounts.get(entry)
+    if reply.epoch != state.epoch or account is None:
+        return []
+    idempotency.merge(state.records, reply.records, now_ms)
+    account.alive_since_ms = now_ms - reply.uptime_ms
+    asked = copies.restore_copies(state, entry, reply, now_ms)
+    asked.extend(check_progress(state, now_ms))
+    return asked
+
+
+def take_outstanding(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    reply: messages.RecoverReply,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Takes in what an entry has outstanding.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        reply: Its answer.
+        now_ms: The time.
+
+    Returns:
+        Grants, where this was the last answer needed.
+    """
+    account = state.accounts.get(entry)
+    if reply.epoch != state.epoch or account is None:
+        return []
+    if account.asked_at_ms is None or account.told_outstanding:
+        return []
+    idempotency.merge(state.records, reply.records, now_ms)
+    _drop_lost_grants(state, entry, reply, account)
+    for outstanding in reply.outstanding:
+        _add_outstanding(state, entry, outstanding, now_ms)
+    account.told_outstanding = True
+    asked: list[effects.Effect] = []
+    for announcement in reply.announcements:
+        asked.extend(announcing.take_announcement(state, announcement, now_ms))
+    asked.extend(check_progress(state, now_ms))
+    return asked
+
+
+def _drop_lost_grants(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    reply: messages.RecoverReply,
+    account: service.EntryAccount,
+) -> None:
+    """Ends grants that were lost on their way to an entry.
+
+    A grant made before the question, to the same life of the entry, and not in
+    its answer was lost with an older link.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        reply: Its answer.
+        account: What was heard of it before.
+    """
+    if account.alive_since_ms is None or account.asked_at_ms is None:
+        return
+    alive_since_ms = account.alive_since_ms
+    listed = {outstanding.request_id for outstanding in reply.outstanding}
+    for grant in ending.get_outstanding_of(state, entry):
+        if grant.request_id in listed:
+            continue
+        if alive_since_ms < grant.granted_at_ms < account.asked_at_ms:
+            ending.end_unknown_to_entry(state, grant)
+
+
+def _add_outstanding(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    outstanding: messages.OutstandingRequest,
+    now_ms: int,
+) -> None:
+    """Counts a request that an entry has outstanding.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        outstanding: The request.
+        now_ms: The time.
+    """
+    if outstanding.request_id in state.grants.by_request:
+        return
+    key = (outstanding.epoch, outstanding.grant_id)
+    if key in state.grants.by_key:
+        return
+    grant = grant_table.Grant(
+        key,
+        entry,
+        outstanding.request_id,
+        outstanding.team,
+        outstanding.backend_id,
+        outstanding.incarnation,
+        now_ms,
+        now_ms + max(0, outstanding.remaining_ms) + grant_table.GRACE_MS,
+        idempotency_key=outstanding.idempotency_key,
+    )
+    grant_table.add(state.grants, grant)
+    backend_table.use_slot(
+        state.backends, outstanding.backend_id, outstanding.incarnation
+    )
+    team_limits.charge(state.limits, outstanding.team)
+    # It was counted as unheard or unseen until now.
+    limit = team_limits.get_limit(state.limits, outstanding.team)
+    limit.unheard = max(0, limit.unheard - 1)
+    backend = state.backends.by_id.get(outstanding.backend_id)
+    if backend is not None:
+        backend.unseen = max(0, backend.unseen - 1)
+
+
+def _has_everything(state: service.ServiceState) -> bool:
+    if state.started_at_ms is None:
+        return False
+    return all(account.covered for account in state.accounts.values())
+
+
+def check_progress(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Looks how far recovery has come.
+
+    Args:
+        state: The service's state.
+        now_ms: The time.
+
+    Returns:
+        Repeated questions, and grants once they are possible.
+    """
+    if state.started_at_ms is None:
+        return []
+    asked: list[effects.Effect] = []
+    was_ready = state.ready
+    missing = []
+    for entry, account in state.accounts.items():
+        _cover_entry(state, account, now_ms)
+        if account.is_heard() or entry not in state.reachable:
+            continue
+        if account.covered and account.asked_at_ms is None:
+            continue
+        missing.append(entry)
+        if now_ms - account.repeated_at_ms >= _ASK_AGAIN_MS:
+            asked.extend(ask_entry(state, entry, now_ms))
+    if _has_everything(state) and not state.counts_all:
+        _finish_accounts(state)
+    waited_ms = now_ms - state.started_at_ms
+    if state.counts_all or not missing or waited_ms >= _ANSWER_WAIT_MS:
+        state.ready = True
+    copies.check_records(state)
+    if now_ms >= state.limits.unheard_until_ms and not state.counts_all:
+        _finish_accounts(state)
+    if state.ready and not was_ready:
+        fields: dict[str, str | int | float] = {
+            "service": state.service,
+            "epoch": state.epoch,
+            "waited_ms": waited_ms,
+            "outstanding": len(state.grants.by_key),
+            "entries_missing": len(missing),
+        }
+        asked.append(effects.Record("dispatch_ready", fields))
+        asked.append(effects.AskAllotments())
+        asked.extend(copies.spread_records(state, now_ms))
+        asked.extend(granting.grant_slots(state, now_ms))
+    return asked
+
+
+def _cover_entry(
+    state: service.ServiceState, account: service.EntryAccount, now_ms: int
+) -> None:
+    """Decides whether everything that an entry may have running is counted.
+
+    Args:
+        state: The service's state.
+        account: What was heard of the entry.
+        now_ms: The time.
+    """
+    if account.covered or state.started_at_ms is None:
+        return
+    if not account.told_outstanding or account.alive_since_ms is None:
+        return
+    longest_ms = state.spec.deadline_ms + grant_table.GRACE_MS
+    account.covered = account.alive_since_ms + longest_ms <= now_ms
+
+
+def _finish_accounts(state: service.ServiceState) -> None:
+    """Ends what was counted for unheard entries.
+
+    Args:
+        state: The service's state.
+    """
+    state.counts_all = True
+    team_limits.end_unheard(state.limits)
+    for backend in state.backends.by_id.values():
+        backend.unseen = 0
+        backend.counted = True
+        backend_table.refresh(state.backends, backend)
--- a/bambookeel/entry/announcements.py
+++ b/bambookeel/entry/announcements.py
@@ -1,7 +1,7 @@
 """Announcements of backend servers, as they reach this entry.
 
 A backend server announces itself to any entry, through the balancer. The entry
-checks the announcement and passes it to the service's dispatcher.
+checks the announcement; the dispatcher task keeps it and passes it on.
 """
 
 import dataclasses
@@ -13,9 +13,8 @@
 from bambookeel.core import messages
 from bambookeel.core import resources
 from bambookeel.core import settings
-from bambookeel.entry import follower_task
-from bambookeel.entry import router
-from bambookeel.entry import view
+from bambookeel.entry import events
+from bambookeel.runtime import mailbox
 
 _MAX_SLOTS = 4_096
 _MAX_LEASE_MS = 60_000
@@ -90,15 +89,13 @@
 
 
 class Announcements:
-    """Passes announcements to dispatchers."""
+    """Passes announcements to the task that knows the dispatchers."""
 
     def __init__(
-        self,
-        follower: follower_task.FollowerTask,
-        route: router.Router,
+        self, process_id: ids.ProcessId, dispatcher: mailbox.Mailbox
     ) -> None:
-        self._follower = follower
-        self._router = route
+        self._process_id = process_id
+        self._dispatcher = dispatcher
 
     def take(self, body: bytes) -> None:
         """Takes in one announcement.
@@ -111,8 +108,4 @@
             msgspec.DecodeError: If the body is no JSON.
         """
         announcement = parse_announcement(body)
-        assigned = view.get_dispatcher(
-            self._follower.view, announcement.service
-        )
-        if assigned is not None and assigned.holder:
-            self._router.send(ids.ProcessId(assigned.holder), announcement)
+        self._dispatcher.put(events.FromPeer(self._process_id, announcement))
--- a/bambookeel/entry/dispatcher_task.py
+++ b/bambookeel/entry/dispatcher_task.py
@@ -2,17 +2,27 @@
 
 Owns the pure state of each such service, feeds it messages and the time, and
 sends what it asks for. A service whose lease has ended grants nothing until
-control renews it.
+control renews it. The task also keeps what every entry keeps for holders
+elsewhere: announcements of backend servers and copies of idempotency records.
 """
 
 from collections.abc import Callable
+import dataclasses
+import typing
 
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.core import outcomes
 from bambookeel.core import resources
+from bambookeel.core import settings as core_settings
+from bambookeel.dispatch import announcement_store
+from bambookeel.dispatch import announcing
 from bambookeel.dispatch import dispatcher
 from bambookeel.dispatch import effects
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import recovery
+from bambookeel.dispatch import service as dispatch_service
+from bambookeel.entry import allotment_client
 from bambookeel.entry import events
 from bambookeel.entry import view
 from bambookeel.runtime import clock
@@ -25,16 +35,62 @@
 SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllotmentTick:
+    """The timer's message for reports to control."""
+
+
 class DispatcherTask:
     """Owns the states of the services that this process dispatches."""
 
-    def __init__(self, process_id: ids.ProcessId) -> None:
+    def __init__(
+        self,
+        deployment: dispatch_service.Deployment,
+        control: tuple[ids.ProcessId, ...],
+        leases: core_settings.LeaseTimings,
+    ) -> None:
         self.mailbox = mailbox.Mailbox("dispatcher")
-        self._process_id = process_id
-        self._services: dict[ids.ServiceName, dispatcher.ServiceState] = {}
-        self._lease_until_ms: dict[ids.ServiceName, int] = {}
+        self._deployment = deployment
+        self._process_id = deployment.process_id
+        self._born_at_ms = clock.read_now_ms()
+        self._services: dict[ids.ServiceName, dispatch_service.ServiceState] = (
+            {}
+        )
+        self._holders: dict[ids.ServiceName, ids.ProcessId] = {}
+        self._linked: set[ids.ProcessId] = set()
+        self._store = announcement_store.AnnouncementStore()
+        self._copies: dict[ids.ServiceName, idempotency.RecordTable] = {}
+        self._allotments = allotment_client.AllotmentClient(
+            control, leases.report_ms
+        )
+        self._stopping = False
+        self._follower: mailbox.Mailbox | None = None
         self._send: SendMessage = lambda peer, message: False
 
+    @classmethod
+    def from_config(
+        cls, settings: core_settings.EntrySettings
+    ) -> "DispatcherTask":
+        """Builds the task.
+
+        Args:
+            settings: The entry's settings.
+
+        Returns:
+            The task, not connected yet.
+        """
+        centres = {
+            ids.ProcessId(peer.process_id): ids.DataCentre(peer.data_centre)
+            for peer in settings.entries
+        }
+        own = ids.ProcessId(settings.process_id)
+        centres[own] = ids.DataCentre(settings.data_centre)
+        deployment = dispatch_service.Deployment(
+            own, centres, settings.limits.probe_connections
+        )
+        control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
+        return cls(deployment, control, settings.leases)
+
     def connect(self, send: SendMessage) -> None:
         """Gives the task its way out.
 
@@ -43,6 +99,14 @@
         """
         self._send = send
 
+    def connect_follower(self, follower: mailbox.Mailbox) -> None:
+        """Gives the task whom to tell that it grants nothing more.
+
+        Args:
+            follower: The follower task's mailbox.
+        """
+        self._follower = follower
+
     def subscribe_timers(self, service: timers.TimerService) -> None:
         """Asks for this task's regular messages.
 
@@ -50,11 +114,15 @@
             service: The timer service.
         """
         service.subscribe(self.mailbox, _TICK_MS, events.Tick())
+        service.subscribe(
+            self.mailbox, allotment_client.SHORTEST_GAP_MS, AllotmentTick()
+        )
 
     def run(self) -> None:
         """Handles messages until the task is killed."""
         while True:
-            self._handle(self.mailbox.get(), clock.read_now_ms())
+            event = self.mailbox.get()
+            self._handle(event, clock.read_now_ms())
 
     def _handle(self, event: object, now_ms: int) -> None:
         match event:
@@ -62,66 +130,169 @@
                 self._handle_message(peer, message, now_ms)
             case events.Tick():
                 for state in self._services.values():
-                    if self._has_lease(state.service, now_ms):
-                        self._perform(dispatcher.handle_tick(state, now_ms))
+                    self._perform(dispatcher.handle_tick(state, now_ms))
+            case AllotmentTick():
+                self._report_demands(now_ms)
             case events.ViewChanged(current):
-                self._take_view(current)
+                self._take_view(current, now_ms)
             case events.LeaseRenewed(service, epoch, until_ms):
                 held = self._services.get(service)
                 if held is not None and held.epoch == epoch:
-                    self._lease_until_ms[service] = until_ms
+                    reachable = self._linked | {self._process_id}
+                    self._perform(
+                        dispatcher.renew_lease(
+                            held, until_ms, reachable, now_ms
+                        )
+                    )
+            case events.PeerUp(peer, messages.ProcessRole.ENTRY):
+                self._take_entry_up(peer, now_ms)
+            case events.PeerDown(peer):
+                self._linked.discard(peer)
+                for state in self._services.values():
+                    recovery.take_entry_down(state, peer)
+            case events.StopDispatching():
+                self._stop_dispatching()
 
-    def _has_lease(self, service: ids.ServiceName, now_ms: int) -> bool:
-        return now_ms < self._lease_until_ms.get(service, 0)
+    def _stop_dispatching(self) -> None:
+        """Gives up every lease, then lets the follower tell control."""
+        self._stopping = True
+        for state in self._services.values():
+            self._perform(dispatcher.release_lease(state))
+        if self._follower is not None:
+            self._follower.put(events.StopDispatching())
 
-    def _take_view(self, current: view.View) -> None:
+    def _take_entry_up(self, peer: ids.ProcessId, now_ms: int) -> None:
+        self._linked.add(peer)
+        for state in self._services.values():
+            self._perform(recovery.take_entry_up(state, peer, now_ms))
+        for service, holder in self._holders.items():
+            if holder == peer:
+                self._tell_holder(service, holder, now_ms)
+
+    def _tell_holder(
+        self, service: ids.ServiceName, holder: ids.ProcessId, now_ms: int
+    ) -> None:
+        fresh = announcement_store.list_fresh(self._store, service, now_ms)
+        for announcement in fresh:
+            self._send(holder, announcement)
+
+    def _take_view(self, current: view.View, now_ms: int) -> None:
         """Starts and ends dispatchers as assigned by control.
 
         Args:
             current: The new view.
+            now_ms: The time.
         """
-        held: dict[ids.ServiceName, dispatcher.ServiceState] = {}
-        for kind, name in current.by_key:
-            if kind is not resources.Kind.SERVICE:
-                continue
-            service = ids.ServiceName(name)
-            spec = view.get_service(current, service)
-            assigned = view.get_dispatcher(current, service)
-            if spec is None or assigned is None:
-                continue
-            if assigned.holder != self._process_id:
+        teams: dict[ids.TeamName, resources.TeamSpec] = {}
+        services = []
+        for (kind, name), resource in current.by_key.items():
+            if isinstance(resource.spec, resources.TeamSpec):
+                teams[ids.TeamName(name)] = resource.spec
+            elif kind is resources.Kind.SERVICE:
+                services.append(ids.ServiceName(name))
+        held: dict[ids.ServiceName, dispatch_service.ServiceState] = {}
+        for service in services:
+            state = self._follow_service(current, service, now_ms)
+            if state is None:
                 continue
-            state = self._services.get(service)
-            if state is None or state.epoch != assigned.epoch:
-                epoch = ids.Epoch(assigned.epoch)
-                state = dispatcher.ServiceState(service, epoch, spec)
-                self._lease_until_ms.pop(service, None)
-                logs.log_event("dispatch_start", service=service, epoch=epoch)
-            state.spec = spec
             held[service] = state
+            dispatcher.set_teams(state, teams)
+        for service, state in self._services.items():
+            if held.get(service) is not state:
+                self._end_state(state)
+        added = [s for n, s in held.items() if self._services.get(n) is not s]
         self._services = held
+        for state in added:
+            for announcement in announcement_store.list_fresh(
+                self._store, state.service, now_ms
+            ):
+                self._perform(
+                    announcing.take_announcement(state, announcement, now_ms)
+                )
+
+    def _follow_service(
+        self, current: view.View, service: ids.ServiceName, now_ms: int
+    ) -> dispatch_service.ServiceState | None:
+        """Follows one service's assignment.
+
+        Args:
+            current: The new view.
+            service: The service.
+            now_ms: The time.
+
+        Returns:
+            Its state, where this process is the holder.
+        """
+        spec = view.get_service(current, service)
+        assigned = view.get_dispatcher(current, service)
+        if spec is None or assigned is None:
+            return None
+        holder = ids.ProcessId(assigned.holder)
+        if holder != self._process_id:
+            if self._holders.get(service) != holder:
+                self._holders[service] = holder
+                self._tell_holder(service, holder, now_ms)
+            return None
+        self._holders[service] = holder
+        state = self._services.get(service)
+        if state is None or state.epoch != assigned.epoch:
+            held_epoch = state.epoch if state else 0
+            dispatcher.check_epoch(held_epoch, assigned.epoch)
+            state = dispatch_service.ServiceState(
+                service, ids.Epoch(assigned.epoch), spec, self._deployment
+            )
+            state.released = self._stopping
+            logs.log_event(
+                "dispatch_start", service=service, epoch=assigned.epoch
+            )
+        state.spec = spec
+        return state
+
+    def _end_state(self, state: dispatch_service.ServiceState) -> None:
+        """Ends a dispatcher whose service has another holder now.
+
+        Args:
+            state: Its state; its idempotency records are kept as copies.
+        """
+        self._perform(dispatcher.release_lease(state))
+        copies = self._get_copies(state.service)
+        for key, record in state.records.by_key.items():
+            idempotency.put(copies, key, record)
+        logs.log_event("dispatch_end", service=state.service, epoch=state.epoch)
+
+    def _get_copies(self, service: ids.ServiceName) -> idempotency.RecordTable:
+        return self._copies.setdefault(service, idempotency.RecordTable())
 
     def _handle_message(
         self, peer: ids.ProcessId, message: messages.Message, now_ms: int
     ) -> None:
-        service = message.service
-        state = self._services.get(service)
-        if state is None or not self._has_lease(service, now_ms):
-            self._refuse(peer, message)
-            return
         match message:
-            case messages.AcquireSlot():
-                self._perform(
-                    dispatcher.handle_acquire(state, peer, message, now_ms)
-                )
-            case messages.SlotReleased():
-                self._perform(dispatcher.handle_release(state, message, now_ms))
-            case messages.CancelWaiting():
-                dispatcher.handle_cancel(state, message)
             case messages.BackendAnnouncement():
-                self._perform(
-                    dispatcher.handle_announcement(state, message, now_ms)
-                )
+                self._take_announcement(message, now_ms)
+            case messages.AllotmentReply():
+                self._take_allotments(peer, message, now_ms)
+            case messages.KeepRecords():
+                copies = self._get_copies(message.service)
+                idempotency.merge(copies, message.records, now_ms)
+                idempotency.drop_expired(copies, now_ms)
+                if message.nonce:
+                    kept = messages.RecordsKept(
+                        message.service, message.epoch, message.nonce
+                    )
+                    self._send(peer, kept)
+            case messages.RecordsRequest():
+                self._tell_records(peer, message, now_ms)
+            case _:
+                self._handle_service_message(peer, message, now_ms)
+
+    def _handle_service_message(
+        self, peer: ids.ProcessId, message: messages.Message, now_ms: int
+    ) -> None:
+        state = self._services.get(message.service)
+        if state is None:
+            self._refuse(peer, message)
+            return
+        self._perform(dispatcher.handle_message(state, peer, message, now_ms))
 
     def _refuse(self, peer: ids.ProcessId, message: messages.Message) -> None:
         if not isinstance(message, messages.AcquireSlot):
@@ -135,10 +306,84 @@
         )
         self._send(peer, refusal)
 
-    def _perform(self, asked: list[effects.Effect]) -> None:
+    def _take_announcement(
+        self, announcement: messages.BackendAnnouncement, now_ms: int
+    ) -> None:
+        """Keeps an announcement and tells the service's holder.
+
+        Args:
+            announcement: The announcement.
+            now_ms: The time.
+        """
+        if not announcement_store.keep(self._store, announcement, now_ms):
+            return
+        state = self._services.get(announcement.service)
+        if state is not None:
+            self._perform(
+                announcing.take_announcement(state, announcement, now_ms)
+            )
+            return
+        holder = self._holders.get(announcement.service, ids.ProcessId(""))
+        self._perform(
+            announcement_store.pass_on(announcement, holder, self._linked)
+        )
+
+    def _tell_records(
+        self,
+        peer: ids.ProcessId,
+        request: messages.RecordsRequest,
+        now_ms: int,
+    ) -> None:
+        """Tells a new holder which idempotency records are kept here.
+
+        Args:
+            peer: The holder.
+            request: Its question.
+            now_ms: The time.
+        """
+        records = dict(self._get_copies(request.service).by_key)
+        state = self._services.get(request.service)
+        if state is not None and state.epoch < request.epoch:
+            records.update(state.records.by_key)
+        exported = tuple(
+            idempotency.export(key, record, now_ms)
+            for key, record in records.items()
+        )
+        reply = messages.RecordsReply(
+            request.service,
+            request.epoch,
+            now_ms - self._born_at_ms,
+            exported,
+        )
+        self._send(peer, reply)
+
+    def _report_demands(self, now_ms: int) -> None:
+        self._perform(
+            self._allotments.build_request(
+                list(self._services.values()), now_ms
+            )
+        )
+
+    def _take_allotments(
+        self,
+        peer: ids.ProcessId,
+        reply: messages.AllotmentReply,
+        now_ms: int,
+    ) -> None:
+        until_ms = self._allotments.take_reply(peer, reply)
+        if until_ms is None:
+            return
+        for state in self._services.values():
+            self._perform(
+                dispatcher.take_allotments(state, reply, until_ms, now_ms)
+            )
+
+    def _perform(self, asked: typing.Sequence[effects.Effect]) -> None:
         for effect in asked:
             match effect:
                 case effects.Send(to, message):
                     self._send(to, message)
                 case effects.Record(event, fields):
                     logs.log_event(event, **fields)
+                case effects.AskAllotments():
+                    self._allotments.ask_soon()
--- a/bambookeel/entry/follower_task.py
+++ b/bambookeel/entry/follower_task.py
@@ -56,6 +56,9 @@
         self._nonce = 0
         self._pending: dict[int, _PendingHeartbeat] = {}
         self._stopping = False
+        # The state version that control told first. An assignment up to it
+        # was made to an earlier life of this process and is given up.
+        self._born_version: ids.StateVersion | None = None
         self._snapshot: list[messages.StateChange] = []
 
     def subscribe_timers(self, service: timers.TimerService) -> None:
@@ -135,7 +138,9 @@
         self._dispatcher.put(events.ViewChanged(current))
 
     def _list_held(self) -> tuple[messages.HeldLease, ...]:
-        held = []
+        held: list[messages.HeldLease] = []
+        if self._born_version is None:
+            return ()
         for resource in self.view.by_key.values():
             spec = resource.spec
             if not isinstance(spec, resources.DispatcherSpec):
@@ -146,7 +151,7 @@
                 messages.HeldLease(
                     ids.ServiceName(resource.name),
                     ids.Epoch(spec.epoch),
-                    self._stopping,
+                    self._stopping or resource.version <= self._born_version,
                 )
             )
         return tuple(held)
@@ -175,6 +180,8 @@
         if pending is None or not reply.is_leader:
             return
         self._leader = reply.leader
+        if self._born_version is None:
+            self._born_version = reply.committed_version
         if self._source != reply.leader:
             self._choose_source(reply.leader)
         if self.view.version >= reply.committed_version:
--- a/bambookeel/entry/process.py
+++ b/bambookeel/entry/process.py
@@ -70,7 +70,7 @@
         process_id = ids.ProcessId(settings.process_id)
         incarnation = ids.Incarnation(clock.read_wall_ms())
         table = request_table.RequestTable()
-        dispatcher = dispatcher_task.DispatcherTask(process_id)
+        dispatcher = dispatcher_task.DispatcherTask.from_config(settings)
         route = router.Router(process_id, table, dispatcher)
         dispatcher.connect(route.send)
         control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
@@ -81,6 +81,7 @@
             route.send,
             dispatcher.mailbox,
         )
+        dispatcher.connect_follower(follower.mailbox)
         peers = settings.control + settings.entries
         link_settings = links.LinkSettings(
             settings.peer_listen,
@@ -101,7 +102,7 @@
             settings.limits.max_answer_bytes, _REUSE_WITHIN_MS
         )
         runner = requests.RequestRunner(follower, table, route, client)
-        announced = announcements.Announcements(follower, route)
+        announced = announcements.Announcements(process_id, dispatcher.mailbox)
         app = callers_app.CallersApp(
             process_id, incarnation, follower, runner, announced
         )
@@ -146,7 +147,8 @@
         logs.log_event("stopping")
         gevent.sleep(_UNREADY_PAUSE_S)
         self._callers.close()
-        self._follower.mailbox.put(events.StopDispatching())
+        # The dispatcher stops granting first, then the follower tells control.
+        self._dispatcher.mailbox.put(events.StopDispatching())
         gevent.sleep(_HAND_OVER_PAUSE_S)
         self._callers.pool.join(timeout=60)
         self._supervisor.stop()
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -33,6 +33,10 @@
     recoverReply @27 :RecoverReply;
     fetchAnswer @28 :FetchAnswer;
     answerCopy @29 :AnswerCopy;
+    keepRecords @30 :KeepRecords;
+    recordsKept @31 :RecordsKept;
+    recordsRequest @32 :RecordsRequest;
+    recordsReply @33 :RecordsReply;
   }
 }
 
@@ -159,12 +163,16 @@
 struct AllotmentRequest {
   nonce @0 :Int64;
   demands @1 :List(TeamDemand);
+  services @2 :List(ServiceReport);
+  answeredTerm @3 :Int64;
 }
 
 struct AllotmentReply {
   nonce @0 :Int64;
   leaseMs @1 :Int64;
   allotments @2 :List(Allotment);
+  term @3 :Int64;
+  services @4 :List(ServiceReport);
 }
 
 struct BackendAnnouncement {
@@ -179,6 +187,7 @@
   leaseMs @8 :Int64;
   ageMs @9 :Int64;
   running @10 :Int64;
+  hops @11 :Int64;
 }
 
 struct AcquireSlot {
@@ -201,6 +210,7 @@
   incarnation @6 :Int64;
   startWithinMs @7 :Int64;
   connectionAllowance @8 :Int64;
+  waitedMs @9 :Int64;
 }
 
 struct SlotRefused {
@@ -261,6 +271,31 @@
   body @4 :Data;
 }
 
+struct KeepRecords {
+  service @0 :Text;
+  epoch @1 :Int64;
+  nonce @2 :Int64;
+  records @3 :List(IdempotencyRecord);
+}
+
+struct RecordsKept {
+  service @0 :Text;
+  epoch @1 :Int64;
+  nonce @2 :Int64;
+}
+
+struct RecordsRequest {
+  service @0 :Text;
+  epoch @1 :Int64;
+}
+
+struct RecordsReply {
+  service @0 :Text;
+  epoch @1 :Int64;
+  uptimeMs @2 :Int64;
+  records @3 :List(IdempotencyRecord);
+}
+
 struct LogEntry {
   term @0 :Int64;
   index @1 :Int64;
@@ -291,6 +326,7 @@
   team @0 :Text;
   service @1 :Text;
   amount @2 :Int64;
+  earlier @3 :Int64;
 }
 
 struct OutstandingRequest {
@@ -317,3 +353,9 @@
   name @0 :Text;
   value @1 :Text;
 }
+
+struct ServiceReport {
+  service @0 :Text;
+  epoch @1 :Int64;
+  complete @2 :Bool;
+}
