Add the time line over all processes' logs

Cause: events of several processes could only be read file by file. Change: bambookeel.tools.timeline merges log files by hybrid logical stamps, filters by value, process, event and time, and prints text, SVG or HTML.

--- /dev/null
+++ b/bambookeel/tools/timeline.py
@@ -0,0 +1,87 @@
+"""`bambookeel timeline FILE...`: one time line of all processes' events.
+
+Merges log files by their hybrid logical stamps, filters, and prints text or
+writes a self-contained SVG or HTML file.
+"""
+
+import pathlib
+import sys
+
+from absl import flags
+
+from bambookeel.tools import log_lines
+from bambookeel.tools import timeline_page
+
+EXIT_OK = 0
+EXIT_BAD_INPUT = 2
+
+_MATCH = flags.DEFINE_multi_string(
+    "match",
+    [],
+    "Keep events with a field of this value: a request, command, resource,"
+    " team, instance or service. May be given several times.",
+)
+_PROCESS = flags.DEFINE_multi_string("process", [], "Keep these processes.")
+_EVENT = flags.DEFINE_multi_string("event", [], "Keep events of these names.")
+_FROM_MS = flags.DEFINE_integer(
+    "from_ms", 0, "Earliest time, ms since the Unix epoch."
+)
+_TO_MS = flags.DEFINE_integer(
+    "to_ms", 0, "Latest time, ms since the Unix epoch; 0 for none."
+)
+_DRAW = flags.DEFINE_string(
+    "draw", "", "Write the drawing to this .svg or .html file."
+)
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the subcommand.
+
+    Args:
+        arguments: Log files.
+
+    Returns:
+        The exit status: 0, or 2 when a file cannot be read.
+    """
+    if not arguments:
+        print("timeline: name at least one log file", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    files = []
+    status = EXIT_OK
+    for name in arguments:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as lines:
+                events, found = log_lines.parse_lines(lines, name)
+        except OSError as error:
+            print(f"{name}: {error.strerror}", file=sys.stderr)
+            status = EXIT_BAD_INPUT
+            continue
+        files.append(events)
+        for fault in found:
+            print(f"{fault.place}: {fault.message}", file=sys.stderr)
+    wanted = log_lines.EventFilter(
+        tuple(_MATCH.value),
+        tuple(_PROCESS.value),
+        tuple(_EVENT.value),
+        _FROM_MS.value,
+        _TO_MS.value,
+    )
+    kept = log_lines.filter_events(log_lines.merge_events(files), wanted)
+    _write(kept)
+    return status
+
+
+def _write(events: list[log_lines.LogEvent]) -> None:
+    """Prints the time line, or writes the drawing.
+
+    Args:
+        events: Events in order.
+    """
+    if not _DRAW.value:
+        for line in timeline_page.render_text(events):
+            print(line)
+        return
+    draw = timeline_page.render_page
+    if _DRAW.value.endswith(".svg"):
+        draw = timeline_page.render_svg
+    pathlib.Path(_DRAW.value).write_text(draw(events), encoding="utf-8")
--- /dev/null
+++ b/features/timeline/timeline.feature
@@ -0,0 +1,21 @@
+Feature: One time line over all processes
+
+  Scenario: Events are merged by their stamps and filtered by a value
+    Given log lines of "entry-0"
+      """
+      at=100.00000 event=granted process=entry-0 request=r1 team=coach
+      at=105.00001 event=answered process=entry-0 request=r1 status=200
+      """
+    And log lines of "entry-1"
+      """
+      at=100.00001 event=granted process=entry-1 request=r2 detail="two words \"quoted\""
+      at=105.00000 event=released process=entry-1 request=r1
+      not an event
+      """
+    When the time line is filtered by "r1"
+    Then its events are "granted, released, answered"
+    And one line is reported as no event
+    And the page is self-contained and names both processes
+
+  Scenario: Lines that the logs write are read back without loss
+    Then any field values survive a log line
