Add relays, an auditor of runs, and callers behind a balancer's health check

Cause: proof over real processes needs cuts, delays, silent connections and an account of what ran that outlives a killed backend server.

--- a/dev/deployment.py
+++ b/dev/deployment.py
@@ -8,19 +8,22 @@
 import dataclasses
 import hashlib
 import json
-import os
 import pathlib
 import signal
-import subprocess
 import sys
 import time
 import typing
-import urllib.error
-import urllib.request
+
+from dev import api_calls
+from dev import audit
+from dev import daemons
+from dev import load
+from dev import relay
 
 _HOST = "127.0.0.1"
 _DATA_CENTRES = ("tamworth", "hinckley", "lichfield")
 _STOP_TIMEOUT_S = 20.0
+_DEFAULT_LIMIT = 100
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,7 +37,9 @@
         backends: Backend servers of each service.
         slots: Slots of each backend server.
         teams: Teams, each with one key.
-        upper_limit: Every team's upper limit.
+        upper_limits: Teams' upper limits, where not the default.
+        use_relays: Whether peer links and backend connections pass relays.
+        delay_ms: One-way delay of the relays.
     """
 
     controls: int = 3
@@ -43,50 +48,9 @@
     backends: int = 3
     slots: int = 8
     teams: tuple[str, ...] = ("coach", "school")
-    upper_limit: int = 100
-
-
-@dataclasses.dataclass
-class Daemon:
-    """One started process.
-
-    Attributes:
-        name: Its process id within the deployment.
-        command: How it is started.
-        log_path: Where its output goes.
-        process: The running process.
-    """
-
-    name: str
-    command: list[str]
-    log_path: pathlib.Path
-    process: "subprocess.Popen[bytes] | None" = None
-
-    def start(self) -> None:
-        """Starts the process, its output appended to the log."""
-        with self.log_path.open("ab") as log:
-            # pylint: disable-next=consider-using-with
-            self.process = subprocess.Popen(
-                self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
-            )
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the process, if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            os.kill(self.process.pid, number)
-
-    def wait(self, timeout_s: float) -> int | None:
-        """Waits for the end of the process.
-
-        Returns:
-            Its exit status, or None when it still runs.
-        """
-        if self.process is None:
-            return None
-        try:
-            return self.process.wait(timeout_s)
-        except subprocess.TimeoutExpired:
-            return None
+    upper_limits: tuple[tuple[str, int], ...] = ()
+    use_relays: bool = False
+    delay_ms: float = 0.0
 
 
 class Deployment:
@@ -99,7 +63,10 @@
         self.shape = shape
         self.operator_key = "bootstrap.development-only"
         self.team_keys: dict[str, str] = {}
-        self.daemons: dict[str, Daemon] = {}
+        # By dialling process and target, or by backend server alone.
+        self.peer_relays: dict[tuple[str, str], relay.Relay] = {}
+        self.backend_relays: dict[str, relay.Relay] = {}
+        self.daemons: dict[str, daemons.Daemon] = {}
         self._next_port = base_port
         self._addresses: dict[str, str] = {}
         folder.mkdir(parents=True, exist_ok=True)
@@ -128,19 +95,52 @@
         """Lists the addresses of the entries for callers."""
         return [self.get_address(name, "http") for name in self.entry_names]
 
-    def _describe_peers(self, names: list[str]) -> list[dict[str, str]]:
+    def get_endpoints(self) -> list[load.Endpoint]:
+        """Lists the entries as callers see them."""
+        return [
+            load.Endpoint(
+                name,
+                self.get_address(name, "http"),
+                self.get_address(name, "admin"),
+            )
+            for name in self.entry_names
+        ]
+
+    def _get_peer_address(self, viewer: str, name: str) -> str:
+        """Gives the address at which one process dials another.
+
+        Args:
+            viewer: The process that dials.
+            name: The process that it dials.
+
+        Returns:
+            The address of the peer, or of the relay before it.
+        """
+        target = self.get_address(name, "peer")
+        # The smaller id dials.
+        if not self.shape.use_relays or viewer >= name:
+            return target
+        pair = (viewer, name)
+        if pair not in self.peer_relays:
+            listen = self.get_address(f"{viewer}-{name}", "relay")
+            self.peer_relays[pair] = relay.Relay(
+                listen, target, self.shape.delay_ms
+            )
+        return self.peer_relays[pair].listen
+
+    def _describe_peers(
+        self, viewer: str, names: list[str]
+    ) -> list[dict[str, str]]:
         return [
             {
                 "process_id": name,
-                "address": self.get_address(name, "peer"),
+                "address": self._get_peer_address(viewer, name),
                 "data_centre": _DATA_CENTRES[i % len(_DATA_CENTRES)],
             }
             for i, name in enumerate(names)
         ]
 
     def _write_settings(self) -> None:
-        control = self._describe_peers(self.control_names)
-        entries = self._describe_peers(self.entry_names)
         digest = hashlib.sha256(self.operator_key.encode()).hexdigest()
         for i, name in enumerate(self.control_names):
             self._add_daemon(
@@ -150,8 +150,6 @@
                     "api_listen": self.get_address(name, "http"),
                     "data_folder": str(self.folder / f"{name}.data"),
                     "bootstrap_key_sha256": digest,
-                    "control": control,
-                    "entries": entries,
                 },
                 i,
             )
@@ -161,8 +159,6 @@
                 "bambookeel.daemons.entry",
                 {
                     "callers_listen": self.get_address(name, "http"),
-                    "control": control,
-                    "entries": entries,
                 },
                 i,
             )
@@ -175,6 +171,8 @@
         number: int,
     ) -> None:
         settings = {
+            "control": self._describe_peers(name, self.control_names),
+            "entries": self._describe_peers(name, self.entry_names),
             "process_id": name,
             "data_centre": _DATA_CENTRES[number % len(_DATA_CENTRES)],
             "admin_listen": self.get_address(name, "admin"),
@@ -185,7 +183,7 @@
         path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
         command = [sys.executable, "-m", module, f"--settings={path}"]
         log_path = self.folder / f"{name}.log"
-        self.daemons[name] = Daemon(name, command, log_path)
+        self.daemons[name] = daemons.Daemon(name, command, log_path)
 
     def _add_backends(self) -> None:
         entries = ",".join(self.get_entry_addresses())
@@ -201,9 +199,32 @@
                     f"--listen={self.get_address(name, 'http')}",
                     f"--entries={entries}",
                     f"--slots={self.shape.slots}",
+                    f"--runs_file={self.get_runs_path(name)}",
                 ]
+                if self.shape.use_relays:
+                    command.append(f"--advertise={self._add_relay(name)}")
                 log_path = self.folder / f"{name}.log"
-                self.daemons[name] = Daemon(name, command, log_path)
+                self.daemons[name] = daemons.Daemon(name, command, log_path)
+
+    def _add_relay(self, backend: str) -> str:
+        listen = self.get_address(backend, "relay")
+        target = self.get_address(backend, "http")
+        self.backend_relays[backend] = relay.Relay(
+            listen, target, self.shape.delay_ms
+        )
+        return listen
+
+    def get_runs_path(self, backend: str) -> pathlib.Path:
+        """Gives the file in which a backend server records its runs."""
+        return self.folder / f"{backend}.runs"
+
+    def read_runs(self) -> list[audit.Run]:
+        """Reads the runs of all backend servers."""
+        return [
+            run
+            for name in self.list_backends()
+            for run in audit.read_runs(self.get_runs_path(name))
+        ]
 
     def list_backends(self) -> list[str]:
         """Lists the names of the backend servers."""
@@ -215,12 +236,29 @@
 
     def start(self) -> None:
         """Starts every process and declares teams, keys and services."""
+        for each in self.list_relays():
+            each.start()
         for daemon in self.daemons.values():
             daemon.start()
         self.wait_until_ready(self.control_names)
         self.declare_resources()
         self.wait_until_ready(self.entry_names)
 
+    def list_relays(self) -> list[relay.Relay]:
+        """Lists all relays."""
+        return [*self.peer_relays.values(), *self.backend_relays.values()]
+
+    def find_relays(self, name: str) -> list[relay.Relay]:
+        """Lists the relays of the peer links of one process.
+
+        Args:
+            name: The process.
+
+        Returns:
+            The relays before it and behind it.
+        """
+        return [r for pair, r in self.peer_relays.items() if name in pair]
+
     def wait_until_ready(self, names: list[str], timeout_s: float = 30) -> None:
         """Waits until processes say that they are ready.
 
@@ -231,7 +269,7 @@
         ends_at = time.monotonic() + timeout_s
         for name in names:
             url = f"http://{self.get_address(name, 'admin')}/readyz"
-            while not _is_ok(url):
+            while not api_calls.is_ok(url):
                 if time.monotonic() > ends_at:
                     raise TimeoutError(f"{name} is not ready")
                 time.sleep(0.05)
@@ -251,7 +289,7 @@
         status, answer = 0, None
         for name in self.control_names:
             address = self.get_address(name, "http")
-            status, answer = call_json(
+            status, answer = api_calls.call_json(
                 f"http://{address}{path}",
                 method,
                 self.operator_key,
@@ -265,7 +303,8 @@
     def declare_resources(self) -> None:
         """Declares the teams with their keys, the pools and the services."""
         for team in self.shape.teams:
-            spec = {"upper_limit": self.shape.upper_limit}
+            limit = dict(self.shape.upper_limits).get(team, _DEFAULT_LIMIT)
+            spec = {"upper_limit": limit}
             self._declare(f"/v1/team/{team}", spec)
             self.team_keys[team] = self.create_key(f"{team}-key", team)
         for service in self.shape.services:
@@ -317,46 +356,6 @@
                 if codes[name] is None:
                     self.daemons[name].send_signal(signal.SIGKILL)
                     self.daemons[name].wait(_STOP_TIMEOUT_S)
+        for each in self.list_relays():
+            each.stop()
         return codes
-
-
-def _is_ok(url: str) -> bool:
-    try:
-        with urllib.request.urlopen(url, timeout=1) as answer:
-            return answer.status == 200
-    except OSError:
-        return False
-
-
-def call_json(
-    url: str,
-    method: str,
-    key: str,
-    document: typing.Any = None,
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 6,
-) -> tuple[int, typing.Any]:
-    """Sends one HTTP request with a JSON body.
-
-    Returns:
-        Status and decoded body; status 0 when there was no answer.
-    """
-    data = None if document is None else json.dumps(document).encode()
-    request = urllib.request.Request(url, data, method=method)
-    request.add_header("Authorization", f"Bearer {key}")
-    for name, value in (headers or {}).items():
-        request.add_header(name, value)
-    try:
-        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
-            return answer.status, json.loads(answer.read() or b"null")
-    except urllib.error.HTTPError as error:
-        return error.code, _decode_or_none(error.read())
-    except (OSError, ValueError):
-        return 0, None
-
-
-def _decode_or_none(body: bytes) -> typing.Any:
-    try:
-        return json.loads(body)
-    except ValueError:
-        return None
--- a/dev/fake_backend.py
+++ b/dev/fake_backend.py
@@ -1,9 +1,10 @@
-"""A fake backend server that announces itself and counts what it runs.
+"""A fake backend server that announces itself and records what it runs.
 
 Runs as a separate process: `--service`, `--backend_id`, `--listen`, and the
 entries' addresses to announce to. Each request's work is a pause of
-`X-Work-Ms`; the answer echoes the request's id and its X-Work-Id. `/runs` gives
-how often each X-Work-Id was run, for the auditor.
+`X-Work-Ms`; the answer echoes the request's id and its X-Work-Id. Every start
+and end of work is a line of `--runs_file`, which outlives a kill. SIGUSR1 makes
+it announce that it leaves; SIGTERM makes it leave and end.
 """
 
 import gevent.monkey
@@ -11,10 +12,8 @@
 gevent.monkey.patch_all()
 
 # pylint: disable=wrong-import-position
-from collections import Counter  # noqa: E402
 import json  # noqa: E402
 import signal  # noqa: E402
-import time  # noqa: E402
 import typing  # noqa: E402
 
 from absl import app  # noqa: E402
@@ -25,62 +24,57 @@
 
 from bambookeel.net import addresses  # noqa: E402
 from bambookeel.net import http_server  # noqa: E402
+from bambookeel.runtime import clock  # noqa: E402
 
 _SERVICE = flags.DEFINE_string("service", None, "Service.", required=True)
 _BACKEND_ID = flags.DEFINE_string("backend_id", None, "Name.", required=True)
 _LISTEN = flags.DEFINE_string("listen", None, "ip:port.", required=True)
+_ADVERTISE = flags.DEFINE_string(
+    "advertise", "", "Announced ip:port, if not the one listened on."
+)
 _ENTRIES = flags.DEFINE_list("entries", [], "Entries' caller addresses.")
+_RUNS_FILE = flags.DEFINE_string("runs_file", "", "Where runs are recorded.")
 _SLOTS = flags.DEFINE_integer("slots", 8, "Requests at once.")
 _CONNECTIONS = flags.DEFINE_integer("connections", 64, "Connections at once.")
 _LEASE_MS = flags.DEFINE_integer("lease_ms", 2_000, "Announcement's lease.")
 _PERIOD_MS = flags.DEFINE_integer("period_ms", 500, "Announcement's period.")
+_STOP_TIMEOUT_S = 10
 
 
 class FakeBackend:
-    """Runs requests and counts them."""
+    """Runs requests and records them."""
 
-    def __init__(self) -> None:
-        self.runs: Counter[str] = Counter()
+    def __init__(self, runs_file: typing.TextIO | None) -> None:
         self.running = 0
-        self.most_running = 0
         self.state = "serving"
-        self._incarnation = time.time_ns() // 1_000_000
+        self._runs_file = runs_file
+        self._incarnation = clock.read_wall_ms()
         self._sequence = 0
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
     ) -> list[bytes]:
         """Answers one request."""
-        if environ["PATH_INFO"] == "/runs":
-            body = json.dumps(
-                {
-                    "runs": self.runs,
-                    "most_running": self.most_running,
-                }
-            ).encode()
-            start_response("200 OK", [("Content-Length", str(len(body)))])
-            return [body]
+        work_id = environ.get("HTTP_X_WORK_ID", "")
         self.running += 1
-        self.most_running = max(self.most_running, self.running)
+        self._record(
+            "start",
+            work_id,
+            environ.get("HTTP_X_WORK_TEAM", ""),
+            environ.get("HTTP_X_TEAM", ""),
+        )
         try:
-            return self._run(environ, start_response)
+            sent = environ["wsgi.input"].read()
+            gevent.sleep(int(environ.get("HTTP_X_WORK_MS", "0")) / 1000.0)
         finally:
             self.running -= 1
-
-    def _run(
-        self, environ: dict[str, typing.Any], start_response: typing.Any
-    ) -> list[bytes]:
-        work_id = environ.get("HTTP_X_WORK_ID", "")
-        self.runs[work_id] += 1
-        sent = environ["wsgi.input"].read()
-        gevent.sleep(int(environ.get("HTTP_X_WORK_MS", "0")) / 1000.0)
-        body = json.dumps(
-            {
-                "work_id": work_id,
-                "backend_id": _BACKEND_ID.value,
-                "body_bytes": len(sent),
-            }
-        ).encode()
+            self._record("end", work_id)
+        document = {
+            "work_id": work_id,
+            "backend_id": _BACKEND_ID.value,
+            "body_bytes": len(sent),
+        }
+        body = json.dumps(document).encode()
         start_response(
             "200 OK",
             [
@@ -91,6 +85,18 @@
         )
         return [body]
 
+    def _record(self, what: str, work_id: str, *more: str) -> None:
+        if self._runs_file is None:
+            return
+        fields = [what, str(clock.read_wall_ms()), work_id, *more]
+        self._runs_file.write("\t".join(fields) + "\n")
+        self._runs_file.flush()
+
+    def leave(self) -> None:
+        """Announces that no new work should come."""
+        self.state = "leaving"
+        self.announce()
+
     def announce(self) -> bool:
         """Announces to the first entry that takes it.
 
@@ -98,25 +104,24 @@
             Whether an entry took it.
         """
         self._sequence += 1
-        document = json.dumps(
-            {
-                "service": _SERVICE.value,
-                "backend_id": _BACKEND_ID.value,
-                "address": _LISTEN.value,
-                "incarnation": self._incarnation,
-                "sequence": self._sequence,
-                "state": self.state,
-                "slots": _SLOTS.value,
-                "connections": _CONNECTIONS.value,
-                "lease_ms": _LEASE_MS.value,
-                "running": self.running,
-            }
-        ).encode()
+        document = {
+            "service": _SERVICE.value,
+            "backend_id": _BACKEND_ID.value,
+            "address": _ADVERTISE.value or _LISTEN.value,
+            "incarnation": self._incarnation,
+            "sequence": self._sequence,
+            "state": self.state,
+            "slots": _SLOTS.value,
+            "connections": _CONNECTIONS.value,
+            "lease_ms": _LEASE_MS.value,
+            "running": self.running,
+        }
+        body = json.dumps(document).encode()
         entries = _ENTRIES.value
         for i in range(len(entries)):
             # Another entry each time, as behind a balancer.
             entry = entries[(self._sequence + i) % len(entries)]
-            if _post_announcement(entry, document):
+            if _post_announcement(entry, body):
                 return True
         return False
 
@@ -127,13 +132,13 @@
             gevent.sleep(_PERIOD_MS.value / 1000.0)
 
 
-def _post_announcement(entry: str, document: bytes) -> bool:
+def _post_announcement(entry: str, body: bytes) -> bool:
     host, port = addresses.parse_address(entry)
     client = geventhttpclient.HTTPClient(
         host, port, connection_timeout=0.3, network_timeout=0.3
     )
     try:
-        return client.post("/announce", document).status_code == 204
+        return client.post("/announce", body).status_code == 204
     except (OSError, geventhttpclient.response.HTTPParseError):
         return False
     finally:
@@ -142,18 +147,22 @@
 
 def run_backend(_arguments: list[str]) -> None:
     """Runs the fake until a signal; then it leaves gracefully."""
-    fake = FakeBackend()
+    runs_file = None
+    if _RUNS_FILE.value:
+        # pylint: disable-next=consider-using-with
+        runs_file = open(_RUNS_FILE.value, "a", encoding="utf-8")
+    fake = FakeBackend(runs_file)
     server = http_server.Server(_LISTEN.value, fake)
     server.start()
     stop_wanted = gevent.event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop_wanted.set)
+    gevent.signal_handler(signal.SIGUSR1, fake.leave)
     announcing = gevent.spawn(fake.announce_forever)
     stop_wanted.wait()
-    fake.state = "leaving"
-    fake.announce()
+    fake.leave()
     announcing.kill()
-    server.stop(timeout=10)
+    server.stop(timeout=_STOP_TIMEOUT_S)
 
 
 def main() -> None:
--- a/dev/load.py
+++ b/dev/load.py
@@ -1,21 +1,62 @@
-"""Callers that send requests and record what they are told."""
+"""Callers that send requests and record what they are told.
+
+Stands for the platform's balancer too: an entry that refuses connections or is
+not ready gets no new requests until it is.
+"""
 
-from collections import Counter
 from collections.abc import Callable
+import dataclasses
 import itertools
 import json
 import random
 import time
-import typing
 
 import gevent
+import gevent.pool
 import geventhttpclient
 from geventhttpclient import response as http_response
 
 from bambookeel.net import addresses
+from bambookeel.runtime import clock
 from dev import audit
 
+_CONNECT_TIMEOUT_S = 2.0
 _NETWORK_TIMEOUT_S = 40.0
+# Time for which the balancer avoids an entry that refused a connection.
+_AVOID_S = 0.5
+_PROBE_PERIOD_S = 0.1
+_PROBE_TIMEOUT_S = 0.3
+_MAX_IN_FLIGHT = 2_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An entry as callers see it.
+
+    Attributes:
+        name: The process.
+        callers: Its address for callers.
+        admin: Its address for health.
+    """
+
+    name: str
+    callers: str
+    admin: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What one kind of request asks for.
+
+    Attributes:
+        team: The team whose key is sent.
+        work_ms: Time that the backend server takes.
+        headers: Further header fields.
+    """
+
+    team: str
+    work_ms: int = 5
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class Load:
@@ -23,7 +64,7 @@
 
     def __init__(
         self,
-        entries: list[str],
+        entries: list[Endpoint],
         services: tuple[str, ...],
         keys: dict[str, str],
         seed: int,
@@ -35,55 +76,131 @@
         self._random = random.Random(seed)
         self._numbers = itertools.count(1)
         self._run_id = f"{seed}-{time.time_ns():x}"
+        self._avoid_until_s = {entry.name: 0.0 for entry in entries}
+        self._pool = gevent.pool.Pool(_MAX_IN_FLIGHT)
+
+    def probe_forever(self) -> None:
+        """Keeps unready entries out, as the balancer's health check does."""
+        while True:
+            gevent.joinall(
+                [gevent.spawn(self._probe, entry) for entry in self._entries]
+            )
+            gevent.sleep(_PROBE_PERIOD_S)
+
+    def _probe(self, entry: Endpoint) -> None:
+        host, port = addresses.parse_address(entry.admin)
+        client = geventhttpclient.HTTPClient(
+            host,
+            port,
+            connection_timeout=_PROBE_TIMEOUT_S,
+            network_timeout=_PROBE_TIMEOUT_S,
+        )
+        try:
+            ready = client.get("/readyz").status_code == 200
+        except (OSError, http_response.HTTPParseError):
+            ready = False
+        finally:
+            client.close()
+        if not ready:
+            self._avoid(entry)
+
+    def _avoid(self, entry: Endpoint) -> None:
+        self._avoid_until_s[entry.name] = time.monotonic() + _AVOID_S
 
-    def send_one(
-        self, work_ms: int = 5, headers: dict[str, str] | None = None
-    ) -> audit.CallRecord:
+    def _choose_entry(self) -> Endpoint:
+        now_s = time.monotonic()
+        ready = [
+            e for e in self._entries if self._avoid_until_s[e.name] < now_s
+        ]
+        return self._random.choice(ready or self._entries)
+
+    def send_one(self, work: Work) -> audit.CallRecord:
         """Sends one request and records what came of it.
 
         Args:
-            work_ms: Time that the backend server takes.
-            headers: Further header fields.
+            work: What it asks for.
 
         Returns:
             The record, which is also kept.
         """
         work_id = f"{self._run_id}-{next(self._numbers)}"
         service = self._random.choice(self._services)
-        team = self._random.choice(list(self._keys))
-        entry = self._random.choice(self._entries)
-        sent = {
-            "Authorization": f"Bearer {self._keys[team]}",
+        headers = {
+            "Authorization": f"Bearer {self._keys[work.team]}",
             "X-Work-Id": work_id,
-            "X-Work-Ms": str(work_ms),
-            **(headers or {}),
+            "X-Work-Ms": str(work.work_ms),
+            "X-Work-Team": work.team,
+            **dict(work.headers),
         }
-        started = time.monotonic()
-        told, reason = call_once(entry, f"/services/{service}/work", sent)
-        duration_ms = (time.monotonic() - started) * 1000.0
-        record = audit.CallRecord(work_id, told, reason, duration_ms)
+        started_ms = clock.read_wall_ms()
+        for _ in range(2 * len(self._entries)):
+            entry = self._choose_entry()
+            told, reason = call_once(
+                entry.callers, f"/services/{service}/work", headers
+            )
+            if reason != audit.CONNECTION_REFUSED:
+                break
+            # Nothing was taken; the balancer tries another entry.
+            self._avoid(entry)
+        record = audit.CallRecord(
+            work_id,
+            work.team,
+            entry.name,
+            told,
+            reason,
+            started_ms,
+            clock.read_wall_ms(),
+        )
         self.records.append(record)
         return record
 
     def run_callers(
-        self, callers: int, keep_going: Callable[[], bool], work_ms: int = 5
+        self, callers: int, work: Work, keep_going: Callable[[], bool]
     ) -> None:
-        """Runs callers side by side until told to end.
+        """Runs callers side by side, each waiting for its answers.
 
         Args:
             callers: How many.
+            work: What their requests ask for.
             keep_going: Asked before each request.
-            work_ms: Time that the backend server takes.
         """
 
         def run_caller() -> None:
             while keep_going():
-                record = self.send_one(work_ms)
+                record = self.send_one(work)
                 if record.told is not audit.Told.ANSWERED:
                     gevent.sleep(0.05)
 
         gevent.joinall([gevent.spawn(run_caller) for _ in range(callers)])
 
+    def run_arrivals(
+        self, rate_per_s: float, work: Work, keep_going: Callable[[], bool]
+    ) -> None:
+        """Sends requests at a rate, whether or not answers come.
+
+        Args:
+            rate_per_s: Requests a second.
+            work: What the requests ask for.
+            keep_going: Asked before each request.
+        """
+        next_s = time.monotonic()
+        while keep_going():
+            self._pool.spawn(self.send_one, work)
+            next_s += 1.0 / rate_per_s
+            gevent.sleep(max(0.0, next_s - time.monotonic()))
+
+    def join(self, timeout_s: float) -> int:
+        """Waits until every request has ended.
+
+        Args:
+            timeout_s: Time to wait at most.
+
+        Returns:
+            How many have not.
+        """
+        self._pool.join(timeout_s)
+        return len(self._pool)
+
 
 def call_once(
     entry: str, target: str, headers: dict[str, str]
@@ -102,15 +219,14 @@
     client = geventhttpclient.HTTPClient(
         host,
         port,
-        connection_timeout=2.0,
+        connection_timeout=_CONNECT_TIMEOUT_S,
         network_timeout=_NETWORK_TIMEOUT_S,
     )
     try:
         answer = client.post(target, b"body", headers)
         body = bytes(answer.read())
     except ConnectionRefusedError:
-        # The entry took nothing; a balancer would try another one.
-        return audit.Told.NOT_RUN, "connection-refused"
+        return audit.Told.NOT_RUN, audit.CONNECTION_REFUSED
     except (OSError, http_response.HTTPParseError) as error:
         return audit.Told.LOST, repr(error)
     finally:
@@ -145,24 +261,3 @@
         "cancelled": audit.Told.UNKNOWN,
     }.get(document.get("outcome"), audit.Told.LOST)
     return told, str(document.get("reason", ""))
-
-
-def collect_runs(backends: list[str]) -> Counter[str]:
-    """Asks fake backend servers what they ran.
-
-    Args:
-        backends: Their addresses.
-
-    Returns:
-        How often each work id was run.
-    """
-    runs: Counter[str] = Counter()
-    for address in backends:
-        host, port = addresses.parse_address(address)
-        client = geventhttpclient.HTTPClient(host, port)
-        document: dict[str, typing.Any] = json.loads(
-            bytes(client.get("/runs").read())
-        )
-        client.close()
-        runs.update(document["runs"])
-    return runs
--- /dev/null
+++ b/dev/relay.py
@@ -0,0 +1,124 @@
+"""A TCP relay that can cut, delay and silence connections.
+
+Stands between a dialling process and its target. A cut holds bytes back rather
+than closing, as a lost network does: after the cut has healed, held bytes
+arrive late. `silence_existing` makes the connections of this moment silent for
+good while new ones work.
+"""
+
+import enum
+import typing
+
+import gevent
+import gevent.event
+import gevent.server
+import gevent.socket
+
+from bambookeel.net import addresses
+
+_CHUNK_BYTES = 65_536
+_CONNECT_TIMEOUT_S = 2.0
+
+
+class Direction(enum.Enum):
+    """The directions of a relay."""
+
+    TO_TARGET = "to-target"
+    FROM_TARGET = "from-target"
+
+
+class Relay:
+    """Relays connections from one address to another."""
+
+    def __init__(self, listen: str, target: str, delay_ms: float = 0.0) -> None:
+        self.listen = listen
+        self._target = target
+        self._delay_s = delay_ms / 1000.0
+        self._open = {way: gevent.event.Event() for way in Direction}
+        self._sockets: set[typing.Any] = set()
+        self._silenced: set[typing.Any] = set()
+        self._server = gevent.server.StreamServer(
+            addresses.parse_address(listen), self._relay
+        )
+        self.heal()
+
+    def start(self) -> None:
+        """Starts to accept connections."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops accepting and closes every connection."""
+        self._server.stop(timeout=0)
+        for sock in list(self._sockets):
+            sock.close()
+
+    def cut(self, ways: tuple[Direction, ...] = tuple(Direction)) -> None:
+        """Holds back all bytes in some directions.
+
+        Args:
+            ways: The directions.
+        """
+        for way in ways:
+            self._open[way].clear()
+
+    def heal(self) -> None:
+        """Lets held bytes and new ones pass again."""
+        for event in self._open.values():
+            event.set()
+
+    def silence_existing(self) -> None:
+        """Makes the connections of this moment silent for good."""
+        self._silenced |= self._sockets
+
+    def _relay(self, near: typing.Any, _address: typing.Any) -> None:
+        # A cut network lets no connection through either.
+        self._open[Direction.TO_TARGET].wait()
+        try:
+            far = gevent.socket.create_connection(
+                addresses.parse_address(self._target), _CONNECT_TIMEOUT_S
+            )
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        pair = (near, far)
+        for sock in pair:
+            sock.setsockopt(
+                gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1
+            )
+        self._sockets.update(pair)
+        pumps = [
+            gevent.spawn(self._pump, near, far, Direction.TO_TARGET),
+            gevent.spawn(self._pump, far, near, Direction.FROM_TARGET),
+        ]
+        gevent.joinall(pumps)
+        self._sockets.difference_update(pair)
+        self._silenced.difference_update(pair)
+
+    def _pump(
+        self, source: typing.Any, sink: typing.Any, way: Direction
+    ) -> None:
+        """Copies bytes in one direction until either end closes.
+
+        Args:
+            source: Where bytes come from.
+            sink: Where they go.
+            way: The direction.
+        """
+        try:
+            while True:
+                data = source.recv(_CHUNK_BYTES)
+                if self._delay_s:
+                    gevent.sleep(self._delay_s)
+                self._open[way].wait()
+                if source in self._silenced:
+                    if not data:
+                        return
+                    continue
+                if not data:
+                    sink.shutdown(gevent.socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+        except OSError:
+            source.close()
+            sink.close()
--- a/dev/run_deployment.py
+++ b/dev/run_deployment.py
@@ -24,27 +24,38 @@
 
 _KEEP = flags.DEFINE_bool("keep", False, "Leave the deployment up.")
 _REQUESTS = flags.DEFINE_integer("requests", 600, "Requests to send.")
-_CALLERS = flags.DEFINE_integer("callers", 12, "Callers side by side.")
+_CALLERS = flags.DEFINE_integer("callers", 4, "Callers of each team.")
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the load.")
 _BASE_PORT = flags.DEFINE_integer("base_port", 18_000, "First port.")
 _FOLDER = flags.DEFINE_string("folder", "run-output", "Settings and logs.")
+_SERVED_TIMEOUT_S = 20
+_WORK_MS = 20
 
 
 def _print_progress(sender: load.Load) -> None:
     while True:
         gevent.sleep(1)
-        told = [record.told.value for record in sender.records]
+        told = [record.told for record in sender.records]
         counts = " ".join(
-            f"{value.value}={told.count(value.value)}" for value in audit.Told
+            f"{kind.value}={told.count(kind)}" for kind in audit.Told
         )
         print(f"progress sent={len(told)} {counts}", flush=True)
 
 
-def _wait_until_served(sender: load.Load) -> None:
-    """Waits until every service has answered one request."""
-    ends_at = time.monotonic() + 20
+def wait_until_served(sender: load.Load, teams: tuple[str, ...]) -> None:
+    """Waits until requests of every team are answered.
+
+    Args:
+        sender: Sends the requests; their records are dropped.
+        teams: The teams.
+    """
+    ends_at = time.monotonic() + _SERVED_TIMEOUT_S
     while time.monotonic() < ends_at:
-        told = {sender.send_one().told for _ in range(8)}
+        told = {
+            sender.send_one(load.Work(team)).told
+            for team in teams
+            for _ in range(4)
+        }
         if told == {audit.Told.ANSWERED}:
             break
         gevent.sleep(0.2)
@@ -73,6 +84,7 @@
     running = deployment.Deployment(
         folder, deployment.Shape(), _BASE_PORT.value
     )
+    outcome = None
     try:
         running.start()
         outcome = _send_requests(running)
@@ -88,7 +100,7 @@
     failed = {name: code for name, code in codes.items() if code != 0}
     if failed:
         print(f"exit statuses: {failed}", file=sys.stderr)
-    if failed or (not _KEEP.value and not outcome.holds()):
+    if failed or outcome is None or not outcome.holds():
         sys.exit(1)
 
 
@@ -101,22 +113,27 @@
     Returns:
         The audit.
     """
+    teams = running.shape.teams
     sender = load.Load(
-        running.get_entry_addresses(),
+        running.get_endpoints(),
         running.shape.services,
         running.team_keys,
         _SEED.value,
     )
-    _wait_until_served(sender)
+    wait_until_served(sender, teams)
     progress = gevent.spawn(_print_progress, sender)
-    sender.run_callers(
-        _CALLERS.value, lambda: len(sender.records) < _REQUESTS.value
-    )
-    progress.kill()
-    backends = [
-        running.get_address(name, "http") for name in running.list_backends()
+    callers = [
+        gevent.spawn(
+            sender.run_callers,
+            _CALLERS.value,
+            load.Work(team, _WORK_MS),
+            lambda: len(sender.records) < _REQUESTS.value,
+        )
+        for team in teams
     ]
-    return audit.audit_calls(sender.records, load.collect_runs(backends))
+    gevent.joinall(callers)
+    progress.kill()
+    return audit.audit_calls(sender.records, running.read_runs())
 
 
 def main() -> None:
