Add the fault matrix over real processes

Change: make proof runs cells (fault, role, step) on deployments of their own behind relays, under load of four kinds of caller and an operator, and checks each promise on what callers saw, what backend servers ran and what logs say.

--- a/dev/deployment.py
+++ b/dev/deployment.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import pathlib
+import shutil
 import signal
 import sys
 import time
@@ -40,6 +41,7 @@
         upper_limits: Teams' upper limits, where not the default.
         use_relays: Whether peer links and backend connections pass relays.
         delay_ms: One-way delay of the relays.
+        deadline_ms: Deadline of requests to every service.
     """
 
     controls: int = 3
@@ -51,6 +53,7 @@
     upper_limits: tuple[tuple[str, int], ...] = ()
     use_relays: bool = False
     delay_ms: float = 0.0
+    deadline_ms: int = 30_000
 
 
 class Deployment:
@@ -214,6 +217,10 @@
         )
         return listen
 
+    def remove_data(self, name: str) -> None:
+        """Removes the data folder of a control process."""
+        shutil.rmtree(self.folder / f"{name}.data", ignore_errors=True)
+
     def get_runs_path(self, backend: str) -> pathlib.Path:
         """Gives the file in which a backend server records its runs."""
         return self.folder / f"{backend}.runs"
@@ -310,7 +317,8 @@
         for service in self.shape.services:
             pool = {"wanted_size": self.shape.backends}
             self._declare(f"/v1/pool/{service}", pool)
-            self._declare(f"/v1/service/{service}", {"pool": service})
+            spec = {"pool": service, "deadline_ms": self.shape.deadline_ms}
+            self._declare(f"/v1/service/{service}", spec)
 
     def _declare(self, path: str, spec: dict[str, typing.Any]) -> None:
         ends_at = time.monotonic() + 20
--- /dev/null
+++ b/dev/proof_cells.py
@@ -0,0 +1,291 @@
+"""The cells of the fault matrix: what is done, to whom, and when.
+
+A cell is a function that does its fault to a `ProofRun`. Cells of the quick set
+are steady enough for CI.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from dev import proof_run
+from dev import relay
+
+Act = Callable[[proof_run.ProofRun], None]
+_FREEZE_S = 4.0
+_CUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """One cell.
+
+    Attributes:
+        fault: What happens.
+        role: To whom.
+        step: When.
+        act: Does it.
+        expects_recovery: Whether goodput must be back within its bound.
+    """
+
+    fault: str
+    role: str
+    step: str
+    act: Act
+    expects_recovery: bool = True
+
+    def get_name(self) -> str:
+        """Names the cell for `--only`."""
+        return f"{self.fault}/{self.role}/{self.step}"
+
+
+Find = Callable[[proof_run.ProofRun], str]
+
+
+def _find_holder(run: proof_run.ProofRun) -> str:
+    return run.find_holder(run.running.shape.services[0])
+
+
+_ROLES: tuple[tuple[str, Find], ...] = (
+    ("entry", lambda run: run.find_bystander()),
+    ("dispatcher", _find_holder),
+    ("control-leader", lambda run: run.find_leader()),
+    ("control-follower", lambda run: run.find_follower()),
+)
+
+
+def _kill(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        run.kill(find(run))
+
+    return act
+
+
+def _kill_and_restart(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        name = find(run)
+        run.kill(name)
+        run.pause(1.0)
+        run.start(name)
+        run.pause(2.0)
+
+    return act
+
+
+def _kill_twice(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        for _ in range(2):
+            name = find(run)
+            run.kill(name)
+            run.start(name)
+            run.pause(3.0)
+
+    return act
+
+
+def _freeze(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        name = find(run)
+        run.freeze(name)
+        run.pause(_FREEZE_S)
+        run.wake(name)
+
+    return act
+
+
+def _cut(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        name = find(run)
+        run.cut(name)
+        run.pause(_CUT_S)
+        run.heal(name)
+
+    return act
+
+
+def _cut_outgoing(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        name = find(run)
+        run.cut_outgoing(name)
+        run.pause(_CUT_S)
+        run.heal(name)
+
+    return act
+
+
+def _cut_incoming(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        name = find(run)
+        for (dialler, _), each in run.running.peer_relays.items():
+            if each in run.running.find_relays(name):
+                way = relay.Direction.TO_TARGET
+                if dialler == name:
+                    way = relay.Direction.FROM_TARGET
+                each.cut((way,))
+        run.evidence.disturbed.add(name)
+        run.pause(_CUT_S)
+        run.heal(name)
+
+    return act
+
+
+def _silence(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        run.silence(find(run))
+
+    return act
+
+
+def _stop_and_restart(find: Find) -> Act:
+    def act(run: proof_run.ProofRun) -> None:
+        name = find(run)
+        run.stop_gracefully(name)
+        run.start(name)
+        run.pause(2.0)
+
+    return act
+
+
+_FAULTS: tuple[tuple[str, str, Callable[[Find], Act]], ...] = (
+    ("kill", "under load", _kill),
+    ("kill and restart", "under load", _kill_and_restart),
+    ("kill twice", "right after a repair", _kill_twice),
+    ("freeze and wake", "under load", _freeze),
+    ("cut both ways", "under load", _cut),
+    ("cut outgoing", "under load", _cut_outgoing),
+    ("cut incoming", "under load", _cut_incoming),
+    ("silent connections", "under load", _silence),
+    ("planned stop", "under load", _stop_and_restart),
+)
+
+
+def _kill_backend(run: proof_run.ProofRun) -> None:
+    run.kill("orders-0")
+
+
+def _freeze_backend(run: proof_run.ProofRun) -> None:
+    run.freeze("orders-0")
+    run.pause(_FREEZE_S)
+    run.wake("orders-0")
+
+
+def _restart_backend(run: proof_run.ProofRun) -> None:
+    run.kill("orders-0")
+    run.start("orders-0")
+    run.pause(1.0)
+
+
+def _stop_backend(run: proof_run.ProofRun) -> None:
+    run.stop_gracefully("orders-0")
+
+
+def _leave_backend(run: proof_run.ProofRun) -> None:
+    run.leave("orders-0")
+
+
+def _silence_backend(run: proof_run.ProofRun) -> None:
+    run.silence_backend("orders-0")
+
+
+def _kill_leader_and_holder(run: proof_run.ProofRun) -> None:
+    leader = run.find_leader()
+    holder = _find_holder(run)
+    run.kill(leader)
+    run.kill(holder)
+    run.start(leader)
+    run.start(holder)
+    run.pause(3.0)
+
+
+def _kill_during_election(run: proof_run.ProofRun) -> None:
+    leader = run.find_leader()
+    run.kill(leader)
+    run.start(leader)
+    run.pause(0.3)
+    run.kill(_find_holder_from_logs(run))
+    run.pause(2.0)
+
+
+def _find_holder_from_logs(run: proof_run.ProofRun) -> str:
+    return run.running.entry_names[0]
+
+
+def _lose_second_after_repair(run: proof_run.ProofRun) -> None:
+    first = run.find_follower()
+    run.kill(first)
+    run.start(first)
+    run.pause(1.5)
+    run.kill(run.find_leader())
+    run.pause(2.0)
+
+
+def _wipe_disk(run: proof_run.ProofRun) -> None:
+    name = run.find_follower()
+    run.kill(name)
+    run.running.remove_data(name)
+    run.start(name)
+    run.pause(3.0)
+
+
+def _wipe_leader_disk(run: proof_run.ProofRun) -> None:
+    name = run.find_leader()
+    run.kill(name)
+    run.running.remove_data(name)
+    run.start(name)
+    run.pause(3.0)
+
+
+def _stop_every_entry(run: proof_run.ProofRun) -> None:
+    for name in run.running.entry_names:
+        run.stop_gracefully(name)
+        run.start(name)
+        run.running.wait_until_ready([name])
+
+
+def _stop_every_control(run: proof_run.ProofRun) -> None:
+    for name in run.running.control_names:
+        run.stop_gracefully(name)
+        run.start(name)
+        run.running.wait_until_ready([name])
+
+
+_SINGLE_CELLS = (
+    Cell("none", "none", "under load", lambda run: None),
+    Cell("kill", "backend", "under load", _kill_backend),
+    Cell("kill and restart", "backend", "under load", _restart_backend),
+    Cell("freeze and wake", "backend", "under load", _freeze_backend, False),
+    Cell("planned stop", "backend", "under load", _stop_backend),
+    Cell("leaving", "backend", "under load", _leave_backend),
+    Cell(
+        "silent connections", "backend", "under load", _silence_backend, False
+    ),
+    Cell(
+        "two kills", "leader and dispatcher", "at once", _kill_leader_and_holder
+    ),
+    Cell(
+        "two kills", "leader then entry", "in election", _kill_during_election
+    ),
+    Cell(
+        "two kills",
+        "follower then leader",
+        "right after a repair",
+        _lose_second_after_repair,
+    ),
+    Cell("lost disk", "control-follower", "under load", _wipe_disk),
+    Cell("lost disk", "control-leader", "under load", _wipe_leader_disk),
+    Cell("planned stop", "every entry", "one by one", _stop_every_entry),
+    Cell("planned stop", "every control", "one by one", _stop_every_control),
+)
+
+
+def list_cells() -> list[Cell]:
+    """Lists all cells in their order.
+
+    Returns:
+        The faults on each role, then the single cells.
+    """
+    cells = [
+        Cell(fault, role, step, build(find))
+        for fault, step, build in _FAULTS
+        for role, find in _ROLES
+    ]
+    return [*_SINGLE_CELLS, *cells]
--- /dev/null
+++ b/dev/proof_evidence.py
@@ -0,0 +1,268 @@
+"""What one cell of the fault matrix leaves behind, and the checks on it.
+
+Each check takes the evidence and gives violations of one promise as sentences.
+Times are wall-clock milliseconds; all processes of a cell share one machine.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+
+from bambookeel.tools import log_lines
+from dev import audit
+
+# Bounds from the stated targets.
+WITHDRAWN_WITHIN_MS = 3_000
+IN_FORCE_WITHIN_MS = 4_000
+LEAVING_WITHIN_MS = 2_000
+RECOVERED_WITHIN_MS = 3_000
+_MAX_EXAMPLES = 3
+
+
+class Result(enum.Enum):
+    """The result of one check."""
+
+    PASSED = "passed"
+    FAILED = "failed"
+    NOT_RUN = "not-run"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AckedChange:
+    """A configuration change that the API acknowledged.
+
+    Attributes:
+        version: Its state version.
+        at_ms: When the answer arrived.
+    """
+
+    version: int
+    at_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Evidence:
+    """Everything that the checks look at.
+
+    Attributes:
+        records: What callers saw.
+        runs: What backend servers ran.
+        events: The merged logs.
+        acked: Acknowledged configuration changes, in order.
+        refused_changes: Changes whose outcome contradicts an earlier answer.
+        limits: Upper limits by team.
+        withdrawn: When the withdrawal of a team's key was acknowledged.
+        left: When backend servers announced that they leave.
+        killed: When processes were killed.
+        disturbed: Entries that the cell killed, froze or cut off.
+        planned_stops: Whether the cell stopped processes gracefully.
+        exit_codes: Exit statuses of gracefully stopped processes.
+        unended: Requests that never ended.
+        fault_ms: When the fault began.
+        measured_team: The team whose goodput counts.
+        expects_recovery: Whether goodput must be back during the fault.
+    """
+
+    records: list[audit.CallRecord] = dataclasses.field(default_factory=list)
+    runs: list[audit.Run] = dataclasses.field(default_factory=list)
+    events: list[log_lines.LogEvent] = dataclasses.field(default_factory=list)
+    acked: list[AckedChange] = dataclasses.field(default_factory=list)
+    refused_changes: list[str] = dataclasses.field(default_factory=list)
+    limits: dict[str, int] = dataclasses.field(default_factory=dict)
+    withdrawn: dict[str, int] = dataclasses.field(default_factory=dict)
+    left: dict[str, int] = dataclasses.field(default_factory=dict)
+    killed: dict[str, int] = dataclasses.field(default_factory=dict)
+    disturbed: set[str] = dataclasses.field(default_factory=set)
+    planned_stops: bool = False
+    exit_codes: dict[str, int | None] = dataclasses.field(default_factory=dict)
+    unended: int = 0
+    fault_ms: int = 0
+    measured_team: str = ""
+    expects_recovery: bool = True
+
+
+def _audit(evidence: Evidence) -> audit.Audit:
+    killed = frozenset(evidence.killed)
+    return audit.audit_calls(evidence.records, evidence.runs, killed)
+
+
+def check_whole_answers(evidence: Evidence) -> list[str]:
+    """Every caller gets the whole answer to its own request."""
+    found = []
+    counts = _audit(evidence)
+    if counts.crossed:
+        found.append(f"{counts.crossed} crossed answers")
+    if counts.lost or evidence.unended:
+        reasons = sorted(
+            {
+                f"{r.entry}: {r.reason}"
+                for r in evidence.records
+                if r.told is audit.Told.LOST and r.entry not in evidence.killed
+            }
+        )
+        found.append(
+            f"{counts.lost} lost, {evidence.unended} without an end"
+            f" {reasons[:_MAX_EXAMPLES]}"
+        )
+    return found
+
+
+def check_not_run(evidence: Evidence) -> list[str]:
+    """A refusal saying "not run" is true."""
+    ran = {run.work_id for run in evidence.runs}
+    wrong = [
+        f"{r.work_id} ({r.reason})"
+        for r in evidence.records
+        if r.told is audit.Told.NOT_RUN and r.work_id in ran
+    ]
+    if not wrong:
+        return []
+    return [f"{len(wrong)} ran all the same: {wrong[:_MAX_EXAMPLES]}"]
+
+
+def check_at_most_once(evidence: Evidence) -> list[str]:
+    """A request that is not idempotent runs at most once."""
+    doubled = _audit(evidence).doubled
+    return [f"{doubled} ran more than once"] if doubled else []
+
+
+def check_team_keys(evidence: Evidence) -> list[str]:
+    """Work runs only for the team of the key that came with it."""
+    wrong = [
+        run.work_id
+        for run in evidence.runs
+        if run.team.startswith("no-") or run.key_team not in ("", run.team)
+    ]
+    return [f"{len(wrong)} ran for another team"] if wrong else []
+
+
+def check_withdrawn_keys(evidence: Evidence) -> list[str]:
+    """A withdrawn key stops working within its bound."""
+    found = []
+    for team, acked_ms in evidence.withdrawn.items():
+        # Work admitted earlier may start later; admission is what counts.
+        started = {r.work_id: r.started_ms for r in evidence.records}
+        late = [
+            run.started_ms - acked_ms
+            for run in evidence.runs
+            if run.team == team
+            and started.get(run.work_id, 0) > acked_ms + WITHDRAWN_WITHIN_MS
+        ]
+        if late:
+            found.append(
+                f"{len(late)} requests of {team} taken, the last"
+                f" {max(late)} ms after the withdrawal"
+            )
+    return found
+
+
+def check_limits(evidence: Evidence) -> list[str]:
+    """No team has more running than its upper limit."""
+    found = []
+    runs = []
+    for run in evidence.runs:
+        if run.ended_ms == 0 and run.backend in evidence.killed:
+            ended_ms = max(run.started_ms, evidence.killed[run.backend])
+            run = dataclasses.replace(run, ended_ms=ended_ms)
+        runs.append(run)
+    end_ms = max([run.ended_ms for run in runs], default=0)
+    for team, limit in evidence.limits.items():
+        most = audit.find_most_at_once(runs, team, end_ms)
+        if most > limit:
+            found.append(f"{team} ran {most} at once, its limit is {limit}")
+    return found
+
+
+def _list_applied(evidence: Evidence) -> dict[str, list[tuple[int, int]]]:
+    """Lists when each process applied which version.
+
+    Args:
+        evidence: The evidence.
+
+    Returns:
+        By process, pairs of time and version in the order of the log.
+    """
+    applied: dict[str, list[tuple[int, int]]] = {}
+    for event in evidence.events:
+        if event.name != "state_applied":
+            continue
+        pair = (event.stamp.wall_ms, int(event.fields["version"]))
+        applied.setdefault(event.process, []).append(pair)
+    return applied
+
+
+def check_configuration(evidence: Evidence) -> list[str]:
+    """An accepted configuration is in force in time and never reverts."""
+    found = list(evidence.refused_changes)
+    for process, steps in _list_applied(evidence).items():
+        highest = 0
+        for _, version in steps:
+            if version < highest:
+                found.append(f"{process} went from {highest} to {version}")
+            highest = max(highest, version)
+        if process in evidence.disturbed or process in evidence.killed:
+            continue
+        for change in evidence.acked:
+            by_ms = change.at_ms + IN_FORCE_WITHIN_MS
+            in_time = any(
+                at_ms <= by_ms and version >= change.version
+                for at_ms, version in steps
+            )
+            if not in_time:
+                found.append(f"{process} had not {change.version} in time")
+    if not evidence.acked:
+        found.append("no change was acknowledged")
+    return found[:_MAX_EXAMPLES]
+
+
+def check_leaving(evidence: Evidence) -> list[str]:
+    """A leaving backend server gets no new work after its bound."""
+    found = []
+    for backend, left_ms in evidence.left.items():
+        late = [
+            run.started_ms - left_ms
+            for run in evidence.runs
+            if run.backend == backend
+            and run.started_ms > left_ms + LEAVING_WITHIN_MS
+        ]
+        if late:
+            found.append(f"{backend} got work {max(late)} ms after leaving")
+    return found
+
+
+def check_planned_stop(evidence: Evidence) -> list[str]:
+    """A planned stop cuts no request in flight."""
+    found = []
+    for name, code in evidence.exit_codes.items():
+        if code != 0:
+            found.append(f"{name} ended with {code}")
+    return found + check_whole_answers(evidence)
+
+
+def check_goodput(evidence: Evidence) -> list[str]:
+    """Goodput is back within its bound."""
+    took_ms = audit.find_recovery_ms(
+        evidence.records, evidence.measured_team, evidence.fault_ms
+    )
+    if took_ms is None:
+        return ["goodput did not come back"]
+    if took_ms > RECOVERED_WITHIN_MS:
+        return [f"goodput came back after {took_ms} ms"]
+    return []
+
+
+Check = Callable[[Evidence], list[str]]
+
+# By the promise's short name; the flag tells whether a cell exercises it.
+CHECKS: tuple[tuple[str, Check, Callable[[Evidence], bool]], ...] = (
+    ("team-key", check_team_keys, lambda e: True),
+    ("withdrawn-key", check_withdrawn_keys, lambda e: bool(e.withdrawn)),
+    ("upper-limit", check_limits, lambda e: bool(e.limits)),
+    ("whole-answer", check_whole_answers, lambda e: True),
+    ("not-run-true", check_not_run, lambda e: True),
+    ("at-most-once", check_at_most_once, lambda e: True),
+    ("leaving", check_leaving, lambda e: bool(e.left)),
+    ("planned-stop", check_planned_stop, lambda e: e.planned_stops),
+    ("configuration", check_configuration, lambda e: True),
+    ("goodput", check_goodput, lambda e: e.expects_recovery),
+)
--- /dev/null
+++ b/dev/proof_run.py
@@ -0,0 +1,284 @@
+"""One run of a small deployment under load while a fault happens.
+
+Starts a deployment behind relays, keeps callers and an operator busy, lets a
+cell do its fault, and gathers the evidence for the checks.
+"""
+
+import pathlib
+import signal
+import typing
+
+import gevent
+
+from bambookeel.runtime import clock
+from bambookeel.tools import log_lines
+from dev import api_calls
+from dev import audit
+from dev import deployment
+from dev import load
+from dev import proof_evidence
+from dev import relay
+
+MEASURED_TEAM = "school"
+LIMITED_TEAM = "coach"
+WITHDRAWN_TEAM = "rambling"
+WRONG_KEY_TEAM = "no-key"
+UPPER_LIMIT = 3
+SHAPE = deployment.Shape(
+    teams=(MEASURED_TEAM, LIMITED_TEAM, WITHDRAWN_TEAM),
+    upper_limits=((LIMITED_TEAM, UPPER_LIMIT),),
+    use_relays=True,
+    delay_ms=0.5,
+    deadline_ms=5_000,
+)
+_WARM_UP_S = 2.0
+_AFTER_S = 4.5
+_OPERATOR_PERIOD_S = 0.5
+_WITHDRAW_AFTER_S = 0.3
+_JOIN_TIMEOUT_S = 20.0
+_STOP_TIMEOUT_S = 20.0
+_SERVED_TIMEOUT_S = 20.0
+# Requests a second and work of each team; the limited one asks for more than
+# its upper limit.
+_ARRIVALS = (
+    (120.0, load.Work(MEASURED_TEAM, 5)),
+    (60.0, load.Work(LIMITED_TEAM, 80)),
+    (20.0, load.Work(WITHDRAWN_TEAM, 5)),
+    (5.0, load.Work(WRONG_KEY_TEAM, 5)),
+)
+
+
+class ProofRun:
+    """A deployment under load, and what a cell may do to it."""
+
+    def __init__(self, folder: pathlib.Path, seed: int, base_port: int) -> None:
+        self.running = deployment.Deployment(folder, SHAPE, base_port)
+        self.evidence = proof_evidence.Evidence(
+            limits={LIMITED_TEAM: UPPER_LIMIT}, measured_team=MEASURED_TEAM
+        )
+        self._seed = seed
+        self._sending = True
+        self._sender: load.Load | None = None
+        self._number = 0
+
+    # --- What cells call ---
+
+    def kill(self, name: str) -> None:
+        """Kills a process with SIGKILL."""
+        daemon = self.running.daemons[name]
+        daemon.send_signal(signal.SIGKILL)
+        daemon.wait(_STOP_TIMEOUT_S)
+        self.evidence.killed[name] = clock.read_wall_ms()
+        self.evidence.disturbed.add(name)
+
+    def start(self, name: str) -> None:
+        """Starts a process again."""
+        self.running.daemons[name].start()
+
+    def freeze(self, name: str) -> None:
+        """Stops a process from running."""
+        self.running.daemons[name].send_signal(signal.SIGSTOP)
+        self.evidence.disturbed.add(name)
+
+    def wake(self, name: str) -> None:
+        """Lets a frozen process run on."""
+        self.running.daemons[name].send_signal(signal.SIGCONT)
+
+    def stop_gracefully(self, name: str) -> None:
+        """Stops a process with SIGTERM and waits for its end."""
+        self.evidence.planned_stops = True
+        self.evidence.disturbed.add(name)
+        daemon = self.running.daemons[name]
+        daemon.send_signal(signal.SIGTERM)
+        self.evidence.exit_codes[name] = daemon.wait(_STOP_TIMEOUT_S)
+
+    def cut(
+        self,
+        name: str,
+        ways: tuple[relay.Direction, ...] = tuple(relay.Direction),
+    ) -> None:
+        """Cuts all peer links of a process."""
+        self.evidence.disturbed.add(name)
+        for each in self.running.find_relays(name):
+            each.cut(ways)
+
+    def cut_outgoing(self, name: str) -> None:
+        """Cuts what a process sends to its peers, not what it receives."""
+        self.evidence.disturbed.add(name)
+        for (dialler, _), each in self.running.peer_relays.items():
+            if each not in self.running.find_relays(name):
+                continue
+            way = relay.Direction.FROM_TARGET
+            if dialler == name:
+                way = relay.Direction.TO_TARGET
+            each.cut((way,))
+
+    def heal(self, name: str) -> None:
+        """Heals all peer links of a process."""
+        for each in self.running.find_relays(name):
+            each.heal()
+
+    def silence(self, name: str) -> None:
+        """Makes a process's peer connections of this moment silent."""
+        for each in self.running.find_relays(name):
+            each.silence_existing()
+
+    def silence_backend(self, name: str) -> None:
+        """Makes a backend server's connections of this moment silent."""
+        self.running.backend_relays[name].silence_existing()
+
+    def leave(self, name: str) -> None:
+        """Makes a backend server announce that it leaves."""
+        self.running.daemons[name].send_signal(signal.SIGUSR1)
+        self.evidence.left[name] = clock.read_wall_ms()
+
+    def pause(self, seconds: float) -> None:
+        """Lets the load run on."""
+        gevent.sleep(seconds)
+
+    def find_leader(self) -> str:
+        """Finds the leader of control."""
+        for name in self.running.control_names:
+            address = self.running.get_address(name, "http")
+            _, answer = api_calls.call_json(
+                f"http://{address}/v1/status", "GET", self.running.operator_key
+            )
+            if isinstance(answer, dict) and answer.get("leader"):
+                return str(answer["leader"])
+        raise RuntimeError("control names no leader")
+
+    def find_holder(self, service: str) -> str:
+        """Finds the holder of a service's dispatch lease."""
+        _, answer = self.running.call_api("GET", f"/v1/dispatcher/{service}")
+        return str(answer["spec"]["holder"])
+
+    def find_bystander(self) -> str:
+        """Finds an entry that holds no dispatch lease, or any."""
+        holders = [self.find_holder(s) for s in self.running.shape.services]
+        for name in self.running.entry_names:
+            if name not in holders:
+                return name
+        return self.running.entry_names[-1]
+
+    def find_follower(self) -> str:
+        """Finds a control process that does not lead."""
+        leader = self.find_leader()
+        return next(n for n in self.running.control_names if n != leader)
+
+    # --- The run around the fault ---
+
+    def run(self, act: typing.Callable[["ProofRun"], None]) -> None:
+        """Runs the cell and gathers its evidence.
+
+        Args:
+            act: Does the fault; load goes on meanwhile.
+        """
+        started = False
+        try:
+            self.running.start()
+            started = True
+            self._run_under_load(act)
+        finally:
+            codes = self.running.stop()
+            if started and self.evidence.planned_stops:
+                self.evidence.exit_codes.update(codes)
+            self._read_evidence()
+
+    def _run_under_load(self, act: typing.Callable[["ProofRun"], None]) -> None:
+        keys = dict(self.running.team_keys)
+        keys[WRONG_KEY_TEAM] = keys[MEASURED_TEAM] + "x"
+        sender = load.Load(
+            self.running.get_endpoints(),
+            self.running.shape.services,
+            keys,
+            self._seed,
+        )
+        self._sender = sender
+        self._wait_until_served(sender)
+        tasks = [
+            gevent.spawn(sender.run_arrivals, rate, work, lambda: self._sending)
+            for rate, work in _ARRIVALS
+        ]
+        prober = gevent.spawn(sender.probe_forever)
+        operator = gevent.spawn(self._operate)
+        gevent.sleep(_WARM_UP_S)
+        self.evidence.fault_ms = clock.read_wall_ms()
+        withdrawer = gevent.spawn_later(_WITHDRAW_AFTER_S, self._withdraw)
+        act(self)
+        gevent.sleep(_AFTER_S)
+        self._sending = False
+        gevent.joinall([*tasks, operator, withdrawer], timeout=_JOIN_TIMEOUT_S)
+        self.evidence.unended = sender.join(_JOIN_TIMEOUT_S)
+        prober.kill()
+
+    def _wait_until_served(self, sender: load.Load) -> None:
+        with gevent.Timeout(_SERVED_TIMEOUT_S):
+            while True:
+                told = {
+                    sender.send_one(load.Work(MEASURED_TEAM)).told
+                    for _ in range(8)
+                }
+                if told == {audit.Told.ANSWERED}:
+                    break
+                gevent.sleep(0.1)
+        sender.records.clear()
+
+    def _operate(self) -> None:
+        """Changes a configuration again and again, as an operator would."""
+        version = 0
+        while self._sending:
+            version = self._change_configuration(version)
+            gevent.sleep(_OPERATOR_PERIOD_S)
+
+    def _change_configuration(self, version: int) -> int:
+        """Makes one change and sends it again until it has an outcome.
+
+        Args:
+            version: The version that the last answer gave; 0 at first.
+
+        Returns:
+            The version after the change.
+        """
+        self._number += 1
+        headers = {
+            "If-Match": str(version),
+            "X-Command-Id": f"proof-{self._seed}-{self._number}",
+        }
+        spec = {"values": {"n": str(self._number)}}
+        while self._sending:
+            status, answer = self.running.call_api(
+                "PUT", "/v1/configuration/proof", spec, headers
+            )
+            if status == 200:
+                at_ms = clock.read_wall_ms()
+                change = proof_evidence.AckedChange(answer["version"], at_ms)
+                self.evidence.acked.append(change)
+                return change.version
+            if status not in (0, 503):
+                message = f"change {self._number} on {version}: {answer}"
+                self.evidence.refused_changes.append(message)
+                return version
+            gevent.sleep(0.1)
+        return version
+
+    def _withdraw(self) -> None:
+        path = f"/v1/key/{WITHDRAWN_TEAM}-key"
+        headers = {"X-Command-Id": f"withdraw-{self._seed}"}
+        while self._sending:
+            status, _ = self.running.call_api("DELETE", path, None, headers)
+            if status == 200:
+                at_ms = clock.read_wall_ms()
+                self.evidence.withdrawn[WITHDRAWN_TEAM] = at_ms
+                return
+            gevent.sleep(0.1)
+
+    def _read_evidence(self) -> None:
+        if self._sender is not None:
+            self.evidence.records = self._sender.records
+        self.evidence.runs = self.running.read_runs()
+        files = []
+        for path in sorted(self.running.folder.glob("*.log")):
+            with path.open(encoding="utf-8", errors="replace") as lines:
+                events, _ = log_lines.parse_lines(lines, path.name)
+            files.append(events)
+        self.evidence.events = log_lines.merge_events(files)
