--- a/bambookeel/net/links.py
+++ b/bambookeel/net/links.py
@@ -25,6 +25,7 @@
 from bambookeel.net import addresses
 from bambookeel.net import codec
 from bambookeel.runtime import clock
+from bambookeel.runtime import link_metrics
 from bambookeel.runtime import logs
 
 _HEADER = struct.Struct(">IQ")
@@ -90,8 +91,6 @@
         self._queued_bytes = 0
         self._wake = gevent.event.Event()
         self._closed = False
-        self.sent_bytes = 0
-        self.received_bytes = 0
         sock.settimeout(settings.timeout_ms / 1000.0)
 
     def enqueue(self, message: messages.Message) -> bool:
@@ -135,7 +134,7 @@
             except OSError:
                 self.close()
                 return
-            self.sent_bytes += len(data)
+            link_metrics.SENT_BYTES.inc(len(data))
 
     def read_messages(self) -> typing.Iterator[messages.Message]:
         """Reads messages until the link ends.
@@ -151,7 +150,7 @@
                 return
             if not data:
                 return
-            self.received_bytes += len(data)
+            link_metrics.RECEIVED_BYTES.inc(len(data))
             buffer += data
             for message in _take_messages(buffer):
                 if isinstance(message, messages.LinkHeartbeat):
@@ -264,17 +263,6 @@
             return False
         return link.enqueue(message)
 
-    def count_bytes(self) -> tuple[int, int]:
-        """Counts the bytes of the links in use.
-
-        Returns:
-            Sent and received bytes.
-        """
-        links = list(self._links.values())
-        sent = sum(link.sent_bytes for link in links)
-        received = sum(link.received_bytes for link in links)
-        return sent, received
-
     def dial_forever(self, peer: ids.ProcessId) -> None:
         """Keeps a dialled link to a peer; run as a task.
 
--- a/dev/proof_run.py
+++ b/dev/proof_run.py
@@ -68,11 +68,17 @@
         daemon = self.running.daemons[name]
         daemon.send_signal(signal.SIGKILL)
         daemon.wait(_STOP_TIMEOUT_S)
+        if name in self.running.backend_relays:
+            # A killed process refuses connections; its relay must too.
+            self.running.backend_relays[name].stop()
         self.evidence.killed[name] = clock.read_wall_ms()
         self.evidence.disturbed.add(name)
 
     def start(self, name: str) -> None:
         """Starts a process again."""
+        if name in self.running.backend_relays:
+            self.running.backend_relays[name].stop()
+            self.running.backend_relays[name].start()
         self.running.daemons[name].start()
 
     def freeze(self, name: str) -> None:
--- a/dev/relay.py
+++ b/dev/relay.py
@@ -37,18 +37,21 @@
         self._open = {way: gevent.event.Event() for way in Direction}
         self._sockets: set[typing.Any] = set()
         self._silenced: set[typing.Any] = set()
-        self._server = gevent.server.StreamServer(
-            addresses.parse_address(listen), self._relay
-        )
+        self._server: gevent.server.StreamServer | None = None
         self.heal()
 
     def start(self) -> None:
         """Starts to accept connections."""
+        self._server = gevent.server.StreamServer(
+            addresses.parse_address(self.listen), self._relay
+        )
         self._server.start()
 
     def stop(self) -> None:
-        """Stops accepting and closes every connection."""
-        self._server.stop(timeout=0)
+        """Refuses connections and closes every one, like a killed target."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+            self._server = None
         for sock in list(self._sockets):
             sock.close()
 
