Replace the fixed control leader by a replicated log

Cause: control kept its state in one process's memory with a fixed leader. Messages name members as process/disk, so that a wiped disk is a new member.

--- a/bambookeel/consensus/__init__.py
+++ b/bambookeel/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""The replicated log as pure steps: (state, event) -> (state, effects)."""
+"""The replicated log as pure steps: election, replication, membership."""
--- /dev/null
+++ b/bambookeel/consensus/changes.py
@@ -0,0 +1,158 @@
+"""The leader's changes of membership, one at a time, and its hand-over.
+
+A change is appended only while no other is uncommitted and after an entry of
+the own term is committed, so that the quorums before and after it overlap.
+Replaced disks and caught-up learners are taken up without being asked.
+"""
+
+from bambookeel.consensus import membership
+from bambookeel.consensus import records
+from bambookeel.consensus import replication
+from bambookeel.consensus import roles
+from bambookeel.core import ids
+from bambookeel.core import messages
+
+
+def _may_change(state: records.CoreState) -> bool:
+    if state.role is not records.Role.LEADER or state.hand_over_to:
+        return False
+    if state.commit_index < state.term_start_index:
+        return False
+    return state.membership_index <= state.commit_index
+
+
+def change_membership(step: records.Step, change: membership.Change) -> None:
+    """Appends a change of the membership, if one may be appended now.
+
+    Args:
+        step: The step.
+        change: The change.
+    """
+    state = step.state
+    if not _may_change(state):
+        return
+    changed = membership.apply_change(state.membership, change)
+    if changed is None:
+        return
+    entry = messages.LogEntry(
+        state.term,
+        ids.LogIndex(state.log.last_index + 1),
+        True,
+        membership.encode_membership(changed),
+    )
+    records.append_to_log(step, (entry,))
+    progress = {}
+    for member in changed.members:
+        if member == state.member:
+            continue
+        known = state.progress.get(member)
+        progress[member] = known or records.Progress(
+            0, state.log.last_index, step.now_ms
+        )
+    state.progress = progress
+    state.strangers = tuple(
+        m for m in state.strangers if m not in changed.members
+    )
+    replication.broadcast(step)
+
+
+def note_stranger(step: records.Step, member: ids.MemberId) -> None:
+    """Notes a replica that is no member, so that it becomes a learner.
+
+    Args:
+        step: The step.
+        member: The replica with its disk.
+    """
+    state = step.state
+    if state.role is not records.Role.LEADER or member in state.strangers:
+        return
+    known = state.membership.members + state.membership.retired
+    if member and member not in known:
+        state.strangers = (*state.strangers, member)
+
+
+def plan_change(step: records.Step) -> membership.Change | None:
+    """Finds the next change that the deployment needs.
+
+    Args:
+        step: The step of a leader.
+
+    Returns:
+        The change, if any.
+    """
+    state = step.state
+    for learner in state.membership.learners:
+        progress = state.progress[learner]
+        silent_ms = step.now_ms - progress.heard_ms
+        if silent_ms >= state.settings.election_min_ms:
+            continue
+        has_caught_up = progress.match_index >= state.commit_index
+        if progress.answered_round and has_caught_up:
+            return membership.Promote(learner)
+    if state.strangers:
+        return membership.AddLearner(state.strangers[0])
+    return None
+
+
+def leave_if_removed(step: records.Step) -> None:
+    """Steps down once the removal of this member is committed.
+
+    Args:
+        step: The step.
+    """
+    state = step.state
+    if state.role is not records.Role.LEADER:
+        return
+    is_committed = state.membership_index <= state.commit_index
+    if is_committed and state.member not in state.membership.voters:
+        roles.become_follower(step, state.term)
+
+
+def start_hand_over(step: records.Step) -> None:
+    """Chooses the voter that is furthest ahead as the next leader.
+
+    Args:
+        step: The step.
+    """
+    state = step.state
+    if state.role is not records.Role.LEADER or state.hand_over_to:
+        return
+    candidates = []
+    for voter in state.membership.voters:
+        progress = state.progress.get(voter)
+        if progress is None or not progress.answered_round:
+            continue
+        if step.now_ms - progress.heard_ms < state.settings.election_min_ms:
+            candidates.append((progress.match_index, voter))
+    if not candidates:
+        return
+    state.hand_over_to = max(candidates)[1]
+    state.hand_over_due_ms = step.now_ms + state.settings.election_max_ms
+    continue_hand_over(step)
+
+
+def continue_hand_over(step: records.Step) -> None:
+    """Tells the next leader to take over, once it has every entry.
+
+    Args:
+        step: The step.
+    """
+    state = step.state
+    target = state.hand_over_to
+    if state.role is not records.Role.LEADER or not target:
+        return
+    if step.now_ms >= state.hand_over_due_ms:
+        state.hand_over_to = records.NO_MEMBER
+        if state.lease_given_up:
+            # Without a lease this term serves nobody; the next one will.
+            roles.become_follower(step, state.term)
+        return
+    progress = state.progress.get(target)
+    if progress is None or state.lease_given_up:
+        return
+    if progress.match_index < state.log.last_index:
+        return
+    # From here on voters may elect another leader without a timeout.
+    state.lease_given_up = True
+    message = messages.TimeoutNow(state.term, state.member)
+    records.send(step, target, message)
--- /dev/null
+++ b/bambookeel/consensus/replication.py
@@ -0,0 +1,326 @@
+"""The leader's side of replication: rounds, progress, commit and lease.
+
+Each broadcast is a round with a number that comes back in the answers. The
+newest round that a quorum has answered proves that no other member could be
+elected until the shortest election timeout after that round was sent.
+"""
+
+import dataclasses
+
+from bambookeel.consensus import effects as core_effects
+from bambookeel.consensus import log as core_log
+from bambookeel.consensus import records
+from bambookeel.core import faults
+from bambookeel.core import ids
+from bambookeel.core import messages
+
+
+def compute_quorum_value(
+    state: records.CoreState, own: int, others: dict[ids.MemberId, int]
+) -> int:
+    """Computes the largest value that a quorum of voters has reached.
+
+    Args:
+        state: The leader's state.
+        own: The leader's own value.
+        others: Values of the other members; a missing one counts as 0.
+
+    Returns:
+        The value.
+    """
+    values = []
+    for voter in state.membership.voters:
+        value = own if voter == state.member else others.get(voter, 0)
+        values.append(value)
+    values.sort(reverse=True)
+    return values[state.membership.quorum - 1]
+
+
+def compute_lease_until(state: records.CoreState) -> int:
+    """Computes until when no other member can have committed anything.
+
+    Args:
+        state: The state.
+
+    Returns:
+        The end of the leader's lease; 0 on a follower or without a lease.
+    """
+    if state.role is not records.Role.LEADER or state.lease_given_up:
+        return 0
+    if state.lease_from_ms is None:
+        return 0
+    if state.commit_index < state.term_start_index:
+        return 0
+    settings = state.settings
+    length_ms = settings.election_min_ms - settings.drift_margin_ms
+    return state.lease_from_ms + length_ms
+
+
+def _set_progress(
+    state: records.CoreState, member: ids.MemberId, progress: records.Progress
+) -> None:
+    state.progress = {**state.progress, member: progress}
+
+
+def broadcast(step: records.Step) -> None:
+    """Starts a round: sends each member what it lacks, or a heartbeat.
+
+    Args:
+        step: The step of a leader.
+    """
+    state = step.state
+    state.round_number += 1
+    state.rounds = (*state.rounds, (state.round_number, step.now_ms))
+    state.heartbeat_due_ms = step.now_ms + state.settings.heartbeat_ms
+    for member in state.progress:
+        send_append(step, member)
+    _update_lease(step)
+
+
+def send_append(step: records.Step, member: ids.MemberId) -> None:
+    """Sends a member the next entries, a snapshot part, or a heartbeat.
+
+    Args:
+        step: The step of a leader.
+        member: The member.
+    """
+    state = step.state
+    progress = state.progress[member]
+    if progress.next_index <= state.log.base_index:
+        _continue_snapshot(step, member, progress)
+        return
+    entries: tuple[messages.LogEntry, ...] = ()
+    unanswered = progress.next_index - progress.match_index
+    if unanswered <= state.settings.max_unanswered or not progress.match_index:
+        entries = core_log.get_entries(
+            state.log,
+            progress.next_index,
+            state.log.last_index,
+            state.settings.max_batch_bytes,
+        )
+    _send_request(step, member, progress.next_index - 1, entries)
+    next_index = progress.next_index + len(entries)
+    _set_progress(
+        state, member, dataclasses.replace(progress, next_index=next_index)
+    )
+
+
+def _send_request(
+    step: records.Step,
+    member: ids.MemberId,
+    previous: int,
+    entries: tuple[messages.LogEntry, ...],
+) -> None:
+    state = step.state
+    previous_term = core_log.get_term(state.log, previous)
+    faults.check_invariant(
+        previous_term is not None, f"entry {previous} is not kept"
+    )
+    request = messages.AppendRequest(
+        state.term,
+        state.member,
+        ids.LogIndex(previous),
+        ids.Term(previous_term or 0),
+        entries,
+        ids.LogIndex(state.commit_index),
+        state.round_number,
+    )
+    records.send(step, member, request)
+
+
+def _continue_snapshot(
+    step: records.Step, member: ids.MemberId, progress: records.Progress
+) -> None:
+    """Sends a snapshot part that is due, or else a heartbeat.
+
+    Args:
+        step: The step of a leader.
+        member: The member.
+        progress: What is known of it.
+    """
+    state = step.state
+    if progress.snapshot_index != state.snapshot_index:
+        progress = dataclasses.replace(
+            progress,
+            snapshot_index=state.snapshot_index,
+            snapshot_offset=0,
+            part_sent_ms=0,
+        )
+    wait_ms = state.settings.election_max_ms
+    is_due = step.now_ms - progress.part_sent_ms >= wait_ms
+    if progress.part_sent_ms and not is_due:
+        # The follower lacks this entry; the request only proves a live leader.
+        _send_request(step, member, state.log.base_index, ())
+        return
+    _set_progress(
+        state, member, dataclasses.replace(progress, part_sent_ms=step.now_ms)
+    )
+    step.effects.append(
+        core_effects.SendSnapshotPart(
+            member, state.term, progress.snapshot_offset, state.round_number
+        )
+    )
+
+
+def _update_lease(step: records.Step) -> None:
+    """Moves the lease to the newest round that a quorum has answered.
+
+    Args:
+        step: The step of a leader.
+    """
+    state = step.state
+    answered = {m: p.answered_round for m, p in state.progress.items()}
+    reached = compute_quorum_value(state, state.round_number, answered)
+    waiting = []
+    for number, sent_ms in state.rounds:
+        if number <= reached:
+            state.lease_from_ms = sent_ms
+            continue
+        waiting.append((number, sent_ms))
+    state.rounds = tuple(waiting)
+    unconfirmed = []
+    for read in state.reads:
+        if read.round_number > reached:
+            unconfirmed.append(read)
+            continue
+        index = ids.LogIndex(read.index)
+        step.effects.append(core_effects.ReadConfirmed(read.read_id, index))
+    state.reads = tuple(unconfirmed)
+
+
+def advance_commit(step: records.Step) -> None:
+    """Commits what a quorum has synced, if it is of the own term.
+
+    Args:
+        step: The step of a leader.
+    """
+    state = step.state
+    matches = {m: p.match_index for m, p in state.progress.items()}
+    index = compute_quorum_value(state, state.synced_index, matches)
+    if index <= state.commit_index:
+        return
+    # An older term's entry could still be replaced by another leader's.
+    if core_log.get_term(state.log, index) != state.term:
+        return
+    records.commit_up_to(step, index)
+
+
+def note_answer(
+    step: records.Step, member: ids.MemberId, round_number: int
+) -> records.Progress | None:
+    """Notes that a member has answered in this term.
+
+    Args:
+        step: The step of a leader.
+        member: The member.
+        round_number: The round that it answered.
+
+    Returns:
+        What is known of it; None for a stranger.
+    """
+    state = step.state
+    progress = state.progress.get(member)
+    if progress is None:
+        return None
+    progress = dataclasses.replace(
+        progress,
+        heard_ms=step.now_ms,
+        answered_round=max(progress.answered_round, round_number),
+    )
+    _set_progress(state, member, progress)
+    _update_lease(step)
+    return progress
+
+
+def handle_append_reply(
+    step: records.Step, reply: messages.AppendReply
+) -> None:
+    """Takes in a follower's answer of the current term.
+
+    Args:
+        step: The step of a leader.
+        reply: The answer.
+    """
+    state = step.state
+    member = reply.follower
+    progress = note_answer(step, member, reply.round_number)
+    if progress is None:
+        return
+    if not reply.success:
+        _step_back(step, member, progress, reply.match_index)
+        return
+    match = max(progress.match_index, reply.match_index)
+    faults.check_invariant(
+        match <= state.log.last_index,
+        f"{member} matches {match} of {state.log.last_index} entries",
+    )
+    next_index = max(progress.next_index, match + 1)
+    if next_index > state.log.base_index:
+        progress = dataclasses.replace(
+            progress, snapshot_index=0, snapshot_offset=0, part_sent_ms=0
+        )
+    _set_progress(
+        state,
+        member,
+        dataclasses.replace(progress, match_index=match, next_index=next_index),
+    )
+    advance_commit(step)
+    if next_index <= state.log.last_index:
+        send_append(step, member)
+
+
+def _step_back(
+    step: records.Step,
+    member: ids.MemberId,
+    progress: records.Progress,
+    hint: int,
+) -> None:
+    state = step.state
+    wanted = min(hint, state.log.last_index, progress.next_index - 1)
+    next_index = max(progress.match_index, wanted) + 1
+    _set_progress(
+        state, member, dataclasses.replace(progress, next_index=next_index)
+    )
+    # A snapshot on its way is continued by its own answers.
+    if next_index > state.log.base_index or not progress.part_sent_ms:
+        send_append(step, member)
+
+
+def handle_part_reply(
+    step: records.Step, reply: messages.SnapshotPartReply
+) -> None:
+    """Sends the next part of a snapshot.
+
+    Args:
+        step: The step of a leader.
+        reply: The answer to the last part.
+    """
+    state = step.state
+    progress = note_answer(step, reply.follower, reply.round_number)
+    if progress is None or progress.next_index > state.log.base_index:
+        return
+    if reply.last_index != state.snapshot_index:
+        return
+    progress = dataclasses.replace(
+        progress,
+        snapshot_index=state.snapshot_index,
+        snapshot_offset=reply.next_offset,
+        part_sent_ms=0,
+    )
+    _set_progress(state, reply.follower, progress)
+    send_append(step, reply.follower)
+
+
+def has_quorum(step: records.Step) -> bool:
+    """Tells whether a quorum has answered within the election timeout.
+
+    Args:
+        step: The step of a leader.
+
+    Returns:
+        Whether this member may go on leading.
+    """
+    state = step.state
+    heard = {m: p.heard_ms for m, p in state.progress.items()}
+    oldest_ms = compute_quorum_value(state, step.now_ms, heard)
+    return step.now_ms - oldest_ms <= state.settings.election_max_ms
--- /dev/null
+++ b/bambookeel/control/core_runner.py
@@ -0,0 +1,300 @@
+"""Runs the consensus core of one replica and carries out its effects.
+
+Holds the core's state, the disk and the applied state. Effects are carried out
+in their order; what others must hear of a step is kept in `outputs` until the
+replica task has published its view.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from returns import result
+
+from bambookeel.consensus import core
+from bambookeel.consensus import effects as core_effects
+from bambookeel.consensus import events as core_events
+from bambookeel.consensus import membership
+from bambookeel.consensus import records
+from bambookeel.control import events
+from bambookeel.control import replica_disk
+from bambookeel.control import replicated_state
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import settings as core_settings
+from bambookeel.runtime import clock
+from bambookeel.runtime import logs
+from bambookeel.state import commands
+from bambookeel.state import snapshot as state_snapshot
+from bambookeel.storage import snapshot_format
+from bambookeel.storage import store as replica_store
+
+_SNAPSHOT_PART_BYTES = 256 * 1024
+SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """A command of the log has been applied.
+
+    Attributes:
+        index: Its index.
+        outcome: Its outcome.
+        committed: What it changed, for listeners.
+    """
+
+    index: int
+    outcome: commands.CommandOutcome
+    committed: events.Committed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateReplaced:
+    """A received snapshot has replaced the state.
+
+    Attributes:
+        committed: What differs, for listeners.
+    """
+
+    committed: events.Committed
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderChanged:
+    """Another leader, or none, is known now."""
+
+
+Output = (
+    Applied
+    | StateReplaced
+    | LeaderChanged
+    | core_effects.ReadConfirmed
+    | core_effects.ReadRefused
+    | core_effects.RoleChanged
+)
+
+
+def build_core_settings(
+    timings: core_settings.ConsensusTimings,
+) -> records.CoreSettings:
+    """Derives the core's settings.
+
+    Args:
+        timings: The deployment's timings.
+
+    Returns:
+        The settings, with a tenth of the timeout as margin for clock drift.
+    """
+    return records.CoreSettings(
+        heartbeat_ms=timings.heartbeat_ms,
+        election_min_ms=timings.election_min_ms,
+        election_max_ms=timings.election_max_ms,
+        drift_margin_ms=timings.election_min_ms // 10,
+        retained_entries=timings.snapshot_every // 4,
+    )
+
+
+class CoreRunner:
+    """Holds a replica's core, disk and applied state."""
+
+    def __init__(
+        self,
+        timings: core_settings.ConsensusTimings,
+        loaded: replica_store.Loaded,
+        disk: replica_disk.ReplicaDisk,
+        seed: int,
+    ) -> None:
+        self.disk = disk
+        self.send: SendMessage = lambda peer, message: False
+        self.outputs: list[Output] = []
+        self._timings = timings
+        self._seed = seed
+        self.core = self._start_core(loaded.member, loaded.recovered)
+        self.replicated = replicated_state.restore(loaded.snapshot)
+        self.replicated.applied_index = self.core.commit_index
+
+    def _start_core(
+        self, member: ids.MemberId, recovered: core.Recovered
+    ) -> records.CoreState:
+        return core.start_core(
+            build_core_settings(self._timings),
+            member,
+            recovered,
+            self._seed,
+            clock.read_now_ms(),
+        )
+
+    def get_leader(self) -> ids.ProcessId:
+        """Gives the leader as far as known.
+
+        Returns:
+            Its process id; empty for none.
+        """
+        return membership.get_process(self.core.leader)
+
+    def has_membership(self) -> bool:
+        """Tells whether the log or a snapshot names any members.
+
+        Returns:
+            False on a new disk.
+        """
+        return bool(self.core.membership.members)
+
+    def form(self, formed: membership.Membership) -> None:
+        """Makes the first membership last and starts the core with it.
+
+        Args:
+            formed: The membership.
+        """
+        head = snapshot_format.SnapshotHead(
+            ids.LogIndex(0), ids.Term(0), formed
+        )
+        if not self.disk.save_snapshot(snapshot_format.Snapshot(head, b"")):
+            return
+        recovered = core.Recovered(
+            self.core.term, self.core.vote, base_membership=formed
+        )
+        self.core = self._start_core(self.core.member, recovered)
+        logs.log_event("membership_formed", voters=",".join(formed.voters))
+
+    def run_step(self, event: core_events.Event) -> str:
+        """Runs one step of the core and carries out its effects.
+
+        Args:
+            event: What happened.
+
+        Returns:
+            Why the step's proposals were refused; empty if they were not.
+        """
+        before = self.core
+        self.core, effects = core.step(before, event, clock.read_now_ms())
+        refusal = ""
+        try:
+            for effect in effects:
+                refusal = self._carry_out(effect) or refusal
+        except replica_disk.DiskFullError as error:
+            self._undo_step(before, event, str(error))
+            return f"the disk is full: {error}"
+        if before.leader != self.core.leader:
+            leader = self.core.leader or "none"
+            logs.log_event("leader_known", leader=leader, term=self.core.term)
+            self.outputs.append(LeaderChanged())
+        self._make_snapshot_if_due()
+        return refusal
+
+    def _undo_step(
+        self, before: records.CoreState, event: core_events.Event, error: str
+    ) -> None:
+        """Goes back to before a step whose write found no room.
+
+        Args:
+            before: The state before the step.
+            event: The step's event.
+            error: What the disk said.
+        """
+        logs.log_event("disk_full", error=error)
+        self.core = before
+        match event:
+            case core_events.MessageReceived(
+                messages.AppendRequest() as request
+            ) if request.entries:
+                # Without its entries the request still proves a leader.
+                bare = messages.AppendRequest(
+                    request.term,
+                    request.leader,
+                    request.previous_index,
+                    request.previous_term,
+                    (),
+                    request.commit_index,
+                    request.round_number,
+                )
+                self.run_step(core_events.MessageReceived(bare))
+
+    def _carry_out(self, effect: core_effects.Effect) -> str:
+        """Carries out one effect.
+
+        Args:
+            effect: The effect.
+
+        Returns:
+            Why proposals were refused; empty if they were not.
+        """
+        match effect:
+            case core_effects.Send(to, message):
+                self.send(membership.get_process(to), message)
+            case core_effects.Commit(entries):
+                for entry in entries:
+                    self._apply(entry)
+            case core_effects.ReadConfirmed() | core_effects.ReadRefused():
+                self.outputs.append(effect)
+            case core_effects.ProposalsRefused(reason):
+                return reason
+            case core_effects.SendSnapshotPart():
+                self._send_snapshot_part(effect)
+            case core_effects.SaveSnapshotPart(part):
+                self._save_snapshot_part(part)
+            case core_effects.RoleChanged(term, is_leader):
+                logs.log_event("role", term=term, is_leader=is_leader)
+                self.outputs.append(effect)
+            case _:
+                self.disk.carry_out(effect)
+        return ""
+
+    def _apply(self, entry: messages.LogEntry) -> None:
+        applied = replicated_state.apply_entry(self.replicated, entry)
+        if applied is not None:
+            outcome, committed = applied
+            self.outputs.append(Applied(entry.index, outcome, committed))
+
+    def _make_snapshot_if_due(self) -> None:
+        applied = self.replicated
+        since = applied.applied_index - self.core.snapshot_index
+        if since < self._timings.snapshot_every:
+            return
+        head = snapshot_format.SnapshotHead(
+            ids.LogIndex(applied.applied_index),
+            ids.Term(applied.applied_term),
+            records.get_membership_at(self.core, applied.applied_index),
+        )
+        payload = state_snapshot.encode_state(applied.state)
+        if self.disk.save_snapshot(snapshot_format.Snapshot(head, payload)):
+            logs.log_event("snapshot_made", index=head.last_index)
+            self.run_step(core_events.SnapshotMade(head.last_index))
+
+    def _send_snapshot_part(
+        self, effect: core_effects.SendSnapshotPart
+    ) -> None:
+        size = _SNAPSHOT_PART_BYTES
+        data = self.disk.read_snapshot_part(effect.offset, size + 1)
+        part = messages.SnapshotPart(
+            effect.term,
+            self.core.member,
+            ids.LogIndex(self.core.snapshot_index),
+            ids.Term(self.core.snapshot_term),
+            effect.offset,
+            data[:size],
+            len(data) <= size,
+            effect.round_number,
+        )
+        self.send(membership.get_process(effect.to), part)
+
+    def _save_snapshot_part(self, part: messages.SnapshotPart) -> None:
+        self.disk.save_received_part(part.offset, part.data)
+        if not part.is_last:
+            return
+        match self.disk.take_received():
+            case result.Success(snapshot):
+                self._install_snapshot(snapshot)
+            case result.Failure(fault):
+                logs.log_event("snapshot_rejected", reason=fault.message)
+                self.run_step(core_events.SnapshotRejected())
+
+    def _install_snapshot(self, snapshot: snapshot_format.Snapshot) -> None:
+        head = snapshot.head
+        committed = replicated_state.replace_state(self.replicated, snapshot)
+        self.outputs.append(StateReplaced(committed))
+        logs.log_event("snapshot_installed", index=head.last_index)
+        self.run_step(
+            core_events.SnapshotInstalled(
+                head.last_index, head.last_term, head.members
+            )
+        )
--- /dev/null
+++ b/bambookeel/control/leader_requests.py
@@ -0,0 +1,286 @@
+"""Commands and reads of one replica: who asked, and how they reach a leader.
+
+The leader appends commands and confirms reads through its core; a follower
+sends both to the leader over the peer links. Where no leader is known they wait
+for a short while. A command whose fate is unknown is sent again with its id,
+which gives its first outcome, and is answered as unknown when time runs out.
+"""
+
+from collections.abc import Callable
+import functools
+import typing
+
+import gevent.event
+
+from bambookeel.consensus import effects as core_effects
+from bambookeel.consensus import events as core_events
+from bambookeel.consensus import records
+from bambookeel.control import core_runner
+from bambookeel.control import events
+from bambookeel.control import waiting
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.state import commands
+
+# How long a command or read waits for its answer.
+_ANSWER_TIMEOUT_MS = 4_000
+# How long one waits while no leader is known, in longest election timeouts.
+_LEADERLESS_ELECTIONS = 3
+
+
+class LeaderRequests:
+    """Commands and reads that have no answer yet."""
+
+    def __init__(
+        self, runner: core_runner.CoreRunner, election_max_ms: int
+    ) -> None:
+        self._runner = runner
+        self._leaderless_ms = _LEADERLESS_ELECTIONS * election_max_ms
+        self._waiting = waiting.Waiting()
+        # Answers that wait for the view to be published.
+        self._answers: list[Callable[[], None]] = []
+
+    def take_local_commands(
+        self, batch: list[events.LocalCommand], now_ms: int
+    ) -> None:
+        """Takes commands of this process.
+
+        Args:
+            batch: The commands.
+            now_ms: The time.
+        """
+        deadline_ms = now_ms + _ANSWER_TIMEOUT_MS
+        self._take_commands(
+            [
+                waiting.WaitingCommand(
+                    event.command, event.reply.set, deadline_ms, is_local=True
+                )
+                for event in batch
+            ]
+        )
+
+    def take_local_read(
+        self, reply: gevent.event.AsyncResult, now_ms: int
+    ) -> None:
+        """Takes a read of this process.
+
+        Args:
+            reply: Gets the state or `NotCommitted`.
+            now_ms: The time.
+        """
+        self._take_read(
+            waiting.WaitingRead(
+                functools.partial(self._answer_local_read, reply),
+                now_ms + _ANSWER_TIMEOUT_MS,
+                is_local=True,
+            )
+        )
+
+    def take_message(
+        self, peer: ids.ProcessId, message: messages.Message, now_ms: int
+    ) -> None:
+        """Takes a request of another replica, or an answer to an own one.
+
+        Args:
+            peer: The other replica.
+            message: The message.
+            now_ms: The time.
+        """
+        match message:
+            case messages.Propose():
+                self._take_proposal(peer, message, now_ms)
+            case messages.ProposeReply():
+                self._take_propose_reply(message)
+            case messages.ReadIndexRequest(nonce):
+                read = waiting.WaitingRead(
+                    functools.partial(self._answer_peer_read, peer, nonce),
+                    now_ms + _ANSWER_TIMEOUT_MS,
+                    is_local=False,
+                )
+                number = waiting.add_read(self._waiting, read)
+                self._runner.run_step(core_events.ReadAsked(number))
+            case messages.ReadIndexReply(nonce, True, index):
+                waiting.confirm_read(self._waiting, nonce, index)
+            case messages.ReadIndexReply(nonce):
+                waiting.refuse_read(self._waiting, nonce)
+
+    def take_output(self, output: core_runner.Output) -> None:
+        """Takes what a step of the core brought about.
+
+        Args:
+            output: The output.
+        """
+        match output:
+            case core_runner.Applied(index, outcome):
+                command = self._waiting.appended.pop(index, None)
+                if command is not None:
+                    self._answer(command, outcome)
+            case core_runner.LeaderChanged():
+                waiting.park_all(self._waiting, False)
+            case core_effects.ReadConfirmed(number, index):
+                waiting.confirm_read(self._waiting, number, index)
+            case core_effects.ReadRefused(number):
+                waiting.refuse_read(self._waiting, number)
+            case core_effects.RoleChanged(_, False):
+                waiting.park_all(self._waiting, True)
+
+    def take_peer_down(self, peer: ids.ProcessId) -> None:
+        """Takes the end of the link to another replica.
+
+        Args:
+            peer: The other replica.
+        """
+        if peer == self._runner.get_leader():
+            waiting.park_all(self._waiting, False)
+
+    def send_answers(self) -> None:
+        """Answers what the published view covers."""
+        answers = self._answers
+        self._answers = []
+        for answer in answers:
+            answer()
+        applied_index = self._runner.replicated.applied_index
+        waiting.answer_applied_reads(self._waiting, applied_index)
+
+    def _answer(
+        self,
+        command: waiting.WaitingCommand,
+        outcome: commands.CommandOutcome | events.NotCommitted,
+    ) -> None:
+        self._answers.append(functools.partial(command.answer, outcome))
+
+    def _take_commands(self, batch: list[waiting.WaitingCommand]) -> None:
+        """Appends commands as leader, forwards them, or lets them wait.
+
+        Args:
+            batch: The commands.
+        """
+        if self._runner.core.role is records.Role.LEADER:
+            self._append_commands(batch)
+            return
+        for command in batch:
+            payload = commands.encode_command(command.command)
+            propose = messages.Propose(command.command.command_id, payload)
+            leader = self._runner.get_leader()
+            if (
+                command.is_local
+                and leader
+                and self._runner.send(leader, propose)
+            ):
+                waiting.add_forwarded(self._waiting, command)
+                continue
+            waiting.park_command(self._waiting, command, False)
+
+    def _append_commands(self, batch: list[waiting.WaitingCommand]) -> None:
+        payloads = tuple(commands.encode_command(c.command) for c in batch)
+        first = self._runner.core.log.last_index + 1
+        for i, command in enumerate(batch):
+            self._waiting.appended[first + i] = command
+        refusal = self._runner.run_step(core_events.ProposalsMade(payloads))
+        if not refusal:
+            return
+        for i, command in enumerate(batch):
+            self._waiting.appended.pop(first + i, None)
+            outcome = events.NotCommitted(command.may_take_effect, refusal)
+            self._answer(command, outcome)
+
+    def _take_proposal(
+        self, peer: ids.ProcessId, message: messages.Propose, now_ms: int
+    ) -> None:
+        command = waiting.WaitingCommand(
+            commands.decode_command(message.payload),
+            functools.partial(self._answer_proposal, peer, message.command_id),
+            now_ms + _ANSWER_TIMEOUT_MS,
+            is_local=False,
+        )
+        self._take_commands([command])
+
+    def _answer_proposal(
+        self,
+        peer: ids.ProcessId,
+        command_id: ids.CommandId,
+        outcome: commands.CommandOutcome | events.NotCommitted,
+    ) -> None:
+        """Answers another replica that forwarded a command.
+
+        Args:
+            peer: The other replica.
+            command_id: The command.
+            outcome: Its outcome.
+        """
+        status = messages.CommandStatus.COMMITTED
+        payload = b""
+        if isinstance(outcome, commands.CommandOutcome):
+            payload = commands.encode_outcome(outcome)
+        elif outcome.may_take_effect:
+            status = messages.CommandStatus.UNKNOWN
+        else:
+            status = messages.CommandStatus.NOT_RUN
+        leader = self._runner.get_leader()
+        self._runner.send(
+            peer, messages.ProposeReply(command_id, status, leader, payload)
+        )
+
+    def _take_propose_reply(self, message: messages.ProposeReply) -> None:
+        found = self._waiting.forwarded.pop(message.command_id, [])
+        for command in found:
+            if message.status is messages.CommandStatus.COMMITTED:
+                outcome = commands.decode_outcome(message.payload)
+                self._answer(command, outcome)
+                continue
+            is_unknown = message.status is messages.CommandStatus.UNKNOWN
+            waiting.park_command(self._waiting, command, is_unknown)
+
+    def _take_read(self, read: waiting.WaitingRead) -> None:
+        if self._runner.core.role is records.Role.LEADER:
+            number = waiting.add_read(self._waiting, read)
+            self._runner.run_step(core_events.ReadAsked(number))
+            return
+        leader = self._runner.get_leader()
+        number = waiting.add_read(self._waiting, read)
+        request = messages.ReadIndexRequest(number)
+        if not leader or not self._runner.send(leader, request):
+            waiting.refuse_read(self._waiting, number)
+
+    def _answer_local_read(
+        self,
+        reply: gevent.event.AsyncResult,
+        answer: ids.LogIndex | events.NotCommitted,
+    ) -> None:
+        is_refused = isinstance(answer, events.NotCommitted)
+        reply.set(answer if is_refused else self._runner.replicated.state)
+
+    def _answer_peer_read(
+        self,
+        peer: ids.ProcessId,
+        nonce: int,
+        answer: typing.Any,
+    ) -> None:
+        confirmed = not isinstance(answer, events.NotCommitted)
+        index = answer if confirmed else ids.LogIndex(0)
+        leader = self._runner.get_leader()
+        self._runner.send(
+            peer, messages.ReadIndexReply(nonce, confirmed, index, leader)
+        )
+
+    def retry_parked(self, now_ms: int, unready_reason: str) -> None:
+        """Tries again what waits for a leader, and gives up what is late.
+
+        Args:
+            now_ms: The time.
+            unready_reason: Why there is no leader, if there is none.
+        """
+        reason = unready_reason or "no answer from the leader"
+        if not self._runner.core.leader:
+            now_ms += max(0, _ANSWER_TIMEOUT_MS - self._leaderless_ms)
+        waiting.expire(self._waiting, now_ms, reason)
+        if not self._runner.core.leader:
+            return
+        parked = self._waiting.parked_commands
+        self._waiting.parked_commands = []
+        if parked:
+            self._take_commands(parked)
+        reads = self._waiting.parked_reads
+        self._waiting.parked_reads = []
+        for read in reads:
+            self._take_read(read)
--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -1,6 +1,9 @@
 """Builds and runs a control process from its settings."""
 
 import functools
+import secrets
+
+from returns import result
 
 from bambookeel.api import operator_app
 from bambookeel.control import events
@@ -17,6 +20,8 @@
 from bambookeel.runtime import logs
 from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
+from bambookeel.storage import folder
+from bambookeel.storage import store as replica_store
 
 
 class ControlProcess:
@@ -59,9 +64,20 @@
         Returns:
             The process.
         """
+        opened = folder.open_folder(settings.data_folder).bind(
+            lambda locked: replica_store.open_store(
+                locked, ids.ProcessId(settings.process_id)
+            )
+        )
+        match opened:
+            case result.Failure(fault):
+                supervisor.end_process(f"{fault.place}: {fault.message}")
+        store, loaded = opened.unwrap()
+        if loaded.torn_bytes:
+            logs.log_event("torn_log_cut", cut_bytes=loaded.torn_bytes)
         control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
         replica = replica_task.ReplicaTask(
-            ids.ProcessId(settings.process_id), control
+            control, settings.consensus, store, loaded, secrets.randbits(62)
         )
         return cls(settings, replica)
 
@@ -108,7 +124,9 @@
         Returns:
             The reason, or empty when the process is ready.
         """
-        return "stopping" if self._stopping else ""
+        if self._stopping:
+            return "stopping"
+        return self._replica.find_unready_reason()
 
     def start(self) -> None:
         """Starts all tasks and opens the sockets."""
@@ -116,6 +134,7 @@
         self._leases.subscribe_timers(self._timers)
         self._supervisor.start_task("timers", self._timers.run)
         self._supervisor.start_task("replica", self._replica.run)
+        self._supervisor.start_task("log-syncs", self._replica.disk.run_syncs)
         self._supervisor.start_task("leases", self._leases.run)
         self._supervisor.start_task("streams", self._streams.run)
         self._links.listen()
@@ -131,7 +150,9 @@
         self._stopping = True
         logs.log_event("stopping")
         self._api.stop(timeout=5)
+        self._replica.hand_over()
         self._supervisor.stop()
         self._links.close()
+        self._replica.disk.close()
         self._admin.stop(timeout=0)
         logs.log_event("stopped")
--- a/bambookeel/control/replica_task.py
+++ b/bambookeel/control/replica_task.py
@@ -1,42 +1,61 @@
-"""One control replica: commits commands and applies them to the state.
+"""One control replica: the task that owns the replicated log and state.
 
-Owns the replicated state of this process. Commands come from the own API, from
-other control processes and from the leader's other tasks; each is committed
-before it is applied, and applied before it is answered. This version has a
-fixed leader and no log on disk.
+Its mailbox takes commands, reads, peers' messages, timers and ends of syncs.
+Each turn runs steps of the consensus core, publishes the view, and only then
+answers and tells listeners.
 """
 
-from collections.abc import Callable
+import gevent.event
 
+from bambookeel.consensus import events as core_events
+from bambookeel.consensus import membership
+from bambookeel.consensus import records
+from bambookeel.consensus import replication
+from bambookeel.control import core_runner
 from bambookeel.control import events
+from bambookeel.control import formation
+from bambookeel.control import leader_requests
+from bambookeel.control import replica_disk
 from bambookeel.control import replica_view
 from bambookeel.core import ids
 from bambookeel.core import messages
+from bambookeel.core import settings as core_settings
 from bambookeel.runtime import clock
-from bambookeel.runtime import logs
 from bambookeel.runtime import mailbox
 from bambookeel.runtime import timers
-from bambookeel.state import apply
-from bambookeel.state import commands
-from bambookeel.state import model
+from bambookeel.storage import store as replica_store
 
-_TICK_MS = 100
-_LEADER_LEASE_MS = 1_000
-SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
+_TICKS_PER_HEARTBEAT = 5
+_IDENTITY_PERIOD_MS = 200
+_MAX_BATCH_COMMANDS = 500
+SendMessage = core_runner.SendMessage
 
 
 class ReplicaTask:
     """Owns the replicated state; other tasks read `view`."""
 
     def __init__(
-        self, process_id: ids.ProcessId, control: tuple[ids.ProcessId, ...]
+        self,
+        control: tuple[ids.ProcessId, ...],
+        timings: core_settings.ConsensusTimings,
+        store: replica_store.ReplicaStore,
+        loaded: replica_store.Loaded,
+        seed: int,
     ) -> None:
         self.mailbox = mailbox.Mailbox("replica")
-        self._process_id = process_id
-        self._leader = min(control)
+        self.disk = replica_disk.ReplicaDisk(store, self.mailbox)
+        self._timings = timings
         self._listeners: list[mailbox.Mailbox] = []
-        self._send: SendMessage = lambda peer, message: False
-        self.view = self._build_view(model.State())
+        self._formation = formation.Formation(loaded.member, control)
+        self._identity_due_ms = 0
+        self._runner = core_runner.CoreRunner(timings, loaded, self.disk, seed)
+        self._requests = leader_requests.LeaderRequests(
+            self._runner, timings.election_max_ms
+        )
+        self._told_leading = False
+        self._stop_wanted = False
+        self._handed_over = gevent.event.Event()
+        self.view = self._build_view()
 
     def connect(
         self, send: SendMessage, listeners: list[mailbox.Mailbox]
@@ -47,7 +66,7 @@
             send: Sends a message to a process.
             listeners: Get `Committed` and `LeadershipChanged`.
         """
-        self._send = send
+        self._runner.send = send
         self._listeners = listeners
 
     def subscribe_timers(self, service: timers.TimerService) -> None:
@@ -56,57 +75,174 @@
         Args:
             service: The timer service.
         """
-        service.subscribe(self.mailbox, _TICK_MS, events.Tick())
+        period_ms = max(4, self._timings.heartbeat_ms // _TICKS_PER_HEARTBEAT)
+        service.subscribe(self.mailbox, period_ms, events.Tick())
+
+    def find_unready_reason(self) -> str:
+        """Tells why this replica cannot serve operators.
+
+        Returns:
+            The reason, or empty when a leader is known.
+        """
+        core = self._runner.core
+        if core.leader:
+            return ""
+        if not self._runner.has_membership():
+            return formation.describe_wait(self._formation)
+        voters = len(core.membership.voters)
+        return f"no leader is known in term {core.term} of {voters} voters"
+
+    def hand_over(self) -> None:
+        """Hands leadership over before a planned stop, and waits for it."""
+        self.mailbox.put(events.StopReplica())
+        self._handed_over.wait(2 * self._timings.election_max_ms / 1000.0)
 
     def run(self) -> None:
         """Handles messages until the task is killed."""
-        is_leader = self._process_id == self._leader
-        self._tell(events.LeadershipChanged(ids.Term(1), is_leader))
         while True:
-            self._handle(self.mailbox.get())
+            event = self.mailbox.get()
+            if isinstance(event, events.LocalCommand):
+                event = self._take_batch(event)
+            if event is not None:
+                self._handle(event, clock.read_now_ms())
+            self._finish_turn()
 
-    def _tell(self, event: object) -> None:
-        for listener in self._listeners:
-            listener.put(event)
+    def _take_batch(self, first: events.LocalCommand) -> object | None:
+        """Takes all commands that wait in the mailbox as one batch.
 
-    def _build_view(self, state: model.State) -> replica_view.ReplicaView:
-        is_leader = self._process_id == self._leader
-        until_ms = clock.read_now_ms() + _LEADER_LEASE_MS if is_leader else 0
-        return replica_view.ReplicaView(
-            state, self._leader, ids.Term(1), is_leader, until_ms
-        )
+        Args:
+            first: The first of them.
 
-    def _handle(self, event: object) -> None:
+        Returns:
+            The first message that is no command, or None.
+        """
+        batch = [first]
+        other = None
+        while other is None and len(batch) < _MAX_BATCH_COMMANDS:
+            if self.mailbox.get_depth() == 0:
+                break
+            event = self.mailbox.get()
+            if isinstance(event, events.LocalCommand):
+                batch.append(event)
+            else:
+                other = event
+        self._requests.take_local_commands(batch, clock.read_now_ms())
+        return other
+
+    def _handle(self, event: object, now_ms: int) -> None:
         match event:
+            case core_events.LogSynced():
+                self._runner.run_step(event)
             case events.Tick():
-                self.view = self._build_view(self.view.state)
-            case events.LocalCommand(command, reply):
-                if self.view.is_leader:
-                    reply.set(self._commit(command))
-                else:
-                    detail = f"the leader is {self._leader}"
-                    reply.set(events.NotCommitted(False, detail))
+                self._tick(now_ms)
+            case events.FromPeer(peer, messages.ReplicaIdentity() as identity):
+                self._take_identity(peer, identity)
+            case events.FromPeer(peer, message):
+                self._take_message(peer, message, now_ms)
+            case events.PeerDown(peer):
+                self._formation.heard.pop(peer, None)
+                self._requests.take_peer_down(peer)
             case events.LocalRead(reply):
-                reply.set(self.view.state)
+                self._requests.take_local_read(reply, now_ms)
+            case events.StopReplica():
+                self._stop_wanted = True
+                self._runner.run_step(core_events.HandOverAsked())
 
-    def _commit(self, command: commands.Command) -> commands.CommandOutcome:
-        """Commits and applies one command.
+    def _take_message(
+        self, peer: ids.ProcessId, message: messages.Message, now_ms: int
+    ) -> None:
+        match message:
+            case (
+                messages.Propose()
+                | messages.ProposeReply()
+                | messages.ReadIndexRequest()
+                | messages.ReadIndexReply()
+            ):
+                self._requests.take_message(peer, message, now_ms)
+            case _:
+                self._runner.run_step(core_events.MessageReceived(message))
+
+    def _tick(self, now_ms: int) -> None:
+        self._runner.run_step(core_events.TimerDue())
+        if self._stop_wanted:
+            self._runner.run_step(core_events.HandOverAsked())
+        if not self._runner.has_membership():
+            self._try_to_join(now_ms)
+        self._requests.retry_parked(now_ms, self.find_unready_reason())
+
+    def _try_to_join(self, now_ms: int) -> None:
+        """Tells the other replicas of this new disk, at times.
 
         Args:
-            command: The command.
+            now_ms: The time.
+        """
+        if now_ms < self._identity_due_ms:
+            return
+        self._identity_due_ms = now_ms + _IDENTITY_PERIOD_MS
+        for process in self._formation.control:
+            self._runner.send(process, self._build_identity(True))
+        if len(self._formation.control) == 1:
+            member = self._formation.member
+            self._runner.form(membership.Membership((member,)))
+
+    def _build_identity(self, wants_reply: bool) -> messages.ReplicaIdentity:
+        return messages.ReplicaIdentity(
+            self._formation.member, self._runner.has_membership(), wants_reply
+        )
 
-        Returns:
-            Its outcome.
+    def _take_identity(
+        self, peer: ids.ProcessId, identity: messages.ReplicaIdentity
+    ) -> None:
+        """Takes in what another replica tells of its disk.
+
+        Args:
+            peer: The other replica.
+            identity: The message.
         """
-        version = ids.StateVersion(self.view.state.version + 1)
-        applied = apply.apply_command(self.view.state, version, command)
-        self.view = self._build_view(applied.state)
-        self._tell(events.Committed(applied.state, applied.changed))
-        logs.log_event(
-            "command_applied",
-            command=command.command_id,
-            actor=command.actor,
-            version=version,
-            outcome=applied.outcome.code.value,
+        if not identity.has_membership:
+            self._runner.run_step(core_events.StrangerSeen(identity.member))
+        if identity.wants_reply:
+            self._runner.send(peer, self._build_identity(False))
+        if self._runner.has_membership():
+            return
+        formation.take_identity(self._formation, identity)
+        formed = formation.try_to_form(self._formation)
+        if formed is not None:
+            self._runner.form(formed)
+
+    def _build_view(self) -> replica_view.ReplicaView:
+        state = self._runner.core
+        is_established = state.role is records.Role.LEADER
+        is_established &= state.commit_index >= state.term_start_index
+        return replica_view.ReplicaView(
+            self._runner.replicated.state,
+            membership.get_process(state.leader),
+            state.term,
+            is_established,
+            replication.compute_lease_until(state),
         )
-        return applied.outcome
+
+    def _finish_turn(self) -> None:
+        """Publishes the view, then tells everybody what has changed."""
+        self.view = self._build_view()
+        outputs = self._runner.outputs
+        self._runner.outputs = []
+        for output in outputs:
+            match output:
+                case core_runner.Applied(_, _, committed):
+                    self._tell(committed)
+                case core_runner.StateReplaced(committed):
+                    self._tell(committed)
+            self._requests.take_output(output)
+        self._requests.send_answers()
+        is_leader = self.view.is_leader
+        if is_leader != self._told_leading:
+            self._told_leading = is_leader
+            self._tell(events.LeadershipChanged(self.view.term, is_leader))
+        is_leading = self._runner.core.role is records.Role.LEADER
+        if self._stop_wanted and not is_leading:
+            self._handed_over.set()
+
+    def _tell(self, event: object) -> None:
+        for listener in self._listeners:
+            listener.put(event)
--- a/bambookeel/core/ids.py
+++ b/bambookeel/core/ids.py
@@ -9,6 +9,8 @@
 
 # Processes and places.
 ProcessId = NewType("ProcessId", str)
+# One control replica with one disk: `process/disk`; a wiped disk gives another.
+MemberId = NewType("MemberId", str)
 DataCentre = NewType("DataCentre", str)
 Rack = NewType("Rack", str)
 # One life of a process or backend server; a restart takes a larger number.
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -80,7 +80,7 @@
     """Asks for a vote, or with `is_pre_vote` whether one would be given."""
 
     term: ids.Term
-    candidate: ids.ProcessId
+    candidate: ids.MemberId
     last_index: ids.LogIndex
     last_term: ids.Term
     is_pre_vote: bool
@@ -93,7 +93,7 @@
     """Answers a `VoteRequest`."""
 
     term: ids.Term
-    voter: ids.ProcessId
+    voter: ids.MemberId
     granted: bool
     is_pre_vote: bool
 
@@ -107,7 +107,7 @@
     """
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
     previous_index: ids.LogIndex
     previous_term: ids.Term
     entries: tuple[LogEntry, ...]
@@ -125,7 +125,7 @@
     """
 
     term: ids.Term
-    follower: ids.ProcessId
+    follower: ids.MemberId
     success: bool
     match_index: ids.LogIndex
     round_number: int
@@ -136,7 +136,7 @@
     """One part of a snapshot that replaces a follower's log."""
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
     last_index: ids.LogIndex
     last_term: ids.Term
     offset: int
@@ -150,7 +150,7 @@
     """Acknowledges a part; the leader sends the one at `next_offset`."""
 
     term: ids.Term
-    follower: ids.ProcessId
+    follower: ids.MemberId
     last_index: ids.LogIndex
     next_offset: int
     round_number: int
@@ -161,7 +161,7 @@
     """Asks a caught-up follower to start an election at once."""
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
 
 
 # --- Control: commands and reads ---
@@ -212,6 +212,21 @@
     leader: ids.ProcessId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaIdentity:
+    """Tells a control replica's member id while the deployment forms.
+
+    Attributes:
+        member: The sender with its disk.
+        has_membership: Whether its disk knows a membership.
+        wants_reply: Whether the receiver should answer with its own.
+    """
+
+    member: ids.MemberId
+    has_membership: bool
+    wants_reply: bool
+
+
 # --- Control: followers of state ---
 
 
@@ -549,6 +564,7 @@
     RecoverReply,
     FetchAnswer,
     AnswerCopy,
+    ReplicaIdentity,
 )
 
 # Records that appear only inside messages.
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -33,6 +33,7 @@
     recoverReply @27 :RecoverReply;
     fetchAnswer @28 :FetchAnswer;
     answerCopy @29 :AnswerCopy;
+    replicaIdentity @30 :ReplicaIdentity;
   }
 }
 
@@ -261,6 +262,12 @@
   body @4 :Data;
 }
 
+struct ReplicaIdentity {
+  member @0 :Text;
+  hasMembership @1 :Bool;
+  wantsReply @2 :Bool;
+}
+
 struct LogEntry {
   term @0 :Int64;
   index @1 :Int64;
--- /dev/null
+++ b/bambookeel/state/snapshot.py
@@ -0,0 +1,83 @@
+"""Encodes the whole replicated state for snapshots.
+
+Remembered command outcomes are part of it, so that a command that is sent again
+after a snapshot still gets its first outcome. Bytes are JSON.
+"""
+
+import dataclasses
+
+import msgspec
+
+from bambookeel.core import ids
+from bambookeel.core import resources
+from bambookeel.state import commands
+from bambookeel.state import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _StoredState:
+    version: ids.StateVersion
+    resources: tuple[model.StoredResource, ...]
+    # Pairs in place of a mapping, since the order decides what is forgotten.
+    outcomes: tuple[tuple[ids.CommandId, commands.CommandOutcome], ...]
+
+
+def encode_state(state: model.State) -> bytes:
+    """Encodes a state.
+
+    Args:
+        state: The state.
+
+    Returns:
+        JSON bytes.
+    """
+    stored = _StoredState(
+        state.version,
+        tuple(model.store_resource(r) for r in state.by_key.values()),
+        tuple(state.outcomes.items()),
+    )
+    return msgspec.json.encode(stored)
+
+
+def decode_state(payload: bytes) -> model.State:
+    """Decodes a state.
+
+    Args:
+        payload: What `encode_state` gave.
+
+    Returns:
+        The state.
+    """
+    stored = msgspec.json.decode(payload, type=_StoredState)
+    restored = [model.restore_resource(item) for item in stored.resources]
+    return model.State(
+        stored.version,
+        {(resource.kind, resource.name): resource for resource in restored},
+        dict(stored.outcomes),
+    )
+
+
+def find_changes(
+    before: model.State, after: model.State
+) -> tuple[model.StoredResource, ...]:
+    """Finds what differs when a snapshot has replaced the state.
+
+    Args:
+        before: The state before.
+        after: The state of the snapshot, which is newer.
+
+    Returns:
+        Changed resources, deleted ones with a spec of None.
+    """
+    changed = []
+    for key, resource in after.by_key.items():
+        if before.by_key.get(key) != resource:
+            changed.append(model.store_resource(resource))
+    for kind, name in before.by_key:
+        if (kind, name) in after.by_key:
+            continue
+        deleted = model.StoredResource(
+            kind, name, after.version, after.version, None, resources.Status()
+        )
+        changed.append(deleted)
+    return tuple(changed)
--- a/bambookeel/storage/__init__.py
+++ b/bambookeel/storage/__init__.py
@@ -1,1 +1,1 @@
-"""Synced log and snapshot files under one data folder."""
+"""Files of a control replica: synced log, snapshots, term and identity."""
