Check whole changes and keep the state in persistent maps

Cause: apply stopped at the first fault, checked no references, and copied the map of resources and 10,000 remembered outcomes for every command.

Ruled out: indexes of references (deletes of teams and pools are rare, so a scan will do); dictionaries per kind (the outcomes were the larger copy).

Change: a draft gathers every fault of a command against the state before it and the references after it; persistent maps of pyrsistent hold resources and outcomes.

--- a/bambookeel/core/checking.py
+++ b/bambookeel/core/checking.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import difflib
+import functools
 import typing
 
 import msgspec
@@ -85,7 +86,7 @@
     if not isinstance(data, dict):
         message = f"expected an object, found {data!r}"
         return None, [faults.Fault(place or "top", message)]
-    hints = typing.get_type_hints(record_type, include_extras=True)
+    hints = _get_hints(record_type)
     prefix = f"{place}." if place else ""
     found = _find_unknown_fields(data, list(hints), prefix)
     values = {}
@@ -106,6 +107,11 @@
     return record_type(**values), []
 
 
+@functools.cache
+def _get_hints(record_type: type) -> dict[str, typing.Any]:
+    return typing.get_type_hints(record_type, include_extras=True)
+
+
 def _is_required(field: typing.Any) -> bool:
     return (
         field.default is dataclasses.MISSING
--- a/bambookeel/core/resources.py
+++ b/bambookeel/core/resources.py
@@ -18,9 +18,11 @@
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
 
 Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
-PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+# Whole numbers stay exact in every JSON reader up to this.
+MAX_INT = 2**53 - 1
+PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=MAX_INT)]
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=1e12)]
 
 
 class Kind(enum.Enum):
--- a/bambookeel/state/apply.py
+++ b/bambookeel/state/apply.py
@@ -2,18 +2,19 @@
 
 A pure step that every control replica runs in log order: it takes the state and
 a command and gives the new state, the command's outcome and the resources that
-changed. A refused command leaves all resources as they are.
+changed. A refused command leaves all resources as they are. The first outcome
+of a command's id is kept, so that a repeat of the id changes nothing.
 """
 
 import dataclasses
+import typing
 
 import msgspec
-from returns import result
+import pyrsistent
 
-from bambookeel.core import checking
 from bambookeel.core import ids
-from bambookeel.core import resources
 from bambookeel.state import commands
+from bambookeel.state import drafting
 from bambookeel.state import model
 
 # Outcomes that are remembered for repeats of a command's id.
@@ -35,85 +36,14 @@
     changed: tuple[model.StoredResource, ...]
 
 
-def _check_version(
-    current: resources.Resource | None,
-    expected: ids.StateVersion,
-    place: str,
-) -> commands.CommandFault | None:
-    """Compares a change's expected version with what holds.
-
-    Args:
-        current: The resource that holds, if any.
-        expected: The expected version.
-        place: Path of the change.
-
-    Returns:
-        A fault when they differ.
-    """
-    if expected == commands.ANY_VERSION:
-        return None
-    held = current.version if current else commands.MUST_NOT_EXIST
-    if held == expected:
-        return None
-    message = f"expected version {expected}, but version {held} holds"
-    return commands.CommandFault(f"{place}.expected_version", message)
-
-
-def _change_resource(
-    current: resources.Resource | None,
-    change: commands.Change,
-    version: ids.StateVersion,
-    place: str,
-) -> tuple[resources.Resource | None, tuple[commands.CommandFault, ...]]:
-    """Applies one change to one resource.
-
-    Args:
-        current: The resource that holds, if any.
-        change: The change.
-        version: The state version of the command.
-        place: Path of the change.
-
-    Returns:
-        The new resource, or None when deleted; and the faults.
-    """
-    match change:
-        case commands.PutSpec(kind, name, _, spec):
-            match checking.check_record(spec, resources.SPEC_TYPES[kind]):
-                case result.Success(checked):
-                    status = current.status if current else resources.Status()
-                    changed = resources.Resource(
-                        kind, name, version, version, checked, status
-                    )
-                    return changed, ()
-                case result.Failure(found):
-                    return None, tuple(
-                        commands.CommandFault(
-                            f"{place}.spec.{fault.place}", fault.message
-                        )
-                        for fault in found
-                    )
-        case commands.PutStatus(_, _, _, status) if current is not None:
-            changed = dataclasses.replace(
-                current, version=version, status=status
-            )
-            return changed, ()
-        case commands.Delete() if current is not None:
-            return None, ()
-    message = "the resource does not exist"
-    return None, (commands.CommandFault(place, message),)
-
-
-def _store_deleted(
-    change: commands.Change, version: ids.StateVersion
-) -> model.StoredResource:
-    return model.StoredResource(
-        kind=change.kind,
-        name=change.name,
-        version=version,
-        spec_version=version,
-        spec=None,
-        status=resources.Status(),
-    )
+def _build_outcome(
+    draft: drafting.Draft, version: ids.StateVersion
+) -> commands.CommandOutcome:
+    current = None
+    if draft.conflicting is not None:
+        stored = model.store_resource(draft.conflicting)
+        current = msgspec.to_builtins(stored)
+    return commands.CommandOutcome(draft.code, version, draft.faults, current)
 
 
 def _remember(
@@ -133,11 +63,15 @@
     Returns:
         The state with the outcome, the oldest dropped when there are many.
     """
-    remembered = dict(state.outcomes)
-    remembered[command_id] = outcome
-    while len(remembered) > MAX_OUTCOMES:
-        del remembered[next(iter(remembered))]
-    return dataclasses.replace(state, version=version, outcomes=remembered)
+    held = typing.cast(pyrsistent.PMap, state.outcomes)
+    remembered = held.set(command_id, outcome)
+    order = state.outcome_order.append(command_id)
+    while len(order) > MAX_OUTCOMES:
+        remembered = remembered.discard(order.left)
+        order = order.popleft()
+    return dataclasses.replace(
+        state, version=version, outcomes=remembered, outcome_order=order
+    )
 
 
 def apply_command(
@@ -157,37 +91,28 @@
     if first_outcome is not None:
         state = dataclasses.replace(state, version=version)
         return Applied(state, first_outcome, ())
-    changed_resources = dict(state.by_key)
-    changed: list[model.StoredResource] = []
-    for i, tagged in enumerate(command.changes):
-        change = commands.unwrap_change(tagged)
-        place = f"changes[{i}]"
-        key = (change.kind, change.name)
-        current = changed_resources.get(key)
-        conflict = _check_version(current, change.expected_version, place)
-        if conflict is not None:
-            held = None
-            if current is not None:
-                held = msgspec.to_builtins(model.store_resource(current))
-            outcome = commands.CommandOutcome(
-                commands.OutcomeCode.CONFLICT, version, (conflict,), held
-            )
-            state = _remember(state, version, command.command_id, outcome)
-            return Applied(state, outcome, ())
-        resource, found = _change_resource(current, change, version, place)
-        if found:
-            outcome = commands.CommandOutcome(
-                commands.OutcomeCode.INVALID, version, found
-            )
-            state = _remember(state, version, command.command_id, outcome)
-            return Applied(state, outcome, ())
-        if resource is None:
-            changed_resources.pop(key, None)
-            changed.append(_store_deleted(change, version))
-            continue
-        changed_resources[key] = resource
-        changed.append(model.store_resource(resource))
-    outcome = commands.CommandOutcome(commands.OutcomeCode.APPLIED, version)
-    state = dataclasses.replace(state, by_key=changed_resources)
+    draft = drafting.draft_command(state, version, command)
+    outcome = _build_outcome(draft, version)
+    changed: tuple[model.StoredResource, ...] = ()
+    if draft.code is commands.OutcomeCode.APPLIED:
+        state = dataclasses.replace(state, by_key=draft.by_key)
+        changed = draft.changed
     state = _remember(state, version, command.command_id, outcome)
-    return Applied(state, outcome, tuple(changed))
+    return Applied(state, outcome, changed)
+
+
+def check_command(
+    state: model.State, command: commands.Command
+) -> commands.CommandOutcome:
+    """Tells what would become of a command, without applying it.
+
+    Args:
+        state: The state that holds.
+        command: The command; its id is not looked up.
+
+    Returns:
+        The outcome that it would have.
+    """
+    version = ids.StateVersion(state.version)
+    draft = drafting.draft_command(state, version, command)
+    return _build_outcome(draft, version)
--- a/bambookeel/state/commands.py
+++ b/bambookeel/state/commands.py
@@ -17,6 +17,8 @@
 # Expected versions with a special meaning in compare-and-set.
 ANY_VERSION = ids.StateVersion(-1)
 MUST_NOT_EXIST = ids.StateVersion(0)
+# Actors with this prefix are operators; others are parts of the system.
+OPERATOR_PREFIX = "operator:"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,7 +89,8 @@
 
     Attributes:
         command_id: Idempotent id, chosen by whoever sends the command.
-        actor: The operator or the part of the system that sends it.
+        actor: Who sends it: an operator's name after `OPERATOR_PREFIX`, or a
+            part of the system.
         changes: The changes, in order.
     """
 
--- a/bambookeel/state/model.py
+++ b/bambookeel/state/model.py
@@ -1,7 +1,9 @@
 """The replicated state and what changed in it.
 
-The state is one immutable record. Applying a command gives a new state and the
-list of changed resources, which followers receive and apply in the same order.
+The state is one immutable record over persistent maps, so that a change costs
+the same however many resources there are, and a reader may keep an old state
+for as long as it likes. Applying a command gives a new state and the list of
+changed resources, which followers receive and apply in the same order.
 """
 
 from collections.abc import Mapping
@@ -9,6 +11,7 @@
 from typing import Any
 
 import msgspec
+import pyrsistent
 
 from bambookeel.core import ids
 from bambookeel.core import resources
@@ -21,19 +24,37 @@
 class State:
     """All replicated resources.
 
+    Any mapping may be given; it is kept as a persistent map. The order of
+    iteration differs between processes, so decisions must sort.
+
     Attributes:
         version: Log index of the last command applied.
         by_key: Resources by kind and name.
-        outcomes: Outcomes of recent commands by id, oldest first.
+        outcomes: Outcomes of recent commands by id.
+        outcome_order: Ids of these commands, oldest first; derived from the
+            outcomes' versions unless given.
     """
 
     version: ids.StateVersion = ids.StateVersion(0)
-    by_key: Mapping[ResourceKey, resources.Resource] = dataclasses.field(
-        default_factory=dict
-    )
+    by_key: Mapping[ResourceKey, resources.Resource] = pyrsistent.pmap()
     outcomes: Mapping[ids.CommandId, commands.CommandOutcome] = (
-        dataclasses.field(default_factory=dict)
+        pyrsistent.pmap()
     )
+    outcome_order: pyrsistent.PDeque = pyrsistent.pdeque()
+
+    def __post_init__(self) -> None:
+        """Turns plain mappings into persistent ones."""
+        if not isinstance(self.by_key, pyrsistent.PMap):
+            object.__setattr__(self, "by_key", pyrsistent.pmap(self.by_key))
+        if not isinstance(self.outcomes, pyrsistent.PMap):
+            object.__setattr__(self, "outcomes", pyrsistent.pmap(self.outcomes))
+        if len(self.outcome_order) == len(self.outcomes):
+            return
+        # Each command has a version of its own, so this order is total.
+        ordered = sorted(
+            self.outcomes, key=lambda item: self.outcomes[item].version
+        )
+        object.__setattr__(self, "outcome_order", pyrsistent.pdeque(ordered))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +97,28 @@
     )
 
 
+def store_deleted(
+    key: ResourceKey, version: ids.StateVersion
+) -> StoredResource:
+    """Tells followers that a resource is deleted.
+
+    Args:
+        key: Its kind and name.
+        version: State version of the delete.
+
+    Returns:
+        A stored form without a spec.
+    """
+    return StoredResource(
+        kind=key[0],
+        name=key[1],
+        version=version,
+        spec_version=version,
+        spec=None,
+        status=resources.Status(),
+    )
+
+
 def restore_resource(stored: StoredResource) -> resources.Resource:
     """Undoes `store_resource`.
 
