Number subscriptions and confirm freshness by what the view holds

Change: Subscribe and ChangeBatch carry the subscription's number; the streams answer from the state they have told; freshness waits for the view; the applied version is stored before a view is used; verified keys are kept with the key table; every control process tells who is behind.

Conclusion: a change of leader alone moves no stream.

--- a/bambookeel/control/events.py
+++ b/bambookeel/control/events.py
@@ -6,6 +6,7 @@
 
 from bambookeel.core import ids
 from bambookeel.core import messages
+from bambookeel.runtime import mailbox
 from bambookeel.state import commands
 from bambookeel.state import model
 
@@ -93,3 +94,25 @@
 
     term: ids.Term
     is_leader: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Watch:
+    """An operator watches changes after a version.
+
+    Attributes:
+        from_version: The version that the operator has.
+        watcher: Gets a `messages.StateChange` for each change, in order.
+        reply: Gets whether all changes after that version are still kept.
+    """
+
+    from_version: ids.StateVersion
+    watcher: mailbox.Mailbox
+    reply: gevent.event.AsyncResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unwatch:
+    """An operator stopped watching."""
+
+    watcher: mailbox.Mailbox
--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -36,7 +36,11 @@
         self._leases = lease_task.LeaseTask(
             settings.leases, replica, self._links.send
         )
-        self._streams = stream_task.StreamTask(replica, self._links.send)
+        self._streams = stream_task.StreamTask(
+            replica,
+            self._links.send,
+            tuple(ids.ProcessId(p.process_id) for p in settings.entries),
+        )
         listeners = [self._streams.mailbox, self._leases.mailbox]
         replica.connect(self._links.send, listeners)
         app = operator_app.OperatorApp(
@@ -96,6 +100,7 @@
                 self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, messages.EntryHeartbeat() as message):
                 self._leases.mailbox.put(events.FromPeer(peer, message))
+                self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, message):
                 self._replica.mailbox.put(events.FromPeer(peer, message))
             case links.LinkDown(peer):
@@ -114,6 +119,7 @@
         """Starts all tasks and opens the sockets."""
         self._replica.subscribe_timers(self._timers)
         self._leases.subscribe_timers(self._timers)
+        self._streams.subscribe_timers(self._timers)
         self._supervisor.start_task("timers", self._timers.run)
         self._supervisor.start_task("replica", self._replica.run)
         self._supervisor.start_task("leases", self._leases.run)
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -217,9 +217,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Asks a control replica for changes after `from_version`."""
+    """Asks a control replica for changes after `from_version`.
+
+    Attributes:
+        from_version: The version that the follower has.
+        subscription: Number of this subscription, from the follower; every
+            batch of its stream carries it.
+    """
 
     from_version: ids.StateVersion
+    subscription: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -237,12 +244,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeBatch:
-    """Changes in order; with `is_snapshot` they replace all before them."""
+    """Changes in order; with `is_snapshot` they replace all before them.
+
+    Attributes:
+        is_snapshot: Whether this is a part of a snapshot.
+        is_last: Whether it is the last part.
+        to_version: The state version after the batch, or of the snapshot.
+        changes: The changes; some versions change nothing.
+        subscription: The subscription that the batch belongs to.
+    """
 
     is_snapshot: bool
     is_last: bool
     to_version: ids.StateVersion
     changes: tuple[StateChange, ...]
+    subscription: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bambookeel/entry/follower_task.py
+++ b/bambookeel/entry/follower_task.py
@@ -1,25 +1,29 @@
 """Follows the replicated state and keeps this entry's leases with control.
 
-Subscribes to a control replica, applies changes upwards only and publishes a
-new view after each batch. Sends heartbeats to every control process it has a
-link to; the leader's answer proves how fresh the view is and renews the
-dispatch leases that this process holds.
+Subscribes to a control replica, applies changes upwards only, stores the
+version and publishes a new view after each batch. Sends heartbeats to every
+control process it has a link to; the leader's answer proves how fresh the view
+is and renews the dispatch leases that this process holds.
 """
 
 from collections.abc import Callable
 import dataclasses
 
+import gevent
+
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.core import resources
 from bambookeel.core import settings as core_settings
 from bambookeel.entry import events
+from bambookeel.entry import freshness
+from bambookeel.entry import subscription
+from bambookeel.entry import version_file
 from bambookeel.entry import view
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
 from bambookeel.runtime import mailbox
 from bambookeel.runtime import timers
-from bambookeel.state import model
 
 SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
 # Heartbeats that may be unanswered at once.
@@ -42,21 +46,29 @@
         leases: core_settings.LeaseTimings,
         send: SendMessage,
         dispatcher: mailbox.Mailbox,
+        data_folder: str = "",
     ) -> None:
         self.mailbox = mailbox.Mailbox("follower")
         self.view = view.View()
-        self.fresh_until_ms = 0
         self._process_id = process_id
         self._control = control
         self._leases = leases
         self._send = send
         self._dispatcher = dispatcher
-        self._source: ids.ProcessId | None = None
-        self._leader: ids.ProcessId | None = None
+        self._version_file = version_file.VersionFile(data_folder)
+        self._stored_version = self._version_file.load()
+        self._freshness = freshness.Freshness(
+            leases.freshness_ms, self._stored_version
+        )
+        self._subscription = subscription.Subscription(self.view)
         self._nonce = 0
         self._pending: dict[int, _PendingHeartbeat] = {}
         self._stopping = False
-        self._snapshot: list[messages.StateChange] = []
+
+    @property
+    def fresh_until_ms(self) -> int:
+        """Until when the view may be trusted, on the own monotonic clock."""
+        return self._freshness.until_ms
 
     def subscribe_timers(self, service: timers.TimerService) -> None:
         """Asks for this task's regular messages.
@@ -76,61 +88,45 @@
             case events.Tick():
                 self._send_heartbeats()
             case events.PeerUp(peer, messages.ProcessRole.CONTROL):
-                self._choose_source(peer)
-            case events.PeerDown(peer) if peer == self._source:
-                self._source = None
-                self._choose_any_source()
+                self._subscribe(
+                    subscription.take_peer_up(self._subscription, peer)
+                )
+            case events.PeerDown(peer) if peer in self._control:
+                self._subscribe(
+                    subscription.take_peer_down(self._subscription, peer)
+                )
             case events.FromPeer(peer, messages.ChangeBatch() as batch):
-                self._apply_batch(peer, batch)
+                if subscription.take_batch(self._subscription, peer, batch):
+                    self._publish(self._subscription.view)
             case events.FromPeer(peer, messages.EntryHeartbeatReply() as reply):
                 self._take_reply(reply)
             case events.StopDispatching():
                 self._stopping = True
                 self._send_heartbeats()
 
-    def _choose_source(self, peer: ids.ProcessId) -> None:
-        if self._source is not None and peer != self._leader:
-            return
-        self._source = peer
-        self._send(peer, messages.Subscribe(self.view.version))
-
-    def _choose_any_source(self) -> None:
-        for peer in self._control:
-            if self._send(peer, messages.Subscribe(self.view.version)):
-                self._source = peer
-                return
+    def _subscribe(self, wanted: tuple[subscription.ToSubscribe, ...]) -> None:
+        for item in wanted:
+            # A message lost with its link is made up when the link is renewed.
+            self._send(item.peer, item.message)
+            logs.log_event(
+                "subscribed",
+                to=item.peer,
+                from_version=item.message.from_version,
+            )
 
-    def _apply_batch(
-        self, peer: ids.ProcessId, batch: messages.ChangeBatch
-    ) -> None:
-        """Applies a batch of changes and publishes the new view.
+    def _publish(self, current: view.View) -> None:
+        """Stores the version of a view, then lets everybody see it.
 
         Args:
-            peer: The control process that sent it.
-            batch: The batch.
+            current: The view.
         """
-        if peer != self._source:
-            return
-        before = self.view
-        current = before
-        if batch.is_snapshot:
-            # Parts are gathered, so that nobody sees half of a snapshot.
-            self._snapshot.extend(batch.changes)
-            if not batch.is_last:
-                return
-            parts, self._snapshot = self._snapshot, []
-            if batch.to_version < before.version:
-                return
-            current = _build_view(batch.to_version, parts)
-        else:
-            for change in batch.changes:
-                changed = model.decode_changes(change.payload)
-                current = view.apply_changes(current, change.version, changed)
-            if batch.to_version > current.version:
-                current = dataclasses.replace(current, version=batch.to_version)
-        if current.version == before.version:
-            return
+        if current.version > self._stored_version:
+            # In a thread, since a disk may take long to sync.
+            pool = gevent.get_hub().threadpool
+            pool.apply(self._version_file.store, (current.version,))
+            self._stored_version = current.version
         self.view = current
+        freshness.take_applied(self._freshness, current.version)
         logs.log_event("state_applied", version=current.version)
         self._dispatcher.put(events.ViewChanged(current))
 
@@ -174,12 +170,20 @@
         pending = self._pending.get(reply.nonce)
         if pending is None or not reply.is_leader:
             return
-        self._leader = reply.leader
-        if self._source != reply.leader:
-            self._choose_source(reply.leader)
-        if self.view.version >= reply.committed_version:
-            fresh_until_ms = pending.sent_at_ms + self._leases.freshness_ms
-            self.fresh_until_ms = max(self.fresh_until_ms, fresh_until_ms)
+        freshness.take_confirmation(
+            self._freshness,
+            pending.sent_at_ms,
+            reply.committed_version,
+            self.view.version,
+        )
+        self._subscribe(
+            subscription.take_committed(
+                self._subscription,
+                reply.leader,
+                reply.committed_version,
+                clock.read_now_ms(),
+            )
+        )
         for lease in reply.renewed:
             self._dispatcher.put(
                 events.LeaseRenewed(
@@ -195,24 +199,4 @@
         Returns:
             Whether control confirmed it within the freshness lease.
         """
-        return clock.read_now_ms() < self.fresh_until_ms
-
-
-def _build_view(
-    version: ids.StateVersion, parts: list[messages.StateChange]
-) -> view.View:
-    """Builds a view from the parts of a snapshot.
-
-    Args:
-        version: The snapshot's version.
-        parts: Its parts.
-
-    Returns:
-        The view.
-    """
-    current = {}
-    for part in parts:
-        for stored in model.decode_changes(part.payload):
-            key = (stored.kind, stored.name)
-            current[key] = model.restore_resource(stored)
-    return view.View(version, current)
+        return clock.read_now_ms() < self._freshness.until_ms
--- a/bambookeel/entry/process.py
+++ b/bambookeel/entry/process.py
@@ -80,6 +80,7 @@
             settings.leases,
             route.send,
             dispatcher.mailbox,
+            settings.data_folder,
         )
         peers = settings.control + settings.entries
         link_settings = links.LinkSettings(
--- a/bambookeel/entry/view.py
+++ b/bambookeel/entry/view.py
@@ -1,10 +1,11 @@
 """The replicated state as an entry sees it.
 
 The follower task publishes a new immutable view after each batch of changes;
-request handlers only read it. The view knows until when it may be trusted: past
-that, the key table is stale and requests are refused.
+request handlers only read it. Keys that were verified once are remembered with
+the key table that they were verified against.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 
@@ -13,6 +14,11 @@
 from bambookeel.state import keys
 from bambookeel.state import model
 
+# Verified keys that one view remembers; past it the oldest is dropped.
+MAX_VERIFIED_KEYS = 4_096
+# Longer secrets open nothing and are not remembered.
+_MAX_SECRET_CHARS = 256
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
@@ -21,37 +27,70 @@
     Attributes:
         version: The state version; it only grows.
         by_key: Resources by kind and name.
+        verified: Teams of the secrets verified so far against the keys of
+            this view; views that hold equal keys share it.
     """
 
     version: ids.StateVersion = ids.StateVersion(0)
     by_key: Mapping[model.ResourceKey, resources.Resource] = dataclasses.field(
         default_factory=dict
     )
+    verified: dict[str, ids.TeamName] = dataclasses.field(
+        default_factory=dict, compare=False, repr=False
+    )
 
 
 def apply_changes(
     view: View,
-    version: ids.StateVersion,
-    changed: tuple[model.StoredResource, ...],
+    to_version: ids.StateVersion,
+    changes: Iterable[
+        tuple[ids.StateVersion, tuple[model.StoredResource, ...]]
+    ],
 ) -> View:
-    """Applies the changes of one version; an older version changes nothing.
+    """Applies changes in order; older versions change nothing.
 
     Args:
         view: The view before.
-        version: The version after the changes.
-        changed: The changed resources.
+        to_version: The version after all changes.
+        changes: Versions, each with the resources that it changed.
 
     Returns:
         The view after.
     """
-    if version <= view.version:
+    if to_version <= view.version:
         return view
     current = dict(view.by_key)
-    for stored in changed:
-        key = (stored.kind, stored.name)
-        if stored.spec is None:
-            current.pop(key, None)
+    verified = view.verified
+    for version, changed in changes:
+        if version <= view.version:
             continue
+        for stored in changed:
+            key = (stored.kind, stored.name)
+            if stored.kind is resources.Kind.KEY:
+                # What was verified against other keys proves nothing now.
+                verified = {}
+            if stored.spec is None:
+                current.pop(key, None)
+                continue
+            current[key] = model.restore_resource(stored)
+    return View(to_version, current, verified)
+
+
+def build_view(
+    version: ids.StateVersion, stored_resources: Iterable[model.StoredResource]
+) -> View:
+    """Builds a view from a whole snapshot.
+
+    Args:
+        version: The snapshot's version.
+        stored_resources: All its resources.
+
+    Returns:
+        The view.
+    """
+    current = {}
+    for stored in stored_resources:
+        key = (stored.kind, stored.name)
         current[key] = model.restore_resource(stored)
     return View(version, current)
 
@@ -66,13 +105,22 @@
     Returns:
         The team, or None when the key opens nothing.
     """
+    known = view.verified.get(secret)
+    if known is not None:
+        return known
+    if len(secret) > _MAX_SECRET_CHARS:
+        return None
     key_id = keys.split_key_id(secret)
     resource = view.by_key.get((resources.Kind.KEY, key_id))
     if resource is None or not isinstance(resource.spec, resources.KeySpec):
         return None
     if not resource.spec.team or not keys.verify_secret(resource.spec, secret):
         return None
-    return ids.TeamName(resource.spec.team)
+    team = ids.TeamName(resource.spec.team)
+    view.verified[secret] = team
+    if len(view.verified) > MAX_VERIFIED_KEYS:
+        del view.verified[next(iter(view.verified))]
+    return team
 
 
 def get_service(
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -131,6 +131,7 @@
 
 struct Subscribe {
   fromVersion @0 :Int64;
+  subscription @1 :Int64;
 }
 
 struct ChangeBatch {
@@ -138,6 +139,7 @@
   isLast @1 :Bool;
   toVersion @2 :Int64;
   changes @3 :List(StateChange);
+  subscription @4 :Int64;
 }
 
 struct EntryHeartbeat {
