--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -1,6 +1,9 @@
 """Builds and runs a control process from its settings."""
 
 import functools
+import secrets
+
+from returns import result
 
 from bambookeel.api import operator_app
 from bambookeel.control import allotment_task
@@ -18,6 +21,8 @@
 from bambookeel.runtime import logs
 from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
+from bambookeel.storage import folder
+from bambookeel.storage import store as replica_store
 
 
 class ControlProcess:
@@ -43,7 +48,11 @@
             replica,
             self._links.send,
         )
-        self._streams = stream_task.StreamTask(replica, self._links.send)
+        self._streams = stream_task.StreamTask(
+            replica,
+            self._links.send,
+            tuple(ids.ProcessId(p.process_id) for p in settings.entries),
+        )
         listeners = [self._streams.mailbox, self._leases.mailbox]
         replica.connect(self._links.send, listeners)
         app = operator_app.OperatorApp(
@@ -66,9 +75,20 @@
         Returns:
             The process.
         """
+        opened = folder.open_folder(settings.data_folder).bind(
+            lambda locked: replica_store.open_store(
+                locked, ids.ProcessId(settings.process_id)
+            )
+        )
+        match opened:
+            case result.Failure(fault):
+                supervisor.end_process(f"{fault.place}: {fault.message}")
+        store, loaded = opened.unwrap()
+        if loaded.torn_bytes:
+            logs.log_event("torn_log_cut", cut_bytes=loaded.torn_bytes)
         control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
         replica = replica_task.ReplicaTask(
-            ids.ProcessId(settings.process_id), control
+            control, settings.consensus, store, loaded, secrets.randbits(62)
         )
         return cls(settings, replica)
 
@@ -103,6 +123,7 @@
                 self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, messages.EntryHeartbeat() as message):
                 self._leases.mailbox.put(events.FromPeer(peer, message))
+                self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, messages.AllotmentRequest() as message):
                 self._allotments.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, message):
@@ -117,14 +138,18 @@
         Returns:
             The reason, or empty when the process is ready.
         """
-        return "stopping" if self._stopping else ""
+        if self._stopping:
+            return "stopping"
+        return self._replica.find_unready_reason()
 
     def start(self) -> None:
         """Starts all tasks and opens the sockets."""
         self._replica.subscribe_timers(self._timers)
         self._leases.subscribe_timers(self._timers)
+        self._streams.subscribe_timers(self._timers)
         self._supervisor.start_task("timers", self._timers.run)
         self._supervisor.start_task("replica", self._replica.run)
+        self._supervisor.start_task("log-syncs", self._replica.disk.run_syncs)
         self._supervisor.start_task("leases", self._leases.run)
         self._supervisor.start_task("allotments", self._allotments.run)
         self._supervisor.start_task("streams", self._streams.run)
@@ -141,7 +166,9 @@
         self._stopping = True
         logs.log_event("stopping")
         self._api.stop(timeout=5)
+        self._replica.hand_over()
         self._supervisor.stop()
         self._links.close()
+        self._replica.disk.close()
         self._admin.stop(timeout=0)
         logs.log_event("stopped")
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -80,7 +80,7 @@
     """Asks for a vote, or with `is_pre_vote` whether one would be given."""
 
     term: ids.Term
-    candidate: ids.ProcessId
+    candidate: ids.MemberId
     last_index: ids.LogIndex
     last_term: ids.Term
     is_pre_vote: bool
@@ -93,7 +93,7 @@
     """Answers a `VoteRequest`."""
 
     term: ids.Term
-    voter: ids.ProcessId
+    voter: ids.MemberId
     granted: bool
     is_pre_vote: bool
 
@@ -107,7 +107,7 @@
     """
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
     previous_index: ids.LogIndex
     previous_term: ids.Term
     entries: tuple[LogEntry, ...]
@@ -125,7 +125,7 @@
     """
 
     term: ids.Term
-    follower: ids.ProcessId
+    follower: ids.MemberId
     success: bool
     match_index: ids.LogIndex
     round_number: int
@@ -136,7 +136,7 @@
     """One part of a snapshot that replaces a follower's log."""
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
     last_index: ids.LogIndex
     last_term: ids.Term
     offset: int
@@ -150,7 +150,7 @@
     """Acknowledges a part; the leader sends the one at `next_offset`."""
 
     term: ids.Term
-    follower: ids.ProcessId
+    follower: ids.MemberId
     last_index: ids.LogIndex
     next_offset: int
     round_number: int
@@ -161,7 +161,7 @@
     """Asks a caught-up follower to start an election at once."""
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
 
 
 # --- Control: commands and reads ---
@@ -212,14 +212,36 @@
     leader: ids.ProcessId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaIdentity:
+    """Tells a control replica's member id while the deployment forms.
+
+    Attributes:
+        member: The sender with its disk.
+        has_membership: Whether its disk knows a membership.
+        wants_reply: Whether the receiver should answer with its own.
+    """
+
+    member: ids.MemberId
+    has_membership: bool
+    wants_reply: bool
+
+
 # --- Control: followers of state ---
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Asks a control replica for changes after `from_version`."""
+    """Asks a control replica for changes after `from_version`.
+
+    Attributes:
+        from_version: The version that the follower has.
+        subscription: Number of this subscription, from the follower; every
+            batch of its stream carries it.
+    """
 
     from_version: ids.StateVersion
+    subscription: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -237,12 +259,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeBatch:
-    """Changes in order; with `is_snapshot` they replace all before them."""
+    """Changes in order; with `is_snapshot` they replace all before them.
+
+    Attributes:
+        is_snapshot: Whether this is a part of a snapshot.
+        is_last: Whether it is the last part.
+        to_version: The state version after the batch, or of the snapshot.
+        changes: The changes; some versions change nothing.
+        subscription: The subscription that the batch belongs to.
+    """
 
     is_snapshot: bool
     is_last: bool
     to_version: ids.StateVersion
     changes: tuple[StateChange, ...]
+    subscription: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -632,6 +663,7 @@
     RecoverReply,
     FetchAnswer,
     AnswerCopy,
+    ReplicaIdentity,
     KeepRecords,
     RecordsKept,
     RecordsRequest,
--- a/bambookeel/entry/process.py
+++ b/bambookeel/entry/process.py
@@ -80,6 +80,7 @@
             settings.leases,
             route.send,
             dispatcher.mailbox,
+            settings.data_folder,
         )
         dispatcher.connect_follower(follower.mailbox)
         peers = settings.control + settings.entries
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -33,10 +33,11 @@
     recoverReply @27 :RecoverReply;
     fetchAnswer @28 :FetchAnswer;
     answerCopy @29 :AnswerCopy;
-    keepRecords @30 :KeepRecords;
-    recordsKept @31 :RecordsKept;
-    recordsRequest @32 :RecordsRequest;
-    recordsReply @33 :RecordsReply;
+    replicaIdentity @30 :ReplicaIdentity;
+    keepRecords @31 :KeepRecords;
+    recordsKept @32 :RecordsKept;
+    recordsRequest @33 :RecordsRequest;
+    recordsReply @34 :RecordsReply;
   }
 }
 
@@ -135,6 +136,7 @@
 
 struct Subscribe {
   fromVersion @0 :Int64;
+  subscription @1 :Int64;
 }
 
 struct ChangeBatch {
@@ -142,6 +144,7 @@
   isLast @1 :Bool;
   toVersion @2 :Int64;
   changes @3 :List(StateChange);
+  subscription @4 :Int64;
 }
 
 struct EntryHeartbeat {
@@ -271,6 +274,12 @@
   body @4 :Data;
 }
 
+struct ReplicaIdentity {
+  member @0 :Text;
+  hasMembership @1 :Bool;
+  wantsReply @2 :Bool;
+}
+
 struct KeepRecords {
   service @0 :Text;
   epoch @1 :Int64;
