--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -492,10 +492,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchAnswer:
-    """Asks the first entry for the kept answer of a finished request."""
+    """Asks the first entry for the answer of a request with the same key.
+
+    The answer comes once the first request has ended.
+
+    Attributes:
+        fingerprint: Hash of the request, which must equal the first one's.
+    """
 
     request_id: ids.RequestId
     first_request_id: ids.RequestId
+    fingerprint: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -508,13 +515,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerCopy:
-    """Answers `FetchAnswer`; the body is only there when `found`."""
+    """Answers `FetchAnswer`; the body is only there when `found`.
+
+    Attributes:
+        outcome: The first request's outcome; `UNKNOWN` where nothing is known.
+        is_other_request: Whether the first request was a different one.
+    """
 
     request_id: ids.RequestId
     found: bool
     status: int
     headers: tuple[AnswerHeader, ...]
     body: bytes
+    outcome: outcomes.OutcomeKind
+    is_other_request: bool
 
 
 # The order gives each message its number on the wire: append only.
--- a/bambookeel/core/outcomes.py
+++ b/bambookeel/core/outcomes.py
@@ -36,6 +36,9 @@
     STALE_EPOCH = 21
     DUPLICATE_UNKNOWN = 22
     OVERLOADED = 23
+    CALLER_TOO_SLOW = 24
+    HEAD_TOO_LARGE = 25
+    KEY_REUSED = 26
 
 
 class OutcomeKind(enum.IntEnum):
--- a/bambookeel/core/settings.py
+++ b/bambookeel/core/settings.py
@@ -121,6 +121,22 @@
     probe_connections: resources.NonNegativeInt = 4
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopTimings:
+    """Timings of an entry's planned stop.
+
+    Attributes:
+        unready_ms: Time from an unready /readyz to the end of listening; the
+            balancer must see it within that time.
+        hand_over_ms: Longest wait until other processes hold the leases.
+        finish_ms: Longest wait for requests in flight.
+    """
+
+    unready_ms: resources.NonNegativeInt = 1_500
+    hand_over_ms: resources.NonNegativeInt = 3_000
+    finish_ms: resources.NonNegativeInt = 60_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EntrySettings:
     """Settings of an entry process.
@@ -150,6 +166,7 @@
     links: LinkTimings = LinkTimings()
     leases: LeaseTimings = LeaseTimings()
     limits: EntryLimits = EntryLimits()
+    stop: StopTimings = StopTimings()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/bambookeel/entry/admission.py
@@ -0,0 +1,250 @@
+"""Admits callers' requests: key, service, bounds and declared properties.
+
+Knows how a caller's HTTP request names its service, team, deadline, priority
+and Idempotency-Key, and gives an admitted request or a refusal that says what
+would be accepted.
+"""
+
+import dataclasses
+import typing
+
+import xxhash
+
+from bambookeel.core import ids
+from bambookeel.core import outcomes
+from bambookeel.core import resources
+from bambookeel.core import settings as core_settings
+from bambookeel.entry import caller_watch
+from bambookeel.entry import follower_task
+from bambookeel.entry import requests
+from bambookeel.entry import slot_asker
+from bambookeel.entry import view
+from bambookeel.net import backend_client
+from bambookeel.net import bodies
+from bambookeel.net import headers
+from bambookeel.runtime import clock
+
+SERVICE_PREFIX = "/services/"
+_BEARER = "bearer "
+_MAX_KEY_BYTES = 256
+_FRESH_RETRY_MS = 1_000
+_IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+# Fingerprints travel as signed 64-bit integers.
+_FINGERPRINT_MASK = 2**63 - 1
+
+Environ = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Place:
+    """Where a request goes.
+
+    Attributes:
+        service: The service's name as the caller wrote it.
+        target: Path and query for the backend server, as they came.
+    """
+
+    service: ids.ServiceName
+    target: str
+
+
+def split_target(target: str) -> _Place:
+    """Splits `/services/NAME/PATH`.
+
+    Args:
+        target: The raw target.
+
+    Returns:
+        The service and the rest, which is passed on as it is.
+    """
+    rest = target[len(SERVICE_PREFIX) :]
+    for i, mark in enumerate(rest):
+        if mark == "/":
+            return _Place(ids.ServiceName(rest[:i]), "/" + rest[i + 1 :])
+        if mark == "?":
+            return _Place(ids.ServiceName(rest[:i]), "/" + rest[i:])
+    return _Place(ids.ServiceName(rest), "/")
+
+
+class Admission:
+    """Checks requests against the view of the replicated state."""
+
+    def __init__(
+        self,
+        follower: follower_task.FollowerTask,
+        limits: core_settings.EntryLimits,
+    ) -> None:
+        self._follower = follower
+        self._limits = limits
+
+    def is_known(self, service: ids.ServiceName) -> bool:
+        """Tells whether a service exists.
+
+        Args:
+            service: Its name.
+
+        Returns:
+            Whether the view has it.
+        """
+        return view.get_service(self._follower.view, service) is not None
+
+    def admit(
+        self,
+        environ: Environ,
+        place: _Place,
+        request_id: ids.RequestId,
+        caller: caller_watch.Caller,
+    ) -> requests.AdmittedRequest | outcomes.NotRun:
+        """Checks a request and reads its body.
+
+        Args:
+            environ: WSGI environment.
+            place: Where it goes.
+            request_id: The request's id.
+            caller: Who sent it.
+
+        Returns:
+            The admitted request, or the refusal.
+        """
+        checked = self._check(environ, place)
+        if isinstance(checked, outcomes.NotRun):
+            return checked
+        team, spec = checked
+        deadline_ms = clock.read_now_ms() + read_deadline(environ, spec)
+        body = bodies.read_body(
+            environ, spec.max_body_bytes, self._limits.body_timeout_ms
+        )
+        if isinstance(body, outcomes.NotRun):
+            return body
+        # The key may have been withdrawn while a slow body came in.
+        checked = self._check(environ, place)
+        if isinstance(checked, outcomes.NotRun):
+            return checked
+        fields = environ["bambookeel.fields"]
+        method = environ["REQUEST_METHOD"]
+        request = backend_client.BackendRequest(
+            request_id=request_id,
+            method=method,
+            target=place.target,
+            headers=headers.build_request_fields(fields, team),
+            body=body,
+            idempotent=is_idempotent(environ),
+        )
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        slot = slot_asker.SlotRequest(
+            request_id=request_id,
+            service=place.service,
+            team=team,
+            urgent=environ.get("HTTP_X_PRIORITY", "") == "urgent",
+            deadline_ms=deadline_ms,
+            idempotency_key=ids.IdempotencyKey(f"{team}/{key}" if key else ""),
+            asked_at_ms=clock.read_now_ms(),
+        )
+        fingerprint = get_fingerprint(method, place.target, body) if key else 0
+        return requests.AdmittedRequest(
+            slot, request, caller, fingerprint, spec.idempotency_ttl_ms
+        )
+
+    def _check(
+        self, environ: Environ, place: _Place
+    ) -> tuple[ids.TeamName, resources.ServiceSpec] | outcomes.NotRun:
+        if not self._follower.is_fresh():
+            return outcomes.NotRun(
+                outcomes.Reason.KEY_TABLE_STALE,
+                "this entry has lost contact with control",
+                _FRESH_RETRY_MS,
+            )
+        current = self._follower.view
+        spec = view.get_service(current, place.service)
+        if spec is None:
+            return outcomes.NotRun(
+                outcomes.Reason.SERVICE_UNKNOWN,
+                f"there is no service {place.service!r}",
+            )
+        if len(environ.get("HTTP_IDEMPOTENCY_KEY", "")) > _MAX_KEY_BYTES:
+            return outcomes.NotRun(
+                outcomes.Reason.REQUEST_MALFORMED,
+                f"Idempotency-Key exceeds {_MAX_KEY_BYTES} bytes",
+            )
+        team = _find_team(current, environ, spec)
+        if isinstance(team, outcomes.NotRun):
+            return team
+        return team, spec
+
+
+def _find_team(
+    current: view.View, environ: Environ, spec: resources.ServiceSpec
+) -> ids.TeamName | outcomes.NotRun:
+    """Finds the team that a request's key speaks for.
+
+    Args:
+        current: The view.
+        environ: WSGI environment.
+        spec: The service.
+
+    Returns:
+        The team, empty for a request without key to an open queue; or the
+        refusal.
+    """
+    header = environ.get("HTTP_AUTHORIZATION", "")
+    if not header:
+        if spec.open_to_all:
+            return ids.TeamName("")
+        return outcomes.NotRun(
+            outcomes.Reason.KEY_MISSING,
+            "send a team's key as 'Authorization: Bearer KEY'",
+        )
+    team = None
+    if header[: len(_BEARER)].lower() == _BEARER:
+        team = view.find_team(current, header[len(_BEARER) :].strip())
+    if team is None:
+        return outcomes.NotRun(
+            outcomes.Reason.KEY_UNKNOWN, "the key is unknown or withdrawn"
+        )
+    return team
+
+
+def is_idempotent(environ: Environ) -> bool:
+    """Tells whether a request is declared to be safe to run twice.
+
+    Args:
+        environ: WSGI environment.
+
+    Returns:
+        Whether its method or its X-Idempotent field says so.
+    """
+    if environ["REQUEST_METHOD"] in _IDEMPOTENT_METHODS:
+        return True
+    return environ.get("HTTP_X_IDEMPOTENT", "").lower() == "true"
+
+
+def get_fingerprint(method: str, target: str, body: bytes) -> int:
+    """Hashes what a request asks.
+
+    Args:
+        method: Its method.
+        target: Its target.
+        body: Its body.
+
+    Returns:
+        A number that repeats of the request share.
+    """
+    digest = xxhash.xxh3_64(f"{method} {target}\n".encode("latin-1"))
+    digest.update(body)
+    return digest.intdigest() & _FINGERPRINT_MASK
+
+
+def read_deadline(environ: Environ, spec: resources.ServiceSpec) -> int:
+    """Reads how long the caller waits.
+
+    Args:
+        environ: WSGI environment.
+        spec: The service, whose deadline is the longest.
+
+    Returns:
+        Milliseconds.
+    """
+    asked = environ.get("HTTP_X_DEADLINE_MS", "")
+    if asked.isascii() and asked.isdigit() and len(asked) < 10:
+        return max(1, min(int(asked), spec.deadline_ms))
+    return spec.deadline_ms
--- /dev/null
+++ b/bambookeel/entry/answer_fetcher.py
@@ -0,0 +1,164 @@
+"""Fetches the answer of a key's first request from the entry that ran it.
+
+The asking side sends `FetchAnswer` and waits; the side that has the record
+answers with `AnswerCopy` once the first request has ended. A lost message is
+made good by asking again, which changes nothing.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import gevent
+import gevent.event
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from bambookeel.entry import kept_answers
+from bambookeel.runtime import clock
+
+_ASK_AGAIN_MS = 1_000
+# Without a link to the first entry for this long, its answer is given up.
+_GIVE_UP_MS = 3_000
+
+SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskerGone:
+    """The caller that waits for the copy has gone."""
+
+
+def _build_copy(
+    request_id: ids.RequestId, result: kept_answers.KeyedResult
+) -> messages.AnswerCopy:
+    """Builds the answer to a `FetchAnswer`.
+
+    Args:
+        request_id: The asking request.
+        result: How the first request ended.
+
+    Returns:
+        The message.
+    """
+    if isinstance(result, kept_answers.KeptAnswer):
+        headers = tuple(
+            messages.AnswerHeader(name, value) for name, value in result.headers
+        )
+        return messages.AnswerCopy(
+            request_id,
+            True,
+            result.status,
+            headers,
+            result.body,
+            outcomes.OutcomeKind.ANSWERED,
+            False,
+        )
+    kind = kept_answers.get_result_kind(result)
+    return messages.AnswerCopy(request_id, False, 0, (), b"", kind, False)
+
+
+class AnswerFetcher:
+    """Both sides of fetching an answer."""
+
+    def __init__(
+        self,
+        process_id: ids.ProcessId,
+        kept: kept_answers.KeptAnswers,
+        send: SendMessage,
+    ) -> None:
+        self._process_id = process_id
+        self._kept = kept
+        self._send = send
+        self._asking: dict[ids.RequestId, gevent.event.AsyncResult] = {}
+
+    def answer_fetch(
+        self, peer: ids.ProcessId, fetch: messages.FetchAnswer
+    ) -> None:
+        """Answers another entry, at once or when the first request ends.
+
+        Args:
+            peer: The asking entry.
+            fetch: What it asks.
+        """
+        record = self._kept.find_by_request(fetch.first_request_id)
+        if record is None:
+            copy = _build_copy(
+                fetch.request_id, kept_answers.describe_lost_answer()
+            )
+            self._send(peer, copy)
+            return
+        if record.fingerprint != fetch.fingerprint:
+            unknown = outcomes.OutcomeKind.UNKNOWN
+            copy = messages.AnswerCopy(
+                fetch.request_id, False, 0, (), b"", unknown, True
+            )
+            self._send(peer, copy)
+            return
+        if record.result is not None:
+            self._send(peer, _build_copy(fetch.request_id, record.result))
+            return
+
+        def send_copy(result: kept_answers.KeyedResult) -> None:
+            self._send(peer, _build_copy(fetch.request_id, result))
+
+        record.listeners.append(send_copy)
+
+    def take_copy(self, copy: messages.AnswerCopy) -> None:
+        """Takes in the answer of the first entry.
+
+        Args:
+            copy: The answer.
+        """
+        waiting = self._asking.pop(copy.request_id, None)
+        if waiting is not None:
+            waiting.set(copy)
+
+    def give_up(self, request_id: ids.RequestId) -> None:
+        """Ends the wait of a request whose caller has gone.
+
+        Args:
+            request_id: The request.
+        """
+        waiting = self._asking.pop(request_id, None)
+        if waiting is not None:
+            waiting.set(AskerGone())
+
+    def fetch(
+        self,
+        request_id: ids.RequestId,
+        duplicate: messages.SlotDuplicate,
+        fingerprint: int,
+        deadline_ms: int,
+    ) -> messages.AnswerCopy | AskerGone | None:
+        """Waits for the first request's answer.
+
+        Args:
+            request_id: The asking request.
+            duplicate: Who has the first request.
+            fingerprint: Hash of the asking request.
+            deadline_ms: Until when to wait.
+
+        Returns:
+            The copy, or None when it did not come.
+        """
+        ask = messages.FetchAnswer(
+            request_id, duplicate.first_request_id, fingerprint
+        )
+        reached_at_ms = clock.read_now_ms()
+        try:
+            while True:
+                answer = gevent.event.AsyncResult()
+                self._asking[request_id] = answer
+                now_ms = clock.read_now_ms()
+                if self._send(duplicate.first_entry, ask):
+                    reached_at_ms = now_ms
+                wait_ms = min(_ASK_AGAIN_MS, deadline_ms - now_ms)
+                if wait_ms <= 0 or now_ms - reached_at_ms > _GIVE_UP_MS:
+                    return None
+                try:
+                    return answer.get(timeout=wait_ms / 1000.0)
+                except gevent.Timeout:
+                    continue
+        finally:
+            self._asking.pop(request_id, None)
--- a/bambookeel/entry/callers_app.py
+++ b/bambookeel/entry/callers_app.py
@@ -1,33 +1,43 @@
 """The HTTP side of an entry: callers' requests and announcements.
 
-The only module that knows how callers and backend servers shape their HTTP.
-`/services/NAME/...` takes work, `/announce` takes a backend server's
-announcement. Everything else is 404.
+With `admission`, the only module that knows how callers and backend servers
+shape their HTTP. `/services/NAME/...` takes work, `/announce` takes a backend
+server's announcement. Everything else is 404.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
+import http
 import itertools
+import socket as plain_socket
+import struct
 import typing
 
 import msgspec
 
 from bambookeel.core import ids
 from bambookeel.core import outcomes
-from bambookeel.core import resources
+from bambookeel.entry import admission
 from bambookeel.entry import announcements
-from bambookeel.entry import follower_task
+from bambookeel.entry import caller_watch
+from bambookeel.entry import keyed_requests
+from bambookeel.entry import passed_answers
 from bambookeel.entry import requests
-from bambookeel.entry import view
-from bambookeel.net import backend_client
+from bambookeel.net import bodies
+from bambookeel.net import http_server
 from bambookeel.net import problem
 from bambookeel.runtime import clock
+from bambookeel.runtime import logs
 from bambookeel.runtime import metrics
 
-_SERVICE_PREFIX = "/services/"
 _MAX_ANNOUNCEMENT_BYTES = 4_096
-_BEARER = "bearer "
+_ANNOUNCEMENT_TIMEOUT_MS = 2_000
+_UNKNOWN_SERVICE = ids.ServiceName("unknown")
+_PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
+_STATUSES_WITHOUT_BODY = (204, 304)
 
-StartResponse = Callable[[str, list[tuple[str, str]]], typing.Any]
+Write = Callable[[bytes], typing.Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Write]
 Environ = dict[str, typing.Any]
 
 
@@ -38,19 +48,21 @@
         self,
         process_id: ids.ProcessId,
         incarnation: ids.Incarnation,
-        follower: follower_task.FollowerTask,
-        runner: requests.RequestRunner,
+        gate: admission.Admission,
+        runner: keyed_requests.KeyedRunner,
+        watch: caller_watch.CallerWatch,
         announced: announcements.Announcements,
     ) -> None:
-        self._follower = follower
+        self._admission = gate
         self._runner = runner
+        self._watch = watch
         self._announced = announced
         self._id_prefix = f"{process_id}-{incarnation:x}-"
         self._numbers = itertools.count(1)
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
-    ) -> list[bytes]:
+    ) -> Iterable[bytes]:
         """Answers one HTTP request.
 
         Args:
@@ -61,93 +73,135 @@
             The body.
         """
         target = environ["bambookeel.target"]
-        if target.startswith(_SERVICE_PREFIX):
-            response = self._serve_request(environ, target)
-        elif target == "/announce":
+        if target.startswith(admission.SERVICE_PREFIX):
+            return self._serve_request(environ, target, start_response)
+        if target == "/announce":
             response = self._take_announcement(environ)
         else:
             response = problem.build_json_response(
                 "404 Not Found", {"detail": f"no such path: {target}"}
             )
-        start_response(response.status, response.headers)
-        return [response.body]
+        return _send_response(environ, start_response, response)
 
-    def _serve_request(self, environ: Environ, target: str) -> problem.Response:
+    def _serve_request(
+        self, environ: Environ, target: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
         """Admits and runs a caller's request.
 
         Args:
             environ: WSGI environment.
             target: The raw target, `/services/NAME/...`.
+            start_response: WSGI callable for the head.
 
         Returns:
-            The backend server's answer, or a refusal.
+            The body of the answer or of the refusal.
         """
-        request_id = f"{self._id_prefix}{next(self._numbers):x}"
-        admitted = self._admit(environ, target, request_id)
-        outcome: requests.RequestResult
-        if isinstance(admitted, outcomes.NotRun):
-            outcome = admitted
-        else:
-            outcome = self._runner.run(admitted)
-        match outcome:
-            case backend_client.BackendAnswer():
-                metrics.count_outcome(outcomes.OutcomeKind.ANSWERED)
-                headers = list(outcome.headers)
-                headers.append(("Content-Length", str(len(outcome.body))))
-                status = f"{outcome.status} {outcome.reason}"
-                return problem.Response(status, headers, outcome.body)
-            case outcomes.NotRun() | outcomes.Unknown():
-                metrics.count_outcome(outcomes.get_outcome_kind(outcome))
-                return problem.build_problem(outcome, request_id)
-
-    def _admit(
-        self, environ: Environ, target: str, request_id: str
-    ) -> requests.AdmittedRequest | outcomes.NotRun:
-        """Checks a request's key, service and bounds.
+        started_ms = clock.read_now_ms()
+        request_id = ids.RequestId(f"{self._id_prefix}{next(self._numbers):x}")
+        place = admission.split_target(target)
+        caller = caller_watch.Caller(
+            environ.get("bambookeel.socket"),
+            environ["SERVER_PROTOCOL"] == "HTTP/1.1",
+        )
+
+        def count(outcome: outcomes.Outcome) -> None:
+            self._count(place.service, request_id, outcome, started_ms)
+
+        self._watch.add(caller)
+        result: requests.RequestResult | None = None
+        try:
+            admitted = self._admission.admit(environ, place, request_id, caller)
+            if isinstance(admitted, outcomes.NotRun):
+                result = admitted
+            else:
+                result = self._runner.run(admitted, count)
+        finally:
+            if not _has_rest(result):
+                self._watch.remove(caller)
+        caller.answer_started = True
+        match result:
+            case passed_answers.PassedAnswer(status=status, rest=None):
+                count(outcomes.Answered(status))
+                return _send_whole(environ, start_response, result, request_id)
+            case passed_answers.PassedAnswer():
+                return self._send_parts(
+                    environ, start_response, result, request_id, caller
+                )
+            case _:
+                count(result)
+                response = problem.build_problem(result, request_id)
+                return _send_response(environ, start_response, response)
+
+    def _send_parts(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        answer: passed_answers.PassedAnswer,
+        request_id: ids.RequestId,
+        caller: caller_watch.Caller,
+    ) -> Iterable[bytes]:
+        """Passes an answer on as it comes.
 
         Args:
             environ: WSGI environment.
-            target: The raw target.
-            request_id: The request's id.
+            start_response: WSGI callable for the head.
+            answer: The answer, with parts to come.
+            request_id: The request.
+            caller: Who takes it.
 
         Returns:
-            The admitted request, or the refusal.
+            Nothing more: the parts have been written.
         """
-        name, _, rest = target[len(_SERVICE_PREFIX) :].partition("/")
-        service = ids.ServiceName(name)
-        if not self._follower.is_fresh():
-            return outcomes.NotRun(
-                outcomes.Reason.KEY_TABLE_STALE,
-                "this entry has lost contact with control",
-                retry_after_ms=1_000,
-            )
-        current = self._follower.view
-        spec = view.get_service(current, service)
-        if spec is None:
-            return outcomes.NotRun(
-                outcomes.Reason.SERVICE_UNKNOWN, f"no service {service!r}"
-            )
-        team = _find_team(current, environ, spec)
-        if isinstance(team, outcomes.NotRun):
-            return team
-        body = _read_body(environ, spec.max_body_bytes)
-        if isinstance(body, outcomes.NotRun):
-            return body
-        request = backend_client.BackendRequest(
-            request_id=request_id,
-            method=environ["REQUEST_METHOD"],
-            target="/" + rest,
-            headers=_collect_headers(environ),
-            body=body,
-        )
-        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-        return requests.AdmittedRequest(
-            team=team,
-            service=service,
-            urgent=environ.get("HTTP_X_PRIORITY", "") == "urgent",
-            deadline_ms=clock.read_now_ms() + _read_deadline(environ, spec),
-            idempotency_key=ids.IdempotencyKey(f"{team}/{key}" if key else ""),
-            request=request,
+        rest = typing.cast(passed_answers.AnswerRest, answer.rest)
+        fields = _add_request_id(list(answer.headers), request_id)
+        if environ["SERVER_PROTOCOL"] != "HTTP/1.1":
+            fields.append(("Connection", "close"))
+        status = answer.status
+        reason = answer.reason or _PHRASES.get(status, "")
+        try:
+            write = start_response(f"{status} {reason}", fields)
+            # The head goes out at once, since the first part may be long in
+            # coming.
+            write(b"")
+            for part in rest.read_parts():
+                write(part)
+        except passed_answers.CutAnswerError:
+            _reset_on_close(environ["bambookeel.socket"])
+            raise
+        finally:
+            rest.close()
+            self._watch.remove(caller)
+        return ()
+
+    def _count(
+        self,
+        service: ids.ServiceName,
+        request_id: ids.RequestId,
+        outcome: outcomes.Outcome,
+        started_ms: int,
+    ) -> None:
+        duration_ms = clock.read_now_ms() - started_ms
+        kind = outcomes.get_outcome_kind(outcome)
+        # Labels come only from services that exist.
+        known = self._admission.is_known(service)
+        label = service if known else _UNKNOWN_SERVICE
+        metrics.count_outcome(label, kind, duration_ms)
+        match outcome:
+            case outcomes.Answered():
+                return
+            case outcomes.NotRun(reason=reason) | outcomes.Unknown(
+                reason=reason
+            ):
+                metrics.count_refusal(reason)
+            case outcomes.Cancelled():
+                reason = outcomes.Reason.CALLER_GONE
+        logs.log_event(
+            "request_ended",
+            request=request_id,
+            service=label,
+            outcome=kind.name.lower(),
+            reason=reason.name.lower(),
+            duration_ms=duration_ms,
         )
 
     def _take_announcement(self, environ: Environ) -> problem.Response:
@@ -159,7 +213,13 @@
         Returns:
             An empty answer, or the fault.
         """
-        body = _read_body(environ, _MAX_ANNOUNCEMENT_BYTES)
+        if environ["REQUEST_METHOD"] != "POST":
+            return problem.build_json_response(
+                "405 Method Not Allowed", {"detail": "announce with POST"}
+            )
+        body = bodies.read_body(
+            environ, _MAX_ANNOUNCEMENT_BYTES, _ANNOUNCEMENT_TIMEOUT_MS
+        )
         if isinstance(body, outcomes.NotRun):
             return problem.build_problem(body, "")
         try:
@@ -168,93 +228,102 @@
             return problem.build_json_response(
                 "400 Bad Request", {"detail": str(error)}
             )
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return problem.build_json_response(
                 "400 Bad Request", {"detail": f"malformed JSON: {error}"}
             )
         return problem.Response("204 No Content", [], b"")
 
 
-def _find_team(
-    current: view.View, environ: Environ, spec: resources.ServiceSpec
-) -> ids.TeamName | outcomes.NotRun:
-    """Finds the team that a request's key speaks for.
+def _reset_on_close(sock: typing.Any) -> None:
+    """Makes the close of a connection a reset.
 
-    Args:
-        current: The view.
-        environ: WSGI environment.
-        spec: The service.
+    A caller of HTTP/1.0 takes an orderly close for the end of the answer.
 
-    Returns:
-        The team, empty for a request without key to an open queue; or the
-        refusal.
+    Args:
+        sock: The caller's connection.
     """
-    header = environ.get("HTTP_AUTHORIZATION", "")
-    if not header:
-        if spec.open_to_all:
-            return ids.TeamName("")
-        return outcomes.NotRun(
-            outcomes.Reason.KEY_MISSING,
-            "send a team's key as 'Authorization: Bearer KEY'",
-        )
-    team = None
-    if header[: len(_BEARER)].lower() == _BEARER:
-        team = view.find_team(current, header[len(_BEARER) :].strip())
-    if team is None:
-        return outcomes.NotRun(
-            outcomes.Reason.KEY_UNKNOWN, "the key is unknown or withdrawn"
+    try:
+        sock.setsockopt(
+            plain_socket.SOL_SOCKET,
+            plain_socket.SO_LINGER,
+            struct.pack("ii", 1, 0),
         )
-    return team
+    except OSError:
+        pass
+
+
+def _has_rest(result: requests.RequestResult | None) -> bool:
+    return (
+        isinstance(result, passed_answers.PassedAnswer)
+        and result.rest is not None
+    )
 
 
-def _read_body(environ: Environ, max_bytes: int) -> bytes | outcomes.NotRun:
-    """Reads a request's body within a bound.
+def _add_request_id(
+    fields: list[tuple[str, str]], request_id: ids.RequestId
+) -> list[tuple[str, str]]:
+    """Adds the request's id to an answer that has none.
 
     Args:
-        environ: WSGI environment.
-        max_bytes: The bound.
+        fields: Header fields.
+        request_id: The id.
 
     Returns:
-        The body, or the refusal.
+        The fields.
     """
-    declared = environ.get("CONTENT_LENGTH", "")
-    if declared and (not declared.isdigit() or int(declared) > max_bytes):
-        return outcomes.NotRun(
-            outcomes.Reason.BODY_TOO_LARGE,
-            f"the body of {declared} bytes exceeds {max_bytes} bytes",
-        )
-    try:
-        body = environ["wsgi.input"].read(max_bytes + 1)
-    except (OSError, ValueError) as error:
-        return outcomes.NotRun(
-            outcomes.Reason.REQUEST_MALFORMED, f"the body is broken: {error}"
-        )
-    if len(body) > max_bytes:
-        return outcomes.NotRun(
-            outcomes.Reason.BODY_TOO_LARGE,
-            f"the body exceeds {max_bytes} bytes",
-        )
-    if declared and len(body) != int(declared):
-        return outcomes.NotRun(
-            outcomes.Reason.REQUEST_MALFORMED,
-            f"the body ended after {len(body)} of {declared} bytes",
-        )
-    return body
+    if all(name.lower() != "x-request-id" for name, _ in fields):
+        fields.append(("X-Request-Id", request_id))
+    return fields
+
 
+def _send_whole(
+    environ: Environ,
+    start_response: StartResponse,
+    answer: passed_answers.PassedAnswer,
+    request_id: ids.RequestId,
+) -> Iterable[bytes]:
+    """Sends a whole answer.
 
-def _collect_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
-    headers = []
-    for name, value in environ.items():
-        if not name.startswith("HTTP_") or name == "HTTP_AUTHORIZATION":
-            continue
-        headers.append((name[5:].replace("_", "-").lower(), value))
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("content-type", environ["CONTENT_TYPE"]))
-    return tuple(headers)
+    Args:
+        environ: WSGI environment.
+        start_response: WSGI callable for the head.
+        answer: The answer.
+        request_id: The request.
 
+    Returns:
+        The body.
+    """
+    status = answer.status
+    keeps_length = environ["REQUEST_METHOD"] == "HEAD"
+    fields = [
+        field
+        for field in answer.headers
+        if keeps_length or field[0].lower() != "content-length"
+    ]
+    if not keeps_length and status not in _STATUSES_WITHOUT_BODY:
+        fields.append(("Content-Length", str(len(answer.body))))
+    fields = _add_request_id(fields, request_id)
+    reason = answer.reason or _PHRASES.get(status, "")
+    start_response(f"{status} {reason}", fields)
+    return [answer.body]
+
+
+def _send_response(
+    environ: Environ, start_response: StartResponse, response: problem.Response
+) -> Iterable[bytes]:
+    """Sends an answer of the entry's own.
 
-def _read_deadline(environ: Environ, spec: resources.ServiceSpec) -> int:
-    asked = environ.get("HTTP_X_DEADLINE_MS", "")
-    if asked.isdigit() and 0 < int(asked) < spec.deadline_ms:
-        return int(asked)
-    return spec.deadline_ms
+    Args:
+        environ: WSGI environment.
+        start_response: WSGI callable for the head.
+        response: The answer.
+
+    Returns:
+        The body.
+    """
+    http_server.end_unread_body(environ)
+    start_response(response.status, response.headers)
+    if environ["REQUEST_METHOD"] == "HEAD":
+        return []
+    return [response.body]
--- /dev/null
+++ b/bambookeel/entry/kept_answers.py
@@ -0,0 +1,252 @@
+"""Requests with an Idempotency-Key that this entry ran, and their answers.
+
+The first request of a key owns its record. Repeats wait for its end and get its
+answer while that is kept; bodies are kept within a bound of bytes, the records
+themselves, which prevent a second run, until the key's time is over.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+import dataclasses
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+
+_MAX_RECORDS = 50_000
+# No single answer may take more than this part of the memory.
+_LARGEST_PART = 16
+
+RecordKey = tuple[ids.ServiceName, ids.IdempotencyKey]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A whole answer.
+
+    Attributes:
+        status: Status code.
+        reason: Status phrase.
+        headers: Header fields for the caller.
+        body: The body.
+    """
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+KeyedResult = KeptAnswer | outcomes.NotRun | outcomes.Unknown
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What is known of the first request of a key.
+
+    Attributes:
+        key: Service and key.
+        request_id: The first request.
+        fingerprint: Hash of what it asked.
+        expires_at_ms: When the key is forgotten.
+        result: Its end; None while it runs.
+        listeners: Called once with the result.
+    """
+
+    key: RecordKey
+    request_id: ids.RequestId
+    fingerprint: int
+    expires_at_ms: int
+    result: KeyedResult | None = None
+    listeners: list[Callable[[KeyedResult], None]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+class KeptAnswers:
+    """Records by key, and by the first request's id."""
+
+    def __init__(self, process_id: ids.ProcessId, max_bytes: int) -> None:
+        self._process_id = process_id
+        self._max_bytes = max_bytes
+        self._records: OrderedDict[RecordKey, Record] = OrderedDict()
+        self._by_request: dict[ids.RequestId, Record] = {}
+        # Records whose answer is kept, the oldest first.
+        self._with_answer: OrderedDict[RecordKey, int] = OrderedDict()
+        self._kept_bytes = 0
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of the kept answers."""
+        return self._kept_bytes
+
+    @property
+    def max_answer_bytes(self) -> int:
+        """The largest answer that is kept."""
+        return self._max_bytes // _LARGEST_PART
+
+    def find(self, key: RecordKey, now_ms: int) -> Record | None:
+        """Looks up the record of a key.
+
+        Args:
+            key: Service and key.
+            now_ms: The time.
+
+        Returns:
+            The record, or None.
+        """
+        record = self._records.get(key)
+        if record is None:
+            return None
+        if record.result is not None and record.expires_at_ms <= now_ms:
+            self._drop(record)
+            return None
+        return record
+
+    def find_by_request(self, request_id: ids.RequestId) -> Record | None:
+        """Looks up the record that a request made.
+
+        Args:
+            request_id: The first request's id.
+
+        Returns:
+            The record, or None.
+        """
+        return self._by_request.get(request_id)
+
+    def start(self, record: Record, now_ms: int) -> bool:
+        """Adds the record of a request that is about to run.
+
+        Args:
+            record: The record.
+            now_ms: The time.
+
+        Returns:
+            False when there is no room for another key.
+        """
+        if len(self._records) >= _MAX_RECORDS:
+            self._drop_expired(now_ms)
+        if len(self._records) >= _MAX_RECORDS:
+            return False
+        self._records[record.key] = record
+        self._by_request[record.request_id] = record
+        return True
+
+    def _drop_expired(self, now_ms: int) -> None:
+        for record in list(self._records.values()):
+            if record.result is not None and record.expires_at_ms <= now_ms:
+                self._drop(record)
+
+    def _drop(self, record: Record) -> None:
+        self._forget_answer(record)
+        self._records.pop(record.key, None)
+        self._by_request.pop(record.request_id, None)
+
+    def _forget_answer(self, record: Record) -> None:
+        size = self._with_answer.pop(record.key, 0)
+        self._kept_bytes -= size
+
+    def finish(self, record: Record, result: KeyedResult) -> None:
+        """Notes the first request's end and tells those who wait for it.
+
+        Args:
+            record: Its record.
+            result: How it ended; after `NotRun` the key is free again.
+        """
+        if record.result is not None:
+            return
+        record.result = result
+        listeners, record.listeners = record.listeners, []
+        match result:
+            case outcomes.NotRun():
+                self._drop(record)
+            case KeptAnswer():
+                self._keep_answer(record, result)
+        for listener in listeners:
+            listener(result)
+
+    def _keep_answer(self, record: Record, answer: KeptAnswer) -> None:
+        """Keeps an answer and gives up the oldest ones beyond the bound.
+
+        Args:
+            record: Whose answer.
+            answer: The answer.
+        """
+        size = len(answer.body)
+        for name, value in answer.headers:
+            size += len(name) + len(value)
+        self._with_answer[record.key] = size
+        self._kept_bytes += size
+        while self._kept_bytes > self._max_bytes:
+            oldest = self._records[next(iter(self._with_answer))]
+            self._forget_answer(oldest)
+            oldest.result = describe_lost_answer()
+
+    def release_key(self, record: Record) -> None:
+        """Takes back a record because another entry has the first request.
+
+        Args:
+            record: The record.
+        """
+        self._drop(record)
+
+    def list_records(
+        self, service: ids.ServiceName, now_ms: int
+    ) -> tuple[messages.IdempotencyRecord, ...]:
+        """Lists a service's records for its new holder.
+
+        Args:
+            service: The service.
+            now_ms: The time.
+
+        Returns:
+            The records that have not expired.
+        """
+        found = []
+        for record in self._records.values():
+            if record.key[0] != service:
+                continue
+            remaining_ms = record.expires_at_ms - now_ms
+            if record.result is not None and remaining_ms <= 0:
+                continue
+            found.append(
+                messages.IdempotencyRecord(
+                    record.key[1],
+                    record.request_id,
+                    self._process_id,
+                    record.result is not None,
+                    get_result_kind(record.result),
+                    max(1, remaining_ms),
+                )
+            )
+        return tuple(found)
+
+
+def get_result_kind(result: KeyedResult | None) -> outcomes.OutcomeKind:
+    """Names the kind of a keyed request's end.
+
+    Args:
+        result: The end; None while it runs.
+
+    Returns:
+        The kind; unknown while it runs.
+    """
+    match result:
+        case KeptAnswer():
+            return outcomes.OutcomeKind.ANSWERED
+        case outcomes.NotRun():
+            return outcomes.OutcomeKind.NOT_RUN
+    return outcomes.OutcomeKind.UNKNOWN
+
+
+def describe_lost_answer() -> outcomes.Unknown:
+    """Describes the end of a first request whose answer is not there.
+
+    Returns:
+        The truthful outcome for its repeats.
+    """
+    return outcomes.Unknown(
+        outcomes.Reason.DUPLICATE_UNKNOWN,
+        "a request with this Idempotency-Key came before; its answer is not"
+        " kept",
+    )
--- /dev/null
+++ b/bambookeel/entry/outstanding.py
@@ -0,0 +1,155 @@
+"""Grants that this entry holds, and the highest epoch of each service.
+
+A new holder of a dispatch lease rebuilds its state from what entries report
+here. A slot stays listed until its end is known, or, after an outcome that
+leaves work possibly running, until the time for which it must still count.
+"""
+
+import dataclasses
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+
+# Reported for an answer that is being streamed, which has no deadline: the slot
+# is taken until it is returned.
+STREAM_REMAINING_MS = 24 * 3_600_000
+
+
+@dataclasses.dataclass(slots=True)
+class HeldGrant:
+    """A slot that this entry uses or that must still count.
+
+    Attributes:
+        grant: The grant.
+        team: The request's team.
+        idempotency_key: The caller's key, or empty.
+        until_ms: When it may be taken as ended; 0 while an answer streams.
+    """
+
+    grant: messages.SlotGranted
+    team: ids.TeamName
+    idempotency_key: ids.IdempotencyKey
+    until_ms: int
+
+
+class OutstandingTable:
+    """Held grants by request id."""
+
+    def __init__(self) -> None:
+        self._held: dict[tuple[ids.Epoch, ids.GrantId, str], HeldGrant] = {}
+        self._epochs: dict[ids.ServiceName, ids.Epoch] = {}
+        # Grants that only count until a time, ordered by their ending.
+        self._counting: dict[tuple[ids.Epoch, ids.GrantId, str], int] = {}
+
+    def add(self, held: HeldGrant) -> None:
+        """Lists a grant before it is used.
+
+        Args:
+            held: The grant.
+        """
+        self._held[_get_key(held.grant)] = held
+
+    def start_stream(self, grant: messages.SlotGranted) -> None:
+        """Notes that a grant's answer is passed on as it comes.
+
+        Args:
+            grant: The grant.
+        """
+        held = self._held.get(_get_key(grant))
+        if held is not None:
+            held.until_ms = 0
+
+    def remove(
+        self, grant: messages.SlotGranted, count_until_ms: int = 0
+    ) -> None:
+        """Takes a grant off the list.
+
+        Args:
+            grant: The grant.
+            count_until_ms: Until when it must still be listed, if the work may
+                be running unseen.
+        """
+        key = _get_key(grant)
+        held = self._held.get(key)
+        if held is None:
+            return
+        if count_until_ms:
+            held.until_ms = count_until_ms
+            self._counting[key] = count_until_ms
+            return
+        del self._held[key]
+
+    def drop_ended(self, now_ms: int) -> None:
+        """Takes off grants that have counted for long enough.
+
+        Args:
+            now_ms: The time.
+        """
+        ended = [key for key, end in self._counting.items() if end <= now_ms]
+        for key in ended:
+            del self._counting[key]
+            self._held.pop(key, None)
+
+    def count_held(self) -> int:
+        """Counts the listed grants.
+
+        Returns:
+            Slots in use or still counting.
+        """
+        return len(self._held)
+
+    def raise_epoch(self, service: ids.ServiceName, epoch: ids.Epoch) -> bool:
+        """Notes an epoch of a service's holder.
+
+        Args:
+            service: The service.
+            epoch: The epoch seen.
+
+        Returns:
+            Whether no larger one is known.
+        """
+        known = self._epochs.get(service, ids.Epoch(0))
+        if epoch < known:
+            return False
+        self._epochs[service] = epoch
+        return True
+
+    def list_outstanding(
+        self, service: ids.ServiceName, now_ms: int
+    ) -> tuple[messages.OutstandingRequest, ...]:
+        """Lists a service's grants for its new holder.
+
+        Args:
+            service: The service.
+            now_ms: The time.
+
+        Returns:
+            The grants with the time for which they may still count.
+        """
+        found = []
+        for held in self._held.values():
+            grant = held.grant
+            if grant.service != service:
+                continue
+            remaining_ms = STREAM_REMAINING_MS
+            if held.until_ms:
+                remaining_ms = max(0, held.until_ms - now_ms)
+            found.append(
+                messages.OutstandingRequest(
+                    grant.request_id,
+                    held.team,
+                    grant.backend_id,
+                    grant.incarnation,
+                    grant.epoch,
+                    grant.grant_id,
+                    remaining_ms,
+                    held.idempotency_key,
+                )
+            )
+        return tuple(found)
+
+
+def _get_key(
+    grant: messages.SlotGranted,
+) -> tuple[ids.Epoch, ids.GrantId, str]:
+    return (grant.epoch, grant.grant_id, grant.service)
--- /dev/null
+++ b/bambookeel/entry/passed_answers.py
@@ -0,0 +1,157 @@
+"""Answers as they are passed on to callers.
+
+A short answer is whole before its first byte goes to the caller. A long or
+open-ended one is passed on part by part, each read only when the caller has
+taken the one before; if it is cut, the caller's connection is broken off, so
+that the caller never takes it for a whole one.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import errno
+import typing
+
+import gevent
+
+from bambookeel.core import outcomes
+from bambookeel.entry import caller_watch
+from bambookeel.entry import slot_use
+from bambookeel.net import answer_stream
+from bambookeel.runtime import clock
+
+# A part of an answer with a declared length must come within this time.
+_MAX_PART_WAIT_MS = 30_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassedAnswer:
+    """An answer for the caller.
+
+    Attributes:
+        status: Status code.
+        reason: Status phrase.
+        headers: Header fields, without hop-by-hop ones.
+        body: The whole body, or what was read of it so far.
+        rest: What is still to come; None for a whole answer.
+    """
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    rest: "AnswerRest | None" = None
+
+
+class CutAnswerError(ConnectionResetError):
+    """The rest of an answer will not come; breaks off the caller's side."""
+
+
+@dataclasses.dataclass(slots=True)
+class StreamEnd:
+    """Whom to tell how a passed answer ended.
+
+    Attributes:
+        count: Called once with the outcome.
+        keep: Called with the whole body or the failure, for a keyed request.
+        max_kept_bytes: Largest body to gather for `keep`.
+    """
+
+    count: Callable[[outcomes.Outcome], None]
+    keep: Callable[[bytes | outcomes.Unknown | None], None] | None
+    max_kept_bytes: int
+
+
+class AnswerRest:
+    """The parts of an answer that are still to come."""
+
+    def __init__(
+        self,
+        stream: answer_stream.AnswerStream,
+        use: slot_use.SlotUse,
+        caller: caller_watch.Caller,
+        first_part: bytes,
+        end: StreamEnd,
+    ) -> None:
+        self._stream = stream
+        self._use = use
+        self._caller = caller
+        self._end = end
+        self._gathered = [first_part]
+        self._gathered_bytes = len(first_part)
+        self._ended = False
+
+    def read_parts(self) -> typing.Iterator[bytes]:
+        """Reads the parts as the caller takes them.
+
+        Yields:
+            Bytes of the body.
+
+        Raises:
+            CutAnswerError: If the rest will not come.
+        """
+        while True:
+            part = self._stream.read_part(self._get_part_deadline_ms())
+            match part:
+                case outcomes.Unknown():
+                    self._finish_cut(part)
+                    raise CutAnswerError(errno.ECONNRESET, part.detail)
+                case b"":
+                    self._finish_whole()
+                    return
+                case _:
+                    self._gather(part)
+                    yield part
+
+    def _get_part_deadline_ms(self) -> int:
+        if self._stream.get_declared_bytes() is None:
+            return answer_stream.NO_DEADLINE_MS
+        return clock.read_now_ms() + _MAX_PART_WAIT_MS
+
+    def _gather(self, part: bytes) -> None:
+        self._gathered_bytes += len(part)
+        if self._end.keep is None:
+            return
+        if self._gathered_bytes > self._end.max_kept_bytes:
+            self._gathered.clear()
+            return
+        self._gathered.append(part)
+
+    def _finish_whole(self) -> None:
+        self._ended = True
+        self._use.end_answered(self._stream)
+        if self._end.keep is not None:
+            fits = self._gathered_bytes <= self._end.max_kept_bytes
+            self._end.keep(b"".join(self._gathered) if fits else None)
+        status = self._stream.head.status
+        self._end.count(outcomes.Answered(status))
+
+    def _finish_cut(self, cut: outcomes.Unknown) -> None:
+        self._ended = True
+        if self._end.keep is not None:
+            self._end.keep(cut)
+        if self._caller.is_gone and self._end.keep is None:
+            self._use.end_cancelled(slot_use.is_closed_by_peer(cut))
+            self._end.count(outcomes.Cancelled(True))
+            return
+        self._use.end_unknown()
+        self._end.count(cut)
+
+    def close(self) -> None:
+        """Ends the answer when its caller takes no more of it."""
+        if self._ended:
+            return
+        self._caller.is_gone = True
+        if self._end.keep is not None:
+            # Repeats with the same key will ask for the whole answer.
+            gevent.spawn(self._read_for_repeats)
+            return
+        self._ended = True
+        self._use.drain(self._stream)
+        self._end.count(outcomes.Cancelled(True))
+
+    def _read_for_repeats(self) -> None:
+        try:
+            for _ in self.read_parts():
+                continue
+        except CutAnswerError:
+            pass
--- a/bambookeel/entry/process.py
+++ b/bambookeel/entry/process.py
@@ -2,22 +2,17 @@
 
 import functools
 
-import gevent
-import gevent.event
-
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.core import settings as core_settings
 from bambookeel.entry import announcements
-from bambookeel.entry import callers_app
 from bambookeel.entry import dispatcher_task
 from bambookeel.entry import events
 from bambookeel.entry import follower_task
-from bambookeel.entry import request_table
-from bambookeel.entry import requests
+from bambookeel.entry import planned_stop
+from bambookeel.entry import request_path
 from bambookeel.entry import router
 from bambookeel.net import admin_app
-from bambookeel.net import backend_client
 from bambookeel.net import http_server
 from bambookeel.net import links
 from bambookeel.runtime import clock
@@ -25,12 +20,6 @@
 from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
 
-# Connections idle for longer are not used again without a probe.
-_REUSE_WITHIN_MS = 1_000
-# Time in which the balancer sees that an entry is no longer ready.
-_UNREADY_PAUSE_S = 0.5
-_HAND_OVER_PAUSE_S = 0.5
-
 
 class EntryProcess:
     """The parts of an entry process, under one supervisor."""
@@ -41,13 +30,14 @@
         peer_links: links.PeerLinks,
         follower: follower_task.FollowerTask,
         dispatcher: dispatcher_task.DispatcherTask,
-        callers: http_server.Server,
+        path: request_path.RequestPath,
     ) -> None:
         self._settings = settings
         self._links = peer_links
         self._follower = follower
         self._dispatcher = dispatcher
-        self._callers = callers
+        self._path = path
+        self._callers = path.callers
         self._admin = http_server.Server(
             settings.admin_listen, admin_app.AdminApp(self.find_unready_reason)
         )
@@ -69,9 +59,8 @@
         """
         process_id = ids.ProcessId(settings.process_id)
         incarnation = ids.Incarnation(clock.read_wall_ms())
-        table = request_table.RequestTable()
         dispatcher = dispatcher_task.DispatcherTask(process_id)
-        route = router.Router(process_id, table, dispatcher)
+        route = router.Router(process_id, dispatcher)
         dispatcher.connect(route.send)
         control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
         follower = follower_task.FollowerTask(
@@ -96,22 +85,12 @@
             ids.LinkNumber(0),
         )
         peer_links = links.PeerLinks(link_settings, identity, route.deliver)
-        route.connect(follower, peer_links)
-        client = backend_client.BackendClient(
-            settings.limits.max_answer_bytes, _REUSE_WITHIN_MS
-        )
-        runner = requests.RequestRunner(follower, table, route, client)
         announced = announcements.Announcements(follower, route)
-        app = callers_app.CallersApp(
-            process_id, incarnation, follower, runner, announced
-        )
-        callers = http_server.Server(
-            settings.callers_listen,
-            app,
-            settings.limits.max_connections,
-            settings.limits.head_timeout_ms,
+        path = request_path.build_request_path(
+            settings, incarnation, follower, route, announced
         )
-        return cls(settings, peer_links, follower, dispatcher, callers)
+        route.connect(follower, peer_links, path.messages)
+        return cls(settings, peer_links, follower, dispatcher, path)
 
     def find_unready_reason(self) -> str:
         """Tells why the balancer should not send to this entry.
@@ -132,6 +111,8 @@
         self._supervisor.start_task("timers", self._timers.run)
         self._supervisor.start_task("dispatcher", self._dispatcher.run)
         self._supervisor.start_task("follower", self._follower.run)
+        self._supervisor.start_task("holders", self._path.messages.watch.run)
+        self._supervisor.start_task("callers", self._path.caller_watch.run)
         self._links.listen()
         for peer in self._links.get_dialled_peers():
             dial = functools.partial(self._links.dial_forever, peer)
@@ -143,13 +124,13 @@
     def stop(self) -> None:
         """Stops in order: unready, no new work, hand over, finish, end."""
         self._stopping = True
-        logs.log_event("stopping")
-        gevent.sleep(_UNREADY_PAUSE_S)
-        self._callers.close()
-        self._follower.mailbox.put(events.StopDispatching())
-        gevent.sleep(_HAND_OVER_PAUSE_S)
-        self._callers.pool.join(timeout=60)
+        planned_stop.finish_work(
+            self._settings, self._path, self._follower, self._hand_over
+        )
         self._supervisor.stop()
         self._links.close()
         self._admin.stop(timeout=0)
         logs.log_event("stopped")
+
+    def _hand_over(self) -> None:
+        self._follower.mailbox.put(events.StopDispatching())
--- /dev/null
+++ b/bambookeel/entry/releases.py
@@ -0,0 +1,132 @@
+"""Returns slots to whoever holds the service's dispatch lease now.
+
+A release goes to the current holder with the grant's own epoch. One that cannot
+be handed to a link is kept until there is one; one that may have been lost with
+a link is sent again when a link to the holder is back, which is harmless since
+a slot is returned only once by its grant's id.
+"""
+
+from collections import deque
+from collections.abc import Callable
+import dataclasses
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from bambookeel.entry import holders
+from bambookeel.entry import outstanding
+from bambookeel.runtime import clock
+from bambookeel.runtime import metrics
+
+# A link that has been silent for longer would have been replaced.
+_RESEND_WITHIN_MS = 5_000
+_MAX_RECENT = 4_096
+_MAX_UNSENT = 20_000
+
+FindHolder = Callable[[ids.ServiceName], holders.Holder | None]
+SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sent:
+    release: messages.SlotReleased
+    holder: ids.ProcessId
+    sent_at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotEnd:
+    """How the use of a slot ended.
+
+    Attributes:
+        outcome: The request's outcome in this slot.
+        backend_fault: Whether the backend server failed it.
+        duration_ms: Time for which the slot was used.
+        hold_ms: How long it must still count.
+    """
+
+    outcome: outcomes.OutcomeKind
+    backend_fault: bool
+    duration_ms: int
+    hold_ms: int
+
+
+UNUSED = SlotEnd(outcomes.OutcomeKind.NOT_RUN, False, 0, 0)
+
+
+class Releases:
+    """Sends releases, and keeps those that could not be sent."""
+
+    def __init__(
+        self,
+        process_id: ids.ProcessId,
+        table: outstanding.OutstandingTable,
+        find_holder: FindHolder,
+        send: SendMessage,
+    ) -> None:
+        self._process_id = process_id
+        self._outstanding = table
+        self._find_holder = find_holder
+        self._send = send
+        self._unsent: deque[messages.SlotReleased] = deque(maxlen=_MAX_UNSENT)
+        self._recent: deque[_Sent] = deque(maxlen=_MAX_RECENT)
+
+    def release(self, grant: messages.SlotGranted, end: SlotEnd) -> None:
+        """Returns a slot.
+
+        Args:
+            grant: The slot's grant.
+            end: How its use ended.
+        """
+        count_until_ms = 0
+        if end.hold_ms:
+            count_until_ms = clock.read_now_ms() + end.hold_ms
+        self._outstanding.remove(grant, count_until_ms)
+        self._try_sending(
+            messages.SlotReleased(
+                grant.request_id,
+                grant.service,
+                grant.epoch,
+                grant.grant_id,
+                end.outcome,
+                end.backend_fault,
+                end.duration_ms,
+                end.hold_ms,
+            )
+        )
+
+    def _try_sending(self, release: messages.SlotReleased) -> None:
+        holder = self._find_holder(release.service)
+        if holder is None or not self._send(holder.process_id, release):
+            self._unsent.append(release)
+            return
+        if holder.process_id != self._process_id:
+            now_ms = clock.read_now_ms()
+            self._recent.append(_Sent(release, holder.process_id, now_ms))
+
+    def send_kept(self) -> None:
+        """Sends the releases that could not be sent before."""
+        for _ in range(len(self._unsent)):
+            metrics.RELEASES_RESENT.inc()
+            self._try_sending(self._unsent.popleft())
+
+    def send_again(self, peer: ids.ProcessId) -> None:
+        """Sends again what an ended link may have lost.
+
+        Args:
+            peer: The process to which there is a new link.
+        """
+        oldest_ms = clock.read_now_ms() - _RESEND_WITHIN_MS
+        for sent in list(self._recent):
+            if sent.holder == peer and sent.sent_at_ms >= oldest_ms:
+                metrics.RELEASES_RESENT.inc()
+                self._send(peer, sent.release)
+        self.send_kept()
+
+    def count_unsent(self) -> int:
+        """Counts the releases that wait for a holder.
+
+        Returns:
+            Their number.
+        """
+        return len(self._unsent)
--- /dev/null
+++ b/bambookeel/entry/request_path.py
@@ -0,0 +1,182 @@
+"""Builds the request path of an entry and shows its figures.
+
+Puts the parts together that carry a request from the caller's connection to the
+backend server, so that the process's own module only starts and stops them.
+"""
+
+import dataclasses
+import functools
+
+from bambookeel.core import ids
+from bambookeel.core import settings as core_settings
+from bambookeel.entry import admission
+from bambookeel.entry import announcements
+from bambookeel.entry import answer_fetcher
+from bambookeel.entry import caller_watch
+from bambookeel.entry import callers_app
+from bambookeel.entry import follower_task
+from bambookeel.entry import holder_watch
+from bambookeel.entry import holders
+from bambookeel.entry import kept_answers
+from bambookeel.entry import keyed_requests
+from bambookeel.entry import outstanding
+from bambookeel.entry import releases
+from bambookeel.entry import request_table
+from bambookeel.entry import requests
+from bambookeel.entry import router
+from bambookeel.entry import slot_asker
+from bambookeel.net import connection_pool
+from bambookeel.net import http_server
+from bambookeel.runtime import clock
+from bambookeel.runtime import metrics
+
+# Connections idle for longer carry no request that must not run twice.
+_REUSE_WITHIN_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestPath:
+    """The parts that the process starts, stops and routes messages to.
+
+    Attributes:
+        callers: The server for callers and backend servers.
+        caller_watch: Notices callers that go away.
+        messages: The parts that take messages.
+        returned: Returns slots.
+    """
+
+    callers: http_server.Server
+    caller_watch: caller_watch.CallerWatch
+    messages: router.RequestParts
+    returned: releases.Releases
+
+
+def build_request_path(
+    settings: core_settings.EntrySettings,
+    incarnation: ids.Incarnation,
+    follower: follower_task.FollowerTask,
+    route: router.Router,
+    announced: announcements.Announcements,
+) -> RequestPath:
+    """Builds the parts.
+
+    Args:
+        settings: The process's settings.
+        incarnation: This life of the process.
+        follower: Follows the replicated state.
+        route: Sends messages.
+        announced: Takes announcements of backend servers.
+
+    Returns:
+        The parts, not yet started.
+    """
+    process_id = ids.ProcessId(settings.process_id)
+    limits = settings.limits
+    table = request_table.RequestTable()
+    held = outstanding.OutstandingTable()
+    find_holder = functools.partial(holders.find_holder, follower)
+    returned = releases.Releases(process_id, held, find_holder, route.send)
+    pool = connection_pool.ConnectionPool(_REUSE_WITHIN_MS)
+    runner = requests.RequestRunner(
+        requests.RunnerParts(
+            slot_asker.SlotAsker(
+                table, held, returned, find_holder, route.send
+            ),
+            held,
+            returned,
+            pool,
+            limits.max_answer_bytes,
+        )
+    )
+    kept = kept_answers.KeptAnswers(process_id, limits.max_kept_answer_bytes)
+    fetcher = answer_fetcher.AnswerFetcher(process_id, kept, route.send)
+    watch = caller_watch.CallerWatch()
+    app = callers_app.CallersApp(
+        process_id,
+        incarnation,
+        admission.Admission(follower, settings.limits),
+        keyed_requests.KeyedRunner(runner, kept, fetcher),
+        watch,
+        announced,
+    )
+    callers = http_server.Server(
+        settings.callers_listen,
+        app,
+        limits.max_connections,
+        limits.head_timeout_ms,
+        max_header_bytes=limits.max_header_bytes,
+    )
+    watch_holders = holder_watch.HolderWatch(
+        follower, table, held, returned, pool
+    )
+    _show_figures(callers, watch, pool, held, kept, returned, follower)
+    parts = router.RequestParts(
+        watch_holders,
+        held,
+        kept,
+        fetcher,
+        getattr(announced, "list_recent", _list_none),
+    )
+    return RequestPath(callers, watch, parts, returned)
+
+
+def _list_none(_service: ids.ServiceName) -> tuple:
+    return ()
+
+
+def _show_figures(
+    callers: http_server.Server,
+    watch: caller_watch.CallerWatch,
+    pool: connection_pool.ConnectionPool,
+    held: outstanding.OutstandingTable,
+    kept: kept_answers.KeptAnswers,
+    returned: releases.Releases,
+    follower: follower_task.FollowerTask,
+) -> None:
+    """Shows the request path's figures as metrics.
+
+    Args:
+        callers: The callers' server.
+        watch: The requests that are being served.
+        pool: Connections to backend servers.
+        held: The grants in use.
+        kept: The kept answers.
+        returned: Returns slots.
+        follower: Follows the replicated state.
+    """
+    metrics.watch_value(
+        "caller_connections",
+        "Open connections of callers.",
+        callers.count_connections,
+    )
+    metrics.watch_value(
+        "requests_in_flight", "Requests being served.", watch.count_callers
+    )
+    metrics.watch_value(
+        "backend_connections",
+        "Open connections to backend servers.",
+        pool.count_connections,
+    )
+    metrics.watch_value(
+        "slots_held", "Slots in use or still counting.", held.count_held
+    )
+    metrics.watch_value(
+        "kept_answer_bytes",
+        "Bytes of answers kept for repeats.",
+        lambda: kept.kept_bytes,
+    )
+    metrics.watch_value(
+        "unsent_releases",
+        "Returned slots that no holder has been told of.",
+        returned.count_unsent,
+    )
+    metrics.watch_value(
+        "applied_version",
+        "State version that this entry has applied.",
+        lambda: follower.view.version,
+    )
+    metrics.watch_value(
+        "key_table_fresh_for_seconds",
+        "Time for which the key table may still be trusted.",
+        lambda: (follower.fresh_until_ms - clock.read_now_ms()) / 1000.0,
+    )
--- a/bambookeel/entry/requests.py
+++ b/bambookeel/entry/requests.py
@@ -1,25 +1,33 @@
 """Carries one request from admission to its one outcome.
 
-Takes an admitted request, asks the service's dispatcher for a slot, sends it to
-the granted backend server once, and gives the slot back. Runs in the caller's
-connection task.
+Takes an admitted request, gets a slot from the service's dispatcher, sends the
+request to the granted backend server and gives the slot back. Runs in the task
+of the caller's connection. A request is sent again only where that is safe.
 """
 
 import dataclasses
 
-import gevent
-
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.core import outcomes
-from bambookeel.entry import follower_task
+from bambookeel.entry import caller_watch
+from bambookeel.entry import outstanding
+from bambookeel.entry import passed_answers
+from bambookeel.entry import releases
 from bambookeel.entry import request_table
-from bambookeel.entry import router
-from bambookeel.entry import view
+from bambookeel.entry import second_tries
+from bambookeel.entry import slot_asker
+from bambookeel.entry import slot_use
+from bambookeel.net import answer_stream
 from bambookeel.net import backend_client
+from bambookeel.net import connection_pool
+from bambookeel.net import headers
 from bambookeel.runtime import clock
+from bambookeel.runtime import logs
+from bambookeel.runtime import metrics
 
-_RETRY_AFTER_MS = 500
+# Answers up to this declared size are whole before the caller gets any byte.
+_WHOLE_FIRST_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,150 +35,307 @@
     """A request whose key has been checked.
 
     Attributes:
-        team: The team of its key.
-        service: The service it is for.
-        urgent: Whether it goes before the team's other requests.
-        deadline_ms: When its caller stops waiting, on the own clock.
-        idempotency_key: The caller's key, prefixed by its team; or empty.
+        slot: What its dispatcher is told.
         request: What goes to the backend server.
+        caller: Who waits for the answer.
+        fingerprint: Hash of the request, to compare repeats of a key.
+        key_ttl_ms: How long its Idempotency-Key is remembered.
     """
 
-    team: ids.TeamName
-    service: ids.ServiceName
-    urgent: bool
-    deadline_ms: int
-    idempotency_key: ids.IdempotencyKey
+    slot: slot_asker.SlotRequest
     request: backend_client.BackendRequest
+    caller: caller_watch.Caller
+    fingerprint: int = 0
+    key_ttl_ms: int = 0
 
 
 RequestResult = (
-    backend_client.BackendAnswer | outcomes.NotRun | outcomes.Unknown
+    passed_answers.PassedAnswer
+    | outcomes.NotRun
+    | outcomes.Unknown
+    | outcomes.Cancelled
 )
+_Tried = RequestResult | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerParts:
+    """What the runner works with.
+
+    Attributes:
+        asker: Gets slots.
+        held: The grants in use.
+        returned: Returns slots.
+        pool: Connections to backend servers.
+        max_answer_bytes: Largest answer that is passed on.
+    """
+
+    asker: slot_asker.SlotAsker
+    held: outstanding.OutstandingTable
+    returned: releases.Releases
+    pool: connection_pool.ConnectionPool
+    max_answer_bytes: int
 
 
 class RequestRunner:
     """Runs admitted requests."""
 
-    def __init__(
-        self,
-        follower: follower_task.FollowerTask,
-        table: request_table.RequestTable,
-        route: router.Router,
-        client: backend_client.BackendClient,
-    ) -> None:
-        self._follower = follower
-        self._table = table
-        self._router = route
-        self._client = client
+    def __init__(self, parts: RunnerParts) -> None:
+        self._parts = parts
+        self._budgets: dict[ids.ServiceName, second_tries.RetryBudget] = {}
 
-    def run(self, admitted: AdmittedRequest) -> RequestResult:
+    def run(
+        self, admitted: AdmittedRequest, end: passed_answers.StreamEnd
+    ) -> RequestResult | messages.SlotDuplicate:
         """Runs one request.
 
         Args:
             admitted: The request.
+            end: Whom to tell how an answer ended that is passed on in parts.
 
         Returns:
-            The backend server's answer, or why there is none.
+            The answer, why there is none, or that another request has the key.
         """
-        answer = self._acquire_slot(admitted)
-        match answer:
-            case messages.SlotGranted():
-                return self._use_slot(admitted, answer)
-            case messages.SlotRefused(_, _, reason, detail, retry_after_ms):
-                return outcomes.NotRun(reason, detail, retry_after_ms)
-            case messages.SlotDuplicate():
-                return outcomes.Unknown(
-                    outcomes.Reason.DUPLICATE_UNKNOWN,
-                    "a request with this Idempotency-Key came before",
-                )
-            case outcomes.NotRun():
-                return answer
-
-    def _acquire_slot(
-        self, admitted: AdmittedRequest
-    ) -> request_table.SlotAnswer | outcomes.NotRun:
-        """Asks the service's dispatcher for a slot and waits.
+        slot = admitted.slot
+        budget = self._budgets.get(slot.service)
+        if budget is None:
+            budget = second_tries.RetryBudget()
+            self._budgets[slot.service] = budget
+        budget.earn()
+        tries = 0
+        while True:
+            asked = self._parts.asker.acquire(slot, admitted.caller)
+            if not isinstance(asked, request_table.ReceivedGrant):
+                return asked
+            wait_ms = clock.read_now_ms() - slot.asked_at_ms
+            metrics.observe_queue_wait(slot.service, wait_ms)
+            tried = self._try_once(admitted, asked, end)
+            if tried is None:
+                continue
+            tries += 1
+            match tried:
+                case outcomes.NotRun() | outcomes.Unknown():
+                    if not _may_try_again(admitted, tried, tries, budget):
+                        return tried
+                    _record_second_try(admitted, tried, asked.grant)
+                case _:
+                    return tried
+
+    def _try_once(
+        self,
+        admitted: AdmittedRequest,
+        received: request_table.ReceivedGrant,
+        end: passed_answers.StreamEnd,
+    ) -> _Tried:
+        """Sends the request to the granted backend server.
 
         Args:
             admitted: The request.
+            received: The grant.
+            end: Whom to tell how a passed answer ended.
 
         Returns:
-            The dispatcher's answer, or `NotRun` without one.
+            The outcome, or None when the grant became unusable before any byte
+            was sent.
         """
-        assigned = view.get_dispatcher(self._follower.view, admitted.service)
-        if assigned is None or not assigned.holder:
-            return _refuse_without_dispatcher()
-        holder = ids.ProcessId(assigned.holder)
-        request_id = ids.RequestId(admitted.request.request_id)
-        waiting = self._table.register(request_id)
-        remaining_ms = admitted.deadline_ms - clock.read_now_ms()
-        acquire = messages.AcquireSlot(
-            request_id,
-            admitted.service,
-            admitted.team,
-            admitted.urgent,
-            remaining_ms,
-            admitted.idempotency_key,
-            waited_ms=0,
+        grant = received.grant
+        caller = admitted.caller
+        caller.set_action(_wait_for_step)
+        connection = self._parts.pool.take(
+            _get_target(grant),
+            admitted.request.idempotent,
+            min(
+                received.received_at_ms + grant.start_within_ms,
+                admitted.slot.deadline_ms,
+            ),
         )
-        try:
-            if not self._router.send(holder, acquire):
-                return _refuse_without_dispatcher()
-            return waiting.get(timeout=remaining_ms / 1000.0)
-        except gevent.Timeout:
-            cancel = messages.CancelWaiting(admitted.service, (request_id,))
-            self._router.send(holder, cancel)
-            return outcomes.NotRun(
-                outcomes.Reason.DEADLINE_UNREACHABLE,
-                "no slot became free before the deadline",
-            )
-        finally:
-            self._table.forget(request_id)
+        if isinstance(connection, outcomes.NotRun):
+            self._return_unreached(grant, connection)
+            return connection
+        use = slot_use.SlotUse(
+            grant,
+            connection,
+            self._parts.pool,
+            self._parts.returned,
+            self._parts.held,
+            admitted.slot.deadline_ms,
+        )
+        if caller.is_gone:
+            use.end_unused()
+            return outcomes.Cancelled(may_have_run=False)
+        # The last moment before bytes go out: the grant must still hold.
+        if not self._parts.asker.is_usable(received):
+            use.end_unused()
+            return None
+        return self._exchange(admitted, use, end)
+
+    def _return_unreached(
+        self, grant: messages.SlotGranted, refusal: outcomes.NotRun
+    ) -> None:
+        is_fault = refusal.reason is outcomes.Reason.CONNECT_FAILED
+        unreached = releases.SlotEnd(
+            outcomes.OutcomeKind.NOT_RUN, is_fault, 0, 0
+        )
+        self._parts.returned.release(grant, unreached)
 
-    def _use_slot(
-        self, admitted: AdmittedRequest, grant: messages.SlotGranted
+    def _exchange(
+        self,
+        admitted: AdmittedRequest,
+        use: slot_use.SlotUse,
+        end: passed_answers.StreamEnd,
     ) -> RequestResult:
-        """Sends the request to the granted backend server.
+        """Sends the request and takes the answer.
 
         Args:
             admitted: The request.
-            grant: The slot.
+            use: The slot and connection.
+            end: Whom to tell how a passed answer ended.
 
         Returns:
-            The answer, or why there is none.
+            The outcome.
         """
-        started_ms = clock.read_now_ms()
-        outcome: RequestResult = self._client.send(
-            grant.address, admitted.request, admitted.deadline_ms - started_ms
-        )
-        ended_ms = clock.read_now_ms()
-        kind = outcomes.OutcomeKind.ANSWERED
-        hold_ms = 0
-        match outcome:
-            case outcomes.NotRun():
-                kind = outcomes.OutcomeKind.NOT_RUN
-            case outcomes.Unknown():
-                kind = outcomes.OutcomeKind.UNKNOWN
-                hold_ms = max(0, admitted.deadline_ms - ended_ms)
-        release = messages.SlotReleased(
-            grant.request_id,
-            grant.service,
-            grant.epoch,
-            grant.grant_id,
-            kind,
-            backend_fault=kind is not outcomes.OutcomeKind.ANSWERED,
-            duration_ms=ended_ms - started_ms,
-            hold_ms=hold_ms,
+        deadline_ms = admitted.slot.deadline_ms
+        if end.keep is None:
+            # The backend server sees that its caller has gone; reading goes on
+            # until the work's end is known.
+            admitted.caller.set_action(
+                lambda: backend_client.finish_sending(use.connection)
+            )
+        answer = backend_client.send_request(
+            use.connection,
+            admitted.request,
+            deadline_ms,
+            self._parts.max_answer_bytes,
         )
-        assigned = view.get_dispatcher(self._follower.view, admitted.service)
-        if assigned is not None:
-            self._router.send(ids.ProcessId(assigned.holder), release)
+        if isinstance(answer, answer_stream.AnswerStream):
+            body = _read_first(answer, deadline_ms)
+            if isinstance(body, outcomes.Unknown):
+                return _end_failed(admitted, use, body, end)
+            return _pass_answer(admitted, use, answer, body, end)
+        return _end_failed(admitted, use, answer, end)
+
+
+def _wait_for_step() -> None:
+    """Leaves it to the next step to see that the caller has gone."""
+
+
+def _get_target(grant: messages.SlotGranted) -> connection_pool.Target:
+    return connection_pool.Target(
+        grant.address, grant.incarnation, grant.connection_allowance
+    )
+
+
+def _may_try_again(
+    admitted: AdmittedRequest,
+    outcome: outcomes.NotRun | outcomes.Unknown,
+    tries: int,
+    budget: second_tries.RetryBudget,
+) -> bool:
+    remaining_ms = admitted.slot.deadline_ms - clock.read_now_ms()
+    safe = second_tries.is_safe_to_try_again(
+        outcome, admitted.request.idempotent, tries, remaining_ms
+    )
+    return safe and not admitted.caller.is_gone and budget.spend()
+
+
+def _record_second_try(
+    admitted: AdmittedRequest,
+    outcome: outcomes.NotRun | outcomes.Unknown,
+    grant: messages.SlotGranted,
+) -> None:
+    metrics.count_second_try(outcome.reason)
+    logs.log_event(
+        "second_try",
+        request=admitted.slot.request_id,
+        service=admitted.slot.service,
+        backend=grant.backend_id,
+        reason=outcome.reason.name.lower(),
+    )
+
+
+def _read_first(
+    stream: answer_stream.AnswerStream, deadline_ms: int
+) -> bytes | outcomes.Unknown:
+    """Reads what must be there before the caller gets the head.
+
+    Args:
+        stream: The answer.
+        deadline_ms: Until when.
+
+    Returns:
+        The whole body of a short answer, what has come of a long one, or why
+        the answer is no answer.
+    """
+    declared = stream.get_declared_bytes()
+    wants_whole = declared is not None and declared <= _WHOLE_FIRST_BYTES
+    if not wants_whole and not stream.has_ended():
+        return b""
+    parts: list[bytes] = []
+    while True:
+        part = stream.read_part(deadline_ms)
+        if isinstance(part, outcomes.Unknown):
+            return part
+        if not part:
+            return b"".join(parts)
+        parts.append(part)
+
+
+def _end_failed(
+    admitted: AdmittedRequest,
+    use: slot_use.SlotUse,
+    outcome: outcomes.NotRun | outcomes.Unknown,
+    end: passed_answers.StreamEnd,
+) -> outcomes.NotRun | outcomes.Unknown | outcomes.Cancelled:
+    """Returns the slot of a request that got no answer.
+
+    Args:
+        admitted: The request.
+        use: The slot.
+        outcome: What happened.
+        end: Tells whether the answer is kept for repeats.
+
+    Returns:
+        The outcome for the caller.
+    """
+    if isinstance(outcome, outcomes.NotRun):
+        use.end_not_run()
         return outcome
+    if admitted.caller.is_gone and end.keep is None:
+        use.end_cancelled(slot_use.is_closed_by_peer(outcome))
+        return outcomes.Cancelled(may_have_run=True)
+    use.end_unknown()
+    return outcome
+
+
+def _pass_answer(
+    admitted: AdmittedRequest,
+    use: slot_use.SlotUse,
+    stream: answer_stream.AnswerStream,
+    body: bytes,
+    end: passed_answers.StreamEnd,
+) -> passed_answers.PassedAnswer:
+    """Hands an answer over to the caller's side.
 
+    Args:
+        admitted: The request.
+        use: The slot.
+        stream: The answer.
+        body: What has been read of it.
+        end: Whom to tell how a passed answer ended.
 
-def _refuse_without_dispatcher() -> outcomes.NotRun:
-    return outcomes.NotRun(
-        outcomes.Reason.NO_DISPATCHER,
-        "the service has no reachable dispatcher",
-        _RETRY_AFTER_MS,
+    Returns:
+        The answer; its slot is returned unless parts are still to come.
+    """
+    head = stream.head
+    fields = headers.strip_hop_by_hop(head.fields)
+    rest = None
+    if stream.is_whole():
+        use.end_answered(stream)
+    else:
+        use.start_stream()
+        rest = passed_answers.AnswerRest(
+            stream, use, admitted.caller, body, end
+        )
+    return passed_answers.PassedAnswer(
+        head.status, head.reason, fields, body, rest
     )
--- /dev/null
+++ b/bambookeel/entry/slot_asker.py
@@ -0,0 +1,288 @@
+"""Gets a slot for a request from whoever dispatches its service now.
+
+Asks the holder of the service's lease and waits. When the holder changes, its
+link ends, or it refuses because it does not hold the lease, the request asks
+again, carrying the time that it has waited, until its deadline or until there
+has been no holder for too long. A grant that came too late or from an older
+holder is given back.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import gevent
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from bambookeel.entry import caller_watch
+from bambookeel.entry import holders
+from bambookeel.entry import outstanding
+from bambookeel.entry import releases
+from bambookeel.entry import request_table
+from bambookeel.runtime import clock
+from bambookeel.runtime import metrics
+
+# Without any holder for this long, a request is refused.
+_MAX_WITHOUT_HOLDER_MS = 6_000
+_PAUSE_MS = 50
+_RETRY_AFTER_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotRequest:
+    """What a request tells its dispatcher.
+
+    Attributes:
+        request_id: The request.
+        service: Its service.
+        team: Its team.
+        urgent: Whether it goes before the team's other requests.
+        deadline_ms: When its caller stops waiting, on the own clock.
+        idempotency_key: The caller's key, prefixed by its team; or empty.
+        asked_at_ms: When it first asked.
+    """
+
+    request_id: ids.RequestId
+    service: ids.ServiceName
+    team: ids.TeamName
+    urgent: bool
+    deadline_ms: int
+    idempotency_key: ids.IdempotencyKey
+    asked_at_ms: int
+
+
+FindHolder = Callable[[ids.ServiceName], holders.Holder | None]
+SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
+Asked = (
+    request_table.ReceivedGrant
+    | messages.SlotDuplicate
+    | outcomes.NotRun
+    | outcomes.Cancelled
+)
+
+
+class SlotAsker:
+    """Asks for slots."""
+
+    def __init__(
+        self,
+        table: request_table.RequestTable,
+        held: outstanding.OutstandingTable,
+        returned: releases.Releases,
+        find_holder: FindHolder,
+        send: SendMessage,
+    ) -> None:
+        self._table = table
+        self._outstanding = held
+        self._releases = returned
+        self._find_holder = find_holder
+        self._send = send
+
+    def acquire(
+        self, request: SlotRequest, caller: caller_watch.Caller
+    ) -> Asked:
+        """Waits for a slot.
+
+        Args:
+            request: What to ask.
+            caller: The request's caller.
+
+        Returns:
+            A grant that may be used, or why there is none.
+        """
+        last_holder_ms = clock.read_now_ms()
+        while True:
+            now_ms = clock.read_now_ms()
+            if now_ms >= request.deadline_ms:
+                return _refuse_past_deadline()
+            if now_ms - last_holder_ms > _MAX_WITHOUT_HOLDER_MS:
+                return _refuse_without_holder()
+            holder = self._find_holder(request.service)
+            answer = self._ask_once(request, holder, caller, last_holder_ms)
+            match answer:
+                case request_table.ReceivedGrant():
+                    if self._accept(request, answer):
+                        return answer
+                case messages.SlotRefused(reason=reason):
+                    if not _is_holder_fault(reason):
+                        return _convert_refusal(answer)
+                    gevent.sleep(_PAUSE_MS / 1000.0)
+                    continue
+                case messages.SlotDuplicate() | outcomes.NotRun():
+                    return answer
+                case request_table.CallerGone():
+                    self._cancel(request, holder)
+                    return outcomes.Cancelled(may_have_run=False)
+                case request_table.HolderChanged():
+                    # A changed holder counts as one that was there, unless
+                    # there was none to ask.
+                    if holder is None:
+                        continue
+            last_holder_ms = clock.read_now_ms()
+
+    def _ask_once(
+        self,
+        request: SlotRequest,
+        holder: holders.Holder | None,
+        caller: caller_watch.Caller,
+        last_holder_ms: int,
+    ) -> request_table.SlotAnswer | outcomes.NotRun:
+        """Asks one holder, or waits for there to be one.
+
+        Args:
+            request: What to ask.
+            holder: The holder, or None.
+            caller: The request's caller.
+            last_holder_ms: When there last was a holder.
+
+        Returns:
+            The answer, or the reason why the wait ended.
+        """
+        request_id = request.request_id
+        process_id = holder.process_id if holder else ids.ProcessId("")
+        epoch = holder.epoch if holder else ids.Epoch(0)
+        waiting = self._table.register(
+            request_id, request.service, process_id, epoch
+        )
+
+        def tell_gone() -> None:
+            self._table.deliver(request_id, request_table.CallerGone())
+
+        caller.set_action(tell_gone)
+        now_ms = clock.read_now_ms()
+        until_ms = request.deadline_ms
+        sent = False
+        if holder is not None:
+            sent = self._send(process_id, _build_acquire(request, now_ms))
+        if not sent:
+            # Asks again when the link or the holder changes, or soon.
+            until_ms = min(
+                until_ms,
+                now_ms + 2 * _PAUSE_MS,
+                last_holder_ms + _MAX_WITHOUT_HOLDER_MS,
+            )
+        try:
+            return waiting.get(timeout=max(0.001, (until_ms - now_ms) / 1000.0))
+        except gevent.Timeout:
+            if waiting.ready():
+                # The answer came in the same turn as the time-out.
+                return waiting.get()
+            if not sent:
+                return _build_no_holder(request)
+            self._cancel(request, holder)
+            return _refuse_past_deadline()
+        finally:
+            self._table.forget(request_id)
+
+    def _accept(
+        self, request: SlotRequest, received: request_table.ReceivedGrant
+    ) -> bool:
+        """Lists a grant, or gives it back when it may not be used.
+
+        Args:
+            request: The request.
+            received: The grant.
+
+        Returns:
+            Whether it may be used now.
+        """
+        grant = received.grant
+        self._outstanding.add(
+            outstanding.HeldGrant(
+                grant,
+                request.team,
+                request.idempotency_key,
+                request.deadline_ms,
+            )
+        )
+        if self.is_usable(received):
+            return True
+        self.give_back(grant)
+        return False
+
+    def is_usable(self, received: request_table.ReceivedGrant) -> bool:
+        """Tells whether a grant may still be used.
+
+        Args:
+            received: The grant.
+
+        Returns:
+            False for one that came too long ago or from an older holder.
+        """
+        grant = received.grant
+        used_ms = clock.read_now_ms() - received.received_at_ms
+        if used_ms >= grant.start_within_ms:
+            return False
+        holder = self._find_holder(grant.service)
+        if holder is not None:
+            self._outstanding.raise_epoch(grant.service, holder.epoch)
+        return self._outstanding.raise_epoch(grant.service, grant.epoch)
+
+    def give_back(self, grant: messages.SlotGranted) -> None:
+        """Returns a slot that was not used.
+
+        Args:
+            grant: Its grant.
+        """
+        metrics.GRANTS_RETURNED.inc()
+        self._releases.release(grant, releases.UNUSED)
+
+    def _cancel(
+        self, request: SlotRequest, holder: holders.Holder | None
+    ) -> None:
+        if holder is None:
+            return
+        cancel = messages.CancelWaiting(request.service, (request.request_id,))
+        self._send(holder.process_id, cancel)
+
+
+def _build_acquire(request: SlotRequest, now_ms: int) -> messages.AcquireSlot:
+    return messages.AcquireSlot(
+        request.request_id,
+        request.service,
+        request.team,
+        request.urgent,
+        max(1, request.deadline_ms - now_ms),
+        request.idempotency_key,
+        now_ms - request.asked_at_ms,
+    )
+
+
+def _is_holder_fault(reason: outcomes.Reason) -> bool:
+    return reason in (
+        outcomes.Reason.NO_DISPATCHER,
+        outcomes.Reason.STALE_EPOCH,
+        outcomes.Reason.STOPPING,
+    )
+
+
+def _build_no_holder(request: SlotRequest) -> messages.SlotRefused:
+    return messages.SlotRefused(
+        request.request_id,
+        request.service,
+        outcomes.Reason.NO_DISPATCHER,
+        "the service has no reachable dispatcher",
+        _RETRY_AFTER_MS,
+    )
+
+
+def _convert_refusal(refusal: messages.SlotRefused) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        refusal.reason, refusal.detail, refusal.retry_after_ms
+    )
+
+
+def _refuse_past_deadline() -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.Reason.DEADLINE_UNREACHABLE,
+        "no slot became free before the deadline",
+    )
+
+
+def _refuse_without_holder() -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.Reason.NO_DISPATCHER,
+        "the service has no reachable dispatcher",
+        _RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/bambookeel/net/answer_stream.py
@@ -0,0 +1,183 @@
+"""The answer to one request, read part by part.
+
+Bytes are read from the backend server only when the next part is asked for, so
+that a slow caller slows the backend server and not this process's memory. A
+part that comes too late, an answer that is cut, too large, or longer than it
+declared gives `Unknown`; only a whole answer ends with an empty part.
+"""
+
+import typing
+
+from bambookeel.core import outcomes
+from bambookeel.net import answer_parser
+from bambookeel.runtime import clock
+
+_READ_BYTES = 65_536
+_MAX_HEAD_BYTES = 65_536
+# Reads an answer for as long as its connection lives.
+NO_DEADLINE_MS = 0
+
+
+class AnswerStream:
+    """One answer on one connection."""
+
+    def __init__(
+        self, sock: typing.Any, method: str, max_answer_bytes: int
+    ) -> None:
+        self._sock = sock
+        self._parser = answer_parser.AnswerParser(method)
+        self._max_answer_bytes = max_answer_bytes
+        self._taken_bytes = 0
+
+    @property
+    def head(self) -> answer_parser.AnswerHead:
+        """The head, once `read_head` has returned None."""
+        head = self._parser.head
+        if head is None:
+            raise ValueError("the head has not been read")
+        return head
+
+    def read_head(self, deadline_ms: int) -> outcomes.Unknown | None:
+        """Reads until the head of the final answer is there.
+
+        Args:
+            deadline_ms: Until when.
+
+        Returns:
+            None, or why there is no head.
+        """
+        head_bytes = 0
+        while self._parser.head is None:
+            received = self._receive(deadline_ms)
+            if isinstance(received, outcomes.Unknown):
+                return received
+            head_bytes += received
+            if self._parser.head is None and head_bytes > _MAX_HEAD_BYTES:
+                return outcomes.Unknown(
+                    outcomes.Reason.ANSWER_TOO_LARGE,
+                    f"the answer's head exceeds {_MAX_HEAD_BYTES} bytes",
+                )
+        if not self._parser.declares_end():
+            return outcomes.Unknown(
+                outcomes.Reason.ANSWER_CUT,
+                "the answer does not declare where it ends",
+            )
+        declared = self.get_declared_bytes() or 0
+        if declared > self._max_answer_bytes and not self.has_ended():
+            return self._describe_too_large()
+        return None
+
+    def get_declared_bytes(self) -> int | None:
+        """Gives the length that the head declares.
+
+        Returns:
+            The length of the body, or None for a chunked one.
+        """
+        declared = self.head.get_field("content-length")
+        if declared is None or not declared.isdigit():
+            return None
+        return int(declared)
+
+    def read_part(self, deadline_ms: int) -> bytes | outcomes.Unknown:
+        """Reads the next part of the body.
+
+        Args:
+            deadline_ms: Until when, or `NO_DEADLINE_MS`.
+
+        Returns:
+            Bytes, empty once the answer is whole; or `Unknown`.
+        """
+        while True:
+            if self._parser.has_excess:
+                return outcomes.Unknown(
+                    outcomes.Reason.ANSWER_MISMATCH,
+                    "the answer goes on past its declared end",
+                )
+            part = self._parser.take_body()
+            self._taken_bytes += len(part)
+            if self._taken_bytes > self._max_answer_bytes:
+                return self._describe_too_large()
+            if part or self._parser.is_whole():
+                return part
+            received = self._receive(deadline_ms)
+            if isinstance(received, outcomes.Unknown):
+                return received
+
+    def has_ended(self) -> bool:
+        """Tells whether the answer's declared end has been received.
+
+        Returns:
+            Whether nothing needs to be read any more, sound or not.
+        """
+        return self._parser.is_whole()
+
+    def is_whole(self) -> bool:
+        """Tells whether every byte of a sound answer has been received.
+
+        Returns:
+            False also when bytes came after its declared end.
+        """
+        return self._parser.is_whole() and not self._parser.has_excess
+
+    def may_keep_connection(self) -> bool:
+        """Tells whether the connection may carry another request.
+
+        Returns:
+            False unless the answer was whole and the peer keeps it open.
+        """
+        return self.is_whole() and not self._parser.should_close()
+
+    def _receive(self, deadline_ms: int) -> int | outcomes.Unknown:
+        """Receives bytes and parses them.
+
+        Args:
+            deadline_ms: Until when, or `NO_DEADLINE_MS`.
+
+        Returns:
+            How many bytes came, or why none did.
+        """
+        timeout_s = None
+        if deadline_ms != NO_DEADLINE_MS:
+            remaining_ms = deadline_ms - clock.read_now_ms()
+            if remaining_ms <= 0:
+                return _describe_timeout()
+            timeout_s = remaining_ms / 1000.0
+        try:
+            self._sock.settimeout(timeout_s)
+            data = self._sock.recv(_READ_BYTES)
+            self._parser.take_bytes(data)
+        except TimeoutError as error:
+            # The kernel's own time-out of a dead connection has an errno.
+            if error.errno is None:
+                return _describe_timeout()
+            return _describe_loss(error)
+        except OSError as error:
+            return _describe_loss(error)
+        except answer_parser.HTTPParseError as error:
+            return outcomes.Unknown(
+                outcomes.Reason.ANSWER_CUT, f"the answer is broken: {error}"
+            )
+        if data or self._parser.is_whole():
+            return len(data)
+        return outcomes.Unknown(
+            outcomes.Reason.ANSWER_CUT, "the answer ended too early"
+        )
+
+    def _describe_too_large(self) -> outcomes.Unknown:
+        return outcomes.Unknown(
+            outcomes.Reason.ANSWER_TOO_LARGE,
+            f"the answer exceeds {self._max_answer_bytes} bytes",
+        )
+
+
+def _describe_timeout() -> outcomes.Unknown:
+    return outcomes.Unknown(
+        outcomes.Reason.ANSWER_TIMEOUT,
+        "the answer did not arrive before the deadline",
+    )
+
+
+def _describe_loss(error: OSError) -> outcomes.Unknown:
+    return outcomes.Unknown(
+        outcomes.Reason.CONNECTION_LOST, f"the connection ended: {error}"
+    )
--- a/bambookeel/net/backend_client.py
+++ b/bambookeel/net/backend_client.py
@@ -1,40 +1,29 @@
-"""Requests to backend servers over HTTP, one attempt each.
+"""Sends one request to a backend server, once, over one connection.
 
 geventhttpclient's own client sends a request again when a kept connection turns
-out to be closed, which could run work twice. This module therefore keeps the
-connections itself and uses only that library's response parser: a request is
-handed to a socket at most once, and the result tells whether any byte was.
+out to be closed, which could run work twice. This module hands a request to a
+socket at most once and the result tells whether any byte was: `NotRun` when
+none was or the backend server said so, `Unknown` for any failure after that,
+or the stream of an answer that belongs to the request.
 """
 
 import dataclasses
 import socket as plain_socket
 import typing
 
-import gevent
-import gevent.socket
-from geventhttpclient import response as http_response
-
 from bambookeel.core import outcomes
-from bambookeel.net import addresses
+from bambookeel.net import answer_stream
+from bambookeel.net import connection_pool
 from bambookeel.runtime import clock
+from bambookeel.runtime import metrics
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-        "expect",
-    )
-)
 REQUEST_ID_HEADER = "x-request-id"
-_READ_BYTES = 65_536
+# A backend server that answers 503 with this field says "not run".
+_OUTCOME_HEADER = "x-outcome"
+_NOT_RUN = "not-run"
+_SERVICE_UNAVAILABLE = 503
+# Bodies up to this size travel in one segment train with their head.
+_JOIN_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,11 +31,12 @@
     """A request as it goes to a backend server.
 
     Attributes:
-        request_id: Sent as X-Request-Id; the answer must echo it.
+        request_id: Sent as X-Request-Id; the answer should echo it.
         method: HTTP method.
         target: Path and query.
-        headers: The caller's header fields, hop-by-hop ones included.
+        headers: Header fields, already without hop-by-hop ones.
         body: The whole body.
+        idempotent: Whether it may run twice.
     """
 
     request_id: str
@@ -54,238 +44,155 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    idempotent: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BackendAnswer:
-    """A whole answer.
-
-    Attributes:
-        status: Status code.
-        reason: Status phrase.
-        headers: Header fields without hop-by-hop ones.
-        body: The body.
-    """
-
-    status: int
-    reason: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
-def _render_head(request: BackendRequest, address: str) -> bytes:
+def render_head(
+    request: BackendRequest, address: str, remaining_ms: int
+) -> bytes:
     """Renders the request head.
 
     Args:
         request: The request.
         address: The backend server's address, for Host.
+        remaining_ms: Time until the request's deadline.
 
     Returns:
         The head with its empty line.
     """
     lines = [
         f"{request.method} {request.target} HTTP/1.1",
-        f"host: {address}",
-        f"{REQUEST_ID_HEADER}: {request.request_id}",
-        f"content-length: {len(request.body)}",
+        f"Host: {address}",
+        f"X-Request-Id: {request.request_id}",
+        f"Content-Length: {len(request.body)}",
+        f"X-Deadline-Ms: {remaining_ms}",
     ]
     for name, value in request.headers:
-        lowered = name.lower()
-        if lowered in _HOP_BY_HOP or lowered == REQUEST_ID_HEADER:
-            continue
-        lines.append(f"{lowered}: {value}")
+        lines.append(f"{name}: {value}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-class BackendClient:
-    """Connections to backend servers, kept for reuse."""
-
-    def __init__(self, max_answer_bytes: int, reuse_within_ms: int) -> None:
-        self._max_answer_bytes = max_answer_bytes
-        self._reuse_within_ms = reuse_within_ms
-        self._idle: dict[str, list[tuple[int, typing.Any]]] = {}
-
-    def send(
-        self, address: str, request: BackendRequest, timeout_ms: int
-    ) -> BackendAnswer | outcomes.NotRun | outcomes.Unknown:
-        """Sends a request once and reads its whole answer.
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SendFailure:
+    """A failed send.
 
-        Args:
-            address: The backend server, `ip:port`.
-            request: The request.
-            timeout_ms: Time until the request's deadline.
+    Attributes:
+        handed_over: Bytes that the socket had taken.
+        error: What went wrong.
+    """
 
-        Returns:
-            The answer, or `NotRun` when no byte was handed to a socket, or
-            `Unknown`.
-        """
-        timeout = gevent.Timeout(timeout_ms / 1000.0)
-        sent = False
-        sock = None
-        try:
-            with timeout:
-                sock = self._take(address, timeout_ms)
-                sent = True
-                sock.sendall(_render_head(request, address) + request.body)
-                answer = self._read_answer(sock, request)
-        except gevent.Timeout as caught:
-            self._discard(sock)
-            if caught is not timeout:
-                raise
-            return _describe_timeout(sent, address)
-        except (OSError, http_response.HTTPParseError) as error:
-            self._discard(sock)
-            return _describe_failure(sent, address, error)
-        except gevent.GreenletExit:
-            self._discard(sock)
-            raise
-        if isinstance(answer, outcomes.Unknown):
-            self._discard(sock)
-            return answer
-        body_answer, keep = answer
-        if keep:
-            self._keep(address, sock)
-        else:
-            self._discard(sock)
-        return body_answer
+    handed_over: int
+    error: OSError
 
-    def _take(self, address: str, timeout_ms: int) -> typing.Any:
-        """Takes a recently proved connection, or opens a new one.
 
-        Args:
-            address: The backend server.
-            timeout_ms: Time to connect.
+def _send_parts(
+    sock: typing.Any, parts: list[bytes], deadline_ms: int
+) -> _SendFailure | None:
+    """Hands bytes to a socket and counts them.
 
-        Returns:
-            A connected socket.
-        """
-        idle = self._idle.get(address, [])
-        now_ms = clock.read_now_ms()
-        while idle:
-            proved_at_ms, sock = idle.pop()
-            if now_ms - proved_at_ms <= self._reuse_within_ms:
-                if _is_quiet(sock):
-                    return sock
-            sock.close()
-        sock = gevent.socket.create_connection(
-            addresses.parse_address(address), timeout=timeout_ms / 1000.0
-        )
-        sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            plain_socket.IPPROTO_TCP,
-            plain_socket.TCP_USER_TIMEOUT,
-            min(timeout_ms, 2**31 - 1),
-        )
-        sock.settimeout(None)
-        return sock
+    Args:
+        sock: The socket.
+        parts: What to send.
+        deadline_ms: Until when.
 
-    def _read_answer(
-        self, sock: typing.Any, request: BackendRequest
-    ) -> tuple[BackendAnswer, bool] | outcomes.Unknown:
-        """Reads the answer to a request that has been sent.
+    Returns:
+        The failure, or None when all was handed over.
+    """
+    handed_over = 0
+    try:
+        for part in parts:
+            view = memoryview(part)
+            while view:
+                remaining_ms = deadline_ms - clock.read_now_ms()
+                if remaining_ms <= 0:
+                    raise TimeoutError("the deadline passed while sending")
+                sock.settimeout(remaining_ms / 1000.0)
+                count = sock.send(view)
+                handed_over += count
+                view = view[count:]
+    except OSError as error:
+        return _SendFailure(handed_over, error)
+    return None
+
+
+def send_request(
+    connection: connection_pool.Connection,
+    request: BackendRequest,
+    deadline_ms: int,
+    max_answer_bytes: int,
+) -> answer_stream.AnswerStream | outcomes.NotRun | outcomes.Unknown:
+    """Sends a request once and reads the head of its answer.
 
-        Args:
-            sock: The connection.
-            request: The request.
+    Args:
+        connection: A connection that no other request uses.
+        request: The request.
+        deadline_ms: Until when the answer's head may arrive.
+        max_answer_bytes: Largest answer to take.
 
-        Returns:
-            The answer and whether the connection may be kept, or `Unknown`.
-        """
-        parsed = http_response.HTTPSocketResponse(
-            sock, block_size=_READ_BYTES, method=request.method
-        )
-        echoed = parsed.get(REQUEST_ID_HEADER, "")
-        if echoed != request.request_id:
-            return outcomes.Unknown(
-                outcomes.Reason.ANSWER_MISMATCH,
-                f"the answer belongs to request {echoed!r}",
-            )
-        body = bytearray()
-        while True:
-            data = parsed.read(_READ_BYTES)
-            if not data:
-                break
-            body += data
-            if len(body) > self._max_answer_bytes:
-                return outcomes.Unknown(
-                    outcomes.Reason.ANSWER_TOO_LARGE,
-                    f"the answer exceeds {self._max_answer_bytes} bytes",
-                )
-        if not parsed.message_complete:
-            return outcomes.Unknown(
-                outcomes.Reason.ANSWER_CUT, "the answer ended too early"
-            )
-        headers = tuple(
-            (name, value)
-            for name, value in parsed.items()
-            if name.lower() not in _HOP_BY_HOP
-        )
-        answer = BackendAnswer(
-            parsed.status_code,
-            parsed.status_message or "",
-            headers,
-            bytes(body),
+    Returns:
+        The answer's stream, or `NotRun` when no byte was handed to the socket
+        or the backend server said so, or `Unknown`.
+    """
+    remaining_ms = max(1, deadline_ms - clock.read_now_ms())
+    head = render_head(request, connection.target.address, remaining_ms)
+    parts = [head, request.body]
+    if len(request.body) <= _JOIN_BYTES:
+        parts = [head + request.body]
+    failure = _send_parts(connection.sock, parts, deadline_ms)
+    if failure is not None and failure.handed_over == 0:
+        return outcomes.NotRun(
+            outcomes.Reason.CONNECT_FAILED,
+            f"nothing could be sent: {failure.error}",
         )
-        return answer, not parsed.should_close()
-
-    def _keep(self, address: str, sock: typing.Any) -> None:
-        idle = self._idle.setdefault(address, [])
-        idle.append((clock.read_now_ms(), sock))
-
-    def _discard(self, sock: typing.Any) -> None:
-        if sock is not None:
-            sock.close()
-
-    def forget(self, address: str) -> None:
-        """Closes the kept connections to a backend server.
-
-        Args:
-            address: The backend server.
-        """
-        for _, sock in self._idle.pop(address, []):
-            sock.close()
+    stream = answer_stream.AnswerStream(
+        connection.sock, request.method, max_answer_bytes
+    )
+    # A backend server may answer before it has taken the whole body, so the
+    # answer is looked for after a failed send as well.
+    fault = stream.read_head(deadline_ms)
+    if fault is not None:
+        return fault
+    return _check_answer(stream, request)
 
 
-def _is_quiet(sock: typing.Any) -> bool:
-    """Tells whether an idle connection is open with nothing to read.
+def _check_answer(
+    stream: answer_stream.AnswerStream, request: BackendRequest
+) -> answer_stream.AnswerStream | outcomes.NotRun | outcomes.Unknown:
+    """Checks that an answer belongs to its request.
 
     Args:
-        sock: The connection.
+        stream: The answer, its head read.
+        request: The request.
 
     Returns:
-        False when the peer has closed it or sent unasked bytes.
+        The stream, or what the answer really is.
     """
-    raw = sock._sock  # pylint: disable=protected-access
-    try:
-        raw.recv(1, plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
-def _describe_timeout(
-    sent: bool, address: str
-) -> outcomes.NotRun | outcomes.Unknown:
-    if sent:
+    head = stream.head
+    echoed = head.get_field(REQUEST_ID_HEADER)
+    if echoed is None:
+        # Acceptable since a connection carries one request at a time.
+        metrics.ANSWERS_WITHOUT_ECHO.inc()
+    elif echoed != request.request_id:
         return outcomes.Unknown(
-            outcomes.Reason.ANSWER_TIMEOUT,
-            "the answer did not arrive before the deadline",
+            outcomes.Reason.ANSWER_MISMATCH,
+            f"the answer belongs to request {echoed!r}",
         )
-    return outcomes.NotRun(
-        outcomes.Reason.CONNECT_FAILED, f"connecting to {address} timed out"
-    )
+    said = head.get_field(_OUTCOME_HEADER)
+    if head.status == _SERVICE_UNAVAILABLE and said == _NOT_RUN:
+        return outcomes.NotRun(
+            outcomes.Reason.BACKEND_REFUSED,
+            "the backend server refused the request before running it",
+        )
+    return stream
 
 
-def _describe_failure(
-    sent: bool, address: str, error: Exception
-) -> outcomes.NotRun | outcomes.Unknown:
-    if sent:
-        return outcomes.Unknown(
-            outcomes.Reason.CONNECTION_LOST,
-            f"the connection to {address} ended: {error}",
-        )
-    return outcomes.NotRun(
-        outcomes.Reason.CONNECT_FAILED, f"cannot connect to {address}: {error}"
-    )
+def finish_sending(connection: connection_pool.Connection) -> None:
+    """Tells the backend server that nobody waits for the answer.
+
+    Args:
+        connection: The connection that carries the request.
+    """
+    try:
+        connection.sock.shutdown(plain_socket.SHUT_WR)
+    except OSError:
+        pass
--- a/bambookeel/net/http_server.py
+++ b/bambookeel/net/http_server.py
@@ -1,65 +1,261 @@
 """An HTTP server for daemons, over gevent's WSGI server.
 
-Sets TCP_NODELAY on accepted sockets, since head and body are written apart and
-a delayed acknowledgement would cost 40 ms, and bounds the time in which a head
-must arrive, so that slow senders hold no connection for long.
+Sets TCP_NODELAY on accepted sockets, since head and body may be written apart
+and a delayed acknowledgement would cost 40 ms. Bounds the size of a head and
+the time in which it must arrive, answers bad heads with problem+json, ends a
+connection whose body was refused without reading it all, and closes kept-alive
+connections after their current request once the server drains.
 """
 
 from collections.abc import Callable
+import http.client
 import socket as plain_socket
+import time
 import typing
 
 import gevent
 import gevent.pool
 import gevent.pywsgi
 
+from bambookeel.core import outcomes
 from bambookeel.net import addresses
+from bambookeel.net import headers
+from bambookeel.net import problem
+from bambookeel.net import request_heads
 
 WsgiApp = Callable[..., typing.Iterable[bytes]]
 
+_KEEPALIVE_IDLE_S = 10
+_USER_TIMEOUT_MS = 30_000
+# How long and how much is read from a caller whose request was refused, so
+# that it can take in the refusal before the connection is reset.
+_LINGER_S = 1.0
+_MAX_LINGER_BYTES = 256 * 1024
+_LINGER_PART_BYTES = 16_384
+# A head and body up to this size are written together.
+_JOIN_BYTES = 65_536
+
 
 class Handler(gevent.pywsgi.WSGIHandler):
-    """Handles one connection with a bounded time for each request head."""
+    """Handles one connection."""
 
-    head_timeout_s = 5.0
+    _head_ends_at_s = 0.0
+    _refusal: outcomes.NotRun | None = None
+    _fields: headers.Fields = ()
+    _lingers = False
 
     def read_requestline(self) -> typing.Any:
         """Reads the request line within the head's time.
 
         Returns:
-            The request line, or None when the connection ends.
+            The request line, or empty when the connection ends.
         """
-        with gevent.Timeout(self.server.idle_timeout_s, False):
+        if not self._wait_for_first_byte():
+            return ""
+        self._head_ends_at_s = time.monotonic() + self.server.head_timeout_s
+        with gevent.Timeout(self.server.head_timeout_s, False):
             return super().read_requestline()
-        return None
+        self._refuse_slow_head()
+        return ""
+
+    def _wait_for_first_byte(self) -> bool:
+        """Waits for a request on an idle connection.
+
+        Returns:
+            Whether one has begun.
+        """
+        idle = self.server.idle_handlers
+        idle.add(self)
+        try:
+            return bool(self.rfile.peek(1))
+        finally:
+            idle.discard(self)
+
+    def _refuse_slow_head(self) -> None:
+        refusal = outcomes.NotRun(
+            outcomes.Reason.CALLER_TOO_SLOW,
+            f"the head did not arrive within {self.server.head_timeout_s} s",
+        )
+        self._send_refusal(refusal)
+
+    def MessageClass(self, *args: typing.Any) -> typing.Any:  # noqa: N802
+        """Parses the header fields.
+
+        Args:
+            *args: The stream, as pywsgi passes it.
+
+        Returns:
+            The parsed fields.
+        """
+        reader = request_heads.HeadReader(args[0], self.server.max_header_bytes)
+        return gevent.pywsgi.headers_factory(reader)
 
     def read_request(self, raw_requestline: str) -> typing.Any:
-        """Reads the header fields within the head's time.
+        """Reads and checks the header fields within the head's time.
 
         Args:
             raw_requestline: The request line.
 
         Returns:
-            Whether a valid head arrived.
+            True.
+
+        Raises:
+            HeadError: If the head is refused.
         """
-        with gevent.Timeout(self.server.head_timeout_s, False):
-            return super().read_request(raw_requestline)
-        return False
+        left_s = max(0.001, self._head_ends_at_s - time.monotonic())
+        late = request_heads.HeadError(
+            outcomes.Reason.CALLER_TOO_SLOW,
+            f"the head did not arrive within {self.server.head_timeout_s} s",
+        )
+        words = raw_requestline.split()
+        if len(words) != 3:
+            raise request_heads.HeadError(
+                outcomes.Reason.REQUEST_MALFORMED,
+                "the request line is not of the form METHOD TARGET VERSION",
+            )
+        request_heads.check_request_line(*words)
+        with gevent.Timeout(left_s, late):
+            super().read_request(raw_requestline)
+        fields = tuple((n, v.strip()) for n, v in self.headers.items())
+        request_heads.check_names(fields)
+        fault = headers.find_fault(fields)
+        if self.headers.defects or self.headers.get_payload():
+            fault = "a line of the head is no header field"
+        if fault:
+            raise request_heads.HeadError(
+                outcomes.Reason.REQUEST_MALFORMED, fault
+            )
+        self._fields = fields
+        return True
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        """Notes why a head is refused.
+
+        Args:
+            ex: What the parser or the checks raised.
+
+        Returns:
+            What pywsgi takes for a refusal; `handle_one_request` replaces it.
+        """
+        match ex:
+            case request_heads.HeadError():
+                self._refusal = ex.refusal
+            case http.client.HTTPException():
+                self._refusal = outcomes.NotRun(
+                    outcomes.Reason.HEAD_TOO_LARGE, str(ex)
+                )
+            case _:
+                self._refusal = outcomes.NotRun(
+                    outcomes.Reason.REQUEST_MALFORMED,
+                    f"the request is malformed: {ex}",
+                )
+        return ("400", b"")
+
+    def handle_one_request(self) -> typing.Any:
+        """Handles one request.
+
+        Returns:
+            True when the connection may carry another one, else None.
+        """
+        self._refusal = None
+        result = super().handle_one_request()
+        if not isinstance(result, tuple):
+            return result
+        refusal = self._refusal or outcomes.NotRun(
+            outcomes.Reason.HEAD_TOO_LARGE, "the request line is too long"
+        )
+        self._send_refusal(refusal)
+        return None
+
+    def _send_refusal(self, refusal: outcomes.NotRun) -> None:
+        """Answers a head that never reached the application.
+
+        Args:
+            refusal: The reason.
+        """
+        response = problem.build_problem(refusal, "")
+        lines = [f"HTTP/1.1 {response.status}", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in response.headers]
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        try:
+            self.socket.sendall(head + response.body)
+        except OSError:
+            return
+        self._linger()
+
+    def handle_one_response(self) -> None:
+        """Answers one request, and lingers when its body was refused."""
+        self._lingers = False
+        super().handle_one_response()
+        if self._lingers:
+            self._linger()
+
+    def close_unread(self) -> None:
+        """Ends the connection after this answer if the body was not read."""
+        stream = self.wsgi_input
+        is_open = stream.chunked_input and stream.chunk_length != 0
+        broken = stream._chunked_input_error  # pylint: disable=protected-access
+        unread = (stream.content_length or 0) > stream.position
+        if not (is_open or broken or unread):
+            return
+        stream.content_length = stream.position
+        stream.chunked_input = False
+        self.close_connection = True
+        self._lingers = True
+
+    def _linger(self) -> None:
+        """Reads a little more, so that the caller sees the refusal."""
+        try:
+            self.socket.shutdown(plain_socket.SHUT_WR)
+            left_bytes = _MAX_LINGER_BYTES
+            with gevent.Timeout(_LINGER_S, False):
+                while left_bytes > 0:
+                    data = self.socket.recv(_LINGER_PART_BYTES)
+                    if not data:
+                        return
+                    left_bytes -= len(data)
+        except OSError:
+            return
+
+    def finalize_headers(self) -> None:
+        """Adds `Connection: close` where the connection ends."""
+        if self.server.is_draining:
+            self.close_connection = True
+        super().finalize_headers()
+        if self.close_connection and self.request_version == "HTTP/1.1":
+            self.response_headers.append((b"Connection", b"close"))
 
     def log_request(self) -> None:
         """Logs nothing; requests are logged as events."""
 
     def get_environ(self) -> dict[str, typing.Any]:
-        """Builds the WSGI environment with the raw target path.
+        """Builds the WSGI environment with what WSGI leaves out.
 
         Returns:
-            The environment; `bambookeel.target` is the undecoded target.
+            The environment; `bambookeel.target` is the undecoded target,
+            `bambookeel.fields` the header fields in order with duplicates,
+            `bambookeel.socket` the caller's connection and
+            `bambookeel.close_unread` ends it when a body stays unread.
         """
         environ = super().get_environ()
         environ["bambookeel.target"] = self.path
+        environ["bambookeel.fields"] = self._fields
+        environ["bambookeel.socket"] = self.socket
+        environ["bambookeel.close_unread"] = self.close_unread
         return environ
 
 
+def end_unread_body(environ: dict[str, typing.Any]) -> None:
+    """Ends the connection after this answer if its request was not read.
+
+    Args:
+        environ: WSGI environment.
+    """
+    close_unread = environ.get("bambookeel.close_unread")
+    if close_unread is not None:
+        close_unread()
+
+
 class Server(gevent.pywsgi.WSGIServer):
     """A WSGI server with bounds."""
 
@@ -70,6 +266,7 @@
         max_connections: int = 1_000,
         head_timeout_ms: int = 5_000,
         idle_timeout_ms: int = 75_000,
+        max_header_bytes: int = 16_384,
     ) -> None:
         super().__init__(
             addresses.parse_address(listen),
@@ -81,6 +278,10 @@
         )
         self.head_timeout_s = head_timeout_ms / 1000.0
         self.idle_timeout_s = idle_timeout_ms / 1000.0
+        self.max_header_bytes = max_header_bytes
+        self.is_draining = False
+        # Connections between two requests.
+        self.idle_handlers: set[Handler] = set()
 
     def do_handle(self, *args: typing.Any) -> None:
         """Starts the handler of an accepted connection.
@@ -88,7 +289,60 @@
         Args:
             *args: The socket and the peer's address.
         """
-        args[0].setsockopt(
-            plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
-        )
+        sock = args[0]
+        tcp = plain_socket.IPPROTO_TCP
+        sock.setsockopt(tcp, plain_socket.TCP_NODELAY, 1)
+        sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(tcp, plain_socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+        sock.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+        # Bounds the wait for a request, and for a caller that takes nothing.
+        sock.settimeout(self.idle_timeout_s)
         super().do_handle(*args)
+
+    def count_connections(self) -> int:
+        """Counts open connections.
+
+        Returns:
+            Those with a request and those without.
+        """
+        return len(self.pool)
+
+    def stop_listening(self) -> None:
+        """Takes in the connections that wait and closes the listener."""
+        if self.closed:
+            return
+        while not self.pool.full():
+            accepted = self.do_read()
+            if accepted is None:
+                break
+            self.do_handle(*accepted)
+        self.close()
+
+    def finish(self, timeout_ms: int) -> bool:
+        """Waits for the requests in flight and closes idle connections.
+
+        Args:
+            timeout_ms: Longest wait.
+
+        Returns:
+            Whether all connections have ended.
+        """
+        self.is_draining = True
+        ends_at_s = time.monotonic() + timeout_ms / 1000.0
+        while self.pool and time.monotonic() < ends_at_s:
+            for handler in list(self.idle_handlers):
+                _end_idle(handler)
+            self.pool.join(timeout=0.1)
+        return not self.pool
+
+
+def _end_idle(handler: Handler) -> None:
+    """Wakes a handler that waits for a request, so that it ends.
+
+    Args:
+        handler: The handler.
+    """
+    try:
+        handler.socket.shutdown(plain_socket.SHUT_RD)
+    except (OSError, AttributeError):
+        pass
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -251,6 +251,7 @@
 struct FetchAnswer {
   requestId @0 :Text;
   firstRequestId @1 :Text;
+  fingerprint @2 :Int64;
 }
 
 struct AnswerCopy {
@@ -259,6 +260,8 @@
   status @2 :Int64;
   headers @3 :List(AnswerHeader);
   body @4 :Data;
+  outcome @5 :UInt16;
+  isOtherRequest @6 :Bool;
 }
 
 struct LogEntry {
--- a/bambookeel/net/problem.py
+++ b/bambookeel/net/problem.py
@@ -1,8 +1,8 @@
 """Refusals over HTTP as problem+json.
 
 Takes an outcome that is no answer and gives status, headers and body. The
-member `outcome` is `not-run`, `unknown` or `cancelled`, so that a program can
-decide whether sending again is safe.
+member `outcome` is `not-run` or `unknown`, so that a program can decide whether
+sending again is safe.
 """
 
 import dataclasses
@@ -18,6 +18,10 @@
     Reason.SERVICE_UNKNOWN: "404 Not Found",
     Reason.REQUEST_MALFORMED: "400 Bad Request",
     Reason.BODY_TOO_LARGE: "413 Content Too Large",
+    Reason.HEAD_TOO_LARGE: "431 Request Header Fields Too Large",
+    Reason.CALLER_TOO_SLOW: "408 Request Timeout",
+    Reason.KEY_REUSED: "422 Unprocessable Content",
+    Reason.CALLER_GONE: "499 Client Closed Request",
     Reason.TEAM_LIMIT: "429 Too Many Requests",
     Reason.DUPLICATE_UNKNOWN: "409 Conflict",
     Reason.CONNECTION_LOST: "502 Bad Gateway",
@@ -86,7 +90,10 @@
         case outcomes.Unknown():
             reason, detail = outcome.reason, outcome.detail
         case outcomes.Cancelled():
-            word = "cancelled"
+            # The caller is not there; one that still reads is told whether
+            # sending again is safe.
+            word = "unknown" if outcome.may_have_run else "not-run"
+            detail = "the caller closed its connection"
     status = _STATUS_BY_REASON.get(reason, _DEFAULT_STATUS)
     name = reason.name.lower().replace("_", "-")
     response = build_json_response(
--- a/bambookeel/runtime/metrics.py
+++ b/bambookeel/runtime/metrics.py
@@ -4,26 +4,150 @@
 Label children are kept, since looking one up costs more than counting.
 """
 
+from collections.abc import Callable
+import functools
+
 import prometheus_client
 
+from bambookeel.core import ids
 from bambookeel.core import outcomes
 
+_DURATION_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+
 _OUTCOMES = prometheus_client.Counter(
-    "bambookeel_requests_total", "Requests by outcome.", ["outcome"]
+    "bambookeel_requests_total",
+    "Requests by service and outcome.",
+    ["service", "outcome"],
+)
+_QUEUE_WAIT = prometheus_client.Histogram(
+    "bambookeel_queue_wait_seconds",
+    "Time from asking for a slot to its grant.",
+    ["service"],
+    buckets=_DURATION_BUCKETS_S,
+)
+_LATENCY = prometheus_client.Histogram(
+    "bambookeel_request_seconds",
+    "Time from a request's admission to its outcome.",
+    ["service"],
+    buckets=_DURATION_BUCKETS_S,
+)
+_REFUSALS = prometheus_client.Counter(
+    "bambookeel_refusals_total",
+    "Requests without an answer, by reason.",
+    ["reason"],
+)
+_SECOND_TRIES = prometheus_client.Counter(
+    "bambookeel_second_tries_total",
+    "Requests sent again, by the reason of the first failure.",
+    ["reason"],
+)
+ANSWERS_WITHOUT_ECHO = prometheus_client.Counter(
+    "bambookeel_answers_without_echo_total",
+    "Answers of backend servers that did not echo X-Request-Id.",
+)
+GRANTS_RETURNED = prometheus_client.Counter(
+    "bambookeel_grants_returned_total",
+    "Grants given back unused because they were late or of an older epoch.",
+)
+RELEASES_RESENT = prometheus_client.Counter(
+    "bambookeel_releases_resent_total",
+    "Returned slots told again after a link or holder change.",
 )
-_OUTCOME_CHILDREN = {
-    kind: _OUTCOMES.labels(outcome=kind.name.lower())
-    for kind in outcomes.OutcomeKind
-}
 
+# Gauges whose value is read when metrics are collected.
+_WATCHED: dict[str, prometheus_client.Gauge] = {}
 
-def count_outcome(kind: outcomes.OutcomeKind) -> None:
-    """Counts one request.
+
+@functools.lru_cache(maxsize=4_096)
+def _get_outcome_child(
+    service: ids.ServiceName, kind: outcomes.OutcomeKind
+) -> prometheus_client.Counter:
+    return _OUTCOMES.labels(service=service, outcome=kind.name.lower())
+
+
+@functools.lru_cache(maxsize=1_024)
+def _get_latency_child(
+    service: ids.ServiceName,
+) -> prometheus_client.Histogram:
+    return _LATENCY.labels(service=service)
+
+
+@functools.lru_cache(maxsize=1_024)
+def _get_queue_child(service: ids.ServiceName) -> prometheus_client.Histogram:
+    return _QUEUE_WAIT.labels(service=service)
+
+
+def count_outcome(
+    service: ids.ServiceName, kind: outcomes.OutcomeKind, duration_ms: int
+) -> None:
+    """Counts one request and its time.
 
     Args:
+        service: The service; a known one, so that labels stay few.
         kind: Its outcome.
+        duration_ms: Time from its admission.
+    """
+    _get_outcome_child(service, kind).inc()
+    _get_latency_child(service).observe(duration_ms / 1000.0)
+
+
+def count_refusal(reason: outcomes.Reason) -> None:
+    """Counts a request that got no answer.
+
+    Args:
+        reason: Why.
+    """
+    _REFUSALS.labels(reason=reason.name.lower()).inc()
+
+
+def count_second_try(reason: outcomes.Reason) -> None:
+    """Counts a request that is sent again.
+
+    Args:
+        reason: Why the try before it failed.
+    """
+    _SECOND_TRIES.labels(reason=reason.name.lower()).inc()
+
+
+def observe_queue_wait(service: ids.ServiceName, wait_ms: int) -> None:
+    """Observes the time that a request waited for its slot.
+
+    Args:
+        service: The service.
+        wait_ms: The time.
+    """
+    _get_queue_child(service).observe(wait_ms / 1000.0)
+
+
+def watch_value(name: str, text: str, read: Callable[[], float]) -> None:
+    """Shows a value that is read when metrics are collected.
+
+    Args:
+        name: The metric's name without the prefix.
+        text: What it means.
+        read: Reads it.
     """
-    _OUTCOME_CHILDREN[kind].inc()
+    gauge = _WATCHED.get(name)
+    if gauge is None:
+        gauge = prometheus_client.Gauge(f"bambookeel_{name}", text)
+        _WATCHED[name] = gauge
+    gauge.set_function(read)
 
 
 def render_metrics() -> bytes:
