--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -604,13 +604,15 @@
 class KeepRecords:
     """Asks a process to keep copies of a service's idempotency records.
 
-    A record with `remaining_ms` 0 is to be dropped.
+    A record with `remaining_ms` 0 is to be dropped. For `incomplete_ms` records
+    of the service may be missing everywhere.
     """
 
     service: ids.ServiceName
     epoch: ids.Epoch
     nonce: int
     records: tuple[IdempotencyRecord, ...]
+    incomplete_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -637,12 +639,14 @@
     Attributes:
         uptime_ms: Age of the process; what an earlier life of it has
             outstanding is not in its `RecoverReply`.
+        incomplete_ms: For how long records may be missing, as it was told.
     """
 
     service: ids.ServiceName
     epoch: ids.Epoch
     uptime_ms: int
     records: tuple[IdempotencyRecord, ...]
+    incomplete_ms: int = 0
 
 
 # The order gives each message its number on the wire: append only.
--- a/bambookeel/dispatch/admission.py
+++ b/bambookeel/dispatch/admission.py
@@ -204,6 +204,7 @@
     entry: ids.ProcessId,
     request: messages.AcquireSlot,
     now_ms: int,
+    arrived_at_ms: int | None = None,
 ) -> list[effects.Effect]:
     """Queues or refuses a request, and grants what is possible.
 
@@ -212,6 +213,7 @@
         entry: The process that asks.
         request: What it asks.
         now_ms: The time.
+        arrived_at_ms: When it came, if that was before.
 
     Returns:
         Grants, refusals and copies to keep.
@@ -231,12 +233,20 @@
         return []
     if request_id in state.copying_requests:
         return []
+    if request.idempotency_key and not state.ready:
+        # Whether the key is new is known only after recovery.
+        deadline_ms = now_ms + request.remaining_ms
+        early = fair_queue.Waiting(entry, request, now_ms, deadline_ms)
+        state.early[request_id] = early
+        return []
     found = _find_duplicate(state, entry, request, now_ms)
     found = found or _find_refusal(state, entry, request)
     if found is not None:
         return [found]
     deadline_ms = now_ms + request.remaining_ms
-    waiting = fair_queue.Waiting(entry, request, now_ms, deadline_ms)
+    if arrived_at_ms is None:
+        arrived_at_ms = now_ms
+    waiting = fair_queue.Waiting(entry, request, arrived_at_ms, deadline_ms)
     asked: list[effects.Effect] = []
     if len(state.queue.by_request) >= state.spec.queue_bound:
         loser = _make_room(state, request)
@@ -261,6 +271,32 @@
     return asked
 
 
+def take_early(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Takes the requests with a key that came before recovery was done.
+
+    Args:
+        state: The service's state, ready now.
+        now_ms: The time.
+
+    Returns:
+        Grants, refusals and copies to keep.
+    """
+    asked: list[effects.Effect] = []
+    for early in list(state.early.values()):
+        waited_ms = now_ms - early.queued_at_ms
+        remaining_ms = max(0, early.request.remaining_ms - waited_ms)
+        request = dataclasses.replace(early.request, remaining_ms=remaining_ms)
+        asked.extend(
+            take_request(
+                state, early.entry, request, now_ms, early.queued_at_ms
+            )
+        )
+    state.early.clear()
+    return asked
+
+
 def drop_waiting(
     state: service.ServiceState, request: messages.AcquireSlot
 ) -> None:
@@ -270,6 +306,7 @@
         state: The service's state.
         request: The request.
     """
+    state.early.pop(request.request_id, None)
     fair_queue.remove(state.queue, request.request_id)
     nonce = state.copying_requests.pop(request.request_id, None)
     if nonce is not None:
@@ -293,6 +330,7 @@
     """
     for request_id in request_ids:
         wanted = ids.RequestId(request_id)
+        state.early.pop(wanted, None)
         waiting = state.queue.by_request.get(wanted)
         nonce = state.copying_requests.get(wanted)
         if nonce is not None:
@@ -317,6 +355,9 @@
     for copying in list(state.copying.values()):
         if copying.waiting.deadline_ms <= now_ms:
             expired.append(copying.waiting)
+    for early in state.early.values():
+        if early.deadline_ms <= now_ms:
+            expired.append(early)
     asked = []
     for waiting in expired:
         drop_waiting(state, waiting.request)
@@ -348,6 +389,7 @@
     """
     everyone = list(state.queue.by_request.values())
     everyone += [copying.waiting for copying in state.copying.values()]
+    everyone += state.early.values()
     asked = []
     for waiting in everyone:
         drop_waiting(state, waiting.request)
--- a/bambookeel/dispatch/copies.py
+++ b/bambookeel/dispatch/copies.py
@@ -21,6 +21,8 @@
 NOBODY = ids.ProcessId("")
 # Time in which a holder gives a restarted entry its records back.
 _RESTORE_WITHIN_MS = 5_000
+# An entry restarted this long before a take-over gets its records again.
+_RESTARTED_WITHIN_MS = 60_000
 # Records in one message.
 _PART_RECORDS = 500
 
@@ -204,7 +206,8 @@
         The messages.
     """
     started_at_ms = state.started_at_ms or now_ms
-    if now_ms - reply.uptime_ms <= started_at_ms:
+    alive_since_ms = now_ms - reply.uptime_ms
+    if alive_since_ms <= started_at_ms - _RESTARTED_WITHIN_MS:
         return []
     if entry == state.deployment.process_id:
         return []
@@ -263,17 +266,24 @@
     return account.alive_since_ms + _RESTORE_WITHIN_MS <= started_at_ms
 
 
-def check_records(state: service.ServiceState) -> None:
-    """Ends the refusal of unknown Idempotency-Keys where no record is missing.
+def check_records(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Decides, as granting begins, whether records may be missing.
 
     A record is kept by processes of two data centres, or by two processes
-    where one data centre is left.
+    where one data centre is left. What an earlier holder missed stays missing.
 
     Args:
         state: The service's state.
+        now_ms: The time.
+
+    Returns:
+        Notes for all entries, so that a later holder knows of it.
     """
-    if not state.records.incomplete_until_ms or not state.ready:
-        return
+    table = state.records
+    if not state.ready or not table.incomplete_until_ms:
+        return []
     centres = state.deployment.data_centres
     unheard = [
         entry
@@ -283,5 +293,16 @@
     lost_centres = {centres[entry] for entry in unheard}
     all_centres = set(centres.values())
     one_centre_lost = len(lost_centres) == 1 and len(all_centres) > 1
-    if not unheard or len(unheard) == 1 or one_centre_lost:
-        state.records.incomplete_until_ms = 0
+    if len(unheard) <= 1 or one_centre_lost:
+        table.incomplete_until_ms = table.inherited_until_ms
+    if state.told_incomplete or now_ms >= table.incomplete_until_ms:
+        return []
+    state.told_incomplete = True
+    note = messages.KeepRecords(
+        state.service,
+        state.epoch,
+        0,
+        (),
+        table.incomplete_until_ms - now_ms,
+    )
+    return [effects.Send(entry, note) for entry in sorted(state.reachable)]
--- a/bambookeel/dispatch/dispatcher.py
+++ b/bambookeel/dispatch/dispatcher.py
@@ -261,6 +261,9 @@
     """
     asked = admission.refuse_expired(state, now_ms)
     asked.extend(ending.end_unreported(state, now_ms))
+    while state.overdue_at:
+        entry = state.overdue_at.pop()
+        asked.extend(recovery.ask_again(state, entry, now_ms))
     idempotency.drop_expired(state.records, now_ms)
     asked.extend(copies.retry_copies(state, now_ms))
     granting.charge_long_requests(state, now_ms)
--- a/bambookeel/dispatch/ending.py
+++ b/bambookeel/dispatch/ending.py
@@ -1,7 +1,8 @@
 """Ends grants: returned by their entry, run out, or proved to have ended.
 
 A request whose end is not known keeps its slot and its team's charge until its
-deadline has passed at the backend server.
+deadline has passed at the backend server, or longer while it may be streaming
+its answer.
 """
 
 from bambookeel.core import ids
@@ -97,6 +98,7 @@
     _finish_record(state, grant, release.outcome, now_ms, asked)
     if release.hold_ms > 0:
         ends_at_ms = now_ms + release.hold_ms + grant_table.GRACE_MS
+        grant.is_held = True
         grant_table.extend(state.grants, grant, ends_at_ms)
         return asked
     grant_table.remove(state.grants, key)
@@ -141,6 +143,51 @@
     asked.append(effects.Send(record.copy_at, keep))
 
 
+def _is_alive_at(state: service.ServiceState, grant: grant_table.Grant) -> bool:
+    """Tells whether the life of an entry that got a grant is still linked.
+
+    Args:
+        state: The service's state.
+        grant: The grant.
+
+    Returns:
+        Whether the entry would report the end of the request.
+    """
+    if grant.entry not in state.reachable:
+        return False
+    account = state.accounts.get(grant.entry)
+    if account is None or account.alive_since_ms is None:
+        return True
+    return account.alive_since_ms <= grant.granted_at_ms
+
+
+def _may_still_run(
+    state: service.ServiceState, grant: grant_table.Grant, now_ms: int
+) -> bool:
+    """Tells whether a request past its deadline may still be running.
+
+    An answer that streams has no deadline: a live entry returns the slot when
+    it has ended. For an entry that is out of reach the backend server's own
+    count decides, while it announces.
+
+    Args:
+        state: The service's state.
+        grant: The request's grant.
+        now_ms: The time.
+
+    Returns:
+        Whether the grant goes on counting.
+    """
+    if _is_alive_at(state, grant):
+        return not grant.is_held
+    if not grant.holds_slot:
+        return False
+    backend = state.backends.by_id.get(grant.backend_id)
+    if backend is None or backend.expires_at_ms <= now_ms:
+        return False
+    return backend.announcement.incarnation == grant.incarnation
+
+
 def end_unreported(
     state: service.ServiceState, now_ms: int
 ) -> list[effects.Effect]:
@@ -155,6 +202,14 @@
     """
     asked: list[effects.Effect] = []
     for grant in grant_table.take_ended(state.grants, now_ms):
+        if _may_still_run(state, grant, now_ms):
+            next_look_ms = now_ms + grant_table.GRACE_MS
+            if _is_alive_at(state, grant):
+                state.overdue_at.add(grant.entry)
+                next_look_ms += state.spec.deadline_ms
+            grant_table.extend(state.grants, grant, next_look_ms)
+            continue
+        grant_table.remove(state.grants, grant.key)
         _release_grant(state, grant)
         _finish_record(
             state, grant, outcomes.OutcomeKind.UNKNOWN, now_ms, asked
@@ -204,13 +259,18 @@
     ):
         if grant.granted_at_ms > settled_ms:
             continue
-        if grant.entry in state.reachable:
+        if _is_alive_at(state, grant):
             live += 1
             continue
         lost.append(grant)
     beyond = max(0, announcement.running - live)
     for grant in lost[: max(0, len(lost) - beyond)]:
         grant.holds_slot = False
+        # The team's charge follows at the latest deadline.
+        longest_ms = state.spec.deadline_ms + grant_table.GRACE_MS
+        ends_at_ms = backend.sampled_at_ms + longest_ms
+        if ends_at_ms < grant.ends_at_ms:
+            grant_table.extend(state.grants, grant, ends_at_ms)
         backend_table.free_slot(
             state.backends, grant.backend_id, grant.incarnation
         )
--- a/bambookeel/dispatch/grant_table.py
+++ b/bambookeel/dispatch/grant_table.py
@@ -36,6 +36,7 @@
         message: What was sent, for an entry that asks again; None for a
             recovered grant.
         holds_slot: Whether it still counts at its backend server.
+        is_held: Whether its entry has returned it with a time to count.
     """
 
     key: GrantKey
@@ -50,6 +51,7 @@
     idempotency_key: ids.IdempotencyKey = ids.IdempotencyKey("")
     message: messages.SlotGranted | None = None
     holds_slot: bool = True
+    is_held: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,21 +145,22 @@
 
 
 def take_ended(table: GrantTable, now_ms: int) -> list[Grant]:
-    """Takes out the grants that have ended without a report.
+    """Takes the grants whose time has passed off the heap.
 
     Args:
         table: The table.
         now_ms: The time.
 
     Returns:
-        Those grants.
+        Those grants; the caller removes each or extends it.
     """
-    ended = []
+    ended: list[Grant] = []
+    seen: set[GrantKey] = set()
     while table.ends and table.ends[0][0] <= now_ms:
         _, key = heapq.heappop(table.ends)
         grant = table.by_key.get(key)
-        if grant is None or grant.ends_at_ms > now_ms:
+        if grant is None or grant.ends_at_ms > now_ms or key in seen:
             continue
-        remove(table, key)
+        seen.add(key)
         ended.append(grant)
     return ended
--- a/bambookeel/dispatch/granting.py
+++ b/bambookeel/dispatch/granting.py
@@ -13,6 +13,7 @@
 from bambookeel.dispatch import effects
 from bambookeel.dispatch import fair_queue
 from bambookeel.dispatch import grant_table
+from bambookeel.dispatch import idempotency
 from bambookeel.dispatch import service
 from bambookeel.dispatch import team_limits
 
@@ -88,6 +89,13 @@
         state.backends, announcement.backend_id, announcement.incarnation
     )
     team_limits.charge(state.limits, request.team)
+    idempotency.note_started(
+        state.records,
+        request.idempotency_key,
+        request.request_id,
+        waiting.entry,
+        waiting.deadline_ms + state.spec.idempotency_ttl_ms,
+    )
     heapq.heappush(state.recharges, (now_ms + int(use_ms) + 1, grant.key))
     grant.message = messages.SlotGranted(
         request.request_id,
--- a/bambookeel/dispatch/idempotency.py
+++ b/bambookeel/dispatch/idempotency.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 import dataclasses
+import enum
 
 from bambookeel.core import ids
 from bambookeel.core import messages
@@ -17,6 +18,21 @@
 MAX_RECORDS = 100_000
 
 
+class Standing(enum.IntEnum):
+    """How sure it is that a record's request is the one that may run."""
+
+    # An entry holds a request with the key that has not been granted.
+    CLAIMED = 0
+    # A holder recorded it before a grant.
+    RECORDED = 1
+    # It has been granted or has ended.
+    STARTED = 2
+
+
+# Stands for two requests of which either may have run.
+CONTESTED = ids.RequestId("")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
     """What is remembered of a key.
@@ -28,6 +44,7 @@
         outcome: How it ended.
         expires_at_ms: When the record may go.
         copy_at: The process that holds a copy, or empty.
+        standing: How sure it is that this is the key's one request.
     """
 
     request_id: ids.RequestId
@@ -36,6 +53,7 @@
     outcome: outcomes.OutcomeKind
     expires_at_ms: int
     copy_at: ids.ProcessId = ids.ProcessId("")
+    standing: Standing = Standing.RECORDED
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,12 +64,14 @@
         by_key: Records by key, the oldest first.
         incomplete_until_ms: Until when a record of an earlier holder may be
             missing here; no request with an unknown key runs before.
+        inherited_until_ms: The same, as an earlier holder told it.
     """
 
     by_key: OrderedDict[ids.IdempotencyKey, Record] = dataclasses.field(
         default_factory=OrderedDict
     )
     incomplete_until_ms: int = 0
+    inherited_until_ms: int = 0
 
 
 def put(table: RecordTable, key: ids.IdempotencyKey, record: Record) -> None:
@@ -89,40 +109,112 @@
         del table.by_key[key]
         return
     ended = dataclasses.replace(
-        record, finished=True, outcome=outcome, expires_at_ms=expires_at_ms
+        record,
+        finished=True,
+        outcome=outcome,
+        expires_at_ms=expires_at_ms,
+        standing=Standing.STARTED,
     )
     put(table, key, ended)
 
 
-def merge(
+def keep_copies(
     table: RecordTable,
     copies: tuple[messages.IdempotencyRecord, ...],
     now_ms: int,
 ) -> None:
-    """Takes in records that another process kept.
+    """Keeps copies for a holder, whose word replaces what was kept.
 
     Args:
-        table: The records.
-        copies: The records; what is known to have ended stays so, and one
-            without remaining time is dropped.
+        table: The kept copies.
+        copies: The copies; one without remaining time is dropped.
         now_ms: The time.
     """
     for copy in copies:
         known = table.by_key.get(copy.idempotency_key)
-        if known is not None and known.finished and not copy.finished:
-            continue
         if copy.remaining_ms <= 0:
             if known is not None and known.request_id == copy.request_id:
                 del table.by_key[copy.idempotency_key]
             continue
-        record = Record(
-            copy.request_id,
-            copy.entry,
-            copy.finished,
-            copy.outcome,
-            now_ms + copy.remaining_ms,
-        )
-        put(table, copy.idempotency_key, record)
+        put(table, copy.idempotency_key, _import(copy, now_ms))
+
+
+def _import(copy: messages.IdempotencyRecord, now_ms: int) -> Record:
+    standing = Standing.STARTED if copy.finished else Standing.RECORDED
+    return Record(
+        copy.request_id,
+        copy.entry,
+        copy.finished,
+        copy.outcome,
+        now_ms + copy.remaining_ms,
+        standing=standing,
+    )
+
+
+def recover(
+    table: RecordTable,
+    copies: tuple[messages.IdempotencyRecord, ...],
+    claimed: frozenset[ids.RequestId],
+    now_ms: int,
+) -> None:
+    """Takes in records that another process tells a new holder.
+
+    Args:
+        table: The holder's records.
+        copies: What the process tells.
+        claimed: Requests of which it is only known that they wait.
+        now_ms: The time.
+    """
+    for copy in copies:
+        if copy.remaining_ms <= 0:
+            continue
+        told = _import(copy, now_ms)
+        if copy.request_id in claimed:
+            told = dataclasses.replace(told, standing=Standing.CLAIMED)
+        known = table.by_key.get(copy.idempotency_key)
+        if known is None or told.standing > known.standing:
+            put(table, copy.idempotency_key, told)
+            continue
+        if told.standing < known.standing:
+            continue
+        if told.request_id == known.request_id:
+            continue
+        if told.standing is Standing.RECORDED:
+            # Either may have run: neither may run now.
+            contested = dataclasses.replace(told, request_id=CONTESTED)
+            put(table, copy.idempotency_key, contested)
+
+
+def note_started(
+    table: RecordTable,
+    key: ids.IdempotencyKey,
+    request_id: ids.RequestId,
+    entry: ids.ProcessId,
+    expires_at_ms: int,
+) -> None:
+    """Notes that a request with a key has been granted.
+
+    Args:
+        table: The records.
+        key: The key, or empty.
+        request_id: The request.
+        entry: Its entry.
+        expires_at_ms: When the record may go.
+    """
+    if not key:
+        return
+    known = table.by_key.get(key)
+    copy_at = known.copy_at if known is not None else ids.ProcessId("")
+    started = Record(
+        request_id,
+        entry,
+        False,
+        outcomes.OutcomeKind.UNKNOWN,
+        expires_at_ms,
+        copy_at,
+        Standing.STARTED,
+    )
+    put(table, key, started)
 
 
 def export(
--- a/bambookeel/dispatch/recovery.py
+++ b/bambookeel/dispatch/recovery.py
@@ -12,6 +12,7 @@
 
 from bambookeel.core import ids
 from bambookeel.core import messages
+from bambookeel.dispatch import admission
 from bambookeel.dispatch import announcing
 from bambookeel.dispatch import backend_table
 from bambookeel.dispatch import copies
@@ -27,6 +28,8 @@
 _ANSWER_WAIT_MS = 1_500
 # An unanswered question is repeated after this time.
 _ASK_AGAIN_MS = 300
+# Time after which no answer to an earlier question is under way.
+_ANSWERS_END_MS = 5_000
 _FIRST_EPOCH = ids.Epoch(1)
 
 
@@ -85,6 +88,7 @@
         return []
     if account.asked_at_ms is None:
         account.asked_at_ms = now_ms
+        account.lists_until_ms = now_ms
     account.repeated_at_ms = now_ms
     recover = messages.RecoverRequest(state.service, state.epoch)
     records = messages.RecordsRequest(state.service, state.epoch)
@@ -115,6 +119,30 @@
     return ask_entry(state, entry, now_ms)
 
 
+def ask_again(
+    state: service.ServiceState, entry: ids.ProcessId, now_ms: int
+) -> list[effects.Effect]:
+    """Asks a linked entry once more, because a release may have gone astray.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        now_ms: The time.
+
+    Returns:
+        Questions to the entry; none while one is open.
+    """
+    account = state.accounts.get(entry)
+    if account is None or not account.is_heard():
+        return []
+    account.told_outstanding = False
+    account.asked_at_ms = None
+    asked = ask_entry(state, entry, now_ms)
+    # An answer to a repeated question may still be under way.
+    account.lists_until_ms = now_ms - _ANSWERS_END_MS
+    return asked
+
+
 def take_entry_down(state: service.ServiceState, entry: ids.ProcessId) -> None:
     """Takes in the loss of a link; grants of the entry go on counting.
 
@@ -145,7 +173,12 @@
     account = state.accounts.get(entry)
     if reply.epoch != state.epoch or account is None:
         return []
-    idempotency.merge(state.records, reply.records, now_ms)
+    idempotency.recover(state.records, reply.records, frozenset(), now_ms)
+    incomplete_until_ms = now_ms + reply.incomplete_ms
+    if reply.incomplete_ms and not state.ready:
+        state.records.inherited_until_ms = max(
+            state.records.inherited_until_ms, incomplete_until_ms
+        )
     account.alive_since_ms = now_ms - reply.uptime_ms
     asked = copies.restore_copies(state, entry, reply, now_ms)
     asked.extend(check_progress(state, now_ms))
@@ -174,7 +207,13 @@
         return []
     if account.asked_at_ms is None or account.told_outstanding:
         return []
-    idempotency.merge(state.records, reply.records, now_ms)
+    granted = {outstanding.request_id for outstanding in reply.outstanding}
+    claimed = frozenset(
+        record.request_id
+        for record in reply.records
+        if not record.finished and record.request_id not in granted
+    )
+    idempotency.recover(state.records, reply.records, claimed, now_ms)
     _drop_lost_grants(state, entry, reply, account)
     for outstanding in reply.outstanding:
         _add_outstanding(state, entry, outstanding, now_ms)
@@ -210,7 +249,7 @@
     for grant in ending.get_outstanding_of(state, entry):
         if grant.request_id in listed:
             continue
-        if alive_since_ms < grant.granted_at_ms < account.asked_at_ms:
+        if alive_since_ms < grant.granted_at_ms < account.lists_until_ms:
             ending.end_unknown_to_entry(state, grant)
 
 
@@ -245,6 +284,13 @@
         idempotency_key=outstanding.idempotency_key,
     )
     grant_table.add(state.grants, grant)
+    idempotency.note_started(
+        state.records,
+        outstanding.idempotency_key,
+        outstanding.request_id,
+        entry,
+        grant.ends_at_ms + state.spec.idempotency_ttl_ms,
+    )
     backend_table.use_slot(
         state.backends, outstanding.backend_id, outstanding.incarnation
     )
@@ -294,9 +340,9 @@
     waited_ms = now_ms - state.started_at_ms
     if state.counts_all or not missing or waited_ms >= _ANSWER_WAIT_MS:
         state.ready = True
-    copies.check_records(state)
+    asked.extend(copies.check_records(state, now_ms))
     if now_ms >= state.limits.unheard_until_ms and not state.counts_all:
-        _finish_accounts(state)
+        _bound_unheard(state)
     if state.ready and not was_ready:
         fields: dict[str, str | int | float] = {
             "service": state.service,
@@ -308,6 +354,7 @@
         asked.append(effects.Record("dispatch_ready", fields))
         asked.append(effects.AskAllotments())
         asked.extend(copies.spread_records(state, now_ms))
+        asked.extend(admission.take_early(state, now_ms))
         asked.extend(granting.grant_slots(state, now_ms))
     return asked
 
@@ -330,6 +377,23 @@
     account.covered = account.alive_since_ms + longest_ms <= now_ms
 
 
+def _bound_unheard(state: service.ServiceState) -> None:
+    """Bounds what is unheard past the longest deadline.
+
+    Only answers that stream can still be running, and the backend servers
+    count them.
+
+    Args:
+        state: The service's state.
+    """
+    state.limits.complete = True
+    unseen = 0
+    for backend in state.backends.by_id.values():
+        unseen += backend.unseen
+    for limit in state.limits.by_team.values():
+        limit.unheard = min(limit.unheard, unseen)
+
+
 def _finish_accounts(state: service.ServiceState) -> None:
     """Ends what was counted for unheard entries.
 
--- a/bambookeel/dispatch/service.py
+++ b/bambookeel/dispatch/service.py
@@ -48,6 +48,8 @@
     Attributes:
         asked_at_ms: When it was first asked on this link; None before.
         repeated_at_ms: When it was last asked.
+        lists_until_ms: A grant made before this and not listed in the answer
+            never reached the entry.
         alive_since_ms: When it started, as it told; None before.
         told_outstanding: Whether it told what it has outstanding.
         covered: Whether everything of it is counted, earlier lives included.
@@ -55,6 +57,7 @@
 
     asked_at_ms: int | None = None
     repeated_at_ms: int = 0
+    lists_until_ms: int = 0
     alive_since_ms: int | None = None
     told_outstanding: bool = False
     covered: bool = False
@@ -107,8 +110,11 @@
         recharges: Heap of grants by the time their charge is used up.
         copying: Requests by the nonce of their record's copy.
         copying_requests: The nonces by request.
+        early: Requests with an Idempotency-Key that came before recovery.
         failed_once: Requests whose second try needs the retry budget.
+        overdue_at: Entries to be asked again about long requests.
         last_nonce: The newest nonce.
+        told_incomplete: Whether the entries know that records may be missing.
     """
 
     service: ids.ServiceName
@@ -142,10 +148,15 @@
     copying_requests: dict[ids.RequestId, int] = dataclasses.field(
         default_factory=dict
     )
+    early: dict[ids.RequestId, fair_queue.Waiting] = dataclasses.field(
+        default_factory=dict
+    )
     failed_once: dict[ids.RequestId, int] = dataclasses.field(
         default_factory=dict
     )
+    overdue_at: set[ids.ProcessId] = dataclasses.field(default_factory=set)
     last_nonce: int = 0
+    told_incomplete: bool = False
     backends: backend_table.BackendTable = dataclasses.field(
         default_factory=backend_table.BackendTable
     )
--- a/bambookeel/entry/dispatcher_task.py
+++ b/bambookeel/entry/dispatcher_task.py
@@ -48,11 +48,12 @@
         deployment: dispatch_service.Deployment,
         control: tuple[ids.ProcessId, ...],
         leases: core_settings.LeaseTimings,
+        born_at_ms: int,
     ) -> None:
         self.mailbox = mailbox.Mailbox("dispatcher")
         self._deployment = deployment
         self._process_id = deployment.process_id
-        self._born_at_ms = clock.read_now_ms()
+        self._born_at_ms = born_at_ms
         self._services: dict[ids.ServiceName, dispatch_service.ServiceState] = (
             {}
         )
@@ -89,7 +90,7 @@
             own, centres, settings.limits.probe_connections
         )
         control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
-        return cls(deployment, control, settings.leases)
+        return cls(deployment, control, settings.leases, clock.read_now_ms())
 
     def connect(self, send: SendMessage) -> None:
         """Gives the task its way out.
@@ -122,9 +123,15 @@
         """Handles messages until the task is killed."""
         while True:
             event = self.mailbox.get()
-            self._handle(event, clock.read_now_ms())
+            self.handle(event, clock.read_now_ms())
 
-    def _handle(self, event: object, now_ms: int) -> None:
+    def handle(self, event: object, now_ms: int) -> None:
+        """Handles one message.
+
+        Args:
+            event: The message.
+            now_ms: The time, read right before.
+        """
         match event:
             case events.FromPeer(peer, message):
                 self._handle_message(peer, message, now_ms)
@@ -258,6 +265,9 @@
         copies = self._get_copies(state.service)
         for key, record in state.records.by_key.items():
             idempotency.put(copies, key, record)
+        copies.incomplete_until_ms = max(
+            copies.incomplete_until_ms, state.records.incomplete_until_ms
+        )
         logs.log_event("dispatch_end", service=state.service, epoch=state.epoch)
 
     def _get_copies(self, service: ids.ServiceName) -> idempotency.RecordTable:
@@ -273,8 +283,11 @@
                 self._take_allotments(peer, message, now_ms)
             case messages.KeepRecords():
                 copies = self._get_copies(message.service)
-                idempotency.merge(copies, message.records, now_ms)
+                idempotency.keep_copies(copies, message.records, now_ms)
                 idempotency.drop_expired(copies, now_ms)
+                copies.incomplete_until_ms = max(
+                    copies.incomplete_until_ms, now_ms + message.incomplete_ms
+                )
                 if message.nonce:
                     kept = messages.RecordsKept(
                         message.service, message.epoch, message.nonce
@@ -291,9 +304,22 @@
         state = self._services.get(message.service)
         if state is None:
             self._refuse(peer, message)
+            self._forward_release(message)
             return
         self._perform(dispatcher.handle_message(state, peer, message, now_ms))
 
+    def _forward_release(self, message: messages.Message) -> None:
+        """Passes a release on that came to a former holder.
+
+        Args:
+            message: The message.
+        """
+        if not isinstance(message, messages.SlotReleased):
+            return
+        holder = self._holders.get(message.service)
+        if holder is not None and holder != self._process_id:
+            self._send(holder, message)
+
     def _refuse(self, peer: ids.ProcessId, message: messages.Message) -> None:
         if not isinstance(message, messages.AcquireSlot):
             return
@@ -341,10 +367,15 @@
             request: Its question.
             now_ms: The time.
         """
-        records = dict(self._get_copies(request.service).by_key)
+        copies = self._get_copies(request.service)
+        records = dict(copies.by_key)
+        incomplete_until_ms = copies.incomplete_until_ms
         state = self._services.get(request.service)
         if state is not None and state.epoch < request.epoch:
             records.update(state.records.by_key)
+            incomplete_until_ms = max(
+                incomplete_until_ms, state.records.incomplete_until_ms
+            )
         exported = tuple(
             idempotency.export(key, record, now_ms)
             for key, record in records.items()
@@ -354,6 +385,7 @@
             request.epoch,
             now_ms - self._born_at_ms,
             exported,
+            max(0, incomplete_until_ms - now_ms),
         )
         self._send(peer, reply)
 
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -288,6 +288,7 @@
   epoch @1 :Int64;
   nonce @2 :Int64;
   records @3 :List(IdempotencyRecord);
+  incompleteMs @4 :Int64;
 }
 
 struct RecordsKept {
@@ -306,6 +307,7 @@
   epoch @1 :Int64;
   uptimeMs @2 :Int64;
   records @3 :List(IdempotencyRecord);
+  incompleteMs @4 :Int64;
 }
 
 struct LogEntry {
--- /dev/null
+++ b/features/fakes/dispatch_entry.py
@@ -0,0 +1,403 @@
+"""A fake entry process around the real dispatcher task, in simulated time.
+
+It keeps the entry's side of the contract: refuses grants of older epochs,
+starts a request only while its grant holds, and answers recovery.
+"""
+
+import dataclasses
+
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from bambookeel.core import resources
+from bambookeel.core import settings
+from bambookeel.dispatch import service as dispatch_service
+from bambookeel.entry import dispatcher_task
+from bambookeel.entry import events
+from bambookeel.entry import view
+
+REPORT_MS = 250
+# A request that a cut holds back longer than this is given up by the sender.
+SEND_GIVES_UP_MS = 800
+
+
+@dataclasses.dataclass(eq=False)
+class Request:
+    request_id: str
+    service: str
+    team: str
+    work_ms: int
+    deadline_ms: int
+    urgent: bool = False
+    key: str = ""
+    asked_at_ms: int = 0
+    holder: str = ""
+    told: str = ""
+
+
+class Entry:
+    """One life after another of an entry process."""
+
+    def __init__(self, world, name, centres):
+        self._world = world
+        self._clock = world.clock
+        self.name = name
+        self._centres = centres
+        self.alive = True
+        self.frozen = False
+        self._inbox = []
+        self._begin_life()
+
+    def _begin_life(self):
+        self.life = object()
+        self.waiting = {}
+        self.held = {}
+        self.records = {}
+        self._unsent = []
+        self._epochs = {}
+        self._view = view.View()
+        self._born_version = None
+        self._pending = {}
+        self._nonce = 0
+        self._linked = set()
+        deployment = dispatch_service.Deployment(self.name, self._centres)
+        self.task = dispatcher_task.DispatcherTask(
+            deployment,
+            ("control",),
+            settings.LeaseTimings(),
+            self._clock.now_ms,
+        )
+        self.task.connect(self._send)
+        life = self.life
+        self._clock.after(1, lambda: self._tick(life))
+        self._clock.after(2, lambda: self._report(life))
+        self._clock.after(20, lambda: self._allotment_tick(life))
+
+    def is_running(self):
+        return self.alive and not self.frozen
+
+    def post(self, event):
+        if not self.alive:
+            return
+        self._inbox.append(event)
+        if not self.frozen:
+            self._drain()
+
+    def _drain(self):
+        while self._inbox and self.is_running():
+            self._handle(self._inbox.pop(0))
+
+    def freeze(self):
+        self.frozen = True
+        self._clock.after(1_000, self._lose_links_of_frozen)
+
+    def _lose_links_of_frozen(self):
+        if self.frozen:
+            self._world.network.drop_all(self.name)
+
+    def wake(self):
+        self.frozen = False
+        self._drain()
+        self._clock.after(
+            50, lambda: self._world.network.connect_all(self.name)
+        )
+
+    def kill(self):
+        self.alive = False
+        self._inbox.clear()
+        self._world.network.drop_all(self.name)
+        for request in self.waiting.values():
+            request.told = "lost"
+        for request, _ in self.held.values():
+            request.told = "lost"
+
+    def start(self):
+        self.alive = True
+        self.frozen = False
+        self._begin_life()
+        self._world.network.connect_all(self.name)
+
+    def stop_gracefully(self):
+        self._stopping = True
+        self.task.handle(events.StopDispatching(), self._clock.now_ms)
+
+    _stopping = False
+
+    def _send(self, to, message):
+        return self._world.network.send(self.name, to, message)
+
+    def _every(self, life, period_ms, step, action):
+        if self.life is not life or not self.alive:
+            return
+        self._clock.after(period_ms, lambda: step(life))
+        if not self.frozen:
+            action()
+
+    def _tick(self, life):
+        def act():
+            self.task.handle(events.Tick(), self._clock.now_ms)
+            self._retry_waiting()
+            for release in list(self._unsent):
+                self._unsent.remove(release)
+                self._send_release(release)
+
+        self._every(life, 100, self._tick, act)
+
+    def _allotment_tick(self, life):
+        def act():
+            tick = dispatcher_task.AllotmentTick()
+            self.task.handle(tick, self._clock.now_ms)
+
+        self._every(life, 20, self._allotment_tick, act)
+
+    def _report(self, life):
+        def act():
+            self._nonce += 1
+            self._pending[self._nonce] = self._clock.now_ms
+            held = []
+            for resource in self._view.by_key.values():
+                spec = resource.spec
+                if not isinstance(spec, resources.DispatcherSpec):
+                    continue
+                if self._born_version is None or spec.holder != self.name:
+                    continue
+                old = resource.version <= self._born_version
+                held.append(
+                    messages.HeldLease(
+                        resource.name, spec.epoch, old or self._stopping
+                    )
+                )
+            heartbeat = messages.EntryHeartbeat(
+                self._nonce, self._view.version, self._stopping, tuple(held)
+            )
+            self._send("control", heartbeat)
+
+        self._every(life, REPORT_MS, self._report, act)
+
+    def _handle(self, event):
+        now_ms = self._clock.now_ms
+        match event:
+            case ("up", peer):
+                self._linked.add(peer)
+                role = messages.ProcessRole.ENTRY
+                if peer == "control":
+                    role = messages.ProcessRole.CONTROL
+                self.task.handle(events.PeerUp(peer, role), now_ms)
+                self._retry_waiting(peer)
+            case ("down", peer):
+                self._linked.discard(peer)
+                self.task.handle(events.PeerDown(peer), now_ms)
+                self._retry_waiting(peer)
+            case ("view", version, state):
+                if version > self._view.version:
+                    self._view = view.View(version, state)
+                    self.task.handle(events.ViewChanged(self._view), now_ms)
+            case ("message", peer, message):
+                self._take_message(peer, message)
+
+    def _take_message(self, peer, message):
+        match message:
+            case messages.EntryHeartbeatReply():
+                self._take_heartbeat_reply(message)
+            case messages.SlotGranted():
+                self._take_grant(message)
+            case messages.SlotRefused():
+                self._take_refusal(message)
+            case messages.SlotDuplicate():
+                request = self.waiting.pop(message.request_id, None)
+                if request is not None:
+                    request.told = "duplicate"
+            case messages.RecoverRequest():
+                self._answer_recovery(peer, message)
+            case _:
+                event = events.FromPeer(peer, message)
+                self.task.handle(event, self._clock.now_ms)
+
+    def _take_heartbeat_reply(self, reply):
+        if self._born_version is None:
+            self._born_version = reply.committed_version
+        sent_at_ms = self._pending.pop(reply.nonce, None)
+        if sent_at_ms is None:
+            return
+        for lease in reply.renewed:
+            renewed = events.LeaseRenewed(
+                lease.service, lease.epoch, sent_at_ms + reply.lease_ms
+            )
+            self.task.handle(renewed, self._clock.now_ms)
+
+    def submit(self, request):
+        """Takes a caller's request."""
+        key = (request.service, request.key)
+        if request.key:
+            if key in self.records:
+                request.told = "duplicate"
+                return
+            self.records[key] = [request.request_id, False]
+        self.waiting[request.request_id] = request
+        self._ask(request)
+
+    def _find_holder(self, service):
+        assigned = view.get_dispatcher(self._view, service)
+        return assigned if assigned is not None and assigned.holder else None
+
+    def _ask(self, request):
+        now_ms = self._clock.now_ms
+        holder = self._find_holder(request.service)
+        if holder is None:
+            return
+        acquire = messages.AcquireSlot(
+            request.request_id,
+            request.service,
+            request.team,
+            request.urgent,
+            max(1, request.deadline_ms - now_ms),
+            request.key,
+            0,
+        )
+        request.asked_at_ms = now_ms
+        if self._send(holder.holder, acquire):
+            request.holder = (holder.holder, holder.epoch)
+
+    def _retry_waiting(self, peer=None):
+        now_ms = self._clock.now_ms
+        for request in list(self.waiting.values()):
+            if now_ms >= request.deadline_ms:
+                self._end_waiting(request, "not-run")
+                cancel = messages.CancelWaiting(
+                    request.service, (request.request_id,)
+                )
+                if request.holder:
+                    self._send(request.holder[0], cancel)
+                continue
+            holder = self._find_holder(request.service)
+            known = holder and (holder.holder, holder.epoch)
+            moved = request.holder != known
+            if moved or (peer is not None and known and known[0] == peer):
+                request.holder = ""
+                self._ask(request)
+
+    def _end_waiting(self, request, told):
+        self.waiting.pop(request.request_id, None)
+        request.told = told
+        if request.key and told == "not-run":
+            self.records.pop((request.service, request.key), None)
+
+    def _take_refusal(self, refusal):
+        request = self.waiting.get(refusal.request_id)
+        if request is None:
+            return
+        if refusal.reason is outcomes.Reason.NO_DISPATCHER:
+            request.holder = ""
+            return
+        self._end_waiting(request, "not-run")
+
+    def _take_grant(self, grant):
+        now_ms = self._clock.now_ms
+        request = self.waiting.pop(grant.request_id, None)
+        key = (grant.epoch, grant.grant_id, grant.service)
+        if request is None:
+            if key not in self.held:
+                self._return_unused(grant)
+            return
+        limit_ms = request.asked_at_ms + grant.waited_ms
+        too_late = now_ms >= min(
+            limit_ms + grant.start_within_ms, request.deadline_ms
+        )
+        holder = self._find_holder(grant.service)
+        newest = max(
+            self._epochs.get(grant.service, 0), holder.epoch if holder else 0
+        )
+        self._epochs[grant.service] = max(newest, grant.epoch)
+        if too_late or grant.epoch < newest:
+            self._return_unused(grant)
+            self.waiting[request.request_id] = request
+            request.holder = ""
+            return
+        self.held[key] = (request, grant)
+        self._world.send_to_backend(self, request, grant)
+        life = self.life
+
+        def time_out():
+            if self.life is life and key in self.held:
+                self._world.run_when_awake(
+                    self, lambda: self._finish(key, "unknown", 1_000)
+                )
+
+        self._clock.after(max(1, request.deadline_ms - now_ms), time_out)
+
+    def take_answer(self, life, request, grant):
+        if self.life is not life or not self.alive:
+            return
+        key = (grant.epoch, grant.grant_id, grant.service)
+        self._world.run_when_awake(
+            self, lambda: self._finish(key, "answered", 0)
+        )
+
+    def _finish(self, key, told, hold_ms):
+        if key not in self.held:
+            return
+        request, grant = self.held.pop(key)
+        request.told = told
+        if request.key:
+            self.records[(request.service, request.key)][1] = True
+        kind = outcomes.OutcomeKind.ANSWERED
+        if told == "unknown":
+            kind = outcomes.OutcomeKind.UNKNOWN
+        self._release(grant, kind, hold_ms)
+
+    def _return_unused(self, grant):
+        self._release(grant, outcomes.OutcomeKind.NOT_RUN, 0)
+
+    def _release(self, grant, kind, hold_ms):
+        release = messages.SlotReleased(
+            grant.request_id,
+            grant.service,
+            grant.epoch,
+            grant.grant_id,
+            kind,
+            kind is outcomes.OutcomeKind.UNKNOWN,
+            10,
+            hold_ms,
+        )
+        self._send_release(release)
+
+    def _send_release(self, release):
+        holder = self._find_holder(release.service)
+        if holder is None or not self._send(holder.holder, release):
+            self._unsent.append(release)
+
+    def _answer_recovery(self, peer, question):
+        known = self._epochs.get(question.service, 0)
+        if question.epoch < known:
+            return
+        self._epochs[question.service] = question.epoch
+        now_ms = self._clock.now_ms
+        outstanding = tuple(
+            messages.OutstandingRequest(
+                grant.request_id,
+                request.team,
+                grant.backend_id,
+                grant.incarnation,
+                grant.epoch,
+                grant.grant_id,
+                max(0, request.deadline_ms - now_ms),
+                request.key,
+            )
+            for request, grant in self.held.values()
+            if grant.service == question.service
+        )
+        records = tuple(
+            messages.IdempotencyRecord(
+                key,
+                request_id,
+                self.name,
+                finished,
+                outcomes.OutcomeKind.UNKNOWN,
+                600_000,
+            )
+            for (service, key), (request_id, finished) in self.records.items()
+            if service == question.service
+        )
+        reply = messages.RecoverReply(
+            question.service, question.epoch, outstanding, (), records
+        )
+        self._send(peer, reply)
--- /dev/null
+++ b/features/fakes/dispatch_network.py
@@ -0,0 +1,200 @@
+"""Processes, links and backend servers in simulated time, for randomised runs.
+
+The decisions are the real ones: `DispatcherTask`, the lease keeper and the
+allotment keeper. The network delays, cuts and drops, processes freeze, die and
+restart; the backend servers are the outside account of what really runs.
+"""
+
+import collections
+import heapq
+import itertools
+import random
+import zlib
+
+from bambookeel.core import messages
+
+LINK_TIMEOUT_MS = 1_000
+
+
+class Clock:
+    """Simulated time with its due events."""
+
+    def __init__(self, seed):
+        self.now_ms = 1_000_000
+        self.random = random.Random(seed)
+        self._events = []
+        self._numbers = itertools.count()
+
+    def after(self, delay_ms, action):
+        due = self.now_ms + delay_ms
+        heapq.heappush(self._events, (due, next(self._numbers), action))
+
+    def run_until(self, end_ms):
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._events)
+            action()
+        self.now_ms = end_ms
+
+
+class Network:
+    """Links in order between processes, which can be cut."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._nodes = {}
+        self._up = {}
+        self._cut = set()
+        self._last = {}
+        self._stuck = collections.defaultdict(list)
+        self._generation = collections.Counter()
+        self.sent = collections.Counter()
+
+    def add(self, node):
+        self._nodes[node.name] = node
+        for other in list(self._nodes):
+            if other != node.name:
+                self.connect(node.name, other)
+
+    def connect(self, a, b):
+        pair = frozenset((a, b))
+        if pair in self._cut or self._up.get(pair):
+            return
+        if not (self._nodes[a].is_running() and self._nodes[b].is_running()):
+            return
+        self._up[pair] = True
+        self._generation[pair] += 1
+        self._nodes[a].post(("up", b))
+        self._nodes[b].post(("up", a))
+
+    def disconnect(self, a, b):
+        pair = frozenset((a, b))
+        if not self._up.get(pair):
+            return
+        self._up[pair] = False
+        self._generation[pair] += 1
+        self._stuck.pop((a, b), None)
+        self._stuck.pop((b, a), None)
+        self._nodes[a].post(("down", b))
+        self._nodes[b].post(("down", a))
+
+    def cut(self, a, b):
+        pair = frozenset((a, b))
+        self._cut.add(pair)
+        generation = self._generation[pair]
+
+        def time_out():
+            if pair in self._cut and self._generation[pair] == generation:
+                self.disconnect(a, b)
+
+        self._clock.after(LINK_TIMEOUT_MS, time_out)
+
+    def heal(self, a, b):
+        self._cut.discard(frozenset((a, b)))
+        for way in ((a, b), (b, a)):
+            for message in self._stuck.pop(way, []):
+                self._schedule(way, message)
+        self.connect(a, b)
+
+    def is_open(self, pair):
+        return bool(self._up.get(pair)) and pair not in self._cut
+
+    def drop_all(self, name):
+        for other in self._nodes:
+            if other != name:
+                self.disconnect(name, other)
+
+    def connect_all(self, name):
+        for other in self._nodes:
+            if other != name:
+                self.connect(name, other)
+
+    def send(self, sender, to, message):
+        if to == sender:
+            self._nodes[to].post(("message", sender, message))
+            return True
+        if not self._up.get(frozenset((sender, to))):
+            return False
+        self.sent[sender] += 1
+        self._schedule((sender, to), message)
+        return True
+
+    def _schedule(self, way, message):
+        pair = frozenset(way)
+        delay = self._clock.random.choice((0, 1, 1, 2, 5, 20))
+        due = max(self._clock.now_ms + delay, self._last.get(way, 0))
+        self._last[way] = due
+        generation = self._generation[pair]
+
+        def deliver():
+            if self._generation[pair] != generation:
+                return
+            if pair in self._cut:
+                self._stuck[way].append(message)
+                return
+            self._nodes[way[1]].post(("message", way[0], message))
+
+        self._clock.after(due - self._clock.now_ms, deliver)
+
+
+class Backend:
+    """A backend server: the truth of what runs."""
+
+    def __init__(self, clock, world, service, name, slots):
+        self._clock = clock
+        self._world = world
+        self.service = service
+        self.name = name
+        self.slots = slots
+        self.incarnation = 1
+        self.running = {}
+        self._sequence = 0
+        self.leaving = False
+
+    def announce(self):
+        self._clock.after(500, self.announce)
+        self._sequence += 1
+        entry = self._world.pick_entry()
+        if entry is None:
+            return
+        state = messages.BackendState.SERVING
+        if self.leaving:
+            state = messages.BackendState.LEAVING
+        announcement = messages.BackendAnnouncement(
+            self.service,
+            self.name,
+            f"127.0.0.1:{9_000 + zlib.crc32(self.name.encode()) % 5_000}",
+            self.incarnation,
+            self._sequence,
+            state,
+            self.slots,
+            64,
+            2_000,
+            0,
+            len(self.running),
+        )
+        entry.post(("message", entry.name, announcement))
+
+    def restart(self):
+        self.incarnation += 1
+        self._sequence = 0
+        for request in list(self.running.values()):
+            self._world.note_end(self, request)
+        self.running.clear()
+
+    def run(self, request, incarnation, remaining_ms, reply):
+        if incarnation != self.incarnation or remaining_ms <= 0:
+            return
+        self.running[request.request_id] = request
+        self._world.note_start(self, request)
+        life = self.incarnation
+        duration = min(request.work_ms, remaining_ms)
+
+        def finish():
+            if self.incarnation != life:
+                return
+            del self.running[request.request_id]
+            self._world.note_end(self, request)
+            if request.work_ms <= remaining_ms:
+                self._clock.after(1, lambda: reply(request))
+
+        self._clock.after(duration, finish)
--- /dev/null
+++ b/features/fakes/dispatch_world.py
@@ -0,0 +1,369 @@
+"""A whole deployment in simulated time with the outside account of truth."""
+
+import collections
+import dataclasses
+import zlib
+
+from bambookeel.control import lease_keeper
+from bambookeel.core import messages
+from bambookeel.core import resources
+from bambookeel.dispatch import allotments
+from bambookeel.state import apply
+from bambookeel.state import commands
+from bambookeel.state import model
+from features.fakes import dispatch_entry
+from features.fakes import dispatch_network
+
+_LEASE_MS = 1_200
+_ALLOTMENT_MS = 1_500
+_DEADLINE_MS = 5_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    entries: int = 4
+    centres: int = 2
+    services: tuple = ("orders", "labels")
+    backends: int = 3
+    slots: int = 4
+    teams: tuple = (("coach", 1.0, 9), ("school", 2.0, 14))
+
+
+class Control:
+    """The control leader's real decisions over a state in memory."""
+
+    def __init__(self, world):
+        self._world = world
+        self._clock = world.clock
+        self.name = "control"
+        self.state = model.State()
+        self.term = 1
+        self.silent = False
+        self._lead()
+        self._clock.after(100, self._tick)
+
+    def _lead(self):
+        self.leases = lease_keeper.LeaseKeeper(_LEASE_MS, _LEASE_MS)
+        self.allotments = allotments.Keeper()
+
+    def is_running(self):
+        return True
+
+    def change_leader(self):
+        """Ends the leader's term; the next one knows nothing of it."""
+        self.silent = True
+
+        def lead_next():
+            self.silent = False
+            self.term += 1
+            self._lead()
+
+        self._clock.after(1_500, lead_next)
+
+    def put(self, kind, name, spec):
+        current = self.state.by_key.get((kind, name))
+        version = current.version if current else commands.MUST_NOT_EXIST
+        self.commit(commands.PutSpec(kind, name, version, spec))
+
+    def commit(self, change):
+        version = self.state.version + 1
+        command = commands.Command(
+            f"c{version}", "test", (commands.wrap_change(change),)
+        )
+        self.state = apply.apply_command(self.state, version, command).state
+        for entry in self._world.entries.values():
+            self.tell_view(entry)
+
+    def tell_view(self, entry):
+        version, by_key = self.state.version, self.state.by_key
+        name = entry.name
+
+        def deliver():
+            pair = frozenset((self.name, name))
+            if self._world.network.is_open(pair):
+                entry.post(("view", version, by_key))
+
+        self._clock.after(self._clock.random.choice((1, 2, 30)), deliver)
+
+    def post(self, event):
+        now_ms = self._clock.now_ms
+        if self.silent:
+            return
+        match event:
+            case ("message", peer, messages.EntryHeartbeat() as heartbeat):
+                lease_keeper.lead_term(self.leases, self.term, now_ms)
+                renewed = lease_keeper.take_heartbeat(
+                    self.leases, self.state, peer, heartbeat, now_ms
+                )
+                reply = messages.EntryHeartbeatReply(
+                    heartbeat.nonce,
+                    True,
+                    self.name,
+                    self.state.version,
+                    _LEASE_MS,
+                    renewed,
+                )
+                self._world.network.send(self.name, peer, reply)
+                if heartbeat.applied_version < self.state.version:
+                    self.tell_view(self._world.entries[peer])
+            case ("message", peer, messages.AllotmentRequest() as request):
+                self._allot(peer, request)
+
+    def _allot(self, peer, request):
+        if self.allotments.term != self.term:
+            allotments.become_leader(self.allotments, self.term)
+        limits = {}
+        epochs = {}
+        holders = {}
+        for (_, name), resource in self.state.by_key.items():
+            match resource.spec:
+                case resources.TeamSpec(upper_limit=limit):
+                    limits[name] = limit
+                case resources.DispatcherSpec(holder=holder, epoch=epoch):
+                    epochs[name] = epoch
+                    holders[name] = holder
+        reports = tuple(
+            report
+            for report in request.services
+            if holders.get(report.service) == peer
+            and epochs[report.service] == report.epoch
+        )
+        checked = dataclasses.replace(request, services=reports)
+        reply = allotments.take_request(
+            self.allotments,
+            allotments.Rules(limits, epochs),
+            checked,
+            _ALLOTMENT_MS,
+        )
+        if reply is not None:
+            self._world.network.send(self.name, peer, reply)
+
+    def _tick(self):
+        self._clock.after(100, self._tick)
+        if self.silent:
+            return
+        now_ms = self._clock.now_ms
+        lease_keeper.lead_term(self.leases, self.term, now_ms)
+        for change in lease_keeper.plan_assignments(
+            self.leases, self.state, now_ms
+        ):
+            # The commit takes a while, in which heartbeats go on arriving.
+            self._clock.after(30, lambda change=change: self.commit(change))
+
+
+class World:
+    """The deployment, its load and the truth."""
+
+    def __init__(self, seed, shape=Shape()):
+        self.shape = shape
+        self.clock = dispatch_network.Clock(seed)
+        self.random = self.clock.random
+        self.network = dispatch_network.Network(self.clock)
+        self.entries = {}
+        self.backend_cuts = set()
+        self.requests = []
+        self.runs = collections.Counter()
+        self.key_runs = collections.Counter()
+        self.running_by_team = collections.Counter()
+        self.faults = []
+        self.limits = {name: limit for name, _, limit in shape.teams}
+        self.control = Control(self)
+        self.network.add(self.control)
+        names = [f"entry-{i}" for i in range(shape.entries)]
+        centres = {
+            name: f"dc-{i % shape.centres}" for i, name in enumerate(names)
+        }
+        self.centres = centres
+        for name in names:
+            entry = dispatch_entry.Entry(self, name, centres)
+            self.entries[name] = entry
+            self.network.add(entry)
+        for name, weight, limit in shape.teams:
+            spec = {"share_weight": weight, "upper_limit": limit}
+            self.control.put(resources.Kind.TEAM, name, spec)
+        self.backends = {}
+        for service in shape.services:
+            pool = {"wanted_size": shape.backends}
+            self.control.put(resources.Kind.POOL, service, pool)
+            spec = {"pool": service, "deadline_ms": _DEADLINE_MS}
+            self.control.put(resources.Kind.SERVICE, service, spec)
+            for i in range(shape.backends):
+                backend = dispatch_network.Backend(
+                    self.clock, self, service, f"{service}-{i}", shape.slots
+                )
+                self.backends[backend.name] = backend
+                self.clock.after(self.random.randint(1, 500), backend.announce)
+
+    def pick_entry(self):
+        usable = [e for e in self.entries.values() if e.is_running()]
+        return self.random.choice(usable) if usable else None
+
+    def submit(self, **more):
+        entry = self.pick_entry()
+        if entry is None:
+            return None
+        team = self.random.choice(self.shape.teams)[0]
+        fields = {
+            "service": self.random.choice(self.shape.services),
+            "team": team,
+            "work_ms": self.random.choice((20, 100, 300, 1_500)),
+            **more,
+        }
+        request = dispatch_entry.Request(
+            request_id=f"r{len(self.requests)}",
+            deadline_ms=self.clock.now_ms + self.random.randint(800, 4_900),
+            **fields,
+        )
+        self.requests.append(request)
+        entry.submit(request)
+        return request
+
+    def load(self, until_ms, gap_ms):
+        """Submits requests, some with keys that repeat, until a time."""
+        if self.clock.now_ms >= until_ms:
+            return
+        key = ""
+        if self.random.random() < 0.3:
+            key = f"key-{self.random.randint(0, len(self.requests) // 8 + 4)}"
+        self.submit(key=key, service=self._pick_service(key))
+        gap = self.random.randint(1, 2 * gap_ms)
+        self.clock.after(gap, lambda: self.load(until_ms, gap_ms))
+
+    def _pick_service(self, key):
+        services = self.shape.services
+        if key:
+            return services[zlib.crc32(key.encode()) % len(services)]
+        return self.random.choice(services)
+
+    def run_when_awake(self, entry, action):
+        if entry.is_running():
+            action()
+        elif entry.alive:
+            self.clock.after(50, lambda: self.run_when_awake(entry, action))
+
+    def send_to_backend(self, entry, request, grant):
+        backend = self.backends[grant.backend_id]
+        life = entry.life
+        remaining_ms = request.deadline_ms - self.clock.now_ms
+        sent_at_ms = self.clock.now_ms
+        pair = (entry.name, backend.name)
+
+        def reply(_request):
+            if pair not in self.backend_cuts:
+                entry.take_answer(life, request, grant)
+
+        def arrive():
+            waited_ms = self.clock.now_ms - sent_at_ms
+            if pair in self.backend_cuts:
+                if waited_ms < dispatch_entry.SEND_GIVES_UP_MS:
+                    self.clock.after(50, arrive)
+                return
+            backend.run(request, grant.incarnation, remaining_ms, reply)
+
+        self.clock.after(self.random.choice((0, 1, 3)), arrive)
+
+    def note_start(self, backend, request):
+        self.runs[request.request_id] += 1
+        if request.key:
+            self.key_runs[(request.service, request.key)] += 1
+        self.running_by_team[request.team] += 1
+        at = f"at {self.clock.now_ms}"
+        if len(backend.running) > backend.slots:
+            self.faults.append(f"{backend.name} runs too many {at}")
+        if self.running_by_team[request.team] > self.limits[request.team]:
+            self.faults.append(f"{request.team} is past its limit {at}")
+        if self.runs[request.request_id] > 1:
+            self.faults.append(f"{request.request_id} ran twice {at}")
+        if request.key and self.key_runs[(request.service, request.key)] > 1:
+            self.faults.append(f"{request.key} ran twice {at}")
+
+    def note_end(self, backend, request):
+        del backend
+        self.running_by_team[request.team] -= 1
+
+    def count_told(self):
+        return collections.Counter(r.told or "open" for r in self.requests)
+
+
+FAULTS = (
+    "kill",
+    "freeze",
+    "cut-entries",
+    "cut-control",
+    "cut-backend",
+    "isolate",
+    "restart-backend",
+    "change-leader",
+    "stop",
+)
+
+
+class Mischief:
+    """Random faults, each ended again after a while."""
+
+    def __init__(self, world, kinds=FAULTS, period_ms=3_000):
+        self._world = world
+        self._kinds = kinds
+        self._period_ms = period_ms
+        self.done = collections.Counter()
+
+    def run(self, until_ms):
+        world = self._world
+        if world.clock.now_ms >= until_ms:
+            return
+        kind = world.random.choice(self._kinds)
+        self.done[kind] += 1
+        lasts_ms = world.random.choice((100, 700, 1_300, 4_000, 9_000))
+        self._begin(kind, lasts_ms)
+        gap = world.random.randint(200, 2 * self._period_ms)
+        world.clock.after(gap, lambda: self.run(until_ms))
+
+    def _begin(self, kind, lasts_ms):
+        world = self._world
+        after = world.clock.after
+        name = world.random.choice(sorted(world.entries))
+        entry = world.entries[name]
+        other = world.random.choice(sorted(set(world.entries) - {name}))
+        usable = [e for e in world.entries.values() if e.is_running()]
+        match kind:
+            case "kill" | "stop" if entry.is_running() and len(usable) > 2:
+                if kind == "stop":
+                    entry.stop_gracefully()
+                    after(2_000, lambda: entry.alive and entry.kill())
+                    lasts_ms += 2_000
+                else:
+                    entry.kill()
+                after(lasts_ms, lambda: self._restart(entry))
+            case "freeze" if entry.is_running() and len(usable) > 2:
+                entry.freeze()
+                after(lasts_ms, lambda: entry.alive and entry.wake())
+            case "cut-entries":
+                world.network.cut(name, other)
+                after(lasts_ms, lambda: world.network.heal(name, other))
+            case "cut-control":
+                world.network.cut(name, "control")
+                after(lasts_ms, lambda: world.network.heal(name, "control"))
+            case "isolate":
+                for peer in [*sorted(world.entries), "control"]:
+                    if peer != name:
+                        world.network.cut(name, peer)
+                after(lasts_ms, lambda: self._heal_all(name))
+            case "cut-backend":
+                pair = (name, world.random.choice(sorted(world.backends)))
+                world.backend_cuts.add(pair)
+                after(lasts_ms, lambda: world.backend_cuts.discard(pair))
+            case "restart-backend":
+                chosen = world.random.choice(sorted(world.backends))
+                world.backends[chosen].restart()
+            case "change-leader" if not world.control.silent:
+                world.control.change_leader()
+
+    def _restart(self, entry):
+        if not entry.alive:
+            entry._stopping = False  # pylint: disable=protected-access
+            entry.start()
+
+    def _heal_all(self, name):
+        for peer in [*sorted(self._world.entries), "control"]:
+            if peer != name:
+                self._world.network.heal(name, peer)
