--- a/bambookeel/dispatch/admission.py
+++ b/bambookeel/dispatch/admission.py
@@ -223,12 +223,10 @@
     if grant_key is not None:
         # The grant was lost on its way, or a resent question crossed it.
         grant = state.grants.by_key[grant_key]
-        if grant.message is None or grant.entry != entry:
+        if grant.entry != entry:
             return []
-        # The entry counts the time to start from its newest question.
-        grant.granted_at_ms = now_ms
-        grant.message = dataclasses.replace(grant.message, waited_ms=0)
-        return [effects.Send(entry, grant.message)]
+        again = granting.reissue(state, grant, now_ms)
+        return [effects.Send(entry, again)] if again is not None else []
     if request_id in state.queue.by_request:
         return []
     if request_id in state.copying_requests:
--- a/bambookeel/dispatch/ending.py
+++ b/bambookeel/dispatch/ending.py
@@ -94,7 +94,10 @@
                 backend, release.backend_fault, release.duration_ms
             )
     if release.outcome is outcomes.OutcomeKind.NOT_RUN:
-        _note_failure(state, grant, now_ms)
+        if not grant_table.return_unused(grant, key):
+            return asked
+        if release.backend_fault:
+            _note_failure(state, grant, now_ms)
     _finish_record(state, grant, release.outcome, now_ms, asked)
     if release.hold_ms > 0:
         ends_at_ms = now_ms + release.hold_ms + grant_table.GRACE_MS
@@ -289,4 +292,8 @@
     Returns:
         Its grants.
     """
-    return [g for g in state.grants.by_key.values() if g.entry == entry]
+    return [
+        grant
+        for grant in grant_table.list_all(state.grants)
+        if grant.entry == entry
+    ]
--- a/bambookeel/dispatch/grant_table.py
+++ b/bambookeel/dispatch/grant_table.py
@@ -23,7 +23,9 @@
     """A slot in use.
 
     Attributes:
-        key: Epoch and number.
+        key: Epoch and number it was first given.
+        open_keys: Keys under which its entry may still use it.
+        keys: All keys that it was given.
         entry: The process that uses it.
         request_id: For which request.
         team: For which team.
@@ -50,6 +52,8 @@
     charged_ms: float = 0.0
     idempotency_key: ids.IdempotencyKey = ids.IdempotencyKey("")
     message: messages.SlotGranted | None = None
+    open_keys: set[GrantKey] = dataclasses.field(default_factory=set)
+    keys: list[GrantKey] = dataclasses.field(default_factory=list)
     holds_slot: bool = True
     is_held: bool = False
 
@@ -87,12 +91,44 @@
         f"second grant for {grant.request_id}",
     )
     table.by_key[grant.key] = grant
+    grant.keys.append(grant.key)
+    grant.open_keys.add(grant.key)
     table.by_request[grant.request_id] = grant.key
     life = (grant.backend_id, grant.incarnation)
     table.by_life.setdefault(life, set()).add(grant.key)
     heapq.heappush(table.ends, (grant.ends_at_ms, grant.key))
 
 
+def reissue(table: GrantTable, grant: Grant, key: GrantKey) -> None:
+    """Gives a grant another key, for an entry that asks again.
+
+    The first message may have been lost, or it arrived too late and its return
+    is still under way; that return must not free the slot.
+
+    Args:
+        table: The table.
+        grant: The grant.
+        key: The new key.
+    """
+    grant.keys.append(key)
+    grant.open_keys.add(key)
+    table.by_key[key] = grant
+
+
+def return_unused(grant: Grant, key: GrantKey) -> bool:
+    """Notes that an entry returned a key unused.
+
+    Args:
+        grant: The grant.
+        key: The key.
+
+    Returns:
+        Whether the grant is no longer in use under any key.
+    """
+    grant.open_keys.discard(key)
+    return not grant.open_keys
+
+
 def extend(table: GrantTable, grant: Grant, ends_at_ms: int) -> None:
     """Moves the time at which a grant ends without a report.
 
@@ -115,12 +151,14 @@
     Returns:
         The grant, or None when it has ended before.
     """
-    grant = table.by_key.pop(key, None)
+    grant = table.by_key.get(key)
     if grant is None:
         return None
+    for one in grant.keys:
+        del table.by_key[one]
     del table.by_request[grant.request_id]
     life = (grant.backend_id, grant.incarnation)
-    table.by_life[life].discard(key)
+    table.by_life[life].discard(grant.key)
     if not table.by_life[life]:
         del table.by_life[life]
     return grant
@@ -164,3 +202,15 @@
         seen.add(key)
         ended.append(grant)
     return ended
+
+
+def list_all(table: GrantTable) -> list[Grant]:
+    """Lists all grants.
+
+    Args:
+        table: The table.
+
+    Returns:
+        Each grant once.
+    """
+    return [table.by_key[key] for key in table.by_request.values()]
--- a/bambookeel/dispatch/granting.py
+++ b/bambookeel/dispatch/granting.py
@@ -5,6 +5,7 @@
 the least loaded backend server.
 """
 
+import dataclasses
 import heapq
 
 from bambookeel.core import ids
@@ -112,6 +113,32 @@
     return effects.Send(waiting.entry, grant.message)
 
 
+def reissue(
+    state: service.ServiceState, grant: grant_table.Grant, now_ms: int
+) -> messages.SlotGranted | None:
+    """Grants the same slot again to an entry that asks again.
+
+    Args:
+        state: The service's state.
+        grant: The request's grant, made by this holder.
+        now_ms: The time.
+
+    Returns:
+        The message, or None when nothing may be granted now.
+    """
+    if grant.message is None or not service.may_grant(state, now_ms):
+        return None
+    state.grants.last_id += 1
+    key = (state.epoch, ids.GrantId(state.grants.last_id))
+    grant_table.reissue(state.grants, grant, key)
+    # The entry counts the time to start from its newest question.
+    grant.granted_at_ms = now_ms
+    grant.message = dataclasses.replace(
+        grant.message, grant_id=key[1], waited_ms=0
+    )
+    return grant.message
+
+
 def grant_slots(
     state: service.ServiceState, now_ms: int
 ) -> list[effects.Effect]:
