--- a/bambookeel/dispatch/copies.py
+++ b/bambookeel/dispatch/copies.py
@@ -188,6 +188,13 @@
     return asked
 
 
+def _build_note(
+    state: service.ServiceState, now_ms: int
+) -> messages.KeepRecords:
+    remaining_ms = max(0, state.records.incomplete_until_ms - now_ms)
+    return messages.KeepRecords(state.service, state.epoch, 0, (), remaining_ms)
+
+
 def restore_copies(
     state: service.ServiceState,
     entry: ids.ProcessId,
@@ -211,13 +218,17 @@
         return []
     if entry == state.deployment.process_id:
         return []
+    asked: list[effects.Effect] = []
+    if state.told_incomplete and now_ms < state.records.incomplete_until_ms:
+        asked.append(effects.Send(entry, _build_note(state, now_ms)))
     kept = {copy.idempotency_key for copy in reply.records}
     lost = [
         key
         for key, record in state.records.by_key.items()
         if entry in (record.entry, record.copy_at) and key not in kept
     ]
-    return _send_copies(state, entry, lost, now_ms)
+    asked.extend(_send_copies(state, entry, lost, now_ms))
+    return asked
 
 
 def spread_records(
@@ -298,11 +309,7 @@
     if state.told_incomplete or now_ms >= table.incomplete_until_ms:
         return []
     state.told_incomplete = True
-    note = messages.KeepRecords(
-        state.service,
-        state.epoch,
-        0,
-        (),
-        table.incomplete_until_ms - now_ms,
-    )
-    return [effects.Send(entry, note) for entry in sorted(state.reachable)]
+    return [
+        effects.Send(entry, _build_note(state, now_ms))
+        for entry in sorted(state.reachable)
+    ]
