--- a/bambookeel/control/lease_keeper.py
+++ b/bambookeel/control/lease_keeper.py
@@ -221,6 +221,8 @@
         spec = _get_assignment(state, service)
         if spec is not None:
             keeper.closed[service] = ids.Epoch(spec.epoch)
+        # The new holder has the time of a lease to report for the first time.
+        keeper.lease_until_ms[service] = now_ms + keeper.lease_ms
     return tuple(planned)
 
 
--- a/bambookeel/dispatch/admission.py
+++ b/bambookeel/dispatch/admission.py
@@ -100,15 +100,8 @@
         return None
     record = state.records.by_key.get(key)
     if record is not None and record.request_id != request.request_id:
-        duplicate = messages.SlotDuplicate(
-            request.request_id,
-            state.service,
-            record.request_id,
-            record.entry,
-            record.finished,
-        )
-        return effects.Send(entry, duplicate)
-    if record is not None:
+        return granting.tell_duplicate(state, entry, request, record)
+    if record is not None and record.standing > idempotency.Standing.CLAIMED:
         return None
     if now_ms < state.records.incomplete_until_ms:
         return refuse(
--- a/bambookeel/dispatch/granting.py
+++ b/bambookeel/dispatch/granting.py
@@ -113,6 +113,55 @@
     return effects.Send(waiting.entry, grant.message)
 
 
+def tell_duplicate(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    request: messages.AcquireSlot,
+    record: idempotency.Record,
+) -> effects.Effect:
+    """Tells an entry that another request has its Idempotency-Key.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        request: Its request.
+        record: The key's record.
+
+    Returns:
+        The message.
+    """
+    duplicate = messages.SlotDuplicate(
+        request.request_id,
+        state.service,
+        record.request_id,
+        record.entry,
+        record.finished,
+    )
+    return effects.Send(entry, duplicate)
+
+
+def _find_earlier(
+    state: service.ServiceState, request: messages.AcquireSlot
+) -> idempotency.Record | None:
+    """Looks for another request that has the key by now.
+
+    An entry that is heard late may tell of one while a request waits.
+
+    Args:
+        state: The service's state.
+        request: A request whose turn it is.
+
+    Returns:
+        The record of the other request, or None.
+    """
+    if not request.idempotency_key:
+        return None
+    record = state.records.by_key.get(request.idempotency_key)
+    if record is None or record.request_id == request.request_id:
+        return None
+    return record
+
+
 def reissue(
     state: service.ServiceState, grant: grant_table.Grant, now_ms: int
 ) -> messages.SlotGranted | None:
@@ -169,6 +218,13 @@
             continue
         use_ms = service.get_expected_use(state, team.team)
         waiting = fair_queue.start(state.queue, team, use_ms)
+        earlier = _find_earlier(state, waiting.request)
+        if earlier is not None:
+            fair_queue.charge(state.queue, team.team, -use_ms)
+            asked.append(
+                tell_duplicate(state, waiting.entry, waiting.request, earlier)
+            )
+            continue
         asked.append(_grant_slot(state, backend, waiting, use_ms, now_ms))
     if needs_allotment:
         asked.append(effects.AskAllotments())
