--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -605,7 +605,8 @@
     """Asks a process to keep copies of a service's idempotency records.
 
     A record with `remaining_ms` 0 is to be dropped. For `incomplete_ms` records
-    of the service may be missing everywhere.
+    of the service may be missing everywhere. With `restored` the process has
+    again everything that it should keep.
     """
 
     service: ids.ServiceName
@@ -613,6 +614,7 @@
     nonce: int
     records: tuple[IdempotencyRecord, ...]
     incomplete_ms: int = 0
+    restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -640,6 +642,7 @@
         uptime_ms: Age of the process; what an earlier life of it has
             outstanding is not in its `RecoverReply`.
         incomplete_ms: For how long records may be missing, as it was told.
+        restored: Whether a holder has given it everything since its start.
     """
 
     service: ids.ServiceName
@@ -647,6 +650,7 @@
     uptime_ms: int
     records: tuple[IdempotencyRecord, ...]
     incomplete_ms: int = 0
+    restored: bool = False
 
 
 # The order gives each message its number on the wire: append only.
--- a/bambookeel/dispatch/copies.py
+++ b/bambookeel/dispatch/copies.py
@@ -19,10 +19,6 @@
 # Time after which another process is asked to keep a copy.
 _RETRY_AFTER_MS = 300
 NOBODY = ids.ProcessId("")
-# Time in which a holder gives a restarted entry its records back.
-_RESTORE_WITHIN_MS = 5_000
-# An entry restarted this long before a take-over gets its records again.
-_RESTARTED_WITHIN_MS = 60_000
 # Records in one message.
 _PART_RECORDS = 500
 
@@ -189,45 +185,52 @@
 
 
 def _build_note(
-    state: service.ServiceState, now_ms: int
+    state: service.ServiceState, restored: bool, now_ms: int
 ) -> messages.KeepRecords:
     remaining_ms = max(0, state.records.incomplete_until_ms - now_ms)
     return messages.KeepRecords(state.service, state.epoch, 0, (), remaining_ms)
 
 
 def restore_copies(
-    state: service.ServiceState,
-    entry: ids.ProcessId,
-    reply: messages.RecordsReply,
-    now_ms: int,
+    state: service.ServiceState, entry: ids.ProcessId, now_ms: int
 ) -> list[effects.Effect]:
     """Gives a restarted process the records back that it should keep.
 
     Args:
-        state: The service's state.
+        state: The service's state, ready.
         entry: The process.
-        reply: What it keeps.
         now_ms: The time.
 
     Returns:
-        The messages.
+        The messages, the last of which says that it has everything.
     """
-    started_at_ms = state.started_at_ms or now_ms
-    alive_since_ms = now_ms - reply.uptime_ms
-    if alive_since_ms <= started_at_ms - _RESTARTED_WITHIN_MS:
-        return []
-    if entry == state.deployment.process_id:
-        return []
-    asked: list[effects.Effect] = []
-    if state.told_incomplete and now_ms < state.records.incomplete_until_ms:
-        asked.append(effects.Send(entry, _build_note(state, now_ms)))
-    kept = {copy.idempotency_key for copy in reply.records}
     lost = [
         key
         for key, record in state.records.by_key.items()
-        if entry in (record.entry, record.copy_at) and key not in kept
+        if entry in (record.entry, record.copy_at)
     ]
-    asked.extend(_send_copies(state, entry, lost, now_ms))
+    asked = _send_copies(state, entry, lost, now_ms)
+    asked.append(effects.Send(entry, _build_note(state, True, now_ms)))
+    return asked
+
+
+def restore_all(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Gives every linked process back what it lacks, as granting begins.
+
+    Args:
+        state: The service's state, ready.
+        now_ms: The time.
+
+    Returns:
+        The messages.
+    """
+    asked: list[effects.Effect] = []
+    for entry in sorted(state.reachable):
+        account = state.accounts.get(entry)
+        if account is not None and not account.restored:
+            asked.extend(restore_copies(state, entry, now_ms))
     return asked
 
 
@@ -256,34 +259,14 @@
     return asked
 
 
-def _has_whole_life(
-    state: service.ServiceState, account: service.EntryAccount
-) -> bool:
-    """Tells whether an entry told every record that it had to keep.
-
-    What a restarted entry has lost, the earlier holder has given back to it
-    soon after; only a restart shortly before the take-over leaves a doubt.
-
-    Args:
-        state: The service's state.
-        account: What was heard of the entry.
-
-    Returns:
-        Whether it was heard and did not restart just before.
-    """
-    if not account.told_outstanding or account.alive_since_ms is None:
-        return False
-    started_at_ms = state.started_at_ms or 0
-    return account.alive_since_ms + _RESTORE_WITHIN_MS <= started_at_ms
-
-
 def check_records(
     state: service.ServiceState, now_ms: int
 ) -> list[effects.Effect]:
     """Decides, as granting begins, whether records may be missing.
 
     A record is kept by processes of two data centres, or by two processes
-    where one data centre is left. What an earlier holder missed stays missing.
+    where one data centre is left. A process that restarted counts as lost until
+    a holder has restored what it kept. What an earlier holder missed stays missing.
 
     Args:
         state: The service's state.
@@ -299,7 +282,7 @@
     unheard = [
         entry
         for entry, account in state.accounts.items()
-        if not _has_whole_life(state, account)
+        if not (account.told_outstanding and account.restored)
     ]
     lost_centres = {centres[entry] for entry in unheard}
     all_centres = set(centres.values())
@@ -310,6 +293,6 @@
         return []
     state.told_incomplete = True
     return [
-        effects.Send(entry, _build_note(state, now_ms))
+        effects.Send(entry, _build_note(state, False, now_ms))
         for entry in sorted(state.reachable)
     ]
--- a/bambookeel/dispatch/idempotency.py
+++ b/bambookeel/dispatch/idempotency.py
@@ -65,6 +65,8 @@
         incomplete_until_ms: Until when a record of an earlier holder may be
             missing here; no request with an unknown key runs before.
         inherited_until_ms: The same, as an earlier holder told it.
+        restored: Whether a holder has given this process everything that it
+            should keep, since its start.
     """
 
     by_key: OrderedDict[ids.IdempotencyKey, Record] = dataclasses.field(
@@ -72,6 +74,7 @@
     )
     incomplete_until_ms: int = 0
     inherited_until_ms: int = 0
+    restored: bool = False
 
 
 def put(table: RecordTable, key: ids.IdempotencyKey, record: Record) -> None:
--- a/bambookeel/dispatch/recovery.py
+++ b/bambookeel/dispatch/recovery.py
@@ -180,7 +180,10 @@
             state.records.inherited_until_ms, incomplete_until_ms
         )
     account.alive_since_ms = now_ms - reply.uptime_ms
-    asked = copies.restore_copies(state, entry, reply, now_ms)
+    account.restored = reply.restored
+    asked: list[effects.Effect] = []
+    if state.ready and not reply.restored:
+        asked.extend(copies.restore_copies(state, entry, now_ms))
     asked.extend(check_progress(state, now_ms))
     return asked
 
@@ -354,6 +357,7 @@
         asked.append(effects.Record("dispatch_ready", fields))
         asked.append(effects.AskAllotments())
         asked.extend(copies.spread_records(state, now_ms))
+        asked.extend(copies.restore_all(state, now_ms))
         asked.extend(admission.take_early(state, now_ms))
         asked.extend(granting.grant_slots(state, now_ms))
     return asked
--- a/bambookeel/dispatch/service.py
+++ b/bambookeel/dispatch/service.py
@@ -51,6 +51,7 @@
         lists_until_ms: A grant made before this and not listed in the answer
             never reached the entry.
         alive_since_ms: When it started, as it told; None before.
+        restored: Whether it keeps every record that it should.
         told_outstanding: Whether it told what it has outstanding.
         covered: Whether everything of it is counted, earlier lives included.
     """
@@ -59,6 +60,7 @@
     repeated_at_ms: int = 0
     lists_until_ms: int = 0
     alive_since_ms: int | None = None
+    restored: bool = False
     told_outstanding: bool = False
     covered: bool = False
 
--- a/bambookeel/entry/dispatcher_task.py
+++ b/bambookeel/entry/dispatcher_task.py
@@ -282,17 +282,7 @@
             case messages.AllotmentReply():
                 self._take_allotments(peer, message, now_ms)
             case messages.KeepRecords():
-                copies = self._get_copies(message.service)
-                idempotency.keep_copies(copies, message.records, now_ms)
-                idempotency.drop_expired(copies, now_ms)
-                copies.incomplete_until_ms = max(
-                    copies.incomplete_until_ms, now_ms + message.incomplete_ms
-                )
-                if message.nonce:
-                    kept = messages.RecordsKept(
-                        message.service, message.epoch, message.nonce
-                    )
-                    self._send(peer, kept)
+                self._keep_records(peer, message, now_ms)
             case messages.RecordsRequest():
                 self._tell_records(peer, message, now_ms)
             case _:
@@ -354,6 +344,32 @@
             announcement_store.pass_on(announcement, holder, self._linked)
         )
 
+    def _keep_records(
+        self,
+        peer: ids.ProcessId,
+        message: messages.KeepRecords,
+        now_ms: int,
+    ) -> None:
+        """Keeps copies of a holder's records.
+
+        Args:
+            peer: The holder.
+            message: The copies.
+            now_ms: The time.
+        """
+        copies = self._get_copies(message.service)
+        idempotency.keep_copies(copies, message.records, now_ms)
+        idempotency.drop_expired(copies, now_ms)
+        copies.incomplete_until_ms = max(
+            copies.incomplete_until_ms, now_ms + message.incomplete_ms
+        )
+        copies.restored |= message.restored
+        if message.nonce:
+            kept = messages.RecordsKept(
+                message.service, message.epoch, message.nonce
+            )
+            self._send(peer, kept)
+
     def _tell_records(
         self,
         peer: ids.ProcessId,
@@ -386,6 +402,7 @@
             now_ms - self._born_at_ms,
             exported,
             max(0, incomplete_until_ms - now_ms),
+            copies.restored,
         )
         self._send(peer, reply)
 
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -289,6 +289,7 @@
   nonce @2 :Int64;
   records @3 :List(IdempotencyRecord);
   incompleteMs @4 :Int64;
+  restored @5 :Bool;
 }
 
 struct RecordsKept {
@@ -308,6 +309,7 @@
   uptimeMs @2 :Int64;
   records @3 :List(IdempotencyRecord);
   incompleteMs @4 :Int64;
+  restored @5 :Bool;
 }
 
 struct LogEntry {
