--- a/bambookeel/dispatch/copies.py
+++ b/bambookeel/dispatch/copies.py
@@ -188,7 +188,9 @@
     state: service.ServiceState, restored: bool, now_ms: int
 ) -> messages.KeepRecords:
     remaining_ms = max(0, state.records.incomplete_until_ms - now_ms)
-    return messages.KeepRecords(state.service, state.epoch, 0, (), remaining_ms)
+    return messages.KeepRecords(
+        state.service, state.epoch, 0, (), remaining_ms, restored
+    )
 
 
 def restore_copies(
--- /dev/null
+++ b/bambookeel/dispatch/outstanding.py
@@ -0,0 +1,90 @@
+"""What an entry tells a holder of its outstanding requests.
+
+A holder that hears of a request counts it from then on; a grant that the entry
+does not know of never reached it and ends.
+"""
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.dispatch import backend_table
+from bambookeel.dispatch import ending
+from bambookeel.dispatch import grant_table
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import service
+from bambookeel.dispatch import team_limits
+
+
+def drop_lost_grants(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    reply: messages.RecoverReply,
+    account: service.EntryAccount,
+) -> None:
+    """Ends grants that were lost on their way to an entry.
+
+    A grant made before the question, to the same life of the entry, and not in
+    its answer was lost with an older link.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        reply: Its answer.
+        account: What was heard of it before.
+    """
+    if account.alive_since_ms is None or account.asked_at_ms is None:
+        return
+    alive_since_ms = account.alive_since_ms
+    listed = {told.request_id for told in reply.outstanding}
+    for grant in ending.get_outstanding_of(state, entry):
+        if grant.request_id in listed:
+            continue
+        if alive_since_ms < grant.granted_at_ms < account.lists_until_ms:
+            ending.end_unknown_to_entry(state, grant)
+
+
+def add_told(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    told: messages.OutstandingRequest,
+    now_ms: int,
+) -> None:
+    """Counts a request that an entry has outstanding.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        told: The request.
+        now_ms: The time.
+    """
+    if told.request_id in state.grants.by_request:
+        return
+    key = (told.epoch, told.grant_id)
+    if key in state.grants.by_key:
+        return
+    grant = grant_table.Grant(
+        key,
+        entry,
+        told.request_id,
+        told.team,
+        told.backend_id,
+        told.incarnation,
+        now_ms,
+        now_ms + max(0, told.remaining_ms) + grant_table.GRACE_MS,
+        idempotency_key=told.idempotency_key,
+    )
+    grant_table.add(state.grants, grant)
+    idempotency.note_started(
+        state.records,
+        told.idempotency_key,
+        told.request_id,
+        entry,
+        grant.ends_at_ms + state.spec.idempotency_ttl_ms,
+    )
+    backend_table.use_slot(state.backends, told.backend_id, told.incarnation)
+    team_limits.charge(state.limits, told.team)
+    # It was counted as unheard or unseen until now.
+    limit = team_limits.get_limit(state.limits, told.team)
+    limit.unheard = max(0, limit.unheard - 1)
+    backend = state.backends.by_id.get(told.backend_id)
+    if backend is not None:
+        backend.unseen = max(0, backend.unseen - 1)
--- a/bambookeel/dispatch/recovery.py
+++ b/bambookeel/dispatch/recovery.py
@@ -17,10 +17,10 @@
 from bambookeel.dispatch import backend_table
 from bambookeel.dispatch import copies
 from bambookeel.dispatch import effects
-from bambookeel.dispatch import ending
 from bambookeel.dispatch import grant_table
 from bambookeel.dispatch import granting
 from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import outstanding
 from bambookeel.dispatch import service
 from bambookeel.dispatch import team_limits
 
@@ -210,16 +210,16 @@
         return []
     if account.asked_at_ms is None or account.told_outstanding:
         return []
-    granted = {outstanding.request_id for outstanding in reply.outstanding}
+    granted = {told.request_id for told in reply.outstanding}
     claimed = frozenset(
         record.request_id
         for record in reply.records
         if not record.finished and record.request_id not in granted
     )
     idempotency.recover(state.records, reply.records, claimed, now_ms)
-    _drop_lost_grants(state, entry, reply, account)
-    for outstanding in reply.outstanding:
-        _add_outstanding(state, entry, outstanding, now_ms)
+    outstanding.drop_lost_grants(state, entry, reply, account)
+    for told in reply.outstanding:
+        outstanding.add_told(state, entry, told, now_ms)
     account.told_outstanding = True
     asked: list[effects.Effect] = []
     for announcement in reply.announcements:
@@ -228,84 +228,6 @@
     return asked
 
 
-def _drop_lost_grants(
-    state: service.ServiceState,
-    entry: ids.ProcessId,
-    reply: messages.RecoverReply,
-    account: service.EntryAccount,
-) -> None:
-    """Ends grants that were lost on their way to an entry.
-
-    A grant made before the question, to the same life of the entry, and not in
-    its answer was lost with an older link.
-
-    Args:
-        state: The service's state.
-        entry: The entry.
-        reply: Its answer.
-        account: What was heard of it before.
-    """
-    if account.alive_since_ms is None or account.asked_at_ms is None:
-        return
-    alive_since_ms = account.alive_since_ms
-    listed = {outstanding.request_id for outstanding in reply.outstanding}
-    for grant in ending.get_outstanding_of(state, entry):
-        if grant.request_id in listed:
-            continue
-        if alive_since_ms < grant.granted_at_ms < account.lists_until_ms:
-            ending.end_unknown_to_entry(state, grant)
-
-
-def _add_outstanding(
-    state: service.ServiceState,
-    entry: ids.ProcessId,
-    outstanding: messages.OutstandingRequest,
-    now_ms: int,
-) -> None:
-    """Counts a request that an entry has outstanding.
-
-    Args:
-        state: The service's state.
-        entry: The entry.
-        outstanding: The request.
-        now_ms: The time.
-    """
-    if outstanding.request_id in state.grants.by_request:
-        return
-    key = (outstanding.epoch, outstanding.grant_id)
-    if key in state.grants.by_key:
-        return
-    grant = grant_table.Grant(
-        key,
-        entry,
-        outstanding.request_id,
-        outstanding.team,
-        outstanding.backend_id,
-        outstanding.incarnation,
-        now_ms,
-        now_ms + max(0, outstanding.remaining_ms) + grant_table.GRACE_MS,
-        idempotency_key=outstanding.idempotency_key,
-    )
-    grant_table.add(state.grants, grant)
-    idempotency.note_started(
-        state.records,
-        outstanding.idempotency_key,
-        outstanding.request_id,
-        entry,
-        grant.ends_at_ms + state.spec.idempotency_ttl_ms,
-    )
-    backend_table.use_slot(
-        state.backends, outstanding.backend_id, outstanding.incarnation
-    )
-    team_limits.charge(state.limits, outstanding.team)
-    # It was counted as unheard or unseen until now.
-    limit = team_limits.get_limit(state.limits, outstanding.team)
-    limit.unheard = max(0, limit.unheard - 1)
-    backend = state.backends.by_id.get(outstanding.backend_id)
-    if backend is not None:
-        backend.unseen = max(0, backend.unseen - 1)
-
-
 def _has_everything(state: service.ServiceState) -> bool:
     if state.started_at_ms is None:
         return False
--- a/bambookeel/entry/dispatcher_task.py
+++ b/bambookeel/entry/dispatcher_task.py
@@ -19,11 +19,11 @@
 from bambookeel.dispatch import announcing
 from bambookeel.dispatch import dispatcher
 from bambookeel.dispatch import effects
-from bambookeel.dispatch import idempotency
 from bambookeel.dispatch import recovery
 from bambookeel.dispatch import service as dispatch_service
 from bambookeel.entry import allotment_client
 from bambookeel.entry import events
+from bambookeel.entry import record_keeper
 from bambookeel.entry import view
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
@@ -53,12 +53,11 @@
         self.mailbox = mailbox.Mailbox("dispatcher")
         self._deployment = deployment
         self._process_id = deployment.process_id
-        self._born_at_ms = born_at_ms
         self.services: dict[ids.ServiceName, dispatch_service.ServiceState] = {}
         self._holders: dict[ids.ServiceName, ids.ProcessId] = {}
         self._linked: set[ids.ProcessId] = set()
         self._store = announcement_store.AnnouncementStore()
-        self._copies: dict[ids.ServiceName, idempotency.RecordTable] = {}
+        self._records = record_keeper.RecordKeeper(born_at_ms)
         self._allotments = allotment_client.AllotmentClient(
             control, leases.report_ms
         )
@@ -260,17 +259,9 @@
             state: Its state; its idempotency records are kept as copies.
         """
         self._perform(dispatcher.release_lease(state))
-        copies = self._get_copies(state.service)
-        for key, record in state.records.by_key.items():
-            idempotency.put(copies, key, record)
-        copies.incomplete_until_ms = max(
-            copies.incomplete_until_ms, state.records.incomplete_until_ms
-        )
+        self._records.take_over(state)
         logs.log_event("dispatch_end", service=state.service, epoch=state.epoch)
 
-    def _get_copies(self, service: ids.ServiceName) -> idempotency.RecordTable:
-        return self._copies.setdefault(service, idempotency.RecordTable())
-
     def _handle_message(
         self, peer: ids.ProcessId, message: messages.Message, now_ms: int
     ) -> None:
@@ -280,9 +271,11 @@
             case messages.AllotmentReply():
                 self._take_allotments(peer, message, now_ms)
             case messages.KeepRecords():
-                self._keep_records(peer, message, now_ms)
+                self._perform(self._records.keep(peer, message, now_ms))
             case messages.RecordsRequest():
-                self._tell_records(peer, message, now_ms)
+                state = self.services.get(message.service)
+                told = self._records.tell(peer, message, state, now_ms)
+                self._perform([told])
             case _:
                 self._handle_service_message(peer, message, now_ms)
 
@@ -342,68 +335,6 @@
             announcement_store.pass_on(announcement, holder, self._linked)
         )
 
-    def _keep_records(
-        self,
-        peer: ids.ProcessId,
-        message: messages.KeepRecords,
-        now_ms: int,
-    ) -> None:
-        """Keeps copies of a holder's records.
-
-        Args:
-            peer: The holder.
-            message: The copies.
-            now_ms: The time.
-        """
-        copies = self._get_copies(message.service)
-        idempotency.keep_copies(copies, message.records, now_ms)
-        idempotency.drop_expired(copies, now_ms)
-        copies.incomplete_until_ms = max(
-            copies.incomplete_until_ms, now_ms + message.incomplete_ms
-        )
-        copies.restored |= message.restored
-        if message.nonce:
-            kept = messages.RecordsKept(
-                message.service, message.epoch, message.nonce
-            )
-            self._send(peer, kept)
-
-    def _tell_records(
-        self,
-        peer: ids.ProcessId,
-        request: messages.RecordsRequest,
-        now_ms: int,
-    ) -> None:
-        """Tells a new holder which idempotency records are kept here.
-
-        Args:
-            peer: The holder.
-            request: Its question.
-            now_ms: The time.
-        """
-        copies = self._get_copies(request.service)
-        records = dict(copies.by_key)
-        incomplete_until_ms = copies.incomplete_until_ms
-        state = self.services.get(request.service)
-        if state is not None and state.epoch < request.epoch:
-            records.update(state.records.by_key)
-            incomplete_until_ms = max(
-                incomplete_until_ms, state.records.incomplete_until_ms
-            )
-        exported = tuple(
-            idempotency.export(key, record, now_ms)
-            for key, record in records.items()
-        )
-        reply = messages.RecordsReply(
-            request.service,
-            request.epoch,
-            now_ms - self._born_at_ms,
-            exported,
-            max(0, incomplete_until_ms - now_ms),
-            copies.restored,
-        )
-        self._send(peer, reply)
-
     def _report_demands(self, now_ms: int) -> None:
         self._perform(
             self._allotments.build_request(list(self.services.values()), now_ms)
--- /dev/null
+++ b/bambookeel/entry/record_keeper.py
@@ -0,0 +1,105 @@
+"""Copies of idempotency records that this process keeps for holders elsewhere.
+
+A holder has its records copied here; a new holder asks for them. Owned by the
+dispatcher task.
+"""
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.dispatch import effects
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import service as dispatch_service
+
+
+class RecordKeeper:
+    """The copies by service."""
+
+    def __init__(self, born_at_ms: int) -> None:
+        self._born_at_ms = born_at_ms
+        self._copies: dict[ids.ServiceName, idempotency.RecordTable] = {}
+
+    def _get_copies(self, service: ids.ServiceName) -> idempotency.RecordTable:
+        return self._copies.setdefault(service, idempotency.RecordTable())
+
+    def keep(
+        self,
+        peer: ids.ProcessId,
+        message: messages.KeepRecords,
+        now_ms: int,
+    ) -> list[effects.Effect]:
+        """Keeps copies of a holder's records.
+
+        Args:
+            peer: The holder.
+            message: The copies.
+            now_ms: The time.
+
+        Returns:
+            The answer, where one is awaited.
+        """
+        copies = self._get_copies(message.service)
+        idempotency.keep_copies(copies, message.records, now_ms)
+        idempotency.drop_expired(copies, now_ms)
+        copies.incomplete_until_ms = max(
+            copies.incomplete_until_ms, now_ms + message.incomplete_ms
+        )
+        copies.restored |= message.restored
+        if not message.nonce:
+            return []
+        kept = messages.RecordsKept(
+            message.service, message.epoch, message.nonce
+        )
+        return [effects.Send(peer, kept)]
+
+    def take_over(self, state: dispatch_service.ServiceState) -> None:
+        """Keeps the records of a dispatcher that ends here.
+
+        Args:
+            state: The dispatcher's state.
+        """
+        copies = self._get_copies(state.service)
+        for key, record in state.records.by_key.items():
+            idempotency.put(copies, key, record)
+        copies.incomplete_until_ms = max(
+            copies.incomplete_until_ms, state.records.incomplete_until_ms
+        )
+
+    def tell(
+        self,
+        peer: ids.ProcessId,
+        request: messages.RecordsRequest,
+        state: dispatch_service.ServiceState | None,
+        now_ms: int,
+    ) -> effects.Effect:
+        """Tells a new holder which records are kept here.
+
+        Args:
+            peer: The holder.
+            request: Its question.
+            state: The service's dispatcher in this process, if any.
+            now_ms: The time.
+
+        Returns:
+            The answer.
+        """
+        copies = self._get_copies(request.service)
+        records = dict(copies.by_key)
+        incomplete_until_ms = copies.incomplete_until_ms
+        if state is not None and state.epoch < request.epoch:
+            records.update(state.records.by_key)
+            incomplete_until_ms = max(
+                incomplete_until_ms, state.records.incomplete_until_ms
+            )
+        exported = tuple(
+            idempotency.export(key, record, now_ms)
+            for key, record in records.items()
+        )
+        reply = messages.RecordsReply(
+            request.service,
+            request.epoch,
+            now_ms - self._born_at_ms,
+            exported,
+            max(0, incomplete_until_ms - now_ms),
+            copies.restored,
+        )
+        return effects.Send(peer, reply)
--- a/bench/bench_dispatch.py
+++ b/bench/bench_dispatch.py
@@ -116,40 +116,59 @@
         )
 
 
+class _LimitRun:
+    """Five services that ask in turn for one team with a limit."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.services = [f"s{i}" for i in range(5)]
+        self.running = dict.fromkeys(self.services, 0)
+        self.excess = 0
+        self._held = dict.fromkeys(self.services, 0)
+        self._nonce = 0
+        self._keeper = allotments.Keeper()
+        allotments.become_leader(self._keeper, 1)
+        epochs = {service: 1 for service in self.services}
+        self._rules = allotments.Rules({"coach": limit}, epochs)
+
+    def report(self, service, wanted):
+        """Lets a service report, and start what it is allotted."""
+        # Requests end within about two reports.
+        running = min(self._held[service], wanted)
+        self._nonce += 1
+        demand = messages.TeamDemand(
+            "coach", service, running, wanted - running, self._held[service]
+        )
+        report = messages.ServiceReport(service, 1, True)
+        request = messages.AllotmentRequest(
+            self._nonce, (demand,), (report,), 1
+        )
+        reply = allotments.take_request(
+            self._keeper, self._rules, request, 1_500
+        )
+        self._held[service] = max(
+            [one.amount for one in reply.allotments], default=0
+        )
+        self.running[service] = min(self._held[service], wanted)
+        excess = sum(self.running.values()) - self.limit
+        self.excess = max(self.excess, excess)
+
+
 def _measure_limits():
-    """Five services in turn ask for one team whose limit is 40."""
-    limit = 40
-    keeper = allotments.Keeper()
-    allotments.become_leader(keeper, 1)
-    services = [f"s{i}" for i in range(5)]
-    rules = allotments.Rules({"coach": limit}, {s: 1 for s in services})
-    running = dict.fromkeys(services, 0)
-    held = dict.fromkeys(services, 0)
-    excess = used = split_used = wanted_total = nonce = 0
+    run = _LimitRun(40)
+    used = split_used = possible = 0
     for step in range(2_000):
-        busy = services[(step // 20) % 5]
-        wants = {s: 60 if s == busy else 2 for s in services}
-        for service in services:
-            # Requests end within about two reports.
-            running[service] = min(held[service], wants[service])
-            nonce += 1
-            waiting = max(0, wants[service] - running[service])
-            demand = messages.TeamDemand(
-                "coach", service, running[service], waiting, held[service]
-            )
-            report = messages.ServiceReport(service, 1, True)
-            request = messages.AllotmentRequest(nonce, (demand,), (report,), 1)
-            reply = allotments.take_request(keeper, rules, request, 1_500)
-            held[service] = max([a.amount for a in reply.allotments], default=0)
-            running[service] = min(held[service], wants[service])
-            excess = max(excess, sum(running.values()) - limit)
-        used += sum(running.values())
-        split_used += sum(min(w, limit // 5) for w in wants.values())
-        wanted_total += min(limit, sum(wants.values()))
-    yield lines.render_line("dispatch", "limit_excess", excess, 0)
+        busy = run.services[(step // 20) % 5]
+        wants = {s: 60 if s == busy else 2 for s in run.services}
+        for service, wanted in wants.items():
+            run.report(service, wanted)
+        used += sum(run.running.values())
+        split_used += sum(min(w, run.limit // 5) for w in wants.values())
+        possible += min(run.limit, sum(wants.values()))
+    yield lines.render_line("dispatch", "limit_excess", run.excess, 0)
     for name, amount in (("allotments", used), ("even-split", split_used)):
         yield lines.render_line(
-            "dispatch", "limit_use", amount / wanted_total, 0.95, policy=name
+            "dispatch", "limit_use", amount / possible, 0.95, policy=name
         )
 
 
--- a/bench/dispatch_load.py
+++ b/bench/dispatch_load.py
@@ -24,6 +24,8 @@
 ENTRIES = 11
 NO_LIMIT = 1_000_000
 _TICK_MS = 100
+# Shares are compared over this time.
+WINDOW_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,7 +67,6 @@
     deadline_ms: int
     urgent: bool = False
     entry: int = 0
-    started_ms: int = -1
 
 
 class RealPolicy:
@@ -245,6 +246,84 @@
     urgent_waits: list = dataclasses.field(default_factory=list)
 
 
+class _Run:
+    """One run of a load through a policy."""
+
+    def __init__(self, policy, rate_at, seed, options):
+        self.result = Result()
+        self._policy = policy
+        self._rate_at = rate_at
+        self._options = options
+        self._chance = random.Random(seed)
+        self._teams = options.get("teams", TEAMS)
+        self._events = []
+        self._numbers = itertools.count()
+        self._running = Counter()
+        self._use = Counter()
+        self._push(0, "arrive")
+        self._push(_TICK_MS, "tick")
+
+    def _push(self, due_ms, kind, job=None):
+        heapq.heappush(self._events, (due_ms, next(self._numbers), kind, job))
+
+    def _start(self, jobs, now_ms):
+        for job in jobs:
+            self._running[job.team.name] += 1
+            self._push(now_ms + job.use_ms, "end", job)
+            if job.urgent:
+                self.result.urgent_waits.append(now_ms - job.arrived_ms)
+
+    def _count(self, passed_ms, slots):
+        for name, count in self._running.items():
+            self._use[name] += count * passed_ms
+        if self._policy.count_waiting():
+            self.result.backlog_ms += passed_ms * slots
+            busy = sum(self._running.values())
+            self.result.busy_in_backlog += passed_ms * busy
+
+    def _arrive(self, now_ms):
+        chance = self._chance
+        gap_s = chance.expovariate(self._rate_at(now_ms))
+        self._push(now_ms + gap_s * 1_000, "arrive")
+        weights = [team.rate for team in self._teams]
+        team = chance.choices(self._teams, weights)[0]
+        job = Job(
+            next(self._numbers),
+            team,
+            1 + int(chance.expovariate(1 / team.use_ms)),
+            now_ms,
+            now_ms + self._options.get("deadline_ms", 30_000),
+            chance.random() < self._options.get("urgent_part", 0.0),
+            chance.randrange(ENTRIES),
+        )
+        self.result.offered += 1
+        self._start(self._policy.offer(job, int(now_ms)), now_ms)
+
+    def run(self, slots, length_ms):
+        """Runs to the end."""
+        last_ms = 0
+        window_end_ms = WINDOW_MS
+        while self._events[0][0] <= length_ms:
+            now_ms, _, kind, job = heapq.heappop(self._events)
+            self._count(now_ms - last_ms, slots)
+            last_ms = now_ms
+            if now_ms >= window_end_ms:
+                self.result.windows.append(dict(self._use))
+                self._use.clear()
+                window_end_ms += WINDOW_MS
+            match kind:
+                case "arrive":
+                    self._arrive(now_ms)
+                case "end":
+                    self._running[job.team.name] -= 1
+                    self.result.good += now_ms <= job.deadline_ms
+                    ended = self._policy.finish(job, int(now_ms))
+                    self._start(ended, now_ms)
+                case "tick":
+                    self._push(now_ms + _TICK_MS, "tick")
+                    self._start(self._policy.tick(int(now_ms)), now_ms)
+
+
 def run_load(policy, slots, rate_at, length_ms, seed, **options):
     """Runs a load through a policy.
 
@@ -254,71 +333,11 @@
         rate_at: Requests a second at a time.
         length_ms: Length of the run.
         seed: Seed of the load.
-        **options: `deadline_ms`, `urgent_part`, `window_ms`, `teams`.
+        **options: `deadline_ms`, `urgent_part`, `teams`.
 
     Returns:
         What came of it.
     """
-    chance = random.Random(seed)
-    teams = options.get("teams", TEAMS)
-    result = Result()
-    events = []
-    numbers = itertools.count()
-    running = Counter()
-    use = Counter()
-    weights = [team.rate for team in teams]
-
-    def start(jobs, now_ms):
-        for job in jobs:
-            job.started_ms = now_ms
-            running[job.team.name] += 1
-            heapq.heappush(
-                events, (now_ms + job.use_ms, next(numbers), "end", job)
-            )
-            if job.urgent:
-                result.urgent_waits.append(now_ms - job.arrived_ms)
-
-    heapq.heappush(events, (0, next(numbers), "arrive", None))
-    heapq.heappush(events, (_TICK_MS, next(numbers), "tick", None))
-    last_ms = 0
-    window_ms = options.get("window_ms", 10_000)
-    window_end_ms = window_ms
-    while events and events[0][0] <= length_ms:
-        now_ms, _, kind, job = heapq.heappop(events)
-        passed_ms = now_ms - last_ms
-        last_ms = now_ms
-        for name, count in running.items():
-            use[name] += count * passed_ms
-        if policy.count_waiting():
-            result.backlog_ms += passed_ms * slots
-            result.busy_in_backlog += passed_ms * sum(running.values())
-        if now_ms >= window_end_ms:
-            result.windows.append(dict(use))
-            use.clear()
-            window_end_ms += window_ms
-        match kind:
-            case "arrive":
-                gap_s = chance.expovariate(rate_at(now_ms))
-                due_ms = now_ms + gap_s * 1_000
-                heapq.heappush(events, (due_ms, next(numbers), "arrive", None))
-                team = chance.choices(teams, weights)[0]
-                new = Job(
-                    next(numbers),
-                    team,
-                    1 + int(chance.expovariate(1 / team.use_ms)),
-                    now_ms,
-                    now_ms + options.get("deadline_ms", 30_000),
-                    chance.random() < options.get("urgent_part", 0.0),
-                    chance.randrange(ENTRIES),
-                )
-                result.offered += 1
-                start(policy.offer(new, int(now_ms)), now_ms)
-            case "end":
-                running[job.team.name] -= 1
-                result.good += now_ms <= job.deadline_ms
-                start(policy.finish(job, int(now_ms)), now_ms)
-            case "tick":
-                due_ms = now_ms + _TICK_MS
-                heapq.heappush(events, (due_ms, next(numbers), "tick", None))
-                start(policy.tick(int(now_ms)), now_ms)
-    return result
+    run = _Run(policy, rate_at, seed, options)
+    run.run(slots, length_ms)
+    return run.result
--- a/features/fakes/dispatch_entry.py
+++ b/features/fakes/dispatch_entry.py
@@ -296,7 +296,7 @@
         key = (grant.epoch, grant.grant_id, grant.service)
         if request is None:
             if key not in self.held:
-                self._return_unused(grant)
+                self._release(grant, outcomes.OutcomeKind.NOT_RUN, 0)
             return
         limit_ms = request.asked_at_ms + grant.waited_ms
         too_late = now_ms >= min(
@@ -308,7 +308,7 @@
         )
         self._epochs[grant.service] = max(newest, grant.epoch)
         if too_late or grant.epoch < newest:
-            self._return_unused(grant)
+            self._release(grant, outcomes.OutcomeKind.NOT_RUN, 0)
             self.waiting[request.request_id] = request
             request.holder = ""
             return
@@ -344,9 +344,6 @@
             kind = outcomes.OutcomeKind.UNKNOWN
         self._release(grant, kind, hold_ms)
 
-    def _return_unused(self, grant):
-        self._release(grant, outcomes.OutcomeKind.NOT_RUN, 0)
-
     def _release(self, grant, kind, hold_ms):
         release = messages.SlotReleased(
             grant.request_id,
