--- a/bambookeel/dispatch/admission.py
+++ b/bambookeel/dispatch/admission.py
@@ -11,6 +11,7 @@
 from bambookeel.core import outcomes
 from bambookeel.dispatch import copies
 from bambookeel.dispatch import effects
+from bambookeel.dispatch import ending
 from bambookeel.dispatch import fair_queue
 from bambookeel.dispatch import granting
 from bambookeel.dispatch import idempotency
@@ -218,8 +219,11 @@
         grant = state.grants.by_key[grant_key]
         if grant.entry != entry:
             return []
-        again = granting.reissue(state, grant, now_ms)
-        return [effects.Send(entry, again)] if again is not None else []
+        if grant.holds_slot:
+            again = granting.reissue(state, grant, now_ms)
+            return [effects.Send(entry, again)] if again is not None else []
+        # Its slot was given to another request; it waits for a new one.
+        ending.end_unknown_to_entry(state, grant)
     if request_id in state.queue.by_request:
         return []
     if request_id in state.copying_requests:
--- a/bambookeel/dispatch/copies.py
+++ b/bambookeel/dispatch/copies.py
@@ -193,6 +193,38 @@
     )
 
 
+def _spread_to(
+    state: service.ServiceState, target: ids.ProcessId, now_ms: int
+) -> list[effects.Effect]:
+    """Copies records that are all in one data centre to a process elsewhere.
+
+    Args:
+        state: The service's state.
+        target: A process that has come back.
+        now_ms: The time.
+
+    Returns:
+        The messages.
+    """
+    centres = state.deployment.data_centres
+    own = state.deployment.process_id
+    keys = []
+    for key, record in state.records.by_key.items():
+        places = {
+            centres[place]
+            for place in (record.entry, record.copy_at, own)
+            if place in centres
+        }
+        if len(places) != 1 or centres[target] in places:
+            continue
+        keys.append(key)
+    for key in keys:
+        state.records.by_key[key] = dataclasses.replace(
+            state.records.by_key[key], copy_at=target
+        )
+    return _send_copies(state, target, keys, now_ms)
+
+
 def restore_copies(
     state: service.ServiceState, entry: ids.ProcessId, now_ms: int
 ) -> list[effects.Effect]:
@@ -212,6 +244,7 @@
         if entry in (record.entry, record.copy_at)
     ]
     asked = _send_copies(state, entry, lost, now_ms)
+    asked.extend(_spread_to(state, entry, now_ms))
     asked.append(effects.Send(entry, _build_note(state, True, now_ms)))
     return asked
 
