--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -34,6 +34,10 @@
     fetchAnswer @28 :FetchAnswer;
     answerCopy @29 :AnswerCopy;
     replicaIdentity @30 :ReplicaIdentity;
+    keepRecords @31 :KeepRecords;
+    recordsKept @32 :RecordsKept;
+    recordsRequest @33 :RecordsRequest;
+    recordsReply @34 :RecordsReply;
   }
 }
 
@@ -162,12 +166,16 @@
 struct AllotmentRequest {
   nonce @0 :Int64;
   demands @1 :List(TeamDemand);
+  services @2 :List(ServiceReport);
+  answeredTerm @3 :Int64;
 }
 
 struct AllotmentReply {
   nonce @0 :Int64;
   leaseMs @1 :Int64;
   allotments @2 :List(Allotment);
+  term @3 :Int64;
+  services @4 :List(ServiceReport);
 }
 
 struct BackendAnnouncement {
@@ -182,6 +190,7 @@
   leaseMs @8 :Int64;
   ageMs @9 :Int64;
   running @10 :Int64;
+  hops @11 :Int64;
 }
 
 struct AcquireSlot {
@@ -204,6 +213,7 @@
   incarnation @6 :Int64;
   startWithinMs @7 :Int64;
   connectionAllowance @8 :Int64;
+  waitedMs @9 :Int64;
 }
 
 struct SlotRefused {
@@ -270,6 +280,31 @@
   wantsReply @2 :Bool;
 }
 
+struct KeepRecords {
+  service @0 :Text;
+  epoch @1 :Int64;
+  nonce @2 :Int64;
+  records @3 :List(IdempotencyRecord);
+}
+
+struct RecordsKept {
+  service @0 :Text;
+  epoch @1 :Int64;
+  nonce @2 :Int64;
+}
+
+struct RecordsRequest {
+  service @0 :Text;
+  epoch @1 :Int64;
+}
+
+struct RecordsReply {
+  service @0 :Text;
+  epoch @1 :Int64;
+  uptimeMs @2 :Int64;
+  records @3 :List(IdempotencyRecord);
+}
+
 struct LogEntry {
   term @0 :Int64;
   index @1 :Int64;
@@ -300,6 +335,7 @@
   team @0 :Text;
   service @1 :Text;
   amount @2 :Int64;
+  earlier @3 :Int64;
 }
 
 struct OutstandingRequest {
@@ -326,3 +362,9 @@
   name @0 :Text;
   value @1 :Text;
 }
+
+struct ServiceReport {
+  service @0 :Text;
+  epoch @1 :Int64;
+  complete @2 :Bool;
+}
