--- a/dev/proof_run.py
+++ b/dev/proof_run.py
@@ -12,7 +12,6 @@
 
 from bambookeel.runtime import clock
 from bambookeel.tools import log_lines
-from dev import api_calls
 from dev import audit
 from dev import deployment
 from dev import load
@@ -143,15 +142,13 @@
         gevent.sleep(seconds)
 
     def find_leader(self) -> str:
-        """Finds the leader of control."""
-        for name in self.running.control_names:
-            address = self.running.get_address(name, "http")
-            _, answer = api_calls.call_json(
-                f"http://{address}/v1/status", "GET", self.running.operator_key
-            )
-            if isinstance(answer, dict) and answer.get("leader"):
-                return str(answer["leader"])
-        raise RuntimeError("control names no leader")
+        """Finds the process that became leader of control last."""
+        elected = [
+            (event.stamp, event.process)
+            for event in self._read_events("control-*.log")
+            if event.name == "role" and event.fields["is_leader"] == "true"
+        ]
+        return max(elected)[1]
 
     def find_holder(self, service: str) -> str:
         """Finds the holder of a service's dispatch lease."""
@@ -282,9 +279,12 @@
         if self._sender is not None:
             self.evidence.records = self._sender.records
         self.evidence.runs = self.running.read_runs()
+        self.evidence.events = self._read_events("*.log")
+
+    def _read_events(self, pattern: str) -> list[log_lines.LogEvent]:
         files = []
-        for path in sorted(self.running.folder.glob("*.log")):
+        for path in sorted(self.running.folder.glob(pattern)):
             with path.open(encoding="utf-8", errors="replace") as lines:
                 events, _ = log_lines.parse_lines(lines, path.name)
             files.append(events)
-        self.evidence.events = log_lines.merge_events(files)
+        return log_lines.merge_events(files)
