Give operators keys, roles, bundles, watches and dry runs

Cause: the API knew only the bootstrap key, showed hashes, stopped at the first fault, invented a second secret on a resent key creation and read bodies without a check of their length.

Ruled out: a secret derived from the command's id (whoever reads the log could compute it).

Change: one small module each for parsing, authority, reads, changes, watches and status. Command ids are kept per actor. A resent key creation says that the secret cannot be shown again. Status tells what each entry has applied and needs no leader.

--- a/bambookeel/api/operator_app.py
+++ b/bambookeel/api/operator_app.py
@@ -1,53 +1,57 @@
 """The resource API of operators over HTTP.
 
-`/v1/KIND` lists, `/v1/KIND/NAME` gets, puts and deletes. `If-Match` carries the
-expected version, `X-Command-Id` makes a change idempotent. Keys of teams and
-operators are created with `POST /v1/key/NAME`, whose answer shows the secret
-once.
+`/v1/KIND` lists, `/v1/KIND/NAME` gets, puts and deletes, `/v1/bundle` changes
+several resources at once, `/v1/watch` follows changes, `/v1/status` tells what
+the deployment is doing. This module verifies the key and routes; the others of
+this package do the work.
 """
 
 from collections.abc import Callable
-import hashlib
-import hmac
-import secrets
 import typing
 
-import gevent
-import gevent.event
-import msgspec
-
+from bambookeel.api import answers
+from bambookeel.api import authority
+from bambookeel.api import changes
+from bambookeel.api import reads
+from bambookeel.api import replica_client
+from bambookeel.api import requests
+from bambookeel.api import status
+from bambookeel.api import watch
 from bambookeel.control import events
-from bambookeel.core import ids
+from bambookeel.control import stream_task
 from bambookeel.core import resources
+from bambookeel.core import settings as core_settings
 from bambookeel.net import problem
-from bambookeel.runtime import mailbox
-from bambookeel.state import commands
-from bambookeel.state import keys
+from bambookeel.runtime import clock
 from bambookeel.state import model
 
-_MAX_BODY_BYTES = 1024 * 1024
-_REPLY_TIMEOUT_S = 5.0
-_STATUS_BY_CODE = {
-    commands.OutcomeCode.APPLIED: "200 OK",
-    commands.OutcomeCode.CONFLICT: "409 Conflict",
-    commands.OutcomeCode.INVALID: "422 Unprocessable Content",
-    commands.OutcomeCode.NOT_FOUND: "404 Not Found",
-}
-Environ = dict[str, typing.Any]
+_WATCH = "watch"
+_STATUS = "status"
 
 
 class OperatorApp:
     """The WSGI application of a control process."""
 
     def __init__(
-        self, replica: mailbox.Mailbox, bootstrap_key_sha256: str
+        self,
+        settings: core_settings.ControlSettings,
+        replica: replica_client.Replica,
+        streams: stream_task.StreamTask,
     ) -> None:
-        self._replica = replica
-        self._bootstrap_key_sha256 = bootstrap_key_sha256
+        self._settings = settings
+        self._replica = replica_client.ReplicaClient(replica)
+        self._streams = streams
+        self._watches = watch.Watches(streams)
+
+    def stop(self) -> None:
+        """Ends the watches, so that the server can stop."""
+        self._watches.stop()
 
     def __call__(
-        self, environ: Environ, start_response: Callable[..., typing.Any]
-    ) -> list[bytes]:
+        self,
+        environ: requests.Environ,
+        start_response: Callable[..., typing.Any],
+    ) -> typing.Iterable[bytes]:
         """Answers one HTTP request.
 
         Args:
@@ -58,176 +62,136 @@
             The body.
         """
         response = self._answer(environ)
+        if isinstance(response, requests.Request):
+            return watch.answer_watch(self._watches, response, start_response)
         start_response(response.status, response.headers)
         return [response.body]
 
-    def _answer(self, environ: Environ) -> problem.Response:
-        if not self._is_operator(environ):
-            return _build_fault(
-                "401 Unauthorized", "an operator's key is needed"
-            )
-        parts = environ["PATH_INFO"].strip("/").split("/")
-        if parts[0] != "v1" or len(parts) not in (2, 3):
-            return _build_fault("404 Not Found", "no such path")
-        try:
-            kind = resources.Kind(parts[1])
-        except ValueError:
-            accepted = ", ".join(kind.value for kind in resources.Kind)
-            detail = f"kind {parts[1]!r} is unknown (accepted: {accepted})"
-            return _build_fault("404 Not Found", detail)
-        name = parts[2] if len(parts) == 3 else ""
-        method = environ["REQUEST_METHOD"]
-        match method:
-            case "GET":
-                return self._read(kind, name)
-            case "PUT" if name:
-                return self._put(environ, kind, name)
-            case "POST" if name and kind is resources.Kind.KEY:
-                return self._create_key(environ, name)
-            case "DELETE" if name:
-                change = commands.Delete(kind, name, _read_version(environ))
-                return self._commit(environ, change, {})
-        return _build_fault("405 Method Not Allowed", f"method {method}")
-
-    def _is_operator(self, environ: Environ) -> bool:
-        header = environ.get("HTTP_AUTHORIZATION", "")
-        secret = header.removeprefix("Bearer ").encode("utf-8")
-        digest = hashlib.sha256(secret).hexdigest()
-        return hmac.compare_digest(digest, self._bootstrap_key_sha256)
-
-    def _read(self, kind: resources.Kind, name: str) -> problem.Response:
-        """Answers a read with what holds.
-
-        Args:
-            kind: The kind.
-            name: The name; empty for a list.
-
-        Returns:
-            The response.
-        """
-        reply: gevent.event.AsyncResult = gevent.event.AsyncResult()
-        state = self._ask(events.LocalRead(reply), reply)
-        if not isinstance(state, model.State):
-            return _build_not_committed(state)
-        found = [
-            msgspec.to_builtins(model.store_resource(resource))
-            for resource in state.by_key.values()
-            if resource.kind is kind and name in ("", resource.name)
-        ]
-        if not name:
-            document = {"version": state.version, "items": found}
-            return problem.build_json_response("200 OK", document)
-        if not found:
-            return _build_fault("404 Not Found", f"no {kind.value} {name!r}")
-        return problem.build_json_response("200 OK", found[0])
-
-    def _put(
-        self, environ: Environ, kind: resources.Kind, name: str
-    ) -> problem.Response:
-        """Creates or replaces a resource's spec.
+    def _answer(
+        self, environ: requests.Environ
+    ) -> problem.Response | requests.Request:
+        """Answers a request, or gives it back when it is a watch.
 
         Args:
             environ: WSGI environment.
-            kind: The kind.
-            name: The name.
 
         Returns:
-            The response.
+            The response, or a verified request to watch.
         """
-        body = environ["wsgi.input"].read(_MAX_BODY_BYTES)
-        try:
-            spec = msgspec.json.decode(body, type=dict[str, typing.Any])
-        except msgspec.DecodeError as error:
-            return _build_fault("400 Bad Request", f"malformed JSON: {error}")
-        version = _read_version(environ)
-        change = commands.PutSpec(kind, name, version, spec)
-        return self._commit(environ, change, {})
-
-    def _create_key(self, environ: Environ, name: str) -> problem.Response:
-        """Creates a key and shows its secret.
+        request = requests.parse_request(environ)
+        if isinstance(request, answers.Refusal):
+            return answers.build_refusal(request)
+        state = self._read_state(request)
+        if isinstance(state, events.NotCommitted):
+            return answers.build_refusal(answers.refuse_not_committed(state))
+        operator = authority.find_operator(
+            state, request.secret, self._settings.bootstrap_key_sha256
+        )
+        if operator is None:
+            detail = (
+                "the key is missing, unknown, withdrawn or a team's (accepted:"
+                " an operator's key as 'Authorization: Bearer KEY')"
+            )
+            refusal = answers.Refusal("401 Unauthorized", detail)
+            return answers.build_refusal(refusal)
+        sender = changes.Sender(operator, state, self._replica)
+        return self._route(request, sender)
+
+    def _read_state(
+        self, request: requests.Request
+    ) -> model.State | events.NotCommitted:
+        """Reads the state that the request asks for.
 
         Args:
-            environ: WSGI environment; the body names `team` or `operator`.
-            name: The key's id.
+            request: The request.
 
         Returns:
-            The response with the secret.
+            What holds, or what this replica has where that will do.
         """
-        body = environ["wsgi.input"].read(_MAX_BODY_BYTES)
-        try:
-            owner = msgspec.json.decode(body, type=dict[str, str])
-        except msgspec.DecodeError as error:
-            return _build_fault("400 Bad Request", f"malformed JSON: {error}")
-        key = keys.create_key(
-            ids.KeyId(name), owner.get("team", ""), owner.get("operator", "")
-        )
-        change = commands.PutSpec(
-            resources.Kind.KEY,
-            name,
-            commands.MUST_NOT_EXIST,
-            msgspec.to_builtins(key.spec),
+        may_be_older = request.method == "GET" and (
+            request.has_flag("stale") or request.parts[0] in (_WATCH, _STATUS)
         )
-        return self._commit(environ, change, {"secret": key.secret})
+        if may_be_older:
+            return self._replica.get_view().state
+        return self._replica.read()
 
-    def _commit(
-        self,
-        environ: Environ,
-        change: commands.Change,
-        extra: dict[str, str],
-    ) -> problem.Response:
-        """Commits one change and answers with its outcome.
+    def _route(
+        self, request: requests.Request, sender: changes.Sender
+    ) -> problem.Response | requests.Request:
+        """Routes a verified request.
 
         Args:
-            environ: WSGI environment.
-            change: The change.
-            extra: Members added to the answer of an applied change.
+            request: The request.
+            sender: Who sends it.
 
         Returns:
-            The response.
+            The response, or the request when it is a watch.
         """
-        command_id = environ.get("HTTP_X_COMMAND_ID") or secrets.token_hex(16)
-        command = commands.Command(
-            ids.CommandId(command_id),
-            "operator",
-            (commands.wrap_change(change),),
+        match (request.method, request.parts):
+            case ("GET", (word,)) if word == _WATCH:
+                return request
+            case ("GET", (word,)) if word == _STATUS:
+                return self._build_status()
+            case ("POST", ("bundle",)):
+                return changes.apply_bundle(request, sender)
+        kind = _find_kind(request.parts[0])
+        if kind is None:
+            accepted = ", ".join(kind.value for kind in resources.Kind)
+            detail = (
+                f"kind {request.parts[0][:80]!r} is unknown (accepted:"
+                f" {accepted}; GET also watch and status; POST also bundle)"
+            )
+            refusal = answers.Refusal("404 Not Found", detail)
+            return answers.build_refusal(refusal)
+        return _route_resource(request, sender, kind)
+
+    def _build_status(self) -> problem.Response:
+        now_ms = clock.read_now_ms()
+        return status.build_status(
+            self._settings,
+            self._replica.get_view(),
+            self._streams.followers.list_rows(now_ms),
+            now_ms,
         )
-        reply: gevent.event.AsyncResult = gevent.event.AsyncResult()
-        outcome = self._ask(events.LocalCommand(command, reply), reply)
-        if not isinstance(outcome, commands.CommandOutcome):
-            return _build_not_committed(outcome)
-        document = msgspec.to_builtins(outcome)
-        if outcome.code is commands.OutcomeCode.APPLIED:
-            document.update(extra)
-        status = _STATUS_BY_CODE[outcome.code]
-        return problem.build_json_response(status, document)
-
-    def _ask(
-        self, message: typing.Any, reply: gevent.event.AsyncResult
-    ) -> typing.Any:
-        if not self._replica.put(message):
-            return events.NotCommitted(False, "the replica is overloaded")
-        try:
-            return reply.get(timeout=_REPLY_TIMEOUT_S)
-        except gevent.Timeout:
-            return events.NotCommitted(True, "no answer in time")
-
-
-def _read_version(environ: Environ) -> ids.StateVersion:
-    text = environ.get("HTTP_IF_MATCH", "").strip('"')
-    if text.isdigit():
-        return ids.StateVersion(int(text))
-    return commands.ANY_VERSION
-
-
-def _build_fault(status: str, detail: str) -> problem.Response:
-    return problem.build_json_response(
-        status, {"detail": detail, "status": int(status[:3])}
-    )
 
 
-def _build_not_committed(outcome: events.NotCommitted) -> problem.Response:
-    word = "unknown" if outcome.may_take_effect else "not-run"
-    return problem.build_json_response(
-        "503 Service Unavailable",
-        {"detail": outcome.detail, "outcome": word, "status": 503},
+def _find_kind(text: str) -> resources.Kind | None:
+    for kind in resources.Kind:
+        if kind.value == text:
+            return kind
+    return None
+
+
+def _route_resource(
+    request: requests.Request, sender: changes.Sender, kind: resources.Kind
+) -> problem.Response:
+    """Routes a request that concerns one kind.
+
+    Args:
+        request: The request.
+        sender: Who sends it.
+        kind: The kind.
+
+    Returns:
+        The response.
+    """
+    is_key = kind is resources.Kind.KEY
+    match (request.method, request.parts):
+        case ("GET", (_,)):
+            return reads.list_resources(sender.state, kind, request)
+        case ("GET", (_, name)):
+            return reads.get_resource(sender.state, kind, name)
+        case ("PUT", (_, name)):
+            return changes.put_resource(request, sender, kind, name)
+        case ("POST", (_, name)) if is_key:
+            return changes.create_key(request, sender, name)
+        case ("DELETE", (_, name)):
+            return changes.delete_resource(request, sender, kind, name)
+    accepted = "GET /v1/KIND, GET, PUT and DELETE /v1/KIND/NAME"
+    if is_key:
+        accepted += ", POST /v1/key/NAME"
+    detail = (
+        f"{request.method[:20]} is not for this path (accepted: {accepted})"
     )
+    refusal = answers.Refusal("405 Method Not Allowed", detail)
+    return answers.build_refusal(refusal)
--- /dev/null
+++ b/bambookeel/api/reads.py
@@ -0,0 +1,135 @@
+"""Gets and lists of resources.
+
+A list is sorted by name and filtered by fields of the spec, or by the state of
+the status; `limit` and `after` give it in pages.
+"""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from bambookeel.api import answers
+from bambookeel.api import documents
+from bambookeel.api import requests
+from bambookeel.core import resources
+from bambookeel.net import problem
+from bambookeel.state import model
+
+_MAX_LIMIT = 10_000
+_OWN_PARAMETERS = ("stale", "limit", "after")
+_STATE = "state"
+
+
+def get_resource(
+    state: model.State, kind: resources.Kind, name: str
+) -> problem.Response:
+    """Answers with one resource.
+
+    Args:
+        state: The state.
+        kind: The kind.
+        name: The name.
+
+    Returns:
+        The response; its ETag is the version.
+    """
+    resource = state.by_key.get((kind, name))
+    if resource is None:
+        detail = f"no {kind.value} {name!r} at version {state.version}"
+        return answers.build_refusal(answers.Refusal("404 Not Found", detail))
+    document = documents.render_resource(resource)
+    response = problem.build_json_response("200 OK", document)
+    response.headers.append(("ETag", f'"{resource.version}"'))
+    response.headers.append(("X-State-Version", str(state.version)))
+    return response
+
+
+def _check_filters(
+    request: requests.Request, kind: resources.Kind
+) -> dict[str, str] | answers.Refusal:
+    """Checks the filters of a list.
+
+    Args:
+        request: The request.
+        kind: The kind.
+
+    Returns:
+        Wanted values by field, or a refusal.
+    """
+    spec_type = resources.SPEC_TYPES[kind]
+    known = [
+        field.name for field in msgspec.inspect.type_info(spec_type).fields
+    ]
+    known = [name for name in known if not name.endswith("_hex")]
+    filters = {}
+    for name, value in request.query.items():
+        if name in _OWN_PARAMETERS:
+            continue
+        if name not in known and name != _STATE:
+            accepted = ", ".join([*known, _STATE, *_OWN_PARAMETERS])
+            return answers.refuse_value("query", name, accepted)
+        filters[name] = value
+    return filters
+
+
+def _read_limit(request: requests.Request) -> int | answers.Refusal:
+    text = request.query.get("limit", str(_MAX_LIMIT))
+    if text.isascii() and text.isdigit() and 0 < len(text) < 9:
+        if 1 <= int(text) <= _MAX_LIMIT:
+            return int(text)
+    return answers.refuse_value("limit", text, f"1 to {_MAX_LIMIT}")
+
+
+def _render_value(value: typing.Any) -> str:
+    if isinstance(value, str):
+        return value
+    return msgspec.json.encode(value).decode("utf-8")
+
+
+def _matches(resource: resources.Resource, filters: dict[str, str]) -> bool:
+    for name, wanted in filters.items():
+        if hasattr(resource.spec, name):
+            value = _render_value(getattr(resource.spec, name))
+        else:
+            value = resource.status.state
+        if value != wanted:
+            return False
+    return True
+
+
+def list_resources(
+    state: model.State, kind: resources.Kind, request: requests.Request
+) -> problem.Response:
+    """Answers with the resources of one kind.
+
+    Args:
+        state: The state.
+        kind: The kind.
+        request: The request with its filters.
+
+    Returns:
+        The response, with the version that it shows.
+    """
+    filters = _check_filters(request, kind)
+    if isinstance(filters, answers.Refusal):
+        return answers.build_refusal(filters)
+    limit = _read_limit(request)
+    if isinstance(limit, answers.Refusal):
+        return answers.build_refusal(limit)
+    after = request.query.get("after", "")
+    found = [
+        resource
+        for (found_kind, name), resource in state.by_key.items()
+        if found_kind is kind and name > after and _matches(resource, filters)
+    ]
+    found.sort(key=lambda resource: resource.name)
+    page = found[:limit]
+    document: dict[str, typing.Any] = {
+        "version": state.version,
+        "stale": request.has_flag("stale"),
+        "items": [documents.render_resource(resource) for resource in page],
+    }
+    if len(page) < len(found):
+        document["next"] = page[-1].name
+    return problem.build_json_response("200 OK", document)
--- /dev/null
+++ b/bambookeel/api/replica_client.py
@@ -0,0 +1,80 @@
+"""How the API asks the replica of its own process.
+
+Commands and reads go as messages with a place for the reply and a bounded wait;
+the published view answers what may be older.
+"""
+
+import typing
+
+import gevent
+import gevent.event
+
+from bambookeel.control import events
+from bambookeel.control import replica_view
+from bambookeel.runtime import mailbox
+from bambookeel.state import commands
+from bambookeel.state import model
+
+_REPLY_TIMEOUT_S = 5.0
+
+
+class Replica(typing.Protocol):
+    """What the API needs of the replica task."""
+
+    mailbox: mailbox.Mailbox
+    view: replica_view.ReplicaView
+
+
+class ReplicaClient:
+    """Asks one replica."""
+
+    def __init__(
+        self, replica: Replica, reply_timeout_s: float = _REPLY_TIMEOUT_S
+    ) -> None:
+        self._replica = replica
+        self._reply_timeout_s = reply_timeout_s
+
+    def get_view(self) -> replica_view.ReplicaView:
+        """Gives what this replica has applied.
+
+        Returns:
+            The view, which may be older than what holds.
+        """
+        return self._replica.view
+
+    def read(self) -> model.State | events.NotCommitted:
+        """Reads the state with every acknowledged change.
+
+        Returns:
+            The state, or why there is none.
+        """
+        reply: gevent.event.AsyncResult = gevent.event.AsyncResult()
+        return self._ask(events.LocalRead(reply), reply, False)
+
+    def commit(
+        self, command: commands.Command
+    ) -> commands.CommandOutcome | events.NotCommitted:
+        """Commits a command.
+
+        Args:
+            command: The command.
+
+        Returns:
+            Its outcome, or why it is not known to be committed.
+        """
+        reply: gevent.event.AsyncResult = gevent.event.AsyncResult()
+        return self._ask(events.LocalCommand(command, reply), reply, True)
+
+    def _ask(
+        self,
+        message: typing.Any,
+        reply: gevent.event.AsyncResult,
+        may_take_effect: bool,
+    ) -> typing.Any:
+        if not self._replica.mailbox.put(message):
+            return events.NotCommitted(False, "the replica is overloaded")
+        try:
+            return reply.get(timeout=self._reply_timeout_s)
+        except gevent.Timeout:
+            detail = "the replica gave no answer in time"
+            return events.NotCommitted(may_take_effect, detail)
--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -43,10 +43,8 @@
         )
         listeners = [self._streams.mailbox, self._leases.mailbox]
         replica.connect(self._links.send, listeners)
-        app = operator_app.OperatorApp(
-            replica.mailbox, settings.bootstrap_key_sha256
-        )
-        self._api = http_server.Server(settings.api_listen, app)
+        self._app = operator_app.OperatorApp(settings, replica, self._streams)
+        self._api = http_server.Server(settings.api_listen, self._app)
         self._admin = http_server.Server(
             settings.admin_listen, admin_app.AdminApp(self.find_unready_reason)
         )
@@ -136,6 +134,7 @@
         """Stops the process's tasks and closes its sockets."""
         self._stopping = True
         logs.log_event("stopping")
+        self._app.stop()
         self._api.stop(timeout=5)
         self._supervisor.stop()
         self._links.close()
--- a/bambookeel/runtime/mailbox.py
+++ b/bambookeel/runtime/mailbox.py
@@ -41,6 +41,20 @@
         """
         return self._queue.get()
 
+    def get_within(self, timeout_s: float) -> typing.Any:
+        """Waits a bounded time for the next message.
+
+        Args:
+            timeout_s: How long to wait.
+
+        Returns:
+            The oldest message, or None when none has come.
+        """
+        try:
+            return self._queue.get(timeout=timeout_s)
+        except gevent.queue.Empty:
+            return None
+
     def get_depth(self) -> int:
         """Counts waiting messages.
 
