--- a/bambookeel/api/reads.py
+++ b/bambookeel/api/reads.py
@@ -58,9 +58,7 @@
         Wanted values by field, or a refusal.
     """
     spec_type = resources.SPEC_TYPES[kind]
-    known = [
-        field.name for field in msgspec.inspect.type_info(spec_type).fields
-    ]
+    known = [field.name for field in dataclasses.fields(spec_type)]
     known = [name for name in known if not name.endswith("_hex")]
     filters = {}
     for name, value in request.query.items():
