--- a/bambookeel/entry/follower_task.py
+++ b/bambookeel/entry/follower_task.py
@@ -64,6 +64,9 @@
         self._nonce = 0
         self._pending: dict[int, _PendingHeartbeat] = {}
         self._stopping = False
+        # The state version that control told first. An assignment up to it
+        # was made to an earlier life of this process and is given up.
+        self._born_version: ids.StateVersion | None = None
 
     @property
     def fresh_until_ms(self) -> int:
@@ -131,7 +134,9 @@
         self._dispatcher.put(events.ViewChanged(current))
 
     def _list_held(self) -> tuple[messages.HeldLease, ...]:
-        held = []
+        held: list[messages.HeldLease] = []
+        if self._born_version is None:
+            return ()
         for resource in self.view.by_key.values():
             spec = resource.spec
             if not isinstance(spec, resources.DispatcherSpec):
@@ -142,7 +147,7 @@
                 messages.HeldLease(
                     ids.ServiceName(resource.name),
                     ids.Epoch(spec.epoch),
-                    self._stopping,
+                    self._stopping or resource.version <= self._born_version,
                 )
             )
         return tuple(held)
@@ -170,6 +175,8 @@
         pending = self._pending.get(reply.nonce)
         if pending is None or not reply.is_leader:
             return
+        if self._born_version is None:
+            self._born_version = reply.committed_version
         freshness.take_confirmation(
             self._freshness,
             pending.sent_at_ms,
