--- a/bambookeel/api/documents.py
+++ b/bambookeel/api/documents.py
@@ -11,6 +11,7 @@
 from bambookeel.state import commands
 from bambookeel.state import model
 
+_WHOLE_RESOURCE = "resource"
 _HIDDEN_FIELDS = ("salt_hex", "hash_hex")
 
 
@@ -74,5 +75,6 @@
             fault["place"] = place.replace("changes[", "resources[", 1)
             continue
         _, _, rest = place.partition(".")
-        fault["place"] = rest if place.startswith("changes[0]") else place
+        is_field = place.startswith("changes[0].")
+        fault["place"] = rest if is_field else _WHOLE_RESOURCE
     return document
--- a/bambookeel/core/resources.py
+++ b/bambookeel/core/resources.py
@@ -155,6 +155,7 @@
         cores: Processor cores.
         memory_mb: Memory in megabytes.
         accelerators: Accelerators.
+        drain_wanted: Whether an operator wants it drained and kept empty.
     """
 
     pool: str
@@ -163,6 +164,7 @@
     cores: PositiveInt = 64
     memory_mb: PositiveInt = 262_144
     accelerators: NonNegativeInt = 0
+    drain_wanted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
