--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -1,6 +1,5 @@
 """Steps for the operators' API."""
 
-import hashlib
 import io
 import json
 
@@ -9,41 +8,21 @@
 from behave import then
 from behave import use_step_matcher
 from behave import when
-import gevent
 import hypothesis
 from hypothesis import strategies
 
-from bambookeel.api import operator_app
 from bambookeel.control import events
-from bambookeel.control import stream_task
-from bambookeel.core import settings
+from features.fakes import fake_api
 from features.fakes import fake_replica
 
-_ADDRESS = "127.0.0.1:1"
-
 
 @given('a control process with the bootstrap key "{secret}"')
 def build_control(context, secret):
     context.replica = fake_replica.FakeReplica()
-    streams = stream_task.StreamTask(context.replica, lambda *_: True)
-    context.replica.listeners.append(streams.mailbox)
-    context.streams_task = gevent.spawn(streams.run)
-    control = settings.ControlSettings(
-        process_id="control-0",
-        data_centre="tamworth",
-        api_listen=_ADDRESS,
-        admin_listen=_ADDRESS,
-        peer_listen=_ADDRESS,
-        data_folder="",
-        control=(),
-        entries=(),
-        bootstrap_key_sha256=hashlib.sha256(secret.encode()).hexdigest(),
-    )
-    context.app = operator_app.OperatorApp(control, context.replica, streams)
+    context.app = fake_api.build_app(context.replica, secret)
     context.secrets = {"bootstrap": secret}
     context.key = "bootstrap"
     context.told = []
-    context.add_cleanup(context.streams_task.kill)
 
 
 def _open_request(context, request, body=b"", headers=None, key=None):
