--- a/bambookeel/entry/caller_watch.py
+++ b/bambookeel/entry/caller_watch.py
@@ -15,6 +15,8 @@
 import gevent
 
 _PERIOD_S = 0.1
+# The state of a dead connection in the kernel's TCP_INFO.
+_TCP_CLOSE = 7
 _INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -74,7 +76,13 @@
         return None
     try:
         flags = plain_socket.MSG_PEEK | plain_socket.MSG_DONTWAIT
-        return raw.recv(1, flags) == b""
+        if raw.recv(1, flags):
+            return False
+        # After the end of the caller's sending, a reset shows only here.
+        info = raw.getsockopt(
+            plain_socket.IPPROTO_TCP, plain_socket.TCP_INFO, 1
+        )
+        return None if info[0] == _TCP_CLOSE else True
     except BlockingIOError:
         return False
     except OSError:
--- /dev/null
+++ b/features/fakes/request_scripts.py
@@ -0,0 +1,44 @@
+"""Scripts of callers and backend servers that several features use."""
+
+import codecs
+
+from features.fakes import raw_backend
+
+WORK = ["X-Work-Id: w"]
+
+
+def unescape(text):
+    """Turns backslash sequences of a feature's text into bytes."""
+    return codecs.decode(text, "unicode_escape").encode("latin-1")
+
+
+def get_request_id(backend):
+    """Gives the X-Request-Id of the latest request to a backend server."""
+    for line in backend.heads[-1]:
+        if line.lower().startswith("x-request-id: "):
+            return line.partition(": ")[2].encode()
+    raise AssertionError(backend.heads[-1])
+
+
+def answer_with(backend, data):
+    """Lets the backend server answer with these bytes and close."""
+
+    def disturb(connection, step):
+        if step != "sent":
+            return
+        connection.send(data.replace(b"ID", get_request_id(backend)))
+        raise raw_backend.EndOfConnectionError()
+
+    backend.disturb = disturb
+
+
+def send_and_hold(entry):
+    """Sends a request and gives its open connection."""
+    sock = entry.connect()
+    sock.sendall(
+        b"POST /services/orders/work HTTP/1.1\r\nHost: entry\r\nX-Work-Id: w"
+        b"\r\nContent-Length: 0\r\nAuthorization: Bearer "
+        + entry.secret.encode()
+        + b"\r\n\r\n"
+    )
+    return sock
--- /dev/null
+++ b/features/steps/request_path_steps.py
@@ -0,0 +1,274 @@
+"""Steps of requests on their way through one entry."""
+
+from behave import given
+from behave import then
+from behave import when
+import gevent
+import gevent.event
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from features.fakes import entry_harness
+from features.fakes import raw_backend
+from features.fakes import request_scripts
+
+
+@given("one entry with a scripted dispatcher and backend server")
+def start_entry(context):
+    context.entry = entry_harness.EntryHarness()
+    context.add_cleanup(context.entry.close)
+    context.backend = raw_backend.RawBackend("first")
+    context.add_cleanup(context.backend.close)
+    context.holder = context.entry.add_holder("entry-1", 1)
+    context.holder.targets = [context.backend]
+
+
+def _send_later(context, headers=()):
+    context.calling = gevent.spawn(
+        context.entry.call, headers=[*request_scripts.WORK, *headers]
+    )
+
+
+@when("a request comes before its service has a dispatcher")
+def send_without_holder(context):
+    context.entry.follower.set_holder("", 1)
+    _send_later(context)
+    gevent.sleep(0.15)
+
+
+@when("a dispatcher takes the service over")
+def take_over(context):
+    context.successor = context.entry.add_holder("entry-2", 2)
+    context.successor.targets = [context.backend]
+
+
+@then("the waiting request is answered")
+def check_answered(context):
+    seen = context.calling.get(timeout=20)
+    assert seen.told == "answered", seen
+    assert context.backend.runs["w"] == 1, context.backend.runs
+
+
+@when("the dispatcher says twice that it has no lease")
+def refuse_twice(context):
+    refused = []
+
+    def refuse(message):
+        refused.append(message)
+        if len(refused) == 2:
+            take_over(context)
+        return messages.SlotRefused(
+            message.request_id,
+            message.service,
+            outcomes.Reason.NO_DISPATCHER,
+            "",
+            0,
+        )
+
+    context.holder.answer = refuse
+
+
+@when("a request is sent while a successor takes the service over")
+def send_during_change(context):
+    _send_later(context)
+    context.calling.join(timeout=20)
+
+
+@then("the successor was told how long it had waited")
+def check_waited(context):
+    assert [m.waited_ms > 0 for m in context.successor.asked] == [True]
+
+
+@when("the dispatcher loses what it was first asked")
+def lose_first(context):
+    lost = []
+
+    def lose(message):
+        if not lost:
+            lost.append(message)
+            return None
+        return context.holder.grant(message)
+
+    context.holder.answer = lose
+
+
+@when("a request is sent and the link to the dispatcher is replaced")
+def replace_link(context):
+    _send_later(context)
+    context.entry.wait_until(lambda: context.holder.asked)
+    context.entry.path.messages.watch.take_link_down(ids.ProcessId("entry-1"))
+    context.entry.path.messages.watch.take_link_up(ids.ProcessId("entry-1"))
+
+
+@when("the process is frozen for {frozen:d} ms and a message is read after it")
+def freeze_process(context, frozen):
+    watch = context.entry.path.messages.watch
+    context.read_ms = 10_000 + frozen
+    # The message may be read before or after the first round that follows.
+    context.arrivals = []
+    watch.take_round(9_950)
+    watch.take_round(10_000)
+    context.arrivals.append(watch.get_arrival_ms(context.read_ms))
+    watch.take_round(context.read_ms)
+    context.arrivals.append(watch.get_arrival_ms(context.read_ms))
+
+
+@then("the message counts as read at least {age:d} ms before")
+def check_age(context, age):
+    for arrival_ms in context.arrivals:
+        assert context.read_ms - arrival_ms >= age, context.arrivals
+
+
+@when("a request is sent and its grant comes after a recovery by epoch {new:d}")
+def send_old_grant(context, new):
+    def recover():
+        if len(context.holder.asked) == 1:
+            context.entry.recover(new)
+
+    context.holder.after_grant = recover
+    _send_later(context, ["X-Deadline-Ms: 300"])
+    context.seen = context.calling.get(timeout=20)
+
+
+@then("the old grant is given back unused and nothing was run")
+def check_old_grant(context):
+    assert context.seen.told == "not-run", context.seen
+    assert not context.holder.granted
+    assert all(r.epoch == 1 for r in context.holder.releases)
+    assert not context.backend.runs
+
+
+@when("the holder is out of reach as an answer arrives")
+def lose_holder(context):
+    def cut_link(_connection, step):
+        if step == "sent":
+            context.holder.reachable = False
+
+    context.backend.disturb = cut_link
+    seen = context.entry.call(headers=request_scripts.WORK)
+    assert seen.told == "answered", seen
+    assert not context.holder.releases
+
+
+@then("the slot is returned once the link is back")
+def check_returned(context):
+    context.holder.reachable = True
+    context.entry.path.messages.watch.take_link_up(ids.ProcessId("entry-1"))
+    assert [r.outcome for r in context.holder.releases] == [
+        outcomes.OutcomeKind.ANSWERED
+    ]
+
+
+@when("a request ends unknown with most of its time left")
+def end_unknown(context):
+    request_scripts.answer_with(context.backend, b"")
+    seen = context.entry.call(
+        headers=[*request_scripts.WORK, "Idempotency-Key: k"]
+    )
+    assert (seen.told, seen.reason) == ("unknown", "answer-cut"), seen
+
+
+@then("the reply to a recovery lists it with the time for which it counts")
+def check_recovery(context):
+    reply = context.entry.recover(2)
+    (found,) = reply.outstanding
+    release = context.holder.releases[-1]
+    assert found.grant_id == release.grant_id and found.epoch == 1
+    assert found.team == "coach" and found.idempotency_key == "coach/k"
+    assert 20_000 < found.remaining_ms <= release.hold_ms
+    (record,) = reply.records
+    assert record.idempotency_key == "coach/k" and record.finished
+    assert record.outcome is outcomes.OutcomeKind.UNKNOWN
+    assert context.entry.recover(1) is None
+
+
+@when("{count:d} requests in turn meet backend servers that refuse connections")
+def refuse_connections(context, count):
+    context.backend.kill()
+    for _ in range(count):
+        seen = context.entry.call(headers=request_scripts.WORK)
+        assert (seen.told, seen.reason) == ("not-run", "connect-failed"), seen
+    context.count = count
+
+
+@then("at most 20 and a fifth of them were asked for again")
+def check_budget(context):
+    again = len(context.holder.asked) - context.count
+    assert 0 < again <= 20 + context.count // 5, again
+    assert all(release.backend_fault for release in context.holder.releases)
+
+
+@when("a caller goes away while its request waits")
+def leave_queue(context):
+    context.holder.answer = lambda message: None
+    sock = request_scripts.send_and_hold(context.entry)
+    context.entry.wait_until(lambda: context.holder.asked)
+    sock.close()
+
+
+@then("the dispatcher is told to take the request out")
+def check_cancel(context):
+    context.entry.wait_until(lambda: context.holder.cancelled)
+    asked = [message.request_id for message in context.holder.asked]
+    assert context.holder.cancelled == asked
+
+
+@then("the backend server was never reached")
+def check_not_reached(context):
+    assert not context.backend.heads
+
+
+def _hold_answer(context):
+    """Lets the backend server wait, once it runs, for `context.go_on`."""
+    context.go_on = gevent.event.Event()
+
+    def disturb(_connection, step):
+        if step == "sent":
+            context.go_on.wait()
+
+    context.backend.disturb = disturb
+
+
+@when("a caller goes away while its request runs")
+def leave_running(context):
+    def disturb(connection, step):
+        if step == "sent":
+            connection.read()
+
+    # The fake reads on while it works and ends when its peer does.
+    context.backend.disturb = disturb
+    sock = request_scripts.send_and_hold(context.entry)
+    context.entry.wait_until(lambda: context.backend.runs)
+    sock.close()
+
+
+@when("the backend server sees that and closes")
+def see_close(context):
+    context.entry.wait_until(lambda: context.holder.releases)
+
+
+@then("the slot is returned as cancelled without being held")
+def check_cancelled(context):
+    (release,) = context.holder.releases
+    assert release.outcome is outcomes.OutcomeKind.CANCELLED, release
+    assert release.hold_ms == 0, release
+    assert context.entry.path.messages.held.count_held() == 0
+
+
+@when("a caller closes its sending side while its request runs")
+def close_half(context):
+    _hold_answer(context)
+    context.sock = request_scripts.send_and_hold(context.entry)
+    context.entry.wait_until(lambda: context.backend.runs)
+    context.sock.shutdown(1)
+    gevent.sleep(0.3)
+    context.go_on.set()
+
+
+@then("it still gets the whole answer")
+def check_half_closed(context):
+    seen = entry_harness.read_answer(context.sock)
+    assert seen.told == "answered" and b"work w done" in seen.body, seen
+    (release,) = context.holder.releases
+    assert release.outcome is outcomes.OutcomeKind.ANSWERED, release
