Refuse bad heads and bodies with problem+json, and fuzz the server

Cause: pywsgi takes the end of a connection for the end of a head, splits lines at a lone carriage return, drops what follows a broken line and prefers chunks where a length is given too.

Found by tests that failed first: a head with Content-Length and Transfer-Encoding was accepted, since pywsgi removes the length before a later check sees it (now checked as the fields are parsed); a chunked body over its bound was waited for up to the end of a 64 KiB part (now never past the first byte too many).

--- a/bambookeel/net/bodies.py
+++ b/bambookeel/net/bodies.py
@@ -49,7 +49,8 @@
     parts: list[bytes] = []
     total = 0
     while True:
-        part = stream.read(_PART_BYTES)
+        # Never waits for bytes beyond the first one too many.
+        part = stream.read(min(_PART_BYTES, max_bytes + 1 - total))
         if not part:
             return b"".join(parts)
         total += len(part)
--- a/bambookeel/net/http_server.py
+++ b/bambookeel/net/http_server.py
@@ -79,16 +79,30 @@
         self._send_refusal(refusal)
 
     def MessageClass(self, *args: typing.Any) -> typing.Any:  # noqa: N802
-        """Parses the header fields.
+        """Parses and checks the header fields, before pywsgi changes them.
 
         Args:
             *args: The stream, as pywsgi passes it.
 
         Returns:
             The parsed fields.
+
+        Raises:
+            HeadError: If the head is refused.
         """
         reader = request_heads.HeadReader(args[0], self.server.max_header_bytes)
-        return gevent.pywsgi.headers_factory(reader)
+        parsed = gevent.pywsgi.headers_factory(reader)
+        fields = tuple((n, v.strip()) for n, v in parsed.items())
+        request_heads.check_names(fields)
+        fault = headers.find_fault(fields)
+        if parsed.defects or parsed.get_payload():
+            fault = "a line of the head is no header field"
+        if fault:
+            raise request_heads.HeadError(
+                outcomes.Reason.REQUEST_MALFORMED, fault
+            )
+        self._fields = fields
+        return parsed
 
     def read_request(self, raw_requestline: str) -> typing.Any:
         """Reads and checks the header fields within the head's time.
@@ -116,16 +130,6 @@
         request_heads.check_request_line(*words)
         with gevent.Timeout(left_s, late):
             super().read_request(raw_requestline)
-        fields = tuple((n, v.strip()) for n, v in self.headers.items())
-        request_heads.check_names(fields)
-        fault = headers.find_fault(fields)
-        if self.headers.defects or self.headers.get_payload():
-            fault = "a line of the head is no header field"
-        if fault:
-            raise request_heads.HeadError(
-                outcomes.Reason.REQUEST_MALFORMED, fault
-            )
-        self._fields = fields
         return True
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
--- a/features/fakes/entry_harness.py
+++ b/features/fakes/entry_harness.py
@@ -14,6 +14,7 @@
 from bambookeel.core import outcomes
 from bambookeel.core import resources
 from bambookeel.core import settings
+from bambookeel.entry import announcements
 from bambookeel.entry import recovery
 from bambookeel.entry import request_path
 from bambookeel.entry import view
@@ -197,8 +198,9 @@
     def list_recent(self, _service):
         return ()
 
-    def take(self, _body):
-        """Stands for the announcements."""
+    def take(self, body):
+        """Stands for the announcements, which are only checked."""
+        announcements.parse_announcement(body)
 
     def connect(self):
         return gevent.socket.create_connection(("127.0.0.1", self.port), 10)
--- /dev/null
+++ b/features/requests/edge.feature
@@ -0,0 +1,64 @@
+Feature: Bad input gets a clear refusal and disturbs nobody else
+
+  Background:
+    Given one entry with a scripted dispatcher and backend server
+    And an entry with tight bounds
+
+  Scenario Outline: <name> is refused with <status> and "<reason>"
+    When a caller sends the head "<head>"
+    Then it gets status <status> and reason "<reason>"
+    And nothing was run and a sound request is answered
+
+    Examples:
+      | name                | status | reason            | head                                                                                     |
+      | no key              | 401    | key-missing       | POST /services/orders/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n                            |
+      | an unknown key      | 401    | key-unknown       | GET /services/orders/x HTTP/1.1\r\nAuthorization: Bearer a.b\r\n\r\n                     |
+      | a key of bytes      | 401    | key-unknown       | GET /services/orders/x HTTP/1.1\r\nAuthorization: Bearer \xff.\xfe\r\n\r\n               |
+      | an unknown service  | 404    | service-unknown   | GET /services/nothing/x HTTP/1.1\r\nAuthorization: Bearer KEY\r\n\r\n                    |
+      | two lengths         | 400    | request-malformed | POST /services/orders/x HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab     |
+      | length and chunks   | 400    | request-malformed | POST /services/orders/x HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n |
+      | a signed length     | 400    | request-malformed | POST /services/orders/x HTTP/1.1\r\nContent-Length: +2\r\n\r\nab                         |
+      | another coding      | 400    | request-malformed | POST /services/orders/x HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n    |
+      | a folded field      | 400    | request-malformed | GET /services/orders/x HTTP/1.1\r\nX-A: b\r\n c\r\n\r\n                                   |
+      | a lone return       | 400    | request-malformed | GET /services/orders/x HTTP/1.1\r\nX-A: b\rX-B: c\r\n\r\n                                 |
+      | a blank in a name   | 400    | request-malformed | GET /services/orders/x HTTP/1.1\r\nX A: b\r\n\r\n                                         |
+      | a broken line       | 400    | request-malformed | GET /services/orders/x HTTP/1.1\r\nnonsense\r\nX-A: b\r\n\r\n                             |
+      | an old protocol     | 400    | request-malformed | GET /services/orders/x\r\n\r\n                                                           |
+      | another protocol    | 400    | request-malformed | GET /services/orders/x HTTP/2.0\r\n\r\n                                                  |
+      | a tunnel            | 400    | request-malformed | CONNECT orders:80 HTTP/1.1\r\n\r\n                                                       |
+      | a cut head          | 400    | request-malformed | GET /services/orders/x HTTP/1.1\r\nAuthorization: Bear                                   |
+      | bad chunks          | 400    | request-malformed | POST /services/orders/x HTTP/1.1\r\nAuthorization: Bearer KEY\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n |
+      | a cut body          | 400    | request-malformed | POST /services/orders/x HTTP/1.1\r\nAuthorization: Bearer KEY\r\nContent-Length: 9\r\n\r\nab |
+      | a slow body         | 408    | caller-too-slow   | POST /services/orders/x HTTP/1.1\r\nAuthorization: Bearer KEY\r\nContent-Length: 9\r\nX-Open: yes\r\n\r\nab |
+      | a slow head         | 408    | caller-too-slow   | GET /services/orders/x HTTP/1.1\r\nX-Open: yes\r\n                                        |
+
+  Scenario: A head that is too large is refused within its bound
+    When a caller sends a head of 100000 bytes
+    Then it gets status 431 and reason "head-too-large"
+    And nothing was run and a sound request is answered
+
+  Scenario: A body that is declared too large is refused without reading it
+    When a caller declares a body of 50000000 bytes and asks whether to go on
+    Then it gets status 413 and reason "body-too-large"
+    And nothing was run and a sound request is answered
+
+  Scenario: A body in chunks that grows too large is refused on the way
+    When a caller sends chunks without an end
+    Then it gets status 413 and reason "body-too-large"
+    And nothing was run and a sound request is answered
+
+  Scenario: A caller that asks whether to go on is told so and served
+    When a caller asks whether to go on and then sends its body
+    Then it was told to go on and its request is answered
+
+  Scenario: Pipelined requests are answered in their order
+    When a caller sends 3 requests at once on one connection
+    Then it gets their 3 answers in order
+
+  Scenario: Malformed announcements are refused
+    When announcements are sent that are no JSON, no announcement or too large
+    Then each is refused with a status of 400 to 413
+
+  Scenario: Arbitrary bytes never bring down the server
+    Then random heads and bodies get a refusal or a closed connection
+    And nothing was run and a sound request is answered
--- /dev/null
+++ b/features/steps/edge_steps.py
@@ -0,0 +1,198 @@
+"""Steps of bad input at the callers' side."""
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from features.fakes import entry_harness
+from features.fakes import request_scripts
+
+_MAX_BODY_BYTES = 100_000
+
+
+@given("an entry with tight bounds")
+def start_tight_entry(context):
+    context.entry.close()
+    context.entry = entry_harness.EntryHarness(
+        max_header_bytes=8_192, head_timeout_ms=300, body_timeout_ms=300
+    )
+    context.add_cleanup(context.entry.close)
+    context.entry.put_service(max_body_bytes=_MAX_BODY_BYTES)
+    context.holder = context.entry.add_holder("entry-1", 1)
+    context.holder.targets = [context.backend]
+
+
+def _exchange(context, data, keeps_open=False):
+    """Sends bytes and reads until the end; closes the own side before."""
+    sock = context.entry.connect()
+    sock.settimeout(10)
+    received = b""
+    try:
+        sock.sendall(data)
+        if not keeps_open:
+            sock.shutdown(1)
+        while part := sock.recv(65_536):
+            received += part
+    except (BrokenPipeError, ConnectionResetError):
+        pass
+    finally:
+        sock.close()
+    return received
+
+
+@when('a caller sends the head "{head}"')
+def send_head(context, head):
+    data = request_scripts.unescape(head)
+    data = data.replace(b"KEY", context.entry.secret.encode())
+    context.received = _exchange(context, data, b"X-Open" in data)
+
+
+@then('it gets status {status:d} and reason "{reason}"')
+def check_refusal(context, status, reason):
+    received = context.received
+    assert received.startswith(f"HTTP/1.1 {status} ".encode()), received
+    assert b"Content-Type: application/problem+json" in received, received
+    assert f'"reason":"{reason}"'.encode() in received, received
+    assert b'"outcome":"not-run"' in received, received
+
+
+@then("nothing was run and a sound request is answered")
+def check_sound(context):
+    assert not context.backend.runs, context.backend.runs
+    seen = context.entry.call(headers=request_scripts.WORK)
+    assert seen.told == "answered", seen
+    assert context.entry.path.caller_watch.count_callers() == 0
+
+
+@when("a caller sends a head of {size:d} bytes")
+def send_large_head(context, size):
+    line = b"X-Filler: " + b"x" * 900 + b"\r\n"
+    head = b"GET /services/orders/x HTTP/1.1\r\n" + line * (size // len(line))
+    context.received = _exchange(context, head, keeps_open=True)
+
+
+def _start_post(context, *fields):
+    lines = [
+        "POST /services/orders/x HTTP/1.1",
+        f"Authorization: Bearer {context.entry.secret}",
+        *request_scripts.WORK,
+        *fields,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+@when("a caller declares a body of {size:d} bytes and asks whether to go on")
+def declare_large(context, size):
+    head = _start_post(
+        context, f"Content-Length: {size}", "Expect: 100-continue"
+    )
+    context.received = _exchange(context, head, keeps_open=True)
+
+
+@when("a caller sends chunks without an end")
+def send_chunks(context):
+    chunk = b"1000\r\n" + b"x" * 0x1000 + b"\r\n"
+    data = _start_post(context, "Transfer-Encoding: chunked") + chunk * 30
+    context.received = _exchange(context, data, keeps_open=True)
+
+
+@when("a caller asks whether to go on and then sends its body")
+def ask_and_send(context):
+    sock = context.entry.connect()
+    sock.sendall(
+        _start_post(context, "Content-Length: 4", "Expect: 100-continue")
+    )
+    context.interim = sock.recv(25)
+    sock.sendall(b"body")
+    context.seen = entry_harness.read_answer(sock)
+
+
+@then("it was told to go on and its request is answered")
+def check_go_on(context):
+    assert context.interim == b"HTTP/1.1 100 Continue\r\n\r\n", context.interim
+    assert context.seen.told == "answered", context.seen
+
+
+@when("a caller sends {count:d} requests at once on one connection")
+def send_pipelined(context, count):
+    data = b""
+    for number in range(count):
+        data += _start_post(
+            context, "Content-Length: 1", f"X-Number: {number}"
+        ).replace(b"X-Work-Id: w", b"X-Work-Id: w%d" % number)
+        data += b"x"
+    data = data.replace(b"X-Number: %d" % (count - 1), b"Connection: close", 1)
+    context.received = _exchange(context, data, keeps_open=True)
+
+
+@then("it gets their {count:d} answers in order")
+def check_pipelined(context, count):
+    places = [
+        context.received.index(b"work w%d done" % number)
+        for number in range(count)
+    ]
+    assert places == sorted(places), places
+    assert context.received.count(b"HTTP/1.1 200 OK") == count
+
+
+@when("announcements are sent that are no JSON, no announcement or too large")
+def send_announcements(context):
+    context.statuses = []
+    for body in (b"{", b"\xff\xfe", b"[]", b"{}", b" " * 5_000):
+        head = f"POST /announce HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n"
+        received = _exchange(context, head.encode() + body)
+        context.statuses.append(int(received.split()[1]))
+
+
+@then("each is refused with a status of 400 to 413")
+def check_announcements(context):
+    assert context.statuses == [400, 400, 400, 400, 413], context.statuses
+
+
+@then("random heads and bodies get a refusal or a closed connection")
+def check_random(context):
+    secret = context.entry.secret.encode()
+    sound = (
+        b"POST /services/orders/x HTTP/1.1\r\nAuthorization: Bearer "
+        + secret[:-1]
+        + b"\r\nContent-Length: 4\r\n\r\nbody"
+    )
+    lines = strategies.lists(
+        strategies.sampled_from(
+            (
+                b"Content-Length: 5\r\n",
+                b"Transfer-Encoding: chunked\r\n",
+                b"Expect: 100-continue\r\n",
+                b"Connection: close\r\n",
+                b"X: \x80\xff\r\n",
+                b": \r\n",
+                b"\n",
+                b"\r",
+                b"\0",
+                b"ffffffffffffffffff\r\n",
+                b"0\r\n\r\n",
+            )
+        ),
+        max_size=8,
+    ).map(b"".join)
+    flipped = strategies.tuples(
+        strategies.integers(0, len(sound) - 1), strategies.integers(0, 255)
+    ).map(lambda f: sound[: f[0]] + bytes([f[1]]) + sound[f[0] + 1 :])
+    datas = strategies.one_of(
+        strategies.binary(max_size=300),
+        lines.map(lambda tail: b"POST /services/orders/x HTTP/1.1\r\n" + tail),
+        flipped,
+    )
+
+    @hypothesis.settings(max_examples=300)
+    @hypothesis.given(datas)
+    def check(data):
+        received = _exchange(context, data)
+        if not received:
+            return
+        status = int(received.split()[1])
+        assert 100 <= status < 500, (data, received)
+
+    check()
