--- a/bambookeel/entry/process.py
+++ b/bambookeel/entry/process.py
@@ -59,7 +59,7 @@
         """
         process_id = ids.ProcessId(settings.process_id)
         incarnation = ids.Incarnation(clock.read_wall_ms())
-        dispatcher = dispatcher_task.DispatcherTask(process_id)
+        dispatcher = dispatcher_task.DispatcherTask.from_config(settings)
         route = router.Router(process_id, dispatcher)
         dispatcher.connect(route.send)
         control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
@@ -69,7 +69,9 @@
             settings.leases,
             route.send,
             dispatcher.mailbox,
+            settings.data_folder,
         )
+        dispatcher.connect_follower(follower.mailbox)
         peers = settings.control + settings.entries
         link_settings = links.LinkSettings(
             settings.peer_listen,
@@ -85,7 +87,7 @@
             ids.LinkNumber(0),
         )
         peer_links = links.PeerLinks(link_settings, identity, route.deliver)
-        announced = announcements.Announcements(follower, route)
+        announced = announcements.Announcements(process_id, dispatcher.mailbox)
         path = request_path.build_request_path(
             settings, incarnation, follower, route, announced
         )
@@ -133,4 +135,5 @@
         logs.log_event("stopped")
 
     def _hand_over(self) -> None:
-        self._follower.mailbox.put(events.StopDispatching())
+        # The dispatcher stops granting first, then the follower tells control.
+        self._dispatcher.mailbox.put(events.StopDispatching())
