--- a/bambookeel/entry/holder_watch.py
+++ b/bambookeel/entry/holder_watch.py
@@ -23,6 +23,8 @@
 _PERIOD_MS = 50
 # Between two rounds of tidying up.
 _TIDY_MS = 1_000
+# Between two renewals of the slots of streamed answers.
+_RENEW_MS = 5_000
 
 
 class HolderWatch:
@@ -45,6 +47,7 @@
         self._last_round_ms = clock.read_now_ms()
         self._round_before_ms = self._last_round_ms
         self._last_tidy_ms = 0
+        self._last_renewal_ms = self._last_round_ms
 
     def run(self) -> None:
         """Looks for changes until the task is killed."""
@@ -69,6 +72,10 @@
             self._releases.send_kept()
             self._held.drop_ended(now_ms)
             self._pool.close_idle()
+        if now_ms - self._last_renewal_ms >= _RENEW_MS:
+            self._last_renewal_ms = now_ms
+            for grant in self._held.list_streaming():
+                self._releases.extend(grant)
 
     def _wake_moved(self) -> None:
         """Wakes requests that asked a process that is no longer the holder."""
--- a/bambookeel/entry/kept_answers.py
+++ b/bambookeel/entry/kept_answers.py
@@ -182,13 +182,20 @@
             self._forget_answer(oldest)
             oldest.result = describe_lost_answer()
 
-    def release_key(self, record: Record) -> None:
-        """Takes back a record because another entry has the first request.
+    def abandon(self, record: Record, result: KeyedResult) -> None:
+        """Takes back a record whose request was not the first of its key.
 
         Args:
             record: The record.
+            result: What is known of the first one, for those who wait.
         """
+        if record.result is not None:
+            return
+        record.result = result
         self._drop(record)
+        listeners, record.listeners = record.listeners, []
+        for listener in listeners:
+            listener(result)
 
     def list_records(
         self, service: ids.ServiceName, now_ms: int
--- a/bambookeel/entry/keyed_requests.py
+++ b/bambookeel/entry/keyed_requests.py
@@ -105,6 +105,7 @@
             result = self._runner.run(admitted, end)
             if isinstance(result, messages.SlotDuplicate):
                 result = self._fetch(admitted, result)
+                self._kept.abandon(record, _convert_to_kept(result))
             passed_on = isinstance(result, passed_answers.PassedAnswer) and (
                 result.rest is not None
             )
@@ -133,6 +134,9 @@
                     _RETRY_AFTER_MS,
                 )
                 self._kept.finish(record, cancelled)
+            case outcomes.Unknown(reason=outcomes.Reason.DUPLICATE_UNKNOWN):
+                # The dispatcher refused it unrun; the record is not the first.
+                self._kept.abandon(record, result)
             case outcomes.Unknown() | outcomes.Cancelled():
                 self._kept.finish(record, kept_answers.describe_lost_answer())
 
@@ -230,6 +234,27 @@
     )
 
 
+def _convert_to_kept(
+    result: requests.RequestResult,
+) -> kept_answers.KeyedResult:
+    """Turns a fetched outcome into one for others who wait here.
+
+    Args:
+        result: The outcome.
+
+    Returns:
+        The end of the first request.
+    """
+    match result:
+        case passed_answers.PassedAnswer():
+            return kept_answers.KeptAnswer(
+                result.status, result.reason, result.headers, result.body
+            )
+        case outcomes.NotRun() | outcomes.Unknown():
+            return result
+    return kept_answers.describe_lost_answer()
+
+
 def _convert_result(
     result: kept_answers.KeyedResult,
 ) -> requests.RequestResult:
--- a/bambookeel/entry/releases.py
+++ b/bambookeel/entry/releases.py
@@ -71,6 +71,30 @@
         self._unsent: deque[messages.SlotReleased] = deque(maxlen=_MAX_UNSENT)
         self._recent: deque[_Sent] = deque(maxlen=_MAX_RECENT)
 
+    def extend(self, grant: messages.SlotGranted) -> None:
+        """Keeps a slot whose answer streams on past the request's deadline.
+
+        Tells the holder that the slot must still count, as for a request that
+        may be running unseen; the release itself follows.
+
+        Args:
+            grant: The slot's grant.
+        """
+        holder = self._find_holder(grant.service)
+        if holder is None:
+            return
+        extension = messages.SlotReleased(
+            grant.request_id,
+            grant.service,
+            grant.epoch,
+            grant.grant_id,
+            outcomes.OutcomeKind.UNKNOWN,
+            backend_fault=False,
+            duration_ms=0,
+            hold_ms=outstanding.STREAM_HOLD_MS,
+        )
+        self._send(holder.process_id, extension)
+
     def release(self, grant: messages.SlotGranted, end: SlotEnd) -> None:
         """Returns a slot.
 
--- a/bambookeel/entry/requests.py
+++ b/bambookeel/entry/requests.py
@@ -118,6 +118,7 @@
                     if not _may_try_again(admitted, tried, tries, budget):
                         return tried
                     _record_second_try(admitted, tried, asked.grant)
+                    slot = _name_second_try(admitted, tried, tries)
                 case _:
                     return tried
 
@@ -225,6 +226,33 @@
     )
 
 
+def _name_second_try(
+    admitted: AdmittedRequest,
+    outcome: outcomes.NotRun | outcomes.Unknown,
+    tries: int,
+) -> slot_asker.SlotRequest:
+    """Names the next try towards the dispatcher.
+
+    A try whose end is unknown still counts there under its own name.
+
+    Args:
+        admitted: The request.
+        outcome: How the last try ended.
+        tries: Tries so far.
+
+    Returns:
+        What the dispatcher is told.
+    """
+    slot = admitted.slot
+    if slot.idempotency_key:
+        # Every try before it did not run, so its record is free again.
+        return slot
+    if isinstance(outcome, outcomes.NotRun) and tries == 1:
+        return slot
+    request_id = ids.RequestId(f"{slot.request_id}-try{tries + 1}")
+    return dataclasses.replace(slot, request_id=request_id)
+
+
 def _may_try_again(
     admitted: AdmittedRequest,
     outcome: outcomes.NotRun | outcomes.Unknown,
@@ -232,8 +260,12 @@
     budget: second_tries.RetryBudget,
 ) -> bool:
     remaining_ms = admitted.slot.deadline_ms - clock.read_now_ms()
+    # With a key, the record of a try that may have run bars another one.
+    idempotent = (
+        admitted.request.idempotent and not admitted.slot.idempotency_key
+    )
     safe = second_tries.is_safe_to_try_again(
-        outcome, admitted.request.idempotent, tries, remaining_ms
+        outcome, idempotent, tries, remaining_ms
     )
     return safe and not admitted.caller.is_gone and budget.spend()
 
--- a/bambookeel/entry/slot_asker.py
+++ b/bambookeel/entry/slot_asker.py
@@ -58,6 +58,7 @@
     request_table.ReceivedGrant
     | messages.SlotDuplicate
     | outcomes.NotRun
+    | outcomes.Unknown
     | outcomes.Cancelled
 )
 
@@ -267,7 +268,12 @@
     )
 
 
-def _convert_refusal(refusal: messages.SlotRefused) -> outcomes.NotRun:
+def _convert_refusal(
+    refusal: messages.SlotRefused,
+) -> outcomes.NotRun | outcomes.Unknown:
+    if refusal.reason is outcomes.Reason.DUPLICATE_UNKNOWN:
+        # This request did not run, but one with its key before it may have.
+        return outcomes.Unknown(refusal.reason, refusal.detail)
     return outcomes.NotRun(
         refusal.reason, refusal.detail, refusal.retry_after_ms
     )
--- a/bambookeel/entry/slot_use.py
+++ b/bambookeel/entry/slot_use.py
@@ -47,6 +47,7 @@
     def start_stream(self) -> None:
         """Notes that the slot is used for as long as the answer flows."""
         self._outstanding.start_stream(self.grant)
+        self._releases.extend(self.grant)
 
     def _end(
         self,
