--- /dev/null
+++ b/bambookeel/control/planner_task.py
@@ -0,0 +1,185 @@
+"""Runs the fleet's decisions on the leader and commits every step.
+
+Only the leader, within its lease, plans. It polls the platform, renews workers'
+leases, makes a plan from the committed state, commits the changes of each pool
+in one command that its pool's version guards, and sends the orders that follow
+from the state. It remembers nothing that a new leader would need.
+"""
+
+import gevent
+import gevent.event
+from returns import result
+
+from bambookeel.control import events
+from bambookeel.control import fleet_commands
+from bambookeel.control import fleet_view
+from bambookeel.control import replica_task
+from bambookeel.core import ids
+from bambookeel.core import resources
+from bambookeel.core import settings as core_settings
+from bambookeel.fleet import changes
+from bambookeel.fleet import planner
+from bambookeel.fleet import records
+from bambookeel.net import platform_client
+from bambookeel.runtime import clock
+from bambookeel.runtime import logs
+from bambookeel.runtime import mailbox
+from bambookeel.runtime import timers
+from bambookeel.state import commands
+
+_TICK_MS = 500
+# How long a plan's commands may take before the state is planned from anew.
+_COMMIT_TIMEOUT_S = 5.0
+# A renewal that timed out may reach a worker this much later.
+_LEASE_MARGIN_MS = 2_000
+
+
+class PlannerTask:
+    """Owns the connection to the platform and what it reported."""
+
+    def __init__(
+        self,
+        settings: core_settings.ControlSettings,
+        replica: replica_task.ReplicaTask,
+        client: platform_client.PlatformClient | None = None,
+    ) -> None:
+        self.mailbox = mailbox.Mailbox("planner")
+        self._replica = replica
+        self._process_id = settings.process_id
+        self._client = client or platform_client.PlatformClient(
+            settings.platform_address
+        )
+        self._builder = fleet_view.ViewBuilder()
+        self._timers: timers.TimerService | None = None
+        self._plans = 0
+        self._started_ms = clock.read_wall_ms()
+
+    def subscribe_timers(self, service: timers.TimerService) -> None:
+        """Asks for this task's first message; each plan asks for the next.
+
+        Args:
+            service: The timer service.
+        """
+        self._timers = service
+        service.schedule(self.mailbox, _TICK_MS, events.Tick())
+
+    def run(self) -> None:
+        """Handles messages until the task is killed."""
+        while True:
+            match self.mailbox.get():
+                case events.Tick():
+                    try:
+                        self._plan_once()
+                    finally:
+                        self._schedule_next()
+                case events.LeadershipChanged():
+                    # What was heard under another term proves nothing now.
+                    self._builder.forget_reports()
+
+    def _schedule_next(self) -> None:
+        if self._timers is not None:
+            self._timers.schedule(self.mailbox, _TICK_MS, events.Tick())
+
+    def _plan_once(self) -> None:
+        sent_ms = clock.read_now_ms()
+        if not self._replica.view.leads(sent_ms):
+            return
+        match self._client.fetch_reports(sent_ms):
+            case result.Success(reports):
+                self._builder.take_reports(reports, sent_ms)
+            case result.Failure(fault):
+                # Without reports every plan would be made blindly.
+                logs.log_event(
+                    "platform_silent", place=fault.place, error=fault.message
+                )
+                return
+        now_ms = clock.read_now_ms()
+        current = self._replica.view
+        if not current.leads(now_ms):
+            return
+        view = self._builder.build_view(
+            current.state.by_key, now_ms, clock.read_wall_ms()
+        )
+        plan = planner.plan_fleet(view)
+        took_ms = clock.read_now_ms() - now_ms
+        self._commit(view, plan, current.term)
+        self._send_orders(plan)
+        self._renew_leases(view)
+        if plan.instances or plan.adoptions:
+            logs.log_event(
+                "fleet_planned",
+                changes=len(plan.instances),
+                adoptions=len(plan.adoptions),
+                orders=len(plan.orders),
+                took_ms=took_ms,
+            )
+
+    def _commit(
+        self, view: records.FleetView, plan: changes.Plan, term: ids.Term
+    ) -> None:
+        """Commits a plan and waits for the outcomes.
+
+        Args:
+            view: The view that the plan was made from.
+            plan: The plan.
+            term: The term in which it was made.
+        """
+        self._plans += 1
+        prefix = (
+            f"plan-{self._process_id}-{self._started_ms}-{term}-{self._plans}"
+        )
+        replies: list[gevent.event.AsyncResult] = []
+        for command in fleet_commands.build_commands(view, plan, prefix):
+            reply: gevent.event.AsyncResult = gevent.event.AsyncResult()
+            if not self._replica.mailbox.put(
+                events.LocalCommand(command, reply)
+            ):
+                continue
+            replies.append(reply)
+        # A command that is still on its way when the next plan is made is
+        # guarded by the versions that this plan was made from.
+        gevent.wait(replies, timeout=_COMMIT_TIMEOUT_S)
+        refused = 0
+        for reply in replies:
+            outcome = reply.value if reply.ready() else None
+            match outcome:
+                case commands.CommandOutcome(commands.OutcomeCode.APPLIED):
+                    continue
+                case _:
+                    refused += 1
+        if refused:
+            logs.log_event("plan_refused_in_part", commands=refused)
+        for decision in plan.decisions:
+            logs.log_event(
+                "fleet_decision",
+                subject=decision.subject,
+                action=decision.action,
+                reason=decision.reason,
+                alternatives=decision.alternatives,
+                **decision.numbers,
+            )
+
+    def _send_orders(self, plan: changes.Plan) -> None:
+        """Sends orders while this replica surely still leads."""
+        if not plan.orders or not self._replica.view.leads(clock.read_now_ms()):
+            return
+        match self._client.send_orders(plan.orders):
+            case result.Failure(fault):
+                logs.log_event(
+                    "orders_unanswered",
+                    orders=len(plan.orders),
+                    error=fault.message,
+                )
+
+    def _renew_leases(self, view: records.FleetView) -> None:
+        """Renews the leases of workers that have been heard of lately."""
+        names = [
+            name
+            for name, instance in view.instances.items()
+            if instance.state is not resources.InstanceState.FAILED
+            and records.find_fresh_report(view, instance) is not None
+        ]
+        lease_ms = view.tuning.worker_lease_ms
+        self._client.renew_leases(names, lease_ms)
+        until_ms = clock.read_now_ms() + lease_ms + _LEASE_MARGIN_MS
+        self._builder.extend_leases(names, until_ms)
--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -5,6 +5,7 @@
 from bambookeel.api import operator_app
 from bambookeel.control import events
 from bambookeel.control import lease_task
+from bambookeel.control import planner_task
 from bambookeel.control import replica_task
 from bambookeel.control import stream_task
 from bambookeel.core import ids
@@ -38,6 +39,10 @@
         )
         self._streams = stream_task.StreamTask(replica, self._links.send)
         listeners = [self._streams.mailbox, self._leases.mailbox]
+        self._planner: planner_task.PlannerTask | None = None
+        if settings.platform_address:
+            self._planner = planner_task.PlannerTask(settings, replica)
+            listeners.append(self._planner.mailbox)
         replica.connect(self._links.send, listeners)
         app = operator_app.OperatorApp(
             replica.mailbox, settings.bootstrap_key_sha256
@@ -118,6 +123,9 @@
         self._supervisor.start_task("replica", self._replica.run)
         self._supervisor.start_task("leases", self._leases.run)
         self._supervisor.start_task("streams", self._streams.run)
+        if self._planner is not None:
+            self._planner.subscribe_timers(self._timers)
+            self._supervisor.start_task("planner", self._planner.run)
         self._links.listen()
         for peer in self._links.get_dialled_peers():
             dial = functools.partial(self._links.dial_forever, peer)
--- a/bambookeel/core/resources.py
+++ b/bambookeel/core/resources.py
@@ -133,6 +133,7 @@
         survive_racks: Whole racks whose loss the pool must survive.
         survive_data_centres: Whole data centres whose loss it must survive.
         lends_spare: Whether other pools may borrow its instances.
+        min_after_loss: Instances that must be left after such a loss.
     """
 
     wanted_size: NonNegativeInt
@@ -140,6 +141,7 @@
     survive_racks: NonNegativeInt = 0
     survive_data_centres: NonNegativeInt = 0
     lends_spare: bool = False
+    min_after_loss: NonNegativeInt = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -199,6 +201,7 @@
         urgent: Whether it goes before the team's other work.
         max_attempts: Failed attempts of a task before the job is parked.
         cancelled: Whether it was withdrawn.
+        can_checkpoint: Whether a stopped task goes on where it was.
     """
 
     team: str
@@ -211,6 +214,7 @@
     urgent: bool = False
     max_attempts: PositiveInt = 4
     cancelled: bool = False
+    can_checkpoint: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/bambookeel/fleet/domains.py
@@ -0,0 +1,68 @@
+"""Finds failure domains that look lost as a whole.
+
+Failures that share a rack or a data centre are rarely independent: more will
+follow, and an instance that is drained meanwhile is missed. Planned acts in
+pools with members there wait until the domain has recovered. When a large part
+of the whole fleet is silent, the fault may lie with the observer, and all
+planned acts wait.
+"""
+
+from collections import Counter
+
+from bambookeel.core import resources
+from bambookeel.fleet import records
+
+# Instances of a domain that must be lost before it is suspected.
+_MIN_LOST = 2
+# Share of a domain that must be lost before it is suspected.
+_SUSPECT_SHARE = 0.5
+# Time after which a lost instance no longer tells of spreading failures.
+_SPREADING_MS = 600_000
+# Share of the fleet whose loss stops all planned acts.
+_FLEET_SHARE = 0.34
+
+_LOST_STATES = frozenset(
+    (
+        resources.InstanceState.FAILED,
+        resources.InstanceState.IN_DOUBT,
+    )
+)
+
+
+def _is_lost(view: records.FleetView, instance: records.Instance) -> bool:
+    if instance.state in _LOST_STATES:
+        return True
+    if instance.state is resources.InstanceState.REBOOTING:
+        return False
+    return records.find_fresh_report(view, instance) is None
+
+
+def find_suspects(view: records.FleetView) -> frozenset[str]:
+    """Finds racks and data centres that look lost as a whole.
+
+    Args:
+        view: The view.
+
+    Returns:
+        Their names; every one of them when much of the fleet is lost.
+    """
+    totals: Counter[str] = Counter()
+    lost: Counter[str] = Counter()
+    lost_instances = 0
+    for instance in view.instances.values():
+        places = (instance.spec.rack, instance.spec.data_centre)
+        totals.update(places)
+        if not _is_lost(view, instance):
+            continue
+        lost_instances += 1
+        is_recent = view.wall_ms - instance.since_ms < _SPREADING_MS
+        if is_recent or instance.state not in _LOST_STATES:
+            lost.update(places)
+    size = len(view.instances)
+    if lost_instances >= _MIN_LOST and lost_instances > size * _FLEET_SHARE:
+        return frozenset(totals)
+    return frozenset(
+        place
+        for place, count in lost.items()
+        if count >= _MIN_LOST and count >= totals[place] * _SUSPECT_SHARE
+    )
--- /dev/null
+++ b/bambookeel/fleet/explain.py
@@ -0,0 +1,178 @@
+"""Explains pools and waves in a few lines, from the state as it holds.
+
+The text says why a resource looks as it does, and what comes next and when. It
+goes into the resource's status conditions, where the command line prints it; a
+time in it is a date that stays the same from plan to plan, so that a status is
+committed only when something has changed.
+"""
+
+from bambookeel.core import resources
+from bambookeel.fleet import account
+from bambookeel.fleet import draft
+from bambookeel.fleet import moves
+from bambookeel.fleet import records
+from bambookeel.fleet import waves
+
+_MINUTE_MS = 60_000
+
+
+def _describe_unavailable(held: account.PoolAccount) -> str:
+    parts = [
+        f"{count} {state}" for state, count in sorted(held.unavailable.items())
+    ]
+    return ", ".join(parts) if parts else "none unavailable"
+
+
+def _describe_available(held: account.PoolAccount) -> resources.Condition:
+    spec = held.pool.spec
+    holds = held.get_room() >= 0
+    message = (
+        f"{held.available} of {spec.wanted_size} wanted are available,"
+        f" {held.members} members: {_describe_unavailable(held)};"
+        f" budget {held.get_used()} of {spec.max_unavailable} used"
+    )
+    reason = "WithinBudget" if holds else "BudgetExceeded"
+    return resources.Condition("Available", holds, reason, message)
+
+
+def _describe_survival(held: account.PoolAccount) -> resources.Condition:
+    spec = held.pool.spec
+    racks_left = account.count_after_loss(held.racks, spec.survive_racks)
+    left = account.count_after_loss(
+        held.data_centres, spec.survive_data_centres
+    )
+    smallest = min(racks_left, left)
+    holds = smallest >= spec.min_after_loss or spec.wanted_size == 0
+    message = (
+        f"{racks_left} left after losing {spec.survive_racks} racks, {left}"
+        f" after {spec.survive_data_centres} data centres,"
+        f" {spec.min_after_loss} promised"
+    )
+    reason = "SpreadHolds" if holds else "SpreadTooNarrow"
+    return resources.Condition("SurvivesLoss", holds, reason, message)
+
+
+def _find_next_step(plan: draft.Draft, pool: records.Pool) -> str:
+    """Tells what happens next in a pool, and when."""
+    name = pool.name
+    held = plan.accounts[name]
+    touched = sorted(plan.suspects & held.places)
+    if held.get_room() < 0:
+        shortage = pool.spec.wanted_size - moves.count_staying(plan)[name]
+        if shortage <= 0:
+            return (
+                "waits for instances to come back; replacements are under way"
+            )
+        return f"borrows {shortage} as soon as another pool can lend"
+    if touched:
+        return f"no planned act until {touched[0]} has recovered"
+    for wave in waves.list_waves(plan.view):
+        left = len(waves.list_left(plan, wave, name))
+        if not left or waves.find_stop_reason(plan.view, wave):
+            continue
+        if pool.spec.max_unavailable == 0:
+            return f"wave {wave.name} can never drain here: the budget is 0"
+        minutes = (wave.round_ms or waves.DEFAULT_ROUND_MS) // _MINUTE_MS
+        return (
+            f"wave {wave.name} maintains {left} more,"
+            f" {pool.spec.max_unavailable} at a time, about {minutes}"
+            " minutes each; the next starts when one has been proved healthy"
+        )
+    return "nothing is planned"
+
+
+def describe_pool(
+    plan: draft.Draft, pool: records.Pool
+) -> tuple[resources.Condition, ...]:
+    """Describes a pool.
+
+    Args:
+        plan: The draft with all changes.
+        pool: The pool.
+
+    Returns:
+        Its conditions; the last one says what comes next.
+    """
+    held = plan.accounts[pool.name]
+    next_step = _find_next_step(plan, pool)
+    return (
+        _describe_available(held),
+        _describe_survival(held),
+        resources.Condition("Next", True, "Planned", next_step),
+    )
+
+
+def _describe_forecast(
+    wave: records.Wave, wall_ms: int, forecast: waves.Forecast
+) -> resources.Condition:
+    """Tells whether a wave ends by its date."""
+    if forecast.ends_in_ms < 0:
+        message = (
+            f"pool {forecast.slowest_pool} has no budget left to drain, so"
+            f" {forecast.left} instances or more stay as they are"
+        )
+        return resources.Condition("OnTime", False, "NoBudget", message)
+    finish_by_ms = wave.spec.finish_by_ms
+    late_ms = wall_ms + forecast.ends_in_ms - finish_by_ms
+    if finish_by_ms and late_ms > 0:
+        message = (
+            f"pool {forecast.slowest_pool} sets the end: its rounds need"
+            f" {forecast.ends_in_ms // _MINUTE_MS} more minutes, which is"
+            " after the date"
+        )
+        return resources.Condition("OnTime", False, "TooSlow", message)
+    message = f"needs {forecast.ends_in_ms // _MINUTE_MS} more minutes"
+    return resources.Condition("OnTime", True, "InTime", message)
+
+
+def describe_wave(
+    plan: draft.Draft, wave: records.Wave
+) -> tuple[str, tuple[resources.Condition, ...]]:
+    """Describes a wave.
+
+    Args:
+        plan: The draft with all changes.
+        wave: The wave.
+
+    Returns:
+        Its state word and its conditions.
+    """
+    forecast = waves.forecast_end(plan, wave)
+    stop_reason = waves.find_stop_reason(plan.view, wave)
+    state = "running"
+    if wave.started_ms and forecast.left == 0:
+        state = "done"
+    elif stop_reason:
+        state = "stopped"
+    under_way = sum(
+        instance.wave == wave.name for instance in plan.instances.values()
+    )
+    message = f"{forecast.left} left, {under_way} under way"
+    if stop_reason:
+        message = f"{message}; {stop_reason}"
+    progress = resources.Condition(
+        "Progressing", state == "running", state, message
+    )
+    return state, (
+        progress,
+        _describe_forecast(wave, plan.view.wall_ms, forecast),
+    )
+
+
+def render_conditions(status: resources.Status) -> str:
+    """Renders a status's conditions as a few lines of text.
+
+    Args:
+        status: The status of any resource.
+
+    Returns:
+        One line for each condition.
+    """
+    lines: list[str] = []
+    for condition in status.conditions:
+        holds = "yes" if condition.holds else "no"
+        lines.append(
+            f"{condition.name}: {holds} ({condition.reason})"
+            f" {condition.message}"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/bambookeel/fleet/invariants.py
@@ -0,0 +1,102 @@
+"""Invariants of every plan, checked before it is committed.
+
+They restate the promises independently of the stages that made the plan: one
+pool at every step, budgets never exceeded by a planned act, one change for each
+instance, and no reuse of an instance whose lease may still be in force.
+"""
+
+from bambookeel.core import faults
+from bambookeel.core import resources
+from bambookeel.fleet import account
+from bambookeel.fleet import changes
+from bambookeel.fleet import observe
+from bambookeel.fleet import records
+
+_State = resources.InstanceState
+
+
+def _check_pool_step(
+    view: records.FleetView, change: changes.InstanceChange
+) -> None:
+    """Checks that an instance is released empty before it is assigned."""
+    before, after = change.before, change.after
+    if before.spec.pool == after.spec.pool:
+        return
+    faults.check_invariant(
+        not before.spec.pool or not after.spec.pool,
+        f"{before.name} goes from {before.spec.pool} to {after.spec.pool}",
+    )
+    if not before.spec.pool:
+        faults.check_invariant(
+            before.state is _State.EMPTY, f"{before.name} is not empty"
+        )
+        return
+    if observe.is_surely_stopped(view, before):
+        return
+    report = records.find_fresh_report(view, before)
+    faults.check_invariant(
+        before.state is _State.DRAINING
+        and report is not None
+        and report.phase is records.Phase.DRAINED
+        and report.running == 0,
+        f"{before.name} is released without being confirmed empty",
+    )
+
+
+def _check_state_step(
+    view: records.FleetView, change: changes.InstanceChange
+) -> None:
+    """Checks what a change of state rests on."""
+    before, after = change.before, change.after
+    if before.state is after.state:
+        return
+    match after.state:
+        case _State.FAILED:
+            report = records.find_fresh_report(view, before)
+            faults.check_invariant(
+                report is not None
+                or before.state is _State.REBOOTING
+                or observe.has_lease_ended(view, before.name),
+                f"{before.name} is given up within its lease",
+            )
+        case _State.REBOOTING:
+            faults.check_invariant(
+                before.state is _State.EMPTY,
+                f"{before.name} reboots before it is empty",
+            )
+        case _State.DRAINING if change.is_planned:
+            faults.check_invariant(
+                records.is_available(view, before),
+                f"{before.name} is drained while it is not available",
+            )
+
+
+def check_plan(view: records.FleetView, plan: changes.Plan) -> None:
+    """Checks a plan against the view that it was made from.
+
+    Args:
+        view: The view.
+        plan: The plan.
+
+    Raises:
+        faults.InvariantError: If a promise would be broken.
+    """
+    drafted = dict(view.instances)
+    planned_pools: set[str] = set()
+    for change in plan.instances:
+        name = change.before.name
+        faults.check_invariant(
+            drafted[name] is change.before, f"{name} is changed twice"
+        )
+        drafted[name] = change.after
+        _check_pool_step(view, change)
+        _check_state_step(view, change)
+        if change.is_planned:
+            planned_pools.add(change.guard_pool)
+    groups = account.group_members(drafted.values())
+    for name in sorted(planned_pools):
+        held = account.count_pool(view, view.pools[name], groups.get(name, ()))
+        faults.check_invariant(
+            held.get_room() >= 0,
+            f"planned acts exceed the budget of {name}: {held.unavailable}",
+        )
--- /dev/null
+++ b/bambookeel/fleet/moves.py
@@ -0,0 +1,255 @@
+"""Moves of instances between pools: release, confirmed empty, assign.
+
+A pool that has been short for long enough borrows from pools that hold more
+than they want, and where its promise is broken also from pools that lend their
+spare. Each shortage is one move. Among the candidates those go first that are
+at home in the short pool, then those that mend its spread. A move that is no
+longer wanted is undone while the instance still drains.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from bambookeel.core import resources
+from bambookeel.fleet import account
+from bambookeel.fleet import draft
+from bambookeel.fleet import observe
+from bambookeel.fleet import records
+
+_State = resources.InstanceState
+_LOST_STATES = frozenset((_State.FAILED, _State.QUARANTINED))
+
+
+def count_staying(plan: draft.Draft) -> Counter[str]:
+    """Counts for each pool the instances that it has or will have.
+
+    Args:
+        plan: The draft.
+
+    Returns:
+        Members that are neither lost nor leaving, and those on their way.
+    """
+    staying: Counter[str] = Counter()
+    for instance in plan.instances.values():
+        if instance.state in _LOST_STATES:
+            continue
+        staying[instance.moving_to or instance.spec.pool] += 1
+    return staying
+
+
+def find_hold_ms(tuning: records.Tuning) -> int:
+    """Finds how long a shortage must last before a move starts.
+
+    Args:
+        tuning: Timings and weights.
+
+    Returns:
+        The time; longer where moves weigh more than idle capacity.
+    """
+    ratio = tuning.weight_moves / max(tuning.weight_buffer_cost, 0.01)
+    return int(tuning.hold_ms * min(max(ratio, 0.25), 4.0))
+
+
+def _choose_target(
+    plan: draft.Draft, instance: records.Instance, staying: Counter[str]
+) -> str:
+    """Chooses the pool for an instance that is between pools."""
+    pools = plan.view.pools
+    if instance.moving_to in pools:
+        return instance.moving_to
+
+    def rank(name: str) -> tuple[bool, bool, int, bool, str]:
+        shortage = max(pools[name].spec.wanted_size - staying[name], 0)
+        is_home = name == instance.home_pool
+        is_lender = pools[name].spec.lends_spare
+        return (shortage == 0, not is_home, -shortage, not is_lender, name)
+
+    return min(pools, key=rank, default="")
+
+
+def release_replaced(plan: draft.Draft) -> None:
+    """Takes failed instances out of pools that have been filled up again.
+
+    A failed instance whose lease has ended runs nothing. Once it has been
+    replaced it would only hold back its pool's budget; when it comes back, it
+    goes where an instance is missing.
+
+    Args:
+        plan: The draft.
+    """
+    for pool in plan.view.pools.values():
+        held = plan.accounts[pool.name]
+        surplus = held.members - pool.spec.wanted_size
+        for member in plan.list_members(pool.name):
+            if held.available < pool.spec.wanted_size or surplus <= 0:
+                break
+            if plan.is_settled(member.name):
+                continue
+            if not observe.is_surely_stopped(plan.view, member):
+                continue
+            surplus -= 1
+            plan.change(
+                member,
+                f"{pool.name} has replaced it",
+                pool="",
+                home_pool=member.home_pool or pool.name,
+            )
+
+
+def advance_moves(plan: draft.Draft) -> None:
+    """Assigns instances that are between pools, and undoes needless moves.
+
+    Args:
+        plan: The draft.
+    """
+    staying = count_staying(plan)
+    for instance in plan.list_members(""):
+        if plan.is_settled(instance.name) or instance.state is not _State.EMPTY:
+            continue
+        if records.find_fresh_report(plan.view, instance) is None:
+            continue
+        target = _choose_target(plan, instance, staying)
+        if not target:
+            continue
+        home = "" if instance.home_pool == target else instance.home_pool
+        staying[instance.moving_to] -= 1
+        staying[target] += 1
+        plan.change(
+            instance,
+            f"assigned to {target}",
+            pool=target,
+            moving_to="",
+            home_pool=home,
+        )
+    for instance in plan.view.instances.values():
+        if plan.is_settled(instance.name) or not instance.moving_to:
+            continue
+        if instance.state is not _State.DRAINING:
+            continue
+        target = instance.moving_to
+        pool = plan.view.pools.get(target)
+        wanted = pool.spec.wanted_size if pool else 0
+        if pool is not None and staying[target] <= wanted:
+            continue
+        staying[target] -= 1
+        plan.resume(instance, f"pool {target} no longer needs it")
+
+
+def _list_sources(
+    plan: draft.Draft, target: str, is_broken: bool, staying: Counter[str]
+) -> list[tuple[int, records.Instance]]:
+    """Lists instances that a short pool may get, with a cost class each."""
+    sources: list[tuple[int, records.Instance]] = []
+    for name, pool in plan.view.pools.items():
+        if name == target:
+            continue
+        has_surplus = staying[name] > pool.spec.wanted_size
+        if not has_surplus and not (is_broken and pool.spec.lends_spare):
+            continue
+        held = plan.accounts[name]
+        for instance in plan.list_members(name):
+            if plan.is_settled(instance.name):
+                continue
+            if not records.is_available(plan.view, instance):
+                continue
+            if account.find_refusal(held, instance, plan.suspects):
+                continue
+            if instance.home_pool == target:
+                cost = 0
+            elif has_surplus:
+                cost = 1 if pool.spec.lends_spare else 2
+            else:
+                cost = 3
+            sources.append((cost, instance))
+    return sources
+
+
+def _choose_source(
+    plan: draft.Draft,
+    target: str,
+    sources: Iterable[tuple[int, records.Instance]],
+) -> records.Instance:
+    """Chooses the instance that is cheapest and mends the spread most."""
+    racks: Counter[str] = Counter()
+    data_centres: Counter[str] = Counter()
+    for member in plan.instances.values():
+        if (member.moving_to or member.spec.pool) != target:
+            continue
+        if member.state in _LOST_STATES:
+            continue
+        racks[member.spec.rack] += 1
+        data_centres[member.spec.data_centre] += 1
+
+    def rank(
+        source: tuple[int, records.Instance],
+    ) -> tuple[int, int, int, int, str]:
+        cost, instance = source
+        spec = instance.spec
+        crowding = plan.accounts[spec.pool].racks[spec.rack]
+        return (
+            cost,
+            data_centres[spec.data_centre],
+            racks[spec.rack],
+            -crowding,
+            instance.name,
+        )
+
+    return min(sources, key=rank)[1]
+
+
+def _start_move(
+    plan: draft.Draft, target: str, shortage: int, staying: Counter[str]
+) -> bool:
+    """Starts the best move into a pool.
+
+    Args:
+        plan: The draft.
+        target: The short pool.
+        shortage: Instances that it lacks.
+        staying: Instances that each pool has or will have; kept up to date.
+
+    Returns:
+        Whether there was one to start.
+    """
+    is_broken = plan.accounts[target].get_room() < 0
+    sources = _list_sources(plan, target, is_broken, staying)
+    if not sources:
+        return False
+    instance = _choose_source(plan, target, sources)
+    source = instance.spec.pool
+    staying[source] -= 1
+    staying[target] += 1
+    plan.change(
+        instance,
+        f"moves to {target}, which lacks {shortage}",
+        alternatives=f"{len(sources)} candidates",
+        is_planned=True,
+        state=_State.DRAINING,
+        moving_to=target,
+        home_pool=instance.home_pool or source,
+    )
+    return True
+
+
+def start_moves(plan: draft.Draft) -> None:
+    """Starts moves into pools that have been short for long enough.
+
+    Args:
+        plan: The draft.
+    """
+    staying = count_staying(plan)
+    hold_ms = find_hold_ms(plan.view.tuning)
+    for pool in sorted(
+        plan.view.pools.values(),
+        key=lambda item: (plan.accounts[item.name].get_room(), item.name),
+    ):
+        shortage = pool.spec.wanted_size - staying[pool.name]
+        if shortage <= 0:
+            continue
+        is_broken = plan.accounts[pool.name].get_room() < 0
+        short_for_ms = plan.view.wall_ms - pool.short_since_ms
+        has_lasted = pool.short_since_ms > 0 and short_for_ms >= hold_ms
+        if not is_broken and not has_lasted:
+            continue
+        while shortage > 0 and _start_move(plan, pool.name, shortage, staying):
+            shortage -= 1
--- /dev/null
+++ b/bambookeel/fleet/observe.py
@@ -0,0 +1,252 @@
+"""Turns reports, silence and the passing of time into changes of instances.
+
+A silent instance is in doubt at once, and has failed when the last lease that
+may have been granted to it has run out. A drain is confirmed only by a report
+that nothing runs; a reboot only by a healthy report of a newer incarnation.
+"""
+
+import math
+
+from bambookeel.core import resources
+from bambookeel.fleet import draft
+from bambookeel.fleet import records
+
+_State = resources.InstanceState
+
+
+def has_lease_ended(view: records.FleetView, name: str) -> bool:
+    """Tells whether no lease of an instance can still be in force.
+
+    Args:
+        view: The view.
+        name: The instance.
+
+    Returns:
+        False also when nothing is known of its lease.
+    """
+    return view.now_ms >= view.lease_until_ms.get(name, math.inf)
+
+
+def is_surely_stopped(
+    view: records.FleetView, instance: records.Instance
+) -> bool:
+    """Tells whether a failed instance can run nothing any more.
+
+    Args:
+        view: The view.
+        instance: The instance.
+
+    Returns:
+        Whether it has failed, is silent, and its lease has ended.
+    """
+    if instance.state is not _State.FAILED:
+        return False
+    if records.find_fresh_report(view, instance) is not None:
+        return False
+    return has_lease_ended(view, instance.name)
+
+
+def is_proved_healthy(report: records.Report | None) -> bool:
+    """Tells whether a report proves that an instance can serve.
+
+    Args:
+        report: A fresh report, or None.
+
+    Returns:
+        Whether it serves and passed its health check.
+    """
+    if report is None:
+        return False
+    return report.healthy and report.phase is records.Phase.SERVING
+
+
+def _observe_serving(
+    plan: draft.Draft,
+    instance: records.Instance,
+    report: records.Report | None,
+) -> None:
+    if report is None:
+        plan.change(instance, "silent", state=_State.IN_DOUBT)
+        return
+    if not report.healthy or report.phase in (
+        records.Phase.DOWN,
+        records.Phase.REBOOTING,
+    ):
+        reason = f"reported {report.phase.value} or unhealthy"
+        plan.change(instance, reason, state=_State.IN_DOUBT)
+        return
+    if report.incarnation == instance.incarnation:
+        return
+    if is_proved_healthy(report):
+        reason = "restarted by itself under its old name"
+        plan.change(instance, reason, incarnation=report.incarnation)
+
+
+def _is_found_empty(instance: records.Instance, report: records.Report) -> bool:
+    """Tells whether an instance between pools is drained as it should be."""
+    if instance.spec.pool or report.running:
+        return False
+    return report.phase is records.Phase.DRAINED
+
+
+def _observe_lost(
+    plan: draft.Draft,
+    instance: records.Instance,
+    report: records.Report | None,
+) -> None:
+    if is_proved_healthy(report):
+        assert report is not None
+        if instance.state is _State.FAILED and (
+            report.incarnation == instance.incarnation and report.running
+        ):
+            # Its lease has ended, so what it still runs must stop first.
+            return
+        plan.change(
+            instance,
+            "proved healthy",
+            state=_State.SERVING if instance.spec.pool else _State.EMPTY,
+            incarnation=report.incarnation,
+            wave="",
+            # A new instance counts as maintained when it is first seen.
+            last_maintained_ms=instance.last_maintained_ms or plan.view.wall_ms,
+        )
+        return
+    if report is not None and _is_found_empty(instance, report):
+        plan.change(
+            instance,
+            "found empty",
+            state=_State.EMPTY,
+            incarnation=report.incarnation,
+        )
+        return
+    if instance.state is _State.FAILED:
+        return
+    if report is None and has_lease_ended(plan.view, instance.name):
+        plan.change(
+            instance, "silent until its lease ended", state=_State.FAILED
+        )
+        return
+    waited_ms = plan.view.wall_ms - instance.since_ms
+    if report is not None and waited_ms > plan.view.tuning.boot_timeout_ms:
+        plan.change(instance, "unhealthy for too long", state=_State.FAILED)
+
+
+def _observe_draining(
+    plan: draft.Draft,
+    instance: records.Instance,
+    report: records.Report | None,
+) -> None:
+    if report is None:
+        if has_lease_ended(plan.view, instance.name):
+            plan.change(
+                instance,
+                "silent until its lease ended",
+                state=_State.FAILED,
+                wave="",
+                moving_to="",
+            )
+        return
+    if report.incarnation > instance.incarnation:
+        if report.running == 0:
+            reason = "restarted while it drained"
+            plan.change(instance, reason, incarnation=report.incarnation)
+        return
+    # An instance may say that it has drained while work still runs on it.
+    if report.phase is records.Phase.DRAINED and report.running == 0:
+        if instance.moving_to:
+            plan.change(
+                instance, "confirmed empty", state=_State.EMPTY, pool=""
+            )
+            return
+        plan.change(instance, "confirmed empty", state=_State.EMPTY)
+        return
+    waited_ms = plan.view.wall_ms - instance.since_ms
+    if waited_ms > plan.view.tuning.drain_timeout_ms:
+        minutes = waited_ms // 60_000
+        plan.resume(
+            instance,
+            f"{report.running} still running after {minutes} minutes of drain",
+        )
+
+
+def _observe_empty(
+    plan: draft.Draft,
+    instance: records.Instance,
+    report: records.Report | None,
+) -> None:
+    if report is None:
+        if has_lease_ended(plan.view, instance.name):
+            plan.change(
+                instance,
+                "silent until its lease ended",
+                state=_State.FAILED,
+                wave="",
+            )
+        return
+    if instance.wave and report.phase is records.Phase.SERVING:
+        plan.change(
+            instance,
+            "serves again before its reboot",
+            state=_State.DRAINING,
+            incarnation=report.incarnation,
+        )
+        return
+    is_joining = instance.spec.pool and not instance.wave
+    if not is_joining or not is_proved_healthy(report):
+        return
+    if report.pool != instance.spec.pool:
+        return
+    plan.change(
+        instance,
+        f"joined {instance.spec.pool}",
+        state=_State.SERVING,
+        incarnation=report.incarnation,
+    )
+
+
+def _observe_rebooting(
+    plan: draft.Draft,
+    instance: records.Instance,
+    report: records.Report | None,
+) -> None:
+    if is_proved_healthy(report):
+        assert report is not None
+        if report.incarnation > instance.incarnation:
+            plan.change(
+                instance,
+                f"maintained by wave {instance.wave}",
+                state=_State.SERVING,
+                incarnation=report.incarnation,
+                last_maintained_ms=plan.view.wall_ms,
+                wave="",
+            )
+            return
+    waited_ms = plan.view.wall_ms - instance.since_ms
+    if waited_ms > plan.view.tuning.boot_timeout_ms:
+        # The wave stays on record, so that its failures can be counted.
+        plan.change(
+            instance,
+            f"not back after {waited_ms // 60_000} minutes",
+            state=_State.FAILED,
+        )
+
+
+def observe_instances(plan: draft.Draft) -> None:
+    """Drafts what reports, silence and time mean for each instance.
+
+    Args:
+        plan: The draft.
+    """
+    for instance in plan.view.instances.values():
+        report = records.find_fresh_report(plan.view, instance)
+        match instance.state:
+            case _State.SERVING:
+                _observe_serving(plan, instance, report)
+            case _State.IN_DOUBT | _State.FAILED:
+                _observe_lost(plan, instance, report)
+            case _State.DRAINING:
+                _observe_draining(plan, instance, report)
+            case _State.EMPTY:
+                _observe_empty(plan, instance, report)
+            case _State.REBOOTING:
+                _observe_rebooting(plan, instance, report)
--- /dev/null
+++ b/bambookeel/fleet/orders.py
@@ -0,0 +1,68 @@
+"""Orders to the platform, worked out from the committed state alone.
+
+An order is repeated with every plan until reports show its effect. A new leader
+finds the same orders in the same state, so an order that was lost, or timed out
+and took effect all the same, needs no memory.
+"""
+
+from bambookeel.core import resources
+from bambookeel.fleet import changes
+from bambookeel.fleet import records
+
+_State = resources.InstanceState
+
+
+def _find_kind(
+    instance: records.Instance, report: records.Report | None
+) -> changes.OrderKind | None:
+    """Finds what the platform has still to do with an instance."""
+    phase = report.phase if report else None
+    match instance.state:
+        case _State.DRAINING:
+            # One that says it has drained while work runs is told again.
+            is_drained = phase is records.Phase.DRAINED
+            if not is_drained or (report and report.running):
+                return changes.OrderKind.DRAIN
+        case _State.REBOOTING:
+            # A later life means that the reboot has happened.
+            if report is None or report.incarnation <= instance.incarnation:
+                return changes.OrderKind.REBOOT
+        case _State.EMPTY if instance.spec.pool and not instance.wave:
+            return changes.OrderKind.ASSIGN
+        case _State.SERVING | _State.IN_DOUBT | _State.FAILED:
+            if not instance.spec.pool:
+                return None
+            if phase in (records.Phase.DRAINING, records.Phase.DRAINED):
+                return changes.OrderKind.RESUME
+    return None
+
+
+def list_orders(view: records.FleetView) -> tuple[changes.Order, ...]:
+    """Lists the orders that follow from the committed state.
+
+    Args:
+        view: The view, before any change of the new plan.
+
+    Returns:
+        The orders, in name order.
+    """
+    orders: list[changes.Order] = []
+    for name in sorted(view.instances):
+        instance = view.instances[name]
+        report = records.find_fresh_report(view, instance)
+        kind = _find_kind(instance, report)
+        if kind is None:
+            continue
+        incarnation = instance.incarnation
+        if report is not None and kind is not changes.OrderKind.REBOOT:
+            incarnation = report.incarnation
+        orders.append(
+            changes.Order(
+                kind,
+                name,
+                incarnation,
+                instance.version,
+                instance.spec.pool,
+            )
+        )
+    return tuple(orders)
--- /dev/null
+++ b/bambookeel/fleet/planner.py
@@ -0,0 +1,160 @@
+"""Makes one plan for the whole fleet from one view.
+
+The stages run in the order of what matters: what has happened, what must be
+undone, what is under way, what repairs a pool, and only then maintenance. The
+plan follows from the view alone, so a new leader continues where the old one
+stopped.
+"""
+
+import dataclasses
+
+from bambookeel.core import resources
+from bambookeel.fleet import changes
+from bambookeel.fleet import draft
+from bambookeel.fleet import explain
+from bambookeel.fleet import invariants
+from bambookeel.fleet import moves
+from bambookeel.fleet import observe
+from bambookeel.fleet import orders
+from bambookeel.fleet import records
+from bambookeel.fleet import waves
+
+_State = resources.InstanceState
+# Weight of the latest duration in a wave's time for one instance.
+_ROUND_GAIN = 0.3
+
+
+def _list_adoptions(
+    view: records.FleetView,
+) -> tuple[changes.Adoption, ...]:
+    """Lists reported instances that the state does not know yet."""
+    found: list[changes.Adoption] = []
+    for name in sorted(view.reports.keys() - view.instances.keys()):
+        report = view.reports[name]
+        pool = report.pool if report.pool in view.pools else ""
+        spec = dataclasses.replace(report.spec, pool=pool)
+        found.append(changes.Adoption(name, spec))
+    return tuple(found)
+
+
+def _find_short_since(plan: draft.Draft, pool: records.Pool, short: int) -> int:
+    if short <= 0:
+        return 0
+    return pool.short_since_ms or plan.view.wall_ms
+
+
+def _describe_pools(plan: draft.Draft) -> list[changes.StatusChange]:
+    """Lists pools whose status has changed."""
+    found: list[changes.StatusChange] = []
+    staying = moves.count_staying(plan)
+    for pool in plan.view.pools.values():
+        plan.recount(pool.name)
+        conditions = explain.describe_pool(plan, pool)
+        short = pool.spec.wanted_size - staying[pool.name]
+        short_since_ms = _find_short_since(plan, pool, short)
+        details = {
+            name: text
+            for name, text in pool.status.details.items()
+            if name != "short_since_ms"
+        }
+        if short_since_ms:
+            details["short_since_ms"] = str(short_since_ms)
+        holds = conditions[0].holds
+        status = dataclasses.replace(
+            pool.status,
+            state="short" if short > 0 else "held" if holds else "impaired",
+            conditions=conditions,
+            details=details,
+        )
+        if status == pool.status:
+            continue
+        found.append(
+            changes.StatusChange(
+                resources.Kind.POOL, pool.name, pool.version, status
+            )
+        )
+    return found
+
+
+def _learn_round_ms(plan: draft.Draft, wave: records.Wave) -> int:
+    """Learns how long one instance takes from those that came back now."""
+    learnt = float(wave.round_ms)
+    for change in plan.changes.values():
+        before = change.before
+        if before.wave != wave.name or before.state is not _State.REBOOTING:
+            continue
+        if change.after.state is not _State.SERVING or not before.act_since_ms:
+            continue
+        took_ms = plan.view.wall_ms - before.act_since_ms
+        gain = _ROUND_GAIN if learnt else 1.0
+        learnt += gain * (took_ms - learnt)
+    return int(learnt)
+
+
+def _find_failures(plan: draft.Draft, wave: records.Wave) -> tuple[str, ...]:
+    failed = set(wave.failures)
+    for instance in plan.instances.values():
+        if instance.wave == wave.name and instance.state is _State.FAILED:
+            failed.add(instance.name)
+    return tuple(sorted(failed))
+
+
+def _describe_waves(plan: draft.Draft) -> list[changes.StatusChange]:
+    """Lists declared waves whose status has changed."""
+    found: list[changes.StatusChange] = []
+    for wave in plan.view.waves.values():
+        updated = dataclasses.replace(
+            wave,
+            started_ms=wave.started_ms or plan.view.wall_ms,
+            round_ms=_learn_round_ms(plan, wave),
+            failures=_find_failures(plan, wave),
+        )
+        state, conditions = explain.describe_wave(plan, updated)
+        details = {
+            "started_ms": str(updated.started_ms),
+            "round_ms": str(updated.round_ms),
+            "failures": " ".join(updated.failures),
+        }
+        status = dataclasses.replace(
+            wave.status, state=state, conditions=conditions, details=details
+        )
+        if status == wave.status:
+            continue
+        found.append(
+            changes.StatusChange(
+                resources.Kind.WAVE, wave.name, wave.version, status
+            )
+        )
+    return found
+
+
+def plan_fleet(view: records.FleetView) -> changes.Plan:
+    """Plans once.
+
+    Args:
+        view: Everything known.
+
+    Returns:
+        Changes to commit, orders to send and the reasons.
+
+    Raises:
+        faults.InvariantError: If the plan would break a promise.
+    """
+    plan = draft.Draft(view)
+    observe.observe_instances(plan)
+    waves.undo_drains(plan)
+    moves.release_replaced(plan)
+    moves.advance_moves(plan)
+    waves.advance_reboots(plan)
+    moves.start_moves(plan)
+    waves.start_maintenance(plan)
+    statuses = _describe_pools(plan) + _describe_waves(plan)
+    made = changes.Plan(
+        instances=tuple(plan.changes.values()),
+        statuses=tuple(statuses),
+        adoptions=_list_adoptions(view),
+        orders=orders.list_orders(view),
+        decisions=tuple(plan.decisions),
+    )
+    invariants.check_plan(view, made)
+    return made
--- /dev/null
+++ b/bambookeel/fleet/waves.py
@@ -0,0 +1,320 @@
+"""Maintenance waves: which instances are drained and rebooted next.
+
+Every pool's budget is used to the full at once, pools with the most rounds
+left first, so that the slowest pool, which sets the end of the wave, never
+waits for another. An instance gives back its place only when it has been proved
+healthy, which is the check between rounds. Failures that exceed a pool's budget
+undo the drains there; a wave that loses too many instances stops.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+
+from bambookeel.core import ids
+from bambookeel.core import resources
+from bambookeel.fleet import account
+from bambookeel.fleet import draft
+from bambookeel.fleet import records
+
+_State = resources.InstanceState
+# The wave that maintains every instance once in the interval.
+REGULAR_WAVE = "regular"
+# Share of the interval after which an instance is due, so that pauses and
+# second tries fit before its end.
+_DUE_SHARE = 0.85
+# Time for drain and reboot of one instance until it has been observed.
+DEFAULT_ROUND_MS = 900_000
+_ACTIVE_STATES = frozenset((_State.DRAINING, _State.EMPTY, _State.REBOOTING))
+
+
+def list_waves(view: records.FleetView) -> list[records.Wave]:
+    """Lists the waves, the one with the earliest end first.
+
+    Args:
+        view: The view.
+
+    Returns:
+        Operators' waves, then the regular maintenance where there is one.
+    """
+    declared = sorted(
+        view.waves.values(),
+        key=lambda wave: (wave.spec.finish_by_ms or 2**62, wave.name),
+    )
+    if view.tuning.maintenance_interval_ms > 0:
+        spec = resources.WaveSpec()
+        interval_ms = view.tuning.maintenance_interval_ms
+        due_ms = view.wall_ms - int(interval_ms * _DUE_SHARE)
+        declared.append(
+            records.Wave(
+                name=REGULAR_WAVE,
+                version=ids.StateVersion(0),
+                spec=spec,
+                started_ms=due_ms,
+            )
+        )
+    return declared
+
+
+def covers_pool(wave: records.Wave, pool: str) -> bool:
+    """Tells whether a wave maintains a pool.
+
+    Args:
+        wave: The wave.
+        pool: The pool.
+
+    Returns:
+        Whether it names the pool, or no pool at all.
+    """
+    return not wave.spec.pools or pool in wave.spec.pools
+
+
+def list_left(
+    plan: draft.Draft, wave: records.Wave, pool: str
+) -> list[records.Instance]:
+    """Lists a pool's instances that a wave has still to maintain.
+
+    Args:
+        plan: The draft.
+        wave: The wave.
+        pool: The pool.
+
+    Returns:
+        Members last maintained before the wave started.
+    """
+    if not covers_pool(wave, pool):
+        return []
+    return [
+        member
+        for member in plan.list_members(pool)
+        if member.last_maintained_ms < wave.started_ms
+    ]
+
+
+def find_stop_reason(view: records.FleetView, wave: records.Wave) -> str:
+    """Tells why a wave may not start further maintenance.
+
+    Args:
+        view: The view.
+        wave: The wave.
+
+    Returns:
+        The reason; empty when it may.
+    """
+    if wave.spec.aborted:
+        return "aborted by an operator"
+    if wave.spec.paused:
+        return "paused by an operator"
+    if wave.started_ms == 0:
+        return "not started yet"
+    if len(wave.failures) >= view.tuning.max_wave_failures:
+        return f"{len(wave.failures)} instances did not come back from it"
+    return ""
+
+
+def _rank_candidate(
+    held: account.PoolAccount, instance: records.Instance
+) -> tuple[int, int, int, str]:
+    """Ranks instances of the fullest domains first, then the longest due."""
+    spec = instance.spec
+    return (
+        -held.data_centres[spec.data_centre],
+        -held.racks[spec.rack],
+        instance.last_maintained_ms,
+        instance.name,
+    )
+
+
+def _list_candidates(
+    plan: draft.Draft, wave: records.Wave, pool: str
+) -> list[records.Instance]:
+    found: list[records.Instance] = []
+    for instance in list_left(plan, wave, pool):
+        if plan.is_settled(instance.name):
+            continue
+        if instance.retry_after_ms > plan.view.wall_ms:
+            continue
+        if records.is_available(plan.view, instance):
+            found.append(instance)
+    return found
+
+
+def _start_in_pool(
+    plan: draft.Draft, wave: records.Wave, pool: str, parallel: int
+) -> int:
+    """Starts as many maintenances in a pool as its account allows.
+
+    Args:
+        plan: The draft.
+        wave: The wave.
+        pool: The pool.
+        parallel: How many the wave may start.
+
+    Returns:
+        The number started.
+    """
+    started = 0
+    candidates = _list_candidates(plan, wave, pool)
+    while candidates and started < parallel:
+        held = plan.accounts[pool]
+        if held.get_room() < 1:
+            break
+        allowed = [
+            candidate
+            for candidate in candidates
+            if not account.find_refusal(held, candidate, plan.suspects)
+        ]
+        if not allowed:
+            break
+        chosen = min(allowed, key=lambda item: _rank_candidate(held, item))
+        candidates.remove(chosen)
+        plan.change(
+            chosen,
+            f"wave {wave.name} drains it",
+            alternatives=f"{len(allowed)} candidates in the pool",
+            is_planned=True,
+            state=_State.DRAINING,
+            wave=wave.name,
+            act_since_ms=plan.view.wall_ms,
+        )
+        started += 1
+    return started
+
+
+def _order_pools(plan: draft.Draft, wave: records.Wave) -> Iterator[str]:
+    """Yields pools with the most rounds left first."""
+    rounds: list[tuple[float, str]] = []
+    for name, pool in plan.view.pools.items():
+        left = len(list_left(plan, wave, name))
+        if not left or not pool.spec.max_unavailable:
+            continue
+        rounds.append((-left / pool.spec.max_unavailable, name))
+    for _, name in sorted(rounds):
+        yield name
+
+
+def start_maintenance(plan: draft.Draft) -> None:
+    """Starts what waves allow within every pool's account.
+
+    Args:
+        plan: The draft.
+    """
+    active = {wave.name: 0 for wave in list_waves(plan.view)}
+    for instance in plan.instances.values():
+        if instance.wave in active and instance.state in _ACTIVE_STATES:
+            active[instance.wave] += 1
+    is_broken = any(held.get_room() < 0 for held in plan.accounts.values())
+    for wave in list_waves(plan.view):
+        if find_stop_reason(plan.view, wave):
+            continue
+        for pool in _order_pools(plan, wave):
+            # A lender's budget is kept for pools whose promise is broken.
+            if is_broken and plan.view.pools[pool].spec.lends_spare:
+                continue
+            parallel = wave.spec.max_parallel - active[wave.name]
+            if parallel <= 0:
+                break
+            active[wave.name] += _start_in_pool(plan, wave, pool, parallel)
+
+
+def undo_drains(plan: draft.Draft) -> None:
+    """Resumes drains where failures exceed a budget or the wave has ended.
+
+    Args:
+        plan: The draft.
+    """
+    known = {wave.name: wave for wave in list_waves(plan.view)}
+    for pool in plan.view.pools:
+        drained = [
+            member
+            for member in plan.list_members(pool)
+            if not plan.is_settled(member.name)
+            and _is_undoable(plan.view, member)
+        ]
+        # The one drained last has the most work left to keep.
+        drained.sort(key=lambda item: (-item.since_ms, item.name))
+        for member in drained:
+            wave = known.get(member.wave)
+            if member.wave and (wave is None or wave.spec.aborted):
+                plan.resume(member, f"wave {member.wave} has ended")
+            elif plan.accounts[pool].get_room() < 0:
+                plan.resume(member, "failures exceed the pool's budget")
+
+
+def _is_undoable(view: records.FleetView, instance: records.Instance) -> bool:
+    is_drained = instance.state is _State.DRAINING or (
+        instance.state is _State.EMPTY and instance.wave
+    )
+    if not is_drained:
+        return False
+    report = records.find_fresh_report(view, instance)
+    return report is not None and report.healthy
+
+
+def advance_reboots(plan: draft.Draft) -> None:
+    """Lets drained instances reboot where the account still holds.
+
+    Args:
+        plan: The draft.
+    """
+    for instance in plan.view.instances.values():
+        if plan.is_settled(instance.name) or not instance.wave:
+            continue
+        if instance.state is not _State.EMPTY:
+            continue
+        held = plan.accounts.get(instance.spec.pool)
+        if held is None or held.get_room() < 0:
+            continue
+        if plan.suspects & held.places:
+            continue
+        report = records.find_fresh_report(plan.view, instance)
+        if report is None or report.phase is not records.Phase.DRAINED:
+            continue
+        plan.change(instance, f"wave {instance.wave}", state=_State.REBOOTING)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forecast:
+    """When a wave is expected to end.
+
+    Attributes:
+        left: Instances still to maintain.
+        ends_in_ms: Time until the end; -1 when it cannot end.
+        slowest_pool: The pool that sets the end.
+    """
+
+    left: int
+    ends_in_ms: int
+    slowest_pool: str
+
+
+def forecast_end(plan: draft.Draft, wave: records.Wave) -> Forecast:
+    """Forecasts the end of a wave from what its pools' accounts allow now.
+
+    Args:
+        plan: The draft.
+        wave: The wave.
+
+    Returns:
+        The forecast.
+    """
+    round_ms = wave.round_ms or DEFAULT_ROUND_MS
+    left_in_all = 0
+    ends_in_ms = 0
+    slowest = ""
+    for name, pool in plan.view.pools.items():
+        left = len(list_left(plan, wave, name))
+        if not left:
+            continue
+        left_in_all += left
+        lost = sum(
+            plan.accounts[name].unavailable.get(state.value, 0)
+            for state in (_State.FAILED, _State.QUARANTINED)
+        )
+        at_once = pool.spec.max_unavailable - lost
+        if at_once < 1:
+            return Forecast(left_in_all, -1, name)
+        needed_ms = -(-left // at_once) * round_ms
+        if needed_ms > ends_in_ms:
+            ends_in_ms, slowest = needed_ms, name
+    shared_ms = -(-left_in_all // wave.spec.max_parallel) * round_ms
+    return Forecast(left_in_all, max(ends_in_ms, shared_ms), slowest)
--- a/dev/deployment.py
+++ b/dev/deployment.py
@@ -35,6 +35,7 @@
         slots: Slots of each backend server.
         teams: Teams, each with one key.
         upper_limit: Every team's upper limit.
+        platform: Whether a fake platform offers workers for each pool.
     """
 
     controls: int = 3
@@ -44,6 +45,7 @@
     slots: int = 8
     teams: tuple[str, ...] = ("coach", "school")
     upper_limit: int = 100
+    platform: bool = True
 
 
 @dataclasses.dataclass
@@ -107,6 +109,8 @@
         self.entry_names = [f"entry-{i}" for i in range(shape.entries)]
         self._write_settings()
         self._add_backends()
+        if shape.platform:
+            self._add_platform()
 
     def get_address(self, name: str, purpose: str) -> str:
         """Gives the address of a process for a purpose.
@@ -150,6 +154,7 @@
                     "api_listen": self.get_address(name, "http"),
                     "data_folder": str(self.folder / f"{name}.data"),
                     "bootstrap_key_sha256": digest,
+                    "platform_address": self._get_platform_address(),
                     "control": control,
                     "entries": entries,
                 },
@@ -205,6 +210,26 @@
                 log_path = self.folder / f"{name}.log"
                 self.daemons[name] = Daemon(name, command, log_path)
 
+    def _get_platform_address(self) -> str:
+        if not self.shape.platform:
+            return ""
+        return self.get_address("platform", "http")
+
+    def _add_platform(self) -> None:
+        pools = ",".join(
+            f"{service}:{self.shape.backends}"
+            for service in self.shape.services
+        )
+        command = [
+            sys.executable,
+            "-m",
+            "dev.fake_platform",
+            f"--listen={self._get_platform_address()}",
+            f"--pools={pools}",
+        ]
+        log_path = self.folder / "platform.log"
+        self.daemons["platform"] = Daemon("platform", command, log_path)
+
     def list_backends(self) -> list[str]:
         """Lists the names of the backend servers."""
         return [
@@ -308,6 +333,8 @@
         """
         codes: dict[str, int | None] = {}
         ordered = [self.entry_names, self.control_names, self.list_backends()]
+        if self.shape.platform:
+            ordered.append(["platform"])
         for names in ordered:
             for name in names:
                 self.daemons[name].send_signal(signal.SIGCONT)
--- /dev/null
+++ b/features/fakes/fleet_platform.py
@@ -0,0 +1,145 @@
+"""A small fake of the platform: workers that drain, reboot and fail.
+
+Time is given from outside, so that it serves a randomised run as well as a
+process of its own. It asserts what a real platform would suffer from: a reboot
+or an assignment of a worker on which work still runs.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class FakeWorker:
+    name: str
+    data_centre: str
+    rack: str
+    pool: str
+    incarnation: int = 1
+    phase: str = "serving"
+    healthy: bool = True
+    running: int = 3
+    phase_ends_ms: int = 0
+    sequence: int = 0
+    reported_ms: int = 0
+    lease_until_ms: int = 10_000
+    is_silent: bool = False
+    says_drained_too_early: bool = False
+    never_boots: bool = False
+    reboots: int = 0
+
+
+class FakePlatform:
+    """Workers by name, and orders to them."""
+
+    def __init__(self, drain_ms=2_000, boot_ms=3_000):
+        self.workers = {}
+        self.drain_ms = drain_ms
+        self.boot_ms = boot_ms
+        self.now_ms = 0
+        self.broken = []
+
+    def add_worker(self, name, data_centre, rack, pool):
+        worker = FakeWorker(name, data_centre, rack, pool)
+        self.workers[name] = worker
+        return worker
+
+    def step(self, now_ms):
+        """Lets drains and reboots that are due come to their end."""
+        self.now_ms = now_ms
+        for worker in self.workers.values():
+            if worker.phase == "draining" and now_ms >= worker.phase_ends_ms:
+                worker.running = 0
+                worker.phase = "drained"
+            if worker.phase == "rebooting" and now_ms >= worker.phase_ends_ms:
+                if worker.never_boots:
+                    continue
+                self._serve_anew(worker)
+            if now_ms >= worker.lease_until_ms:
+                # A worker stops its work when nobody renews its lease.
+                worker.running = 0
+            if not worker.is_silent and worker.phase != "down":
+                worker.reported_ms = now_ms
+
+    def _serve_anew(self, worker):
+        worker.incarnation += 1
+        worker.phase = "serving"
+        worker.running = 0
+
+    def take_order(self, order):
+        """Carries out one order unless it is meant for an earlier life."""
+        worker = self.workers.get(order["worker"])
+        if worker is None or worker.phase == "down":
+            return
+        if order["incarnation"] != worker.incarnation:
+            return
+        if order["sequence"] < worker.sequence:
+            return
+        worker.sequence = order["sequence"]
+        if order["kind"] == "drain" and worker.phase == "serving":
+            worker.phase = "draining"
+            worker.phase_ends_ms = self.now_ms + self.drain_ms
+        elif order["kind"] == "resume":
+            if worker.phase in ("draining", "drained"):
+                worker.phase = "serving"
+                worker.running += 1
+        elif order["kind"] == "reboot" and worker.phase == "drained":
+            self._check_empty(worker, "rebooted")
+            worker.phase = "rebooting"
+            worker.phase_ends_ms = self.now_ms + self.boot_ms
+            worker.reboots += 1
+        elif order["kind"] == "assign":
+            if worker.pool != order["pool"]:
+                self._check_empty(worker, "assigned")
+            worker.pool = order["pool"]
+            if worker.phase == "drained":
+                worker.phase = "serving"
+
+    def _check_empty(self, worker, verb):
+        if worker.running:
+            self.broken.append(f"{worker.name} {verb} with work on it")
+
+    def renew_leases(self, names, lease_ms):
+        for name in names:
+            worker = self.workers.get(name)
+            if worker is not None and not worker.is_silent:
+                worker.lease_until_ms = self.now_ms + lease_ms
+
+    def fail(self, name):
+        worker = self.workers[name]
+        worker.phase = "down"
+        worker.running = 0
+
+    def repair(self, name):
+        """Brings a worker back under its old name."""
+        worker = self.workers[name]
+        worker.is_silent = False
+        if worker.phase == "down":
+            self._serve_anew(worker)
+
+    def restart(self, name):
+        """Restarts a worker that nobody asked to restart."""
+        worker = self.workers[name]
+        if worker.phase in ("serving", "draining", "drained"):
+            self._serve_anew(worker)
+
+    def report(self):
+        """Gives the latest report of every worker that ever reported."""
+        reports = []
+        for worker in self.workers.values():
+            phase = worker.phase
+            if worker.says_drained_too_early and phase == "draining":
+                phase = "drained"
+            reports.append(
+                {
+                    "name": worker.name,
+                    "incarnation": worker.incarnation,
+                    "phase": phase,
+                    "healthy": worker.healthy,
+                    "pool": worker.pool,
+                    "running": worker.running,
+                    "age_ms": self.now_ms - worker.reported_ms,
+                    "data_centre": worker.data_centre,
+                    "rack": worker.rack,
+                }
+            )
+        return reports
--- /dev/null
+++ b/features/fakes/fleet_run.py
@@ -0,0 +1,210 @@
+"""Runs the planner against the fake platform and checks the promises.
+
+The state is the real one, changed by real commands. Leader changes forget all
+that was not committed, commands may be lost, and the promises are asserted from
+outside after every command, independently of the planner's own invariants.
+"""
+
+import random
+
+import msgspec
+
+from bambookeel.control import fleet_commands
+from bambookeel.control import fleet_view
+from bambookeel.core import ids
+from bambookeel.core import resources
+from bambookeel.fleet import planner
+from bambookeel.fleet import records
+from bambookeel.net import platform_client
+from bambookeel.state import apply
+from bambookeel.state import commands
+from bambookeel.state import model
+from features.fakes import fleet_platform
+
+STEP_MS = 500
+_WALL_START_MS = 1_700_000_000_000
+_PLANNED = ("draining", "empty", "rebooting")
+
+
+class FleetRun:
+    """A fleet under the planner, step by step."""
+
+    def __init__(self, seed=1, **values):
+        self.random = random.Random(seed)
+        self.platform = fleet_platform.FakePlatform()
+        self.state = model.State()
+        self.builder = fleet_view.ViewBuilder()
+        self.now_ms = 1_000
+        self.plans = 0
+        self.moves = 0
+        self.order_loss = 0.0
+        self.report_loss = 0.0
+        self.command_loss = 0.0
+        self.late_orders = []
+        self.last_plan = None
+        self.broken = []
+        self.known = {}
+        self.declare("configuration", "fleet", {"values": self._tune(values)})
+
+    @staticmethod
+    def _tune(values):
+        defaults = {
+            "hold_ms": 2_000,
+            "drain_timeout_ms": 20_000,
+            "boot_timeout_ms": 15_000,
+            "retry_ms": 5_000,
+            "worker_lease_ms": 3_000,
+        }
+        return {k: str(v) for k, v in {**defaults, **values}.items()}
+
+    def declare(self, kind, name, spec):
+        put = commands.PutSpec(
+            resources.Kind(kind), name, commands.ANY_VERSION, spec
+        )
+        self.plans += 1
+        self.apply(
+            commands.Command(
+                ids.CommandId(f"declare-{self.plans}"),
+                "operator",
+                (commands.wrap_change(put),),
+            )
+        )
+
+    def add_pool(self, name, size, workers=None, racks=3, **spec):
+        self.declare("pool", name, {"wanted_size": size, **spec})
+        for i in range(size if workers is None else workers):
+            rack = i % racks
+            self.platform.add_worker(
+                f"{name}-{i}", f"dc{rack % 3}", f"rack-{name}-{rack}", name
+            )
+
+    def get(self, kind, name):
+        return self.state.by_key[(resources.Kind(kind), name)]
+
+    def list_instances(self):
+        found = []
+        for (kind, name), resource in self.state.by_key.items():
+            if kind is not resources.Kind.INSTANCE:
+                continue
+            known = self.known.get(name)
+            if known is None or known.version != resource.version:
+                known = records.read_instance(resource)
+                self.known[name] = known
+            found.append(known)
+        return found
+
+    def apply(self, command):
+        before = {i.name: i for i in self.list_instances()}
+        version = ids.StateVersion(self.state.version + 1)
+        applied = apply.apply_command(self.state, version, command)
+        self.state = applied.state
+        self._check_step(before)
+        return applied.outcome
+
+    def _check_step(self, before):
+        """Asserts the promises on one committed step."""
+        drained_pools = set()
+        for instance in self.list_instances():
+            old = before.get(instance.name)
+            if old is None:
+                continue
+            if old.spec.pool and instance.spec.pool not in ("", old.spec.pool):
+                self.broken.append(f"{instance.name} changed pool in one step")
+            if old.spec.pool != instance.spec.pool:
+                self.moves += bool(instance.spec.pool)
+                if self.platform.workers[instance.name].running:
+                    self.broken.append(f"{instance.name} moved with work on it")
+            is_drained = instance.state is resources.InstanceState.DRAINING
+            if is_drained and old.state is resources.InstanceState.SERVING:
+                drained_pools.add(instance.spec.pool)
+        for pool in drained_pools:
+            self._check_budget(pool)
+
+    def _check_budget(self, pool):
+        spec = self.get("pool", pool).spec
+        members = [i for i in self.list_instances() if i.spec.pool == pool]
+        lost = [
+            i.name
+            for i in members
+            if i.state is not resources.InstanceState.SERVING
+            and (i.wave or i.state.value != "empty")
+        ]
+        serving = sum(
+            i.state is resources.InstanceState.SERVING for i in members
+        )
+        used = max(len(lost), spec.wanted_size - serving)
+        if used > spec.max_unavailable:
+            self.broken.append(f"budget of {pool} exceeded: {lost}")
+
+    def change_leader(self):
+        """Replaces the leader: all that was not committed is forgotten."""
+        self.builder = fleet_view.ViewBuilder()
+
+    def _take_reports(self):
+        documents = [
+            document
+            for document in self.platform.report()
+            if self.random.random() >= self.report_loss
+        ]
+        data = msgspec.json.encode({"workers": documents})
+        reports = platform_client.decode_reports(data, self.now_ms).unwrap()
+        self.builder.take_reports(reports, self.now_ms)
+
+    def build_view(self):
+        return self.builder.build_view(
+            self.state.by_key, self.now_ms, _WALL_START_MS + self.now_ms
+        )
+
+    def step(self, commit=None):
+        """Lets time pass and plans once.
+
+        Args:
+            commit: How many commands of the plan are committed before the
+                leader dies; None for all.
+        """
+        self.now_ms += STEP_MS
+        self.platform.step(self.now_ms)
+        self._take_reports()
+        view = self.build_view()
+        plan = planner.plan_fleet(view)
+        self.last_plan = plan
+        self.plans += 1
+        built = fleet_commands.build_commands(view, plan, f"plan-{self.plans}")
+        for command in built[:commit]:
+            if self.random.random() >= self.command_loss:
+                self.apply(command)
+        if commit is not None:
+            self.change_leader()
+        self._send_orders(plan)
+        names = [
+            name
+            for name, instance in view.instances.items()
+            if instance.state is not resources.InstanceState.FAILED
+            and records.find_fresh_report(view, instance) is not None
+        ]
+        lease_ms = view.tuning.worker_lease_ms
+        self.platform.renew_leases(names, lease_ms)
+        self.builder.extend_leases(names, self.now_ms + lease_ms)
+        self.broken += self.platform.broken
+        assert not self.broken, self.broken
+
+    def _send_orders(self, plan):
+        sent = [platform_client.describe_order(o) for o in plan.orders]
+        for order in self.late_orders + sent:
+            if self.random.random() >= self.order_loss:
+                self.platform.take_order(order)
+        # Some orders arrive a second time, and late.
+        is_late = self.random.random() < self.order_loss
+        self.late_orders = sent if is_late else []
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.step()
+
+    def count_states(self, pool):
+        counts = {}
+        for instance in self.list_instances():
+            if instance.spec.pool == pool:
+                state = instance.state.value
+                counts[state] = counts.get(state, 0) + 1
+        return counts
