--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -1,8 +1,12 @@
 """Builds and runs a control process from its settings."""
 
 import functools
+import secrets
+
+from returns import result
 
 from bambookeel.api import operator_app
+from bambookeel.control import allotment_task
 from bambookeel.control import events
 from bambookeel.control import lease_task
 from bambookeel.control import planner_task
@@ -18,6 +22,8 @@
 from bambookeel.runtime import logs
 from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
+from bambookeel.storage import folder
+from bambookeel.storage import store as replica_store
 
 
 class ControlProcess:
@@ -37,7 +43,17 @@
         self._leases = lease_task.LeaseTask(
             settings.leases, replica, self._links.send
         )
-        self._streams = stream_task.StreamTask(replica, self._links.send)
+        self._streams = stream_task.StreamTask(
+            replica,
+            self._links.send,
+            tuple(ids.ProcessId(p.process_id) for p in settings.entries),
+        )
+        self._allotments = allotment_task.AllotmentTask(
+            ids.ProcessId(settings.process_id),
+            settings.leases,
+            replica,
+            self._links.send,
+        )
         listeners = [self._streams.mailbox, self._leases.mailbox]
         self._planner: planner_task.PlannerTask | None = None
         if settings.platform_address:
@@ -64,9 +80,20 @@
         Returns:
             The process.
         """
+        opened = folder.open_folder(settings.data_folder).bind(
+            lambda locked: replica_store.open_store(
+                locked, ids.ProcessId(settings.process_id)
+            )
+        )
+        match opened:
+            case result.Failure(fault):
+                supervisor.end_process(f"{fault.place}: {fault.message}")
+        store, loaded = opened.unwrap()
+        if loaded.torn_bytes:
+            logs.log_event("torn_log_cut", cut_bytes=loaded.torn_bytes)
         control = tuple(ids.ProcessId(p.process_id) for p in settings.control)
         replica = replica_task.ReplicaTask(
-            ids.ProcessId(settings.process_id), control
+            control, settings.consensus, store, loaded, secrets.randbits(62)
         )
         return cls(settings, replica)
 
@@ -101,6 +128,9 @@
                 self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, messages.EntryHeartbeat() as message):
                 self._leases.mailbox.put(events.FromPeer(peer, message))
+                self._streams.mailbox.put(events.FromPeer(peer, message))
+            case links.Received(peer, messages.AllotmentRequest() as message):
+                self._allotments.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, message):
                 self._replica.mailbox.put(events.FromPeer(peer, message))
             case links.LinkDown(peer):
@@ -113,15 +143,20 @@
         Returns:
             The reason, or empty when the process is ready.
         """
-        return "stopping" if self._stopping else ""
+        if self._stopping:
+            return "stopping"
+        return self._replica.find_unready_reason()
 
     def start(self) -> None:
         """Starts all tasks and opens the sockets."""
         self._replica.subscribe_timers(self._timers)
         self._leases.subscribe_timers(self._timers)
+        self._streams.subscribe_timers(self._timers)
         self._supervisor.start_task("timers", self._timers.run)
         self._supervisor.start_task("replica", self._replica.run)
+        self._supervisor.start_task("log-syncs", self._replica.disk.run_syncs)
         self._supervisor.start_task("leases", self._leases.run)
+        self._supervisor.start_task("allotments", self._allotments.run)
         self._supervisor.start_task("streams", self._streams.run)
         if self._planner is not None:
             self._planner.subscribe_timers(self._timers)
@@ -139,7 +174,9 @@
         self._stopping = True
         logs.log_event("stopping")
         self._api.stop(timeout=5)
+        self._replica.hand_over()
         self._supervisor.stop()
         self._links.close()
+        self._replica.disk.close()
         self._admin.stop(timeout=0)
         logs.log_event("stopped")
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -80,7 +80,7 @@
     """Asks for a vote, or with `is_pre_vote` whether one would be given."""
 
     term: ids.Term
-    candidate: ids.ProcessId
+    candidate: ids.MemberId
     last_index: ids.LogIndex
     last_term: ids.Term
     is_pre_vote: bool
@@ -93,7 +93,7 @@
     """Answers a `VoteRequest`."""
 
     term: ids.Term
-    voter: ids.ProcessId
+    voter: ids.MemberId
     granted: bool
     is_pre_vote: bool
 
@@ -107,7 +107,7 @@
     """
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
     previous_index: ids.LogIndex
     previous_term: ids.Term
     entries: tuple[LogEntry, ...]
@@ -125,7 +125,7 @@
     """
 
     term: ids.Term
-    follower: ids.ProcessId
+    follower: ids.MemberId
     success: bool
     match_index: ids.LogIndex
     round_number: int
@@ -136,7 +136,7 @@
     """One part of a snapshot that replaces a follower's log."""
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
     last_index: ids.LogIndex
     last_term: ids.Term
     offset: int
@@ -150,7 +150,7 @@
     """Acknowledges a part; the leader sends the one at `next_offset`."""
 
     term: ids.Term
-    follower: ids.ProcessId
+    follower: ids.MemberId
     last_index: ids.LogIndex
     next_offset: int
     round_number: int
@@ -161,7 +161,7 @@
     """Asks a caught-up follower to start an election at once."""
 
     term: ids.Term
-    leader: ids.ProcessId
+    leader: ids.MemberId
 
 
 # --- Control: commands and reads ---
@@ -212,14 +212,36 @@
     leader: ids.ProcessId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaIdentity:
+    """Tells a control replica's member id while the deployment forms.
+
+    Attributes:
+        member: The sender with its disk.
+        has_membership: Whether its disk knows a membership.
+        wants_reply: Whether the receiver should answer with its own.
+    """
+
+    member: ids.MemberId
+    has_membership: bool
+    wants_reply: bool
+
+
 # --- Control: followers of state ---
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Asks a control replica for changes after `from_version`."""
+    """Asks a control replica for changes after `from_version`.
+
+    Attributes:
+        from_version: The version that the follower has.
+        subscription: Number of this subscription, from the follower; every
+            batch of its stream carries it.
+    """
 
     from_version: ids.StateVersion
+    subscription: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -237,12 +259,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangeBatch:
-    """Changes in order; with `is_snapshot` they replace all before them."""
+    """Changes in order; with `is_snapshot` they replace all before them.
+
+    Attributes:
+        is_snapshot: Whether this is a part of a snapshot.
+        is_last: Whether it is the last part.
+        to_version: The state version after the batch, or of the snapshot.
+        changes: The changes; some versions change nothing.
+        subscription: The subscription that the batch belongs to.
+    """
 
     is_snapshot: bool
     is_last: bool
     to_version: ids.StateVersion
     changes: tuple[StateChange, ...]
+    subscription: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -301,12 +332,35 @@
     held: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceReport:
+    """Marks the account of one service as whole within its message.
+
+    Attributes:
+        epoch: The holder's epoch.
+        complete: In a request, whether the holder counts everything that
+            earlier holders granted; in a reply, whether `earlier` of the
+            service's allotments is known.
+    """
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    complete: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AllotmentRequest:
-    """A dispatcher's demand, sent to the control leader."""
+    """A dispatcher's demand, sent to the control leader.
+
+    A team without a demand has nothing running, waiting or held in the
+    services reported.
+    """
 
     nonce: int
     demands: tuple[TeamDemand, ...]
+    services: tuple[ServiceReport, ...] = ()
+    # Term of the leader whose reply was last adopted.
+    answered_term: ids.Term = ids.Term(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -316,15 +370,22 @@
     team: ids.TeamName
     service: ids.ServiceName
     amount: int
+    # The most that earlier holders of the service may have running.
+    earlier: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AllotmentReply:
-    """Answers `AllotmentRequest`; holds for `lease_ms` from its sending."""
+    """Answers `AllotmentRequest`; holds for `lease_ms` from its sending.
+
+    Only the reply to the newest request is adopted.
+    """
 
     nonce: int
     lease_ms: int
     allotments: tuple[Allotment, ...]
+    term: ids.Term = ids.Term(0)
+    services: tuple[ServiceReport, ...] = ()
 
 
 # --- Dispatch ---
@@ -338,6 +399,7 @@
         age_ms: Time since the entry received it.
         lease_ms: How long it holds.
         running: Requests in its slots, by its own count.
+        hops: Entries that have passed it on.
     """
 
     service: ids.ServiceName
@@ -351,6 +413,7 @@
     lease_ms: int
     age_ms: int
     running: int
+    hops: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -379,6 +442,11 @@
     Attributes:
         start_within_ms: The grant ends unless the request is sent by then.
         connection_allowance: Connections the entry may hold to the server.
+        waited_ms: Time from the arrival of `AcquireSlot` to the grant. An
+            entry that counts `waited_ms + start_within_ms` from the sending
+            of `AcquireSlot` by its own clock never starts a request later
+            than `start_within_ms` after the grant was made, also when the
+            grant arrives late.
     """
 
     request_id: ids.RequestId
@@ -390,6 +458,7 @@
     incarnation: ids.Incarnation
     start_within_ms: int
     connection_allowance: int
+    waited_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -492,10 +561,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchAnswer:
-    """Asks the first entry for the kept answer of a finished request."""
+    """Asks the first entry for the answer of a request with the same key.
+
+    The answer comes once the first request has ended.
+
+    Attributes:
+        fingerprint: Hash of the request, which must equal the first one's.
+    """
 
     request_id: ids.RequestId
     first_request_id: ids.RequestId
+    fingerprint: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -508,13 +584,65 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerCopy:
-    """Answers `FetchAnswer`; the body is only there when `found`."""
+    """Answers `FetchAnswer`; the body is only there when `found`.
+
+    Attributes:
+        outcome: The first request's outcome; `UNKNOWN` where nothing is known.
+        is_other_request: Whether the first request was a different one.
+    """
 
     request_id: ids.RequestId
     found: bool
     status: int
     headers: tuple[AnswerHeader, ...]
     body: bytes
+    outcome: outcomes.OutcomeKind
+    is_other_request: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepRecords:
+    """Asks a process to keep copies of a service's idempotency records.
+
+    A record with `remaining_ms` 0 is to be dropped.
+    """
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    nonce: int
+    records: tuple[IdempotencyRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsKept:
+    """Answers `KeepRecords`."""
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsRequest:
+    """A holder asks a process for its copies and its age."""
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordsReply:
+    """Answers `RecordsRequest`.
+
+    Attributes:
+        uptime_ms: Age of the process; what an earlier life of it has
+            outstanding is not in its `RecoverReply`.
+    """
+
+    service: ids.ServiceName
+    epoch: ids.Epoch
+    uptime_ms: int
+    records: tuple[IdempotencyRecord, ...]
 
 
 # The order gives each message its number on the wire: append only.
@@ -549,6 +677,11 @@
     RecoverReply,
     FetchAnswer,
     AnswerCopy,
+    ReplicaIdentity,
+    KeepRecords,
+    RecordsKept,
+    RecordsRequest,
+    RecordsReply,
 )
 
 # Records that appear only inside messages.
@@ -561,6 +694,7 @@
     OutstandingRequest,
     IdempotencyRecord,
     AnswerHeader,
+    ServiceReport,
 )
 
 # Any of MESSAGE_TYPES; `match` tells them apart.
