--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -9,6 +9,7 @@
 from bambookeel.control import allotment_task
 from bambookeel.control import events
 from bambookeel.control import lease_task
+from bambookeel.control import planner_task
 from bambookeel.control import replica_task
 from bambookeel.control import stream_task
 from bambookeel.core import ids
@@ -54,6 +55,10 @@
             self._links.send,
         )
         listeners = [self._streams.mailbox, self._leases.mailbox]
+        self._planner: planner_task.PlannerTask | None = None
+        if settings.platform_address:
+            self._planner = planner_task.PlannerTask(settings, replica)
+            listeners.append(self._planner.mailbox)
         replica.connect(self._links.send, listeners)
         self._app = operator_app.OperatorApp(settings, replica, self._streams)
         self._api = http_server.Server(settings.api_listen, self._app)
@@ -151,6 +156,9 @@
         self._supervisor.start_task("leases", self._leases.run)
         self._supervisor.start_task("allotments", self._allotments.run)
         self._supervisor.start_task("streams", self._streams.run)
+        if self._planner is not None:
+            self._planner.subscribe_timers(self._timers)
+            self._supervisor.start_task("planner", self._planner.run)
         self._links.listen()
         for peer in self._links.get_dialled_peers():
             dial = functools.partial(self._links.dial_forever, peer)
