--- a/bambookeel/control/replica_disk.py
+++ b/bambookeel/control/replica_disk.py
@@ -100,8 +100,8 @@
             case core_effects.TruncateLog(from_index, generation):
                 self._generation = generation
                 with self._lock:
-                    self._store.truncate(from_index)
-                # What stays may be unsynced, and earlier syncs count no more.
+                    self._run_in_thread(self._store.truncate, from_index)
+                # Syncs of the earlier generation count no more.
                 self._written.set()
             case core_effects.DropPrefix(to_index, term):
                 self._drop_prefix(to_index, term)
--- a/bambookeel/storage/store.py
+++ b/bambookeel/storage/store.py
@@ -115,7 +115,9 @@
         return torn_bytes
 
     def truncate(self, from_index: int) -> None:
-        """Drops an entry and all after it.
+        """Drops an entry and all after it, and syncs.
+
+        Without the sync a crash could leave old records behind new ones.
 
         Args:
             from_index: First dropped index.
@@ -123,6 +125,7 @@
         position = from_index - self._base_index - 1
         self._log.truncate(self._offsets[position])
         del self._offsets[position:]
+        self._log.sync()
 
     def drop_prefix(self, to_index: int, term: int) -> None:
         """Drops the entries up to an index by writing a new log file.
--- /dev/null
+++ b/features/fakes/consensus_chaos.py
@@ -0,0 +1,184 @@
+"""Random faults over a world of cores, and the healing at the end."""
+
+from bambookeel.consensus import events
+from bambookeel.consensus import membership
+from bambookeel.core import faults
+
+_CHECK_EVERY = 500
+
+
+class Chaos:
+    """Drives a world by its own random numbers."""
+
+    def __init__(self, world):
+        self.world = world
+        self.rng = world.rng
+        self.counts = {}
+        self.lost_disks_allowed = 1
+        self.proposed = 0
+
+    def run(self, steps):
+        """Runs steps with faults, heals, and checks that all replicas agree."""
+        world = self.world
+        next_fault_ms = world.now_ms + 1_000
+        next_check = _CHECK_EVERY
+        while world.steps < steps:
+            world.run_one()
+            if world.rng.random() < 0.05:
+                self._use()
+            if world.now_ms >= next_fault_ms:
+                next_fault_ms = world.now_ms + self.rng.randint(50, 800)
+                self._do_fault()
+            if world.steps >= next_check:
+                next_check += _CHECK_EVERY
+                world.check_logs_match()
+        world.heal()
+        world.run_until(world.has_converged, 60_000)
+        world.check_logs_match()
+        faults.check_invariant(
+            len(world.committed) == world.max_committed,
+            "each index up to the last is committed",
+        )
+
+    def _use(self):
+        world = self.world
+        leader = world.find_leader()
+        if leader is None:
+            return
+        if self.rng.random() < 0.3:
+            world.ask_read(leader)
+            return
+        batch = []
+        for _ in range(self.rng.randint(1, 4)):
+            self.proposed += 1
+            batch.append(b"command %d" % self.proposed)
+        leader.run(events.ProposalsMade(tuple(batch)))
+
+    def _do_fault(self):
+        name = self.rng.choice(
+            (
+                "kill",
+                "kill",
+                "start",
+                "start",
+                "start",
+                "freeze",
+                "thaw",
+                "cut",
+                "cut_one_way",
+                "mend",
+                "mend",
+                "lose",
+                "slow_disk",
+                "fail_syncs",
+                "calm",
+                "calm",
+                "lose_disk",
+                "lose_disk",
+                "hand_over",
+                "remove",
+                "kill_leader",
+            )
+        )
+        if getattr(self, f"_{name}")() is not False:
+            self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _pick(self, is_wanted):
+        nodes = [n for n in self.world.nodes.values() if is_wanted(n)]
+        return self.rng.choice(nodes) if nodes else None
+
+    def _kill(self):
+        node = self._pick(lambda n: n.is_up)
+        if node is None:
+            return False
+        node.stop()
+        return True
+
+    def _kill_leader(self):
+        leader = self.world.find_leader()
+        if leader is None:
+            return False
+        leader.stop()
+        return True
+
+    def _start(self):
+        node = self._pick(lambda n: not n.is_up)
+        if node is None:
+            return False
+        node.start()
+        return True
+
+    def _freeze(self):
+        node = self._pick(lambda n: n.is_up and not n.is_frozen)
+        if node is None:
+            return False
+        node.is_frozen = True
+        return True
+
+    def _thaw(self):
+        node = self._pick(lambda n: n.is_up and n.is_frozen)
+        if node is None:
+            return False
+        self.world.thaw(node)
+        return True
+
+    def _cut(self):
+        one, two = self.rng.sample(sorted(self.world.nodes), 2)
+        self.world.cuts |= {(one, two), (two, one)}
+
+    def _cut_one_way(self):
+        one, two = self.rng.sample(sorted(self.world.nodes), 2)
+        self.world.cuts.add((one, two))
+
+    def _mend(self):
+        if not self.world.cuts:
+            return False
+        self.world.cuts.clear()
+        return True
+
+    def _lose(self):
+        self.world.loss, self.world.duplicates = 0.1, 0.1
+        self.world.delay_ms = (1, self.rng.choice((5, 50, 300)))
+
+    def _slow_disk(self):
+        self.world.sync_ms = (1, self.rng.choice((20, 200, 600)))
+
+    def _fail_syncs(self):
+        self.world.failing_syncs = 0.02
+
+    def _calm(self):
+        self.world.loss = self.world.duplicates = 0.0
+        self.world.failing_syncs = 0.0
+        self.world.delay_ms, self.world.sync_ms = (1, 5), (1, 4)
+
+    def _lose_disk(self):
+        # More lost disks than a quorum can spare lose data by definition.
+        if not self.world.is_whole():
+            return False
+        node = self._pick(lambda n: True)
+        node.stop()
+        node.wipe()
+        node.start()
+        return True
+
+    def _hand_over(self):
+        leader = self.world.find_leader()
+        if leader is None:
+            return False
+        leader.run(events.HandOverAsked())
+        return True
+
+    def _remove(self):
+        # The removed process comes back with a new disk.
+        if len(self.world.nodes) < 5 or not self.world.is_whole():
+            return False
+        leader = self.world.find_leader()
+        node = self._pick(lambda n: n is not leader)
+        change = membership.Remove(node.member)
+        leader.run(events.MembershipAsked(change))
+        if node.member in leader.core.membership.members:
+            return False
+        node.stop()
+        node.wipe()
+        node.start()
+        return True
--- /dev/null
+++ b/features/fakes/consensus_world.py
@@ -0,0 +1,246 @@
+"""A seeded world of cores with a fake clock, network and disks.
+
+It checks from outside what must hold over all replicas: one leader a term, one
+entry an index, leases that do not overlap another leader's commits, and reads
+that cover every earlier commit.
+"""
+
+import heapq
+import itertools
+import random
+
+from bambookeel.consensus import events
+from bambookeel.consensus import log as core_log
+from bambookeel.consensus import membership
+from bambookeel.consensus import records
+from features.fakes import consensus_node
+
+_TICK_MS = 20
+
+
+class World:
+    """Replicas, their network and the clock."""
+
+    def __init__(self, seed, size, snapshot_every=40):
+        self.rng = random.Random(seed)
+        self.now_ms = 1_000
+        self.steps = 0
+        self.syncs = 0
+        self.messages = 0
+        self.snapshots_installed = 0
+        self.snapshot_every = snapshot_every
+        self.settings = records.CoreSettings(retained_entries=10)
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.delay_ms = (1, 5)
+        self.sync_ms = (1, 4)
+        self.failing_syncs = 0.0
+        self.cuts = set()
+        self.leaders = {}
+        self.committed = {}
+        self.max_committed = 0
+        self.reads = {}
+        self.handed_over = 0
+        self._read_ids = itertools.count(1)
+        self._heap = []
+        self._order = itertools.count()
+        self.nodes = {}
+        for i in range(size):
+            self.add_node(f"p{i}")
+        members = []
+        for node in self.nodes.values():
+            node.start()
+            members.append(node.member)
+        first = membership.Membership(tuple(sorted(members)))
+        for node in self.nodes.values():
+            node.start(first)
+
+    def add_node(self, process):
+        # Clocks run at rates that differ by less than the stated margin.
+        rate = self.rng.uniform(0.98, 1.02)
+        node = consensus_node.CoreNode(self, process, rate)
+        self.nodes[process] = node
+        self._push(self.rng.randint(1, _TICK_MS), self._tick, node)
+        return node
+
+    # --- Time ---
+
+    def _push(self, delay_ms, action, *arguments):
+        due = self.now_ms + delay_ms
+        item = (due, next(self._order), action, arguments)
+        heapq.heappush(self._heap, item)
+
+    def run_one(self):
+        """Runs the next thing that is due."""
+        due, _, action, arguments = heapq.heappop(self._heap)
+        self.now_ms = max(self.now_ms, due)
+        action(*arguments)
+
+    def run_for(self, duration_ms):
+        ends_ms = self.now_ms + duration_ms
+        while self._heap[0][0] <= ends_ms:
+            self.run_one()
+        self.now_ms = ends_ms
+
+    def run_until(self, holds, limit_ms=20_000):
+        ends_ms = self.now_ms + limit_ms
+        while not holds():
+            assert self.now_ms < ends_ms, "it did not happen in time"
+            self.run_one()
+
+    def _tick(self, node):
+        self._push(_TICK_MS, self._tick, node)
+        if not node.is_up or node.is_frozen:
+            return
+        if not node.core.membership.members:
+            for other in self.nodes.values():
+                if other.leads() and not other.is_frozen:
+                    other.run(events.StrangerSeen(node.member))
+        node.run(events.TimerDue())
+
+    # --- Network and disks ---
+
+    def send(self, node, to, message):
+        self.messages += 1
+        copies = 1
+        if self.rng.random() < self.loss:
+            copies = 0
+        elif self.rng.random() < self.duplicates:
+            copies = 2
+        process = membership.get_process(to)
+        for _ in range(copies):
+            delay_ms = self.rng.randint(*self.delay_ms)
+            self._push(delay_ms, self._deliver, node.process, process, message)
+
+    def _deliver(self, source, process, message):
+        node = self.nodes[process]
+        if (source, process) in self.cuts or not node.is_up:
+            return
+        if node.is_frozen:
+            node.inbox.append(message)
+            return
+        node.run(events.MessageReceived(message))
+
+    def thaw(self, node):
+        node.is_frozen = False
+        inbox, node.inbox = node.inbox, []
+        for message in inbox:
+            if node.is_up:
+                node.run(events.MessageReceived(message))
+
+    def schedule_sync(self, node, synced):
+        delay_ms = self.rng.randint(*self.sync_ms)
+        self._push(
+            delay_ms, self._end_sync, node, node.core.member, synced, node.store
+        )
+
+    def _end_sync(self, node, member, synced, store):
+        if not node.is_up or node.member != member or node.store is not store:
+            return
+        if self.rng.random() < self.failing_syncs:
+            node.stop()
+            return
+        if node.is_frozen:
+            self._push(_TICK_MS, self._end_sync, node, member, synced, store)
+            return
+        node.end_sync(synced)
+
+    # --- Checks ---
+
+    def note_leader(self, term, member):
+        known = self.leaders.setdefault(term, member)
+        assert known == member, f"term {term}: {known} and {member}"
+
+    def note_commit(self, node, entry, digest):
+        value = (entry.term, entry.payload, digest)
+        known = self.committed.setdefault(entry.index, value)
+        assert known == value, f"index {entry.index}: two committed entries"
+        self.max_committed = max(self.max_committed, entry.index)
+        if not node.leads():
+            return
+        for other in self.nodes.values():
+            if other is node or not other.holds_lease():
+                continue
+            assert other.core.term >= node.core.term, "lease overlaps a leader"
+
+    def check_digest(self, index, digest):
+        if index:
+            assert self.committed[index][2] == digest, "snapshot differs"
+
+    def ask_read(self, node):
+        read_id = next(self._read_ids)
+        self.reads[read_id] = self.max_committed
+        node.run(events.ReadAsked(read_id))
+
+    def check_read(self, read_id, index):
+        assert index >= self.reads[read_id], "a read misses a commit"
+
+    def check_logs_match(self):
+        running = [node.core.log for node in self.nodes.values() if node.is_up]
+        for i, first in enumerate(running):
+            for second in running[i + 1 :]:
+                _check_prefix(first, second)
+
+    # --- What tests ask ---
+
+    def find_leader(self):
+        leading = [node for node in self.nodes.values() if node.leads()]
+        leading = [node for node in leading if not node.is_frozen]
+        return max(leading, key=lambda node: node.core.term, default=None)
+
+    def has_stable_leader(self):
+        leader = self.find_leader()
+        if leader is None:
+            return False
+        return leader.core.commit_index >= leader.core.term_start_index
+
+    def is_whole(self):
+        """Whether each process has a vote and no change is under way."""
+        leader = self.find_leader()
+        if leader is None or not self.has_stable_leader():
+            return False
+        core = leader.core
+        if (
+            core.membership_index > core.commit_index
+            or core.membership.learners
+        ):
+            return False
+        own = {node.member for node in self.nodes.values() if node.is_up}
+        return own == set(core.membership.voters) and len(own) == len(
+            self.nodes
+        )
+
+    def has_converged(self):
+        if not self.is_whole():
+            return False
+        leader = self.find_leader()
+        wanted = leader.core.log.last_index
+        return all(
+            node.applied == wanted and node.digest == leader.digest
+            for node in self.nodes.values()
+        )
+
+    def heal(self):
+        self.cuts.clear()
+        self.loss = self.duplicates = self.failing_syncs = 0.0
+        self.delay_ms, self.sync_ms = (1, 5), (1, 4)
+        for node in self.nodes.values():
+            if not node.is_up:
+                node.start()
+            if node.is_frozen:
+                self.thaw(node)
+
+
+def _check_prefix(first, second):
+    common = min(first.last_index, second.last_index)
+    lowest = max(first.base_index, second.base_index)
+    while common > lowest:
+        term = core_log.get_term(first, common)
+        if term == core_log.get_term(second, common):
+            break
+        common -= 1
+    if common <= lowest:
+        return
+    ours = core_log.get_entries(first, lowest + 1, common)
+    theirs = core_log.get_entries(second, lowest + 1, common)
+    assert ours == theirs, "logs differ before an equal entry"
--- /dev/null
+++ b/features/fakes/memory_folder.py
@@ -0,0 +1,93 @@
+"""A data folder in memory whose disk can fail, fill up and tear files."""
+
+import errno
+
+from bambookeel.storage import log_format
+
+
+class MemoryFile:
+    """A file that remembers how much of it is synced."""
+
+    def __init__(self, folder, name):
+        self._folder = folder
+        self.data = bytearray(folder.files.get(name, b""))
+        self.synced = len(self.data)
+        folder.open_files[name] = self
+
+    @property
+    def size(self):
+        return len(self.data)
+
+    def append(self, data):
+        self._folder.take_space(len(data))
+        self.data += data
+
+    def truncate(self, size):
+        del self.data[size:]
+        self.data += bytes(size - len(self.data))
+        self.synced = min(self.synced, size)
+
+    def sync(self):
+        self._folder.check_sync()
+        self.synced = len(self.data)
+
+    def close(self):
+        pass
+
+
+class MemoryFolder:
+    """Stands in for `folder.Folder`."""
+
+    def __init__(self):
+        self.files = {}
+        self.open_files = {}
+        self.fail_syncs = False
+        self.space = None
+        self.syncs = 0
+
+    def take_space(self, size):
+        if self.space is None:
+            return
+        if size > self.space:
+            raise OSError(errno.ENOSPC, "no space left")
+        self.space -= size
+
+    def check_sync(self):
+        self.syncs += 1
+        if self.fail_syncs:
+            raise OSError(errno.EIO, "sync failed")
+
+    def read(self, name):
+        if name in self.open_files:
+            return bytes(self.open_files[name].data)
+        return self.files.get(name)
+
+    def read_part(self, name, offset, size):
+        return self.read(name)[offset : offset + size]
+
+    def replace(self, name, data):
+        self.take_space(len(data))
+        self.check_sync()
+        self.open_files.pop(name, None)
+        self.files[name] = bytes(data)
+
+    def open_append(self, name):
+        return MemoryFile(self, name)
+
+    def close(self):
+        pass
+
+    def crash(self, rng):
+        """Loses a random part of what was not synced, byte by byte."""
+        for name, file in self.open_files.items():
+            kept = rng.randint(file.synced, len(file.data))
+            self.files[name] = bytes(file.data[:kept])
+        self.open_files = {}
+
+    def damage_record(self, number):
+        """Flips a bit in the payload of the log's record `number`."""
+        data = bytearray(self.read("log"))
+        scanned = log_format.scan_log(bytes(data)).unwrap()
+        data[scanned.offsets[number] + 13] ^= 1
+        self.open_files.pop("log", None)
+        self.files["log"] = bytes(data)
