--- /dev/null
+++ b/features/steps/replica_steps.py
@@ -0,0 +1,213 @@
+"""Steps for replica tasks and the first start of a deployment."""
+
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+import gevent
+
+from bambookeel.consensus import membership
+from bambookeel.control import events
+from bambookeel.control import formation
+from bambookeel.core import messages
+from bambookeel.runtime import supervisor
+from features.fakes import memory_folder
+from features.fakes import replica_group
+
+
+@given("{size:d} running replica")
+@given("{size:d} running replicas")
+def start_group(context, size):
+    context.group = replica_group.Group(size)
+    context.add_cleanup(context.group.stop)
+    context.replica = context.group.find_leader()
+
+
+@when('team "{name}" is put')
+def put_team(context, name):
+    context.outcome = context.replica.put_team(name, f"put-{name}")
+    assert not isinstance(context.outcome, events.NotCommitted)
+
+
+@when('the disk is full and team "{name}" is put')
+def put_on_full_disk(context, name):
+    context.replica.folder.space = 0
+    context.outcome = context.replica.put_team(name, f"put-{name}")
+
+
+@then("that command is refused as not run")
+def check_not_run(context):
+    assert isinstance(context.outcome, events.NotCommitted)
+    assert not context.outcome.may_take_effect
+    assert "full" in context.outcome.detail
+
+
+@when('the disk has room again and team "{name}" is put')
+def put_with_room(context, name):
+    context.replica.folder.space = None
+    put_team(context, name)
+
+
+@when("the replica crashes and starts again")
+def restart_replica(context):
+    context.replica.kill()
+    context.replica.start()
+
+
+@then('the teams are "{names}"')
+def check_teams(context, names):
+    assert context.replica.read_teams() == set(names.split(","))
+
+
+@when('syncs fail and team "{name}" is put')
+def put_with_failing_sync(context, name):
+    context.ended = []
+
+    def note_end(reason):
+        context.ended.append(reason)
+        context.group.stop()
+
+    with mock.patch.object(supervisor, "end_process", note_end):
+        context.replica.folder.fail_syncs = True
+        gevent.spawn(context.replica.put_team, name, f"put-{name}")
+        context.group.wait_for(lambda: context.ended)
+
+
+@then("the process ends and names the data folder")
+def check_ended(context):
+    assert "data folder failed" in context.ended[0]
+
+
+@when('command "{command_id}" puts team "{name}" at a follower')
+def put_at_follower(context, command_id, name):
+    follower = context.group.find_follower()
+    context.outcome = follower.put_team(name, command_id)
+    assert not isinstance(context.outcome, events.NotCommitted)
+
+
+@when("the leader is killed")
+def kill_group_leader(context):
+    context.group.find_leader().kill()
+
+
+@when('command "{command_id}" puts team "{name}" at each running replica')
+def put_at_each(context, command_id, name):
+    context.answers = [
+        replica.put_team(name, command_id)
+        for replica in context.group.list_running()
+    ]
+
+
+@then("each answer is the first outcome")
+def check_first_outcomes(context):
+    assert context.answers == [context.outcome] * 2, context.answers
+
+
+@when('both followers are killed and command "{command_id}" puts team "{name}"')
+def put_without_quorum(context, command_id, name):
+    leader = context.group.find_leader()
+    for replica in context.group.list_running():
+        if replica is not leader:
+            replica.kill()
+    context.outcome = leader.put_team(name, command_id)
+
+
+@then("that command's fate is unknown")
+def check_unknown(context):
+    assert isinstance(context.outcome, events.NotCommitted)
+    assert context.outcome.may_take_effect
+
+
+@then('a read at each replica shows team "{name}"')
+def check_read_each(context, name):
+    for replica in context.group.list_running():
+        assert replica.read_teams() == {name}
+
+
+@when("{count:d} teams are put with a snapshot every {every:d} entries")
+def put_many(context, count, every):
+    context.group.stop()
+    context.group = replica_group.Group(3, every)
+    context.add_cleanup(context.group.stop)
+    leader = context.group.find_leader()
+    context.outcomes = [
+        leader.put_team(f"team-{i}", f"team-{i}") for i in range(count)
+    ]
+
+
+@when("a follower is killed, wiped and started")
+def wipe_follower(context):
+    context.wiped = context.group.find_follower()
+    context.wiped.kill()
+    context.wiped.folder = memory_folder.MemoryFolder()
+    context.wiped.start()
+
+
+@then("a read at each replica shows {count:d} teams")
+def check_count_each(context, count):
+    for replica in context.group.list_running():
+        context.group.wait_for(
+            lambda r=replica: not r.task.find_unready_reason()
+        )
+        assert len(replica.read_teams()) == count
+
+
+@then('command "{command_id}" again gets its first outcome at each replica')
+def check_again_each(context, command_id):
+    for replica in context.group.list_running():
+        outcome = replica.put_team("team-0", command_id)
+        assert outcome == context.outcomes[0], outcome
+
+
+@then("listeners at the wiped replica were told of {count:d} teams")
+def check_told(context, count):
+    told = set()
+    while context.wiped.listener.get_depth():
+        event = context.wiped.listener.get()
+        if isinstance(event, events.Committed):
+            told |= {stored.name for stored in event.changed}
+    assert len(told) == count, len(told)
+
+
+@given("replicas a, b and c without a membership")
+def plan_formation(context):
+    control = ("a", "b", "c")
+    context.formations = {
+        name: formation.Formation(f"{name}/1", control) for name in "ab"
+    }
+
+
+def _tell(context, receiver, sender, has_membership):
+    identity = messages.ReplicaIdentity(f"{sender}/1", has_membership, True)
+    formation.take_identity(context.formations[receiver], identity)
+
+
+@when("a has heard that {name} is new")
+def tell_new(context, name):
+    _tell(context, "a", name, False)
+
+
+@when("a has heard that c knows a membership")
+def tell_member(context):
+    _tell(context, "a", "c", True)
+
+
+@then("a does not form")
+def check_unformed(context):
+    waits = formation.describe_wait(context.formations["a"])
+    assert formation.try_to_form(context.formations["a"]) is None
+    assert waits
+
+
+@then("a forms a membership of all three")
+def check_formed(context):
+    formed = formation.try_to_form(context.formations["a"])
+    assert formed == membership.Membership(("a/1", "b/1", "c/1"))
+
+
+@then("b, which has heard that a and c are new, does not form")
+def check_other_unformed(context):
+    _tell(context, "b", "a", False)
+    _tell(context, "b", "c", False)
+    assert formation.try_to_form(context.formations["b"]) is None
--- /dev/null
+++ b/features/storage/replica.feature
@@ -0,0 +1,53 @@
+Feature: A replica task keeps what it has acknowledged
+
+  Replica tasks run over disks in memory, connected by mailboxes in one process.
+
+  Scenario: A full disk refuses with "not run" and loses nothing
+    Given 1 running replica
+    When team "one" is put
+    And the disk is full and team "two" is put
+    Then that command is refused as not run
+    When the disk has room again and team "three" is put
+    And the replica crashes and starts again
+    Then the teams are "one,three"
+
+  Scenario: A failed sync ends the process
+    Given 1 running replica
+    When team "one" is put
+    And syncs fail and team "two" is put
+    Then the process ends and names the data folder
+
+  Scenario: A command that is sent again after a leader change gets its first outcome
+    Given 3 running replicas
+    When command "c1" puts team "one" at a follower
+    And the leader is killed
+    And command "c1" puts team "one" at each running replica
+    Then each answer is the first outcome
+
+  Scenario: A command without a quorum is never called not run once appended
+    Given 3 running replicas
+    When both followers are killed and command "c1" puts team "one"
+    Then that command's fate is unknown
+
+  Scenario: A read at a follower covers what was acknowledged elsewhere
+    Given 3 running replicas
+    When command "c1" puts team "one" at a follower
+    Then a read at each replica shows team "one"
+
+  Scenario: A snapshot, a restart and a wiped disk keep state and outcomes
+    Given 3 running replicas
+    When 60 teams are put with a snapshot every 20 entries
+    And a follower is killed, wiped and started
+    Then a read at each replica shows 60 teams
+    And command "team-0" again gets its first outcome at each replica
+    And listeners at the wiped replica were told of 60 teams
+
+  Scenario: A first start forms only when every disk is new
+    Given replicas a, b and c without a membership
+    When a has heard that b is new
+    Then a does not form
+    When a has heard that c knows a membership
+    Then a does not form
+    When a has heard that c is new
+    Then a forms a membership of all three
+    And b, which has heard that a and c are new, does not form
