--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import shutil
 import tempfile
 
 from behave import given
@@ -195,9 +196,9 @@
 
 @given("a data folder on disk that a process holds")
 def hold_folder(context):
-    scratch = tempfile.TemporaryDirectory()
-    context.add_cleanup(scratch.cleanup)
-    context.path = pathlib.Path(scratch.name) / "data"
+    scratch = tempfile.mkdtemp()
+    context.add_cleanup(shutil.rmtree, scratch)
+    context.path = pathlib.Path(scratch) / "data"
     context.disk_folder = folder.open_folder(str(context.path)).unwrap()
     context.add_cleanup(context.disk_folder.close)
 
