--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -6,8 +6,10 @@
 from returns import result
 
 from bambookeel.api import operator_app
+from bambookeel.control import allotment_task
 from bambookeel.control import events
 from bambookeel.control import lease_task
+from bambookeel.control import planner_task
 from bambookeel.control import replica_task
 from bambookeel.control import stream_task
 from bambookeel.core import ids
@@ -41,13 +43,25 @@
         self._leases = lease_task.LeaseTask(
             settings.leases, replica, self._links.send
         )
-        self._streams = stream_task.StreamTask(replica, self._links.send)
+        self._streams = stream_task.StreamTask(
+            replica,
+            self._links.send,
+            tuple(ids.ProcessId(p.process_id) for p in settings.entries),
+        )
+        self._allotments = allotment_task.AllotmentTask(
+            ids.ProcessId(settings.process_id),
+            settings.leases,
+            replica,
+            self._links.send,
+        )
         listeners = [self._streams.mailbox, self._leases.mailbox]
+        self._planner: planner_task.PlannerTask | None = None
+        if settings.platform_address:
+            self._planner = planner_task.PlannerTask(settings, replica)
+            listeners.append(self._planner.mailbox)
         replica.connect(self._links.send, listeners)
-        app = operator_app.OperatorApp(
-            replica.mailbox, settings.bootstrap_key_sha256
-        )
-        self._api = http_server.Server(settings.api_listen, app)
+        self._app = operator_app.OperatorApp(settings, replica, self._streams)
+        self._api = http_server.Server(settings.api_listen, self._app)
         self._admin = http_server.Server(
             settings.admin_listen, admin_app.AdminApp(self.find_unready_reason)
         )
@@ -112,6 +126,9 @@
                 self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, messages.EntryHeartbeat() as message):
                 self._leases.mailbox.put(events.FromPeer(peer, message))
+                self._streams.mailbox.put(events.FromPeer(peer, message))
+            case links.Received(peer, messages.AllotmentRequest() as message):
+                self._allotments.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, message):
                 self._replica.mailbox.put(events.FromPeer(peer, message))
             case links.LinkDown(peer):
@@ -132,11 +149,16 @@
         """Starts all tasks and opens the sockets."""
         self._replica.subscribe_timers(self._timers)
         self._leases.subscribe_timers(self._timers)
+        self._streams.subscribe_timers(self._timers)
         self._supervisor.start_task("timers", self._timers.run)
         self._supervisor.start_task("replica", self._replica.run)
         self._supervisor.start_task("log-syncs", self._replica.disk.run_syncs)
         self._supervisor.start_task("leases", self._leases.run)
+        self._supervisor.start_task("allotments", self._allotments.run)
         self._supervisor.start_task("streams", self._streams.run)
+        if self._planner is not None:
+            self._planner.subscribe_timers(self._timers)
+            self._supervisor.start_task("planner", self._planner.run)
         self._links.listen()
         for peer in self._links.get_dialled_peers():
             dial = functools.partial(self._links.dial_forever, peer)
@@ -149,6 +171,7 @@
         """Stops the process's tasks and closes its sockets."""
         self._stopping = True
         logs.log_event("stopping")
+        self._app.stop()
         self._api.stop(timeout=5)
         self._replica.hand_over()
         self._supervisor.stop()
--- a/bambookeel/core/resources.py
+++ b/bambookeel/core/resources.py
@@ -18,9 +18,11 @@
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
 
 Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
-PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+# Whole numbers stay exact in every JSON reader up to this.
+MAX_INT = 2**53 - 1
+PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=MAX_INT)]
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=1e12)]
 
 
 class Kind(enum.Enum):
@@ -133,6 +135,7 @@
         survive_racks: Whole racks whose loss the pool must survive.
         survive_data_centres: Whole data centres whose loss it must survive.
         lends_spare: Whether other pools may borrow its instances.
+        min_after_loss: Instances that must be left after such a loss.
     """
 
     wanted_size: NonNegativeInt
@@ -140,6 +143,7 @@
     survive_racks: NonNegativeInt = 0
     survive_data_centres: NonNegativeInt = 0
     lends_spare: bool = False
+    min_after_loss: NonNegativeInt = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -153,6 +157,7 @@
         cores: Processor cores.
         memory_mb: Memory in megabytes.
         accelerators: Accelerators.
+        drain_wanted: Whether an operator wants it drained and kept empty.
     """
 
     pool: str
@@ -161,6 +166,7 @@
     cores: PositiveInt = 64
     memory_mb: PositiveInt = 262_144
     accelerators: NonNegativeInt = 0
+    drain_wanted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -199,6 +205,7 @@
         urgent: Whether it goes before the team's other work.
         max_attempts: Failed attempts of a task before the job is parked.
         cancelled: Whether it was withdrawn.
+        can_checkpoint: Whether a stopped task goes on where it was.
     """
 
     team: str
@@ -211,6 +218,7 @@
     urgent: bool = False
     max_attempts: PositiveInt = 4
     cancelled: bool = False
+    can_checkpoint: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -34,6 +34,10 @@
     fetchAnswer @28 :FetchAnswer;
     answerCopy @29 :AnswerCopy;
     replicaIdentity @30 :ReplicaIdentity;
+    keepRecords @31 :KeepRecords;
+    recordsKept @32 :RecordsKept;
+    recordsRequest @33 :RecordsRequest;
+    recordsReply @34 :RecordsReply;
   }
 }
 
@@ -132,6 +136,7 @@
 
 struct Subscribe {
   fromVersion @0 :Int64;
+  subscription @1 :Int64;
 }
 
 struct ChangeBatch {
@@ -139,6 +144,7 @@
   isLast @1 :Bool;
   toVersion @2 :Int64;
   changes @3 :List(StateChange);
+  subscription @4 :Int64;
 }
 
 struct EntryHeartbeat {
@@ -160,12 +166,16 @@
 struct AllotmentRequest {
   nonce @0 :Int64;
   demands @1 :List(TeamDemand);
+  services @2 :List(ServiceReport);
+  answeredTerm @3 :Int64;
 }
 
 struct AllotmentReply {
   nonce @0 :Int64;
   leaseMs @1 :Int64;
   allotments @2 :List(Allotment);
+  term @3 :Int64;
+  services @4 :List(ServiceReport);
 }
 
 struct BackendAnnouncement {
@@ -180,6 +190,7 @@
   leaseMs @8 :Int64;
   ageMs @9 :Int64;
   running @10 :Int64;
+  hops @11 :Int64;
 }
 
 struct AcquireSlot {
@@ -202,6 +213,7 @@
   incarnation @6 :Int64;
   startWithinMs @7 :Int64;
   connectionAllowance @8 :Int64;
+  waitedMs @9 :Int64;
 }
 
 struct SlotRefused {
@@ -252,6 +264,7 @@
 struct FetchAnswer {
   requestId @0 :Text;
   firstRequestId @1 :Text;
+  fingerprint @2 :Int64;
 }
 
 struct AnswerCopy {
@@ -260,6 +273,8 @@
   status @2 :Int64;
   headers @3 :List(AnswerHeader);
   body @4 :Data;
+  outcome @5 :UInt16;
+  isOtherRequest @6 :Bool;
 }
 
 struct ReplicaIdentity {
@@ -268,6 +283,33 @@
   wantsReply @2 :Bool;
 }
 
+struct KeepRecords {
+  service @0 :Text;
+  epoch @1 :Int64;
+  nonce @2 :Int64;
+  records @3 :List(IdempotencyRecord);
+  incompleteMs @4 :Int64;
+}
+
+struct RecordsKept {
+  service @0 :Text;
+  epoch @1 :Int64;
+  nonce @2 :Int64;
+}
+
+struct RecordsRequest {
+  service @0 :Text;
+  epoch @1 :Int64;
+}
+
+struct RecordsReply {
+  service @0 :Text;
+  epoch @1 :Int64;
+  uptimeMs @2 :Int64;
+  records @3 :List(IdempotencyRecord);
+  incompleteMs @4 :Int64;
+}
+
 struct LogEntry {
   term @0 :Int64;
   index @1 :Int64;
@@ -298,6 +340,7 @@
   team @0 :Text;
   service @1 :Text;
   amount @2 :Int64;
+  earlier @3 :Int64;
 }
 
 struct OutstandingRequest {
@@ -324,3 +367,9 @@
   name @0 :Text;
   value @1 :Text;
 }
+
+struct ServiceReport {
+  service @0 :Text;
+  epoch @1 :Int64;
+  complete @2 :Bool;
+}
