--- a/bambookeel/state/snapshot.py
+++ b/bambookeel/state/snapshot.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 import msgspec
+import pyrsistent
 
 from bambookeel.core import ids
 from bambookeel.core import resources
@@ -31,10 +32,12 @@
     Returns:
         JSON bytes.
     """
+    # Replicas iterate in different orders; their snapshots should be equal.
+    keys = sorted(state.by_key, key=lambda key: (key[0].value, key[1]))
     stored = _StoredState(
         state.version,
-        tuple(model.store_resource(r) for r in state.by_key.values()),
-        tuple(state.outcomes.items()),
+        tuple(model.store_resource(state.by_key[key]) for key in keys),
+        tuple((name, state.outcomes[name]) for name in state.outcome_order),
     )
     return msgspec.json.encode(stored)
 
@@ -54,6 +57,7 @@
         stored.version,
         {(resource.kind, resource.name): resource for resource in restored},
         dict(stored.outcomes),
+        pyrsistent.pdeque([name for name, _ in stored.outcomes]),
     )
 
 
@@ -76,6 +80,7 @@
     for kind, name in before.by_key:
         if (kind, name) in after.by_key:
             continue
+        # The version of the deletion is not known; the snapshot's covers it.
         deleted = model.StoredResource(
             kind, name, after.version, after.version, None, resources.Status()
         )
