Tell a follower that asks for a read what is committed

Ruled out: the log sync and the forwarding, since changes at the leader took 10 ms. Change: the leader sends the asker an append request at once.

--- a/bambookeel/consensus/core.py
+++ b/bambookeel/consensus/core.py
@@ -130,8 +130,8 @@
             changes.note_stranger(current, member)
         case events.HandOverAsked():
             changes.start_hand_over(current)
-        case events.ReadAsked(read_id):
-            _ask_read(current, read_id)
+        case events.ReadAsked(read_id, asker):
+            _ask_read(current, read_id, asker)
 
 
 def _handle_timer(current: records.Step) -> None:
@@ -221,7 +221,9 @@
     following.send_owed_reply(current)
 
 
-def _ask_read(current: records.Step, read_id: int) -> None:
+def _ask_read(
+    current: records.Step, read_id: int, asker: ids.ProcessId
+) -> None:
     state = current.state
     is_leader = state.role is records.Role.LEADER
     if not is_leader or state.commit_index < state.term_start_index:
@@ -230,6 +232,10 @@
     index = ids.LogIndex(state.commit_index)
     if current.now_ms < replication.compute_lease_until(state):
         current.effects.append(core_effects.ReadConfirmed(read_id, index))
+        # The asker must apply up to the index; a heartbeat tells it at once.
+        for member in state.progress:
+            if membership.get_process(member) == asker:
+                replication.send_append(current, member)
         return
     read = records.PendingRead(read_id, index, state.round_number + 1)
     state.reads = (*state.reads, read)
--- a/bambookeel/consensus/events.py
+++ b/bambookeel/consensus/events.py
@@ -81,9 +81,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadAsked:
-    """An index is wanted that covers every acknowledged change."""
+    """An index is wanted that covers every acknowledged change.
+
+    Attributes:
+        read_id: Comes back with the index.
+        asker: The other process that asks; empty for the own one.
+    """
 
     read_id: int
+    asker: ids.ProcessId = ids.ProcessId("")
 
 
 Event = (
--- a/bambookeel/control/leader_requests.py
+++ b/bambookeel/control/leader_requests.py
@@ -98,7 +98,7 @@
                     is_local=False,
                 )
                 number = waiting.add_read(self._waiting, read)
-                self._runner.run_step(core_events.ReadAsked(number))
+                self._runner.run_step(core_events.ReadAsked(number, peer))
             case messages.ReadIndexReply(nonce, True, index):
                 waiting.confirm_read(self._waiting, nonce, index)
             case messages.ReadIndexReply(nonce):
--- a/features/consensus/guards.feature
+++ b/features/consensus/guards.feature
@@ -56,3 +56,8 @@
     When its lease has run out and a read is asked for
     Then an answer to an earlier round does not confirm it
     And an answer to the next round confirms it
+
+  Scenario: A follower that asks for a read hears at once what is committed
+    Given a core of a, b and c that leads with a lease
+    When b asks for a read
+    Then the read is confirmed and b is told the commit index
--- a/features/steps/guards_steps.py
+++ b/features/steps/guards_steps.py
@@ -243,3 +243,16 @@
 def check_confirmed(context):
     found = _answer(context, 1)
     assert _find(found, effects.ReadConfirmed)
+
+
+@when("b asks for a read")
+def ask_peer_read(context):
+    _step(context, events.ReadAsked(1, "b"))
+
+
+@then("the read is confirmed and b is told the commit index")
+def check_told_commit(context):
+    assert _find(context.effects, effects.ReadConfirmed)
+    (sent,) = _find(context.effects, effects.Send)
+    assert sent.to == "b/1"
+    assert sent.message.commit_index == context.core.commit_index
