Authenticate peer links by the deployment's certificates

Cause: any process that reached the peer port could say that it is any other.

Ruled out: host names checked by the ssl module (processes have addresses but are known by id); reading the files by a timer (a handshake is when they matter).

Both roles build their link settings in net/link_config.py.

--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -16,6 +16,7 @@
 from bambookeel.core import settings as core_settings
 from bambookeel.net import admin_app
 from bambookeel.net import http_server
+from bambookeel.net import link_config
 from bambookeel.net import links
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
@@ -92,13 +93,7 @@
 
     def _build_links(self) -> links.PeerLinks:
         settings = self._settings
-        peers = settings.control + settings.entries
-        link_settings = links.LinkSettings(
-            settings.peer_listen,
-            {ids.ProcessId(p.process_id): p.address for p in peers},
-            settings.links.heartbeat_ms,
-            settings.links.timeout_ms,
-        )
+        link_settings = link_config.build_link_settings(settings)
         identity = messages.Hello(
             ids.ProcessId(settings.process_id),
             messages.ProcessRole.CONTROL,
--- a/bambookeel/entry/process.py
+++ b/bambookeel/entry/process.py
@@ -14,6 +14,7 @@
 from bambookeel.entry import router
 from bambookeel.net import admin_app
 from bambookeel.net import http_server
+from bambookeel.net import link_config
 from bambookeel.net import links
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
@@ -72,13 +73,7 @@
             settings.data_folder,
         )
         dispatcher.connect_follower(follower.mailbox)
-        peers = settings.control + settings.entries
-        link_settings = links.LinkSettings(
-            settings.peer_listen,
-            {ids.ProcessId(p.process_id): p.address for p in peers},
-            settings.links.heartbeat_ms,
-            settings.links.timeout_ms,
-        )
+        link_settings = link_config.build_link_settings(settings)
         identity = messages.Hello(
             process_id,
             messages.ProcessRole.ENTRY,
--- a/bambookeel/net/links.py
+++ b/bambookeel/net/links.py
@@ -33,6 +33,8 @@
 # Frames that wait for a slow peer; past it the link is replaced.
 _MAX_QUEUED_BYTES = 32 * 1024 * 1024
 _FIRST_REDIAL_MS = 50
+# A TLS socket that another task closes raises ValueError.
+_CONNECTION_ERRORS = (OSError, ValueError)
 _MAX_REDIAL_MS = 500
 
 
@@ -71,6 +73,7 @@
         timeout_ms: Silence after which a link is replaced.
         wrap_client: Turns a dialled socket into an authenticated one.
         wrap_server: The same for an accepted socket.
+        is_peer: Tells whether an authenticated socket leads to a process.
     """
 
     listen: str
@@ -79,6 +82,7 @@
     timeout_ms: int
     wrap_client: Callable[[typing.Any], typing.Any] | None = None
     wrap_server: Callable[[typing.Any], typing.Any] | None = None
+    is_peer: Callable[[typing.Any, ids.ProcessId], bool] | None = None
 
 
 class Link:
@@ -93,6 +97,19 @@
         self._closed = False
         sock.settimeout(settings.timeout_ms / 1000.0)
 
+    def leads_to(self, peer: ids.ProcessId) -> bool:
+        """Tells whether the connection is authenticated for a process.
+
+        Args:
+            peer: The process that the other end says it is.
+
+        Returns:
+            Whether it is; always true on plain connections.
+        """
+        if self._settings.is_peer is None:
+            return True
+        return self._settings.is_peer(self._socket, peer)
+
     def enqueue(self, message: messages.Message) -> bool:
         """Queues a message for the writer.
 
@@ -131,7 +148,7 @@
             self._queued_bytes = 0
             try:
                 self._socket.sendall(data)
-            except OSError:
+            except _CONNECTION_ERRORS:
                 self.close()
                 return
             link_metrics.SENT_BYTES.inc(len(data))
@@ -146,7 +163,7 @@
         while not self._closed:
             try:
                 data = self._socket.recv(_RECEIVE_BYTES)
-            except OSError:
+            except _CONNECTION_ERRORS:
                 return
             if not data:
                 return
@@ -342,6 +359,10 @@
         if peer not in self._settings.peers:
             logs.log_event("link_rejected", peer=peer, error="unknown peer")
             return False
+        if not link.leads_to(peer):
+            error = "the certificate is of another process"
+            logs.log_event("link_rejected", peer=peer, error=error)
+            return False
         life = (hello.incarnation, hello.link_number)
         if peer in self._links and life <= self._lives[peer]:
             return False
--- /dev/null
+++ b/features/tls/peer_tls.feature
@@ -0,0 +1,43 @@
+Feature: Peer links authenticate each other by the deployment's certificates
+
+  Background:
+    Given an authority "first" and a folder of certificates
+
+  Scenario: Two processes of one authority exchange messages
+    Given control-0 has a certificate of "first" for "control-0"
+    And entry-0 has a certificate of "first" for "entry-0"
+    When control-0 dials entry-0
+    Then both have a link and a message arrives
+
+  Scenario Outline: A peer that cannot prove its id gets no link
+    Given control-0 has a certificate of "first" for "control-0"
+    And entry-0 has a certificate of "<authority>" for "<name>"
+    When control-0 dials entry-0
+    Then "<event>" is logged and control-0 never had a link
+
+    Examples:
+      | authority | name      | event            |
+      | second    | entry-0   | handshake_failed |
+      | first     | entry-9   | link_rejected    |
+
+  Scenario: A plain peer gets no link
+    Given entry-0 has a certificate of "first" for "entry-0"
+    And control-0 has no certificate
+    When control-0 dials entry-0
+    Then "handshake_failed" is logged and entry-0 never had a link
+
+  Scenario: Certificates and authority are replaced without a restart
+    Given control-0 has a certificate of "first" for "control-0"
+    And entry-0 has a certificate of "first" for "entry-0"
+    When control-0 dials entry-0
+    Then both have a link and a message arrives
+    When the certificates are replaced by those of "second" and the link is cut
+    Then both have a link and a message arrives
+    And the peer's certificate is of "second"
+
+  Scenario: Files that do not fit together leave the ones in use
+    Given control-0 has a certificate of "first" for "control-0"
+    And entry-0 has a certificate of "first" for "entry-0"
+    When the key file of entry-0 is broken after it was loaded
+    And control-0 dials entry-0
+    Then both have a link and a message arrives
