--- a/bambookeel/dispatch/grant_table.py
+++ b/bambookeel/dispatch/grant_table.py
@@ -23,7 +23,9 @@
     """A slot in use.
 
     Attributes:
-        key: Epoch and number.
+        key: Epoch and number it was first given.
+        open_keys: Keys under which its entry may still use it.
+        keys: All keys that it was given.
         entry: The process that uses it.
         request_id: For which request.
         team: For which team.
@@ -36,6 +38,7 @@
         message: What was sent, for an entry that asks again; None for a
             recovered grant.
         holds_slot: Whether it still counts at its backend server.
+        is_held: Whether its entry has returned it with a time to count.
     """
 
     key: GrantKey
@@ -49,7 +52,10 @@
     charged_ms: float = 0.0
     idempotency_key: ids.IdempotencyKey = ids.IdempotencyKey("")
     message: messages.SlotGranted | None = None
+    open_keys: set[GrantKey] = dataclasses.field(default_factory=set)
+    keys: list[GrantKey] = dataclasses.field(default_factory=list)
     holds_slot: bool = True
+    is_held: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,12 +91,44 @@
         f"second grant for {grant.request_id}",
     )
     table.by_key[grant.key] = grant
+    grant.keys.append(grant.key)
+    grant.open_keys.add(grant.key)
     table.by_request[grant.request_id] = grant.key
     life = (grant.backend_id, grant.incarnation)
     table.by_life.setdefault(life, set()).add(grant.key)
     heapq.heappush(table.ends, (grant.ends_at_ms, grant.key))
 
 
+def reissue(table: GrantTable, grant: Grant, key: GrantKey) -> None:
+    """Gives a grant another key, for an entry that asks again.
+
+    The first message may have been lost, or it arrived too late and its return
+    is still under way; that return must not free the slot.
+
+    Args:
+        table: The table.
+        grant: The grant.
+        key: The new key.
+    """
+    grant.keys.append(key)
+    grant.open_keys.add(key)
+    table.by_key[key] = grant
+
+
+def return_unused(grant: Grant, key: GrantKey) -> bool:
+    """Notes that an entry returned a key unused.
+
+    Args:
+        grant: The grant.
+        key: The key.
+
+    Returns:
+        Whether the grant is no longer in use under any key.
+    """
+    grant.open_keys.discard(key)
+    return not grant.open_keys
+
+
 def extend(table: GrantTable, grant: Grant, ends_at_ms: int) -> None:
     """Moves the time at which a grant ends without a report.
 
@@ -113,12 +151,14 @@
     Returns:
         The grant, or None when it has ended before.
     """
-    grant = table.by_key.pop(key, None)
+    grant = table.by_key.get(key)
     if grant is None:
         return None
+    for one in grant.keys:
+        del table.by_key[one]
     del table.by_request[grant.request_id]
     life = (grant.backend_id, grant.incarnation)
-    table.by_life[life].discard(key)
+    table.by_life[life].discard(grant.key)
     if not table.by_life[life]:
         del table.by_life[life]
     return grant
@@ -143,21 +183,34 @@
 
 
 def take_ended(table: GrantTable, now_ms: int) -> list[Grant]:
-    """Takes out the grants that have ended without a report.
+    """Takes the grants whose time has passed off the heap.
 
     Args:
         table: The table.
         now_ms: The time.
 
     Returns:
-        Those grants.
+        Those grants; the caller removes each or extends it.
     """
-    ended = []
+    ended: list[Grant] = []
+    seen: set[GrantKey] = set()
     while table.ends and table.ends[0][0] <= now_ms:
         _, key = heapq.heappop(table.ends)
         grant = table.by_key.get(key)
-        if grant is None or grant.ends_at_ms > now_ms:
+        if grant is None or grant.ends_at_ms > now_ms or key in seen:
             continue
-        remove(table, key)
+        seen.add(key)
         ended.append(grant)
     return ended
+
+
+def list_all(table: GrantTable) -> list[Grant]:
+    """Lists all grants.
+
+    Args:
+        table: The table.
+
+    Returns:
+        Each grant once.
+    """
+    return [table.by_key[key] for key in table.by_request.values()]
--- a/dev/deployment.py
+++ b/dev/deployment.py
@@ -42,6 +42,7 @@
         use_relays: Whether peer links and backend connections pass relays.
         delay_ms: One-way delay of the relays.
         deadline_ms: Deadline of requests to every service.
+        has_platform: Whether a fake platform offers workers for each pool.
     """
 
     controls: int = 3
@@ -54,6 +55,7 @@
     use_relays: bool = False
     delay_ms: float = 0.0
     deadline_ms: int = 30_000
+    has_platform: bool = False
 
 
 class Deployment:
@@ -77,6 +79,8 @@
         self.entry_names = [f"entry-{i}" for i in range(shape.entries)]
         self._write_settings()
         self._add_backends()
+        if shape.has_platform:
+            self._add_platform()
 
     def get_address(self, name: str, purpose: str) -> str:
         """Gives the address of a process for a purpose.
@@ -153,6 +157,7 @@
                     "api_listen": self.get_address(name, "http"),
                     "data_folder": str(self.folder / f"{name}.data"),
                     "bootstrap_key_sha256": digest,
+                    "platform_address": self._get_platform_address(),
                 },
                 i,
             )
@@ -233,6 +238,26 @@
             for run in audit.read_runs(self.get_runs_path(name))
         ]
 
+    def _get_platform_address(self) -> str:
+        if not self.shape.has_platform:
+            return ""
+        return self.get_address("platform", "http")
+
+    def _add_platform(self) -> None:
+        pools = ",".join(
+            f"{service}:{self.shape.backends}"
+            for service in self.shape.services
+        )
+        command = [
+            sys.executable,
+            "-m",
+            "dev.fake_platform",
+            f"--listen={self._get_platform_address()}",
+            f"--pools={pools}",
+        ]
+        log_path = self.folder / "platform.log"
+        self.daemons["platform"] = daemons.Daemon("platform", command, log_path)
+
     def list_backends(self) -> list[str]:
         """Lists the names of the backend servers."""
         return [
@@ -355,6 +380,8 @@
         """
         codes: dict[str, int | None] = {}
         ordered = [self.entry_names, self.control_names, self.list_backends()]
+        if self.shape.has_platform:
+            ordered.append(["platform"])
         for names in ordered:
             for name in names:
                 self.daemons[name].send_signal(signal.SIGCONT)
