--- /dev/null
+++ b/bambookeel/control/control_metrics.py
@@ -0,0 +1,48 @@
+"""Metrics of a control process: the replica, its followers and watches."""
+
+from bambookeel.control import replica_task
+from bambookeel.control import stream_task
+from bambookeel.runtime import clock
+from bambookeel.runtime import metrics
+
+
+def show_control(
+    replica: replica_task.ReplicaTask, streams: stream_task.StreamTask
+) -> None:
+    """Shows a control process's figures as metrics.
+
+    Args:
+        replica: The replica.
+        streams: The streams to followers.
+    """
+    metrics.watch_value(
+        "state_version",
+        "State version that this replica has applied.",
+        lambda: replica.view.state.version,
+    )
+    metrics.watch_value(
+        "resources",
+        "Resources in the replicated state.",
+        lambda: len(replica.view.state.by_key),
+    )
+    metrics.watch_value(
+        "kept_outcomes",
+        "Outcomes of commands kept for repeats.",
+        lambda: len(replica.view.state.outcomes),
+    )
+    metrics.watch_value(
+        "term", "Term of the replicated log.", lambda: replica.view.term
+    )
+    metrics.watch_value(
+        "leads",
+        "Whether this replica leads within its lease.",
+        lambda: replica.view.leads(clock.read_now_ms()),
+    )
+    metrics.watch_value(
+        "entries_behind",
+        "Entries that have not applied what holds for 3 s or more.",
+        streams.count_behind,
+    )
+    metrics.watch_value(
+        "watches", "Open watches of operators.", streams.count_watches
+    )
--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -7,6 +7,7 @@
 
 from bambookeel.api import operator_app
 from bambookeel.control import allotment_task
+from bambookeel.control import control_metrics
 from bambookeel.control import events
 from bambookeel.control import lease_task
 from bambookeel.control import planner_task
@@ -62,6 +63,7 @@
             listeners.append(self._planner.mailbox)
         replica.connect(self._links.send, listeners)
         self._app = operator_app.OperatorApp(settings, replica, self._streams)
+        control_metrics.show_control(replica, self._streams)
         self._api = http_server.Server(settings.api_listen, self._app)
         self._admin = http_server.Server(
             settings.admin_listen, admin_app.AdminApp(self.find_unready_reason)
--- a/bambookeel/control/stream_task.py
+++ b/bambookeel/control/stream_task.py
@@ -114,6 +114,22 @@
             logs.log_event("follower_caught_up", entry=entry)
         self._behind = behind
 
+    def count_behind(self) -> int:
+        """Counts entries that are behind for long.
+
+        Returns:
+            Their number at the last look.
+        """
+        return len(self._behind)
+
+    def count_watches(self) -> int:
+        """Counts open watches.
+
+        Returns:
+            Their number.
+        """
+        return self._streams.count_watches()
+
     def is_watching(self, watcher: mailbox.Mailbox) -> bool:
         """Tells whether a watch still gets every change.
 
--- a/bambookeel/control/streams.py
+++ b/bambookeel/control/streams.py
@@ -188,6 +188,14 @@
         for peer, subscription in list(self._subscriptions.items()):
             self._send_snapshot(peer, subscription)
 
+    def count_watches(self) -> int:
+        """Counts the watches that get changes.
+
+        Returns:
+            Their number.
+        """
+        return len(self._watchers)
+
     def is_watching(self, watcher: mailbox.Mailbox) -> bool:
         """Tells whether a watch still gets every change.
 
--- a/features/state/validation.feature
+++ b/features/state/validation.feature
@@ -87,6 +87,7 @@
     When 10002 commands with ids of their own are applied
     Then the outcomes of the last 10000 are kept
     And a state restored from plain mappings keeps the same order
+    And a state restored from a snapshot's bytes is the same and forgets the same
 
   Scenario: Random commands lead all replicas to the same state
     Then random bundles applied by two replicas from any order of their maps agree
--- /dev/null
+++ b/features/steps/restart_steps.py
@@ -0,0 +1,134 @@
+"""Steps for entries that restart with a stored version."""
+
+import pathlib
+import shutil
+import tempfile
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import settings
+from bambookeel.entry import events
+from bambookeel.entry import follower_task
+from bambookeel.entry import version_file
+from bambookeel.runtime import mailbox
+from bambookeel.state import model
+from features.fakes import fake_commits
+
+_CONTROL = ids.ProcessId("control-0")
+
+
+def _handle(context, event):
+    # pylint: disable-next=protected-access
+    context.task._handle(event)
+
+
+def _start_entry(context):
+    context.sent = []
+
+    def send(_peer, message):
+        context.sent.append(message)
+        return True
+
+    context.dispatcher = mailbox.Mailbox("dispatcher")
+    context.task = follower_task.FollowerTask(
+        ids.ProcessId("entry-0"),
+        (_CONTROL,),
+        settings.LeaseTimings(),
+        send,
+        context.dispatcher,
+        str(context.folder),
+    )
+    _handle(context, events.PeerUp(_CONTROL, messages.ProcessRole.CONTROL))
+
+
+@given("an entry with a data folder that follows control-0")
+def start_entry(context):
+    context.folder = pathlib.Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, context.folder)
+    context.order = []
+    stored = version_file.VersionFile.store
+
+    def store(self, version):
+        stored(self, version)
+        seen = context.task.view.version
+        context.order.append((version, seen))
+
+    patched = mock.patch.object(version_file.VersionFile, "store", store)
+    patched.start()
+    context.add_cleanup(patched.stop)
+    _start_entry(context)
+
+
+def _send_state(context, version):
+    state = model.State()
+    for _ in range(version):
+        state = fake_commits.commit_team(state, "coach", 1).state
+    (subscribe,) = [
+        message
+        for message in context.sent
+        if isinstance(message, messages.Subscribe)
+    ]
+    stored = [model.store_resource(r) for r in state.by_key.values()]
+    change = messages.StateChange(version, model.encode_changes(tuple(stored)))
+    batch = messages.ChangeBatch(
+        True, True, version, (change,), subscribe.subscription
+    )
+    _handle(context, events.FromPeer(_CONTROL, batch))
+
+
+@when("control-0 sends the state of version {version:d}")
+def send_state(context, version):
+    _send_state(context, version)
+
+
+@when("the entry restarts and control-0 sends the state of version {version:d}")
+def restart_entry(context, version):
+    _start_entry(context)
+    _send_state(context, version)
+
+
+@when("the leader confirms version {version:d}")
+def confirm_version(context, version):
+    _handle(context, events.Tick())
+    heartbeat = context.sent[-1]
+    assert isinstance(heartbeat, messages.EntryHeartbeat)
+    reply = messages.EntryHeartbeatReply(
+        heartbeat.nonce, True, _CONTROL, version, 1_000, ()
+    )
+    _handle(context, events.FromPeer(_CONTROL, reply))
+
+
+@then("version {version:d} was stored before it was published")
+def check_stored_first(context, version):
+    assert context.order == [(version, 0)], context.order
+    assert context.task.view.version == version
+
+
+@then("the entry is fresh")
+def check_fresh(context):
+    assert context.task.is_fresh()
+
+
+@then("the entry is not fresh")
+def check_not_fresh(context):
+    assert not context.task.is_fresh()
+
+
+@when("its version file is broken and the entry restarts")
+def break_file(context):
+    (context.folder / "applied-version.json").write_bytes(b"no version")
+    context.error = ""
+    try:
+        _start_entry(context)
+    except version_file.VersionFileError as error:
+        context.error = str(error)
+
+
+@then("the start fails and names the file")
+def check_failed_start(context):
+    assert "applied-version.json" in context.error, context.error
--- a/features/steps/validation_steps.py
+++ b/features/steps/validation_steps.py
@@ -13,6 +13,7 @@
 from bambookeel.state import apply
 from bambookeel.state import commands
 from bambookeel.state import model
+from bambookeel.state import snapshot
 
 _OPERATOR = "operator:ann"
 
@@ -141,6 +142,19 @@
     assert restored == state
 
 
+@then(
+    "a state restored from a snapshot's bytes is the same and forgets the same"
+)
+def check_snapshot_bytes(context):
+    state = context.state
+    restored = snapshot.decode_state(snapshot.encode_state(state))
+    assert restored == state
+    change = _build_change("put", "team/coach", {"upper_limit": 1})
+    first = _apply_changes(state, "one-more", (change,)).state
+    second = _apply_changes(restored, "one-more", (change,)).state
+    assert set(first.outcomes) == set(second.outcomes)
+
+
 _NAMES = strategies.sampled_from(("a", "b", "c"))
 _REFERRED = strategies.sampled_from(("a", "b", "c", "absent"))
 _SPECS = {
