--- a/bambookeel/core/outcomes.py
+++ b/bambookeel/core/outcomes.py
@@ -39,6 +39,7 @@
     CALLER_TOO_SLOW = 24
     HEAD_TOO_LARGE = 25
     KEY_REUSED = 26
+    INTERNAL_FAULT = 27
 
 
 class OutcomeKind(enum.IntEnum):
--- a/bambookeel/entry/requests.py
+++ b/bambookeel/entry/requests.py
@@ -168,7 +168,11 @@
         if not self._parts.asker.is_usable(received):
             use.end_unused()
             return None
-        return self._exchange(admitted, use, end)
+        try:
+            return self._exchange(admitted, use, end)
+        except BaseException:
+            use.end_broken_off()
+            raise
 
     def _return_unreached(
         self, grant: messages.SlotGranted, refusal: outcomes.NotRun
--- a/bambookeel/entry/slot_use.py
+++ b/bambookeel/entry/slot_use.py
@@ -58,13 +58,13 @@
     ) -> None:
         faults.check_invariant(not self._ended, "a slot was returned twice")
         self._ended = True
+        duration_ms = clock.read_now_ms() - self._started_ms
+        end = releases.SlotEnd(outcome, backend_fault, duration_ms, hold_ms)
+        self._releases.release(self.grant, end)
         if keep:
             self._pool.give_back(self.connection)
         else:
             self._pool.discard(self.connection)
-        duration_ms = clock.read_now_ms() - self._started_ms
-        end = releases.SlotEnd(outcome, backend_fault, duration_ms, hold_ms)
-        self._releases.release(self.grant, end)
 
     def _get_hold_ms(self) -> int:
         remaining_ms = self._deadline_ms - clock.read_now_ms()
@@ -92,6 +92,11 @@
         hold_ms = self._get_hold_ms()
         self._end(outcomes.OutcomeKind.UNKNOWN, True, False, hold_ms)
 
+    def end_broken_off(self) -> None:
+        """Ends the use when its own task fails or is ended, if it is open."""
+        if not self._ended:
+            self.end_unknown()
+
     def end_cancelled(self, end_is_known: bool) -> None:
         """Ends the use after its caller has gone.
 
--- a/bambookeel/net/connection_pool.py
+++ b/bambookeel/net/connection_pool.py
@@ -103,6 +103,7 @@
         kept = _take_idle(backend, max_idle_ms)
         if kept is not None:
             backend.busy += 1
+            kept.target = target
             return kept
         while backend.busy >= max(1, target.allowance):
             backend.freed.clear()
@@ -147,7 +148,9 @@
             connection.sock.close()
             return
         backend.idle.append(connection)
-        while len(backend.idle) + backend.busy > max(1, target.allowance):
+        # A later grant may allow fewer connections than are in use.
+        allowed = max(1, target.allowance) - backend.busy
+        while backend.idle and len(backend.idle) > allowed:
             backend.idle.popleft().sock.close()
 
     def discard(self, connection: Connection) -> None:
--- a/bambookeel/net/http_server.py
+++ b/bambookeel/net/http_server.py
@@ -11,6 +11,7 @@
 import http.client
 import socket as plain_socket
 import time
+import traceback
 import typing
 
 import gevent
@@ -22,6 +23,7 @@
 from bambookeel.net import headers
 from bambookeel.net import problem
 from bambookeel.net import request_heads
+from bambookeel.runtime import logs
 
 WsgiApp = Callable[..., typing.Iterable[bytes]]
 
@@ -194,6 +196,34 @@
         if self._lingers:
             self._linger()
 
+    def handle_error(
+        self, kind: typing.Any, error: typing.Any, trace: typing.Any
+    ) -> None:
+        """Logs a failure of the application and tells the caller the truth.
+
+        Args:
+            kind: The exception's class.
+            error: The exception.
+            trace: Where it came from.
+        """
+        if issubclass(kind, gevent.GreenletExit):
+            self.close_connection = True
+            return
+        lines = traceback.format_exception(kind, error, trace, limit=-8)
+        logs.log_event("request_failed", error=repr(error), trace=lines)
+        self.close_connection = True
+        if self.headers_sent:
+            return
+        failed = outcomes.Unknown(
+            outcomes.Reason.INTERNAL_FAULT, "this process failed the request"
+        )
+        response = problem.build_problem(failed, "")
+        try:
+            self.start_response(response.status, response.headers)
+            self.write(response.body)
+        except OSError:
+            pass
+
     def close_unread(self) -> None:
         """Ends the connection after this answer if the body was not read."""
         stream = self.wsgi_input
@@ -226,7 +256,9 @@
         if self.server.is_draining:
             self.close_connection = True
         super().finalize_headers()
-        if self.close_connection and self.request_version == "HTTP/1.1":
+        if not self.close_connection or self.request_version != "HTTP/1.1":
+            return
+        if all(name != b"Connection" for name, _ in self.response_headers):
             self.response_headers.append((b"Connection", b"close"))
 
     def log_request(self) -> None:
--- a/bambookeel/net/problem.py
+++ b/bambookeel/net/problem.py
@@ -18,6 +18,7 @@
     Reason.SERVICE_UNKNOWN: "404 Not Found",
     Reason.REQUEST_MALFORMED: "400 Bad Request",
     Reason.BODY_TOO_LARGE: "413 Content Too Large",
+    Reason.INTERNAL_FAULT: "500 Internal Server Error",
     Reason.HEAD_TOO_LARGE: "431 Request Header Fields Too Large",
     Reason.CALLER_TOO_SLOW: "408 Request Timeout",
     Reason.KEY_REUSED: "422 Unprocessable Content",
--- a/features/requests/requests.feature
+++ b/features/requests/requests.feature
@@ -136,3 +136,11 @@
       | /a/../b//c       | /a/../b//c     |
       | //x%2fy?q=%20&q= | //x%2fy?q=%20&q= |
       | ?q=1             | /?q=1          |
+
+  Scenario: Connections stay within an allowance that changes with each grant
+    Then random uses of a backend server never pass the allowance nor fail
+
+  Scenario: A failure inside the entry is told as unknown and frees the slot
+    When the entry itself fails as an answer arrives
+    Then the caller is told "unknown" for "internal-fault"
+    And the slot of the failed request is held as one that may be running
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -4,9 +4,13 @@
 from behave import when
 import gevent
 import gevent.event
+import hypothesis
+from hypothesis import strategies
 
+from bambookeel.core import ids
 from bambookeel.core import outcomes
 from bambookeel.entry import outstanding
+from bambookeel.net import connection_pool
 from bambookeel.runtime import clock
 from features.fakes import raw_backend
 from features.fakes import request_scripts
@@ -235,3 +239,54 @@
 @then('the backend server was asked for "{target}"')
 def check_target(context, target):
     assert context.backend.heads[0][0] == f"POST {target} HTTP/1.1"
+
+
+@then("random uses of a backend server never pass the allowance nor fail")
+def check_allowance(context):
+    steps = strategies.lists(
+        strategies.tuples(strategies.booleans(), strategies.integers(0, 5)),
+        max_size=40,
+    )
+
+    @hypothesis.given(steps)
+    def check(pairs):
+        pool = connection_pool.ConnectionPool(1_000)
+        used = []
+        for takes, allowance in pairs:
+            if not takes:
+                if used:
+                    pool.give_back(used.pop(allowance % len(used)))
+                continue
+            target = connection_pool.Target(
+                context.backend.address, ids.Incarnation(1), allowance
+            )
+            busy = len(used)
+            taken = pool.take(target, False, clock.read_now_ms() + 5)
+            if isinstance(taken, outcomes.NotRun):
+                assert busy >= max(1, allowance), (taken, busy, allowance)
+                continue
+            used.append(taken)
+            assert len(used) <= pool.count_connections() <= 5
+        while used:
+            pool.discard(used.pop())
+
+    check()
+
+
+@when("the entry itself fails as an answer arrives")
+def fail_inside(context):
+    def fail(_grant):
+        raise ValueError("a fault of the entry")
+
+    context.entry.path.messages.held.start_stream = fail
+    request_scripts.answer_with(context.backend, _CHUNKED + _PART)
+    seen = context.entry.call()
+    context.received = seen.body
+    assert seen.status == 500, seen
+
+
+@then("the slot of the failed request is held as one that may be running")
+def check_failed_slot(context):
+    (release,) = context.holder.releases
+    assert release.outcome is outcomes.OutcomeKind.UNKNOWN, release
+    assert release.hold_ms > 0, release
