--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -175,7 +175,7 @@
         _wait_until_served(address, data)
     _, answer = running.call_api("GET", "/v1/dispatcher/orders")
     holder = running.get_address(answer["spec"]["holder"], "http")
-    other = next(address for address in entries if address != holder)
+    (other,) = set(entries) - {holder}
     targets = {
         "straight": backend,
         "bare": bare,
