--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -30,6 +30,7 @@
 _ROUNDS = 5
 _ROUND_S = 1.0
 _WARM_UP_S = 1.0
+_CPU_ROUND_S = 4.0
 # Targets: added p50, throughput, and well under a delayed acknowledgement.
 _MAX_ADDED_RATIO = 2.0
 _MIN_THROUGHPUT_RATIO = 0.5
@@ -113,6 +114,36 @@
     return rounds
 
 
+def _read_cpu_s(pid: int) -> float:
+    """Reads the processor time that a process has used.
+
+    Args:
+        pid: The process.
+
+    Returns:
+        User and system time.
+    """
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _measure_cpu_us(pid: int, address: str, data: bytes) -> float:
+    """Measures the processor time of one process for a request.
+
+    Args:
+        pid: The process.
+        address: Where to send.
+        data: One request.
+
+    Returns:
+        Microseconds; other load on the machine changes it little.
+    """
+    before_s = _read_cpu_s(pid)
+    times = _measure_round(address, data, _CALLERS, _CPU_ROUND_S)
+    return (_read_cpu_s(pid) - before_s) * 1e6 / len(times)
+
+
 def _build_request(key: str) -> bytes:
     lines_of_head = (
         "POST /services/orders/work HTTP/1.1",
@@ -161,6 +192,7 @@
             try:
                 running.start()
                 yield from _measure_running(running, backend, listen)
+                yield from _measure_cpu(running, bare.pid, listen)
             finally:
                 bare.terminate()
                 running.stop()
@@ -187,6 +219,26 @@
     yield from _render_throughput(_measure_all(targets, data, _CALLERS))
 
 
+def _measure_cpu(
+    running: deployment.Deployment, bare_pid: int, bare: str
+) -> Iterator[str]:
+    data = _build_request(running.team_keys["coach"])
+    _, answer = running.call_api("GET", "/v1/dispatcher/orders")
+    holder = running.daemons[answer["spec"]["holder"]]
+    bare_us = _measure_cpu_us(bare_pid, bare, data)
+    yield lines.render_line("path", "bare_cpu_us", bare_us)
+    if holder.process is None:
+        raise ValueError("the entry does not run")
+    address = running.get_address(holder.name, "http")
+    entry_us = _measure_cpu_us(holder.process.pid, address, data)
+    yield lines.render_line(
+        "path",
+        "own_dispatcher_cpu_us",
+        entry_us,
+        bare_us / _MIN_THROUGHPUT_RATIO,
+    )
+
+
 def _get_p50_ms(rounds: list[list[float]]) -> float:
     return statistics.median(statistics.median(times) for times in rounds)
 
