Place jobs, blame failures rightly and fence lost workers

Failed first: an estimate above any worker never fitted (bounded by the worker); an attempt forgotten with its lapsed lease was started again by the same id (now stopped, then a new attempt); a turning wanted size drained lenders at once (only failures skip the holding time now).

--- a/bambookeel/control/fleet_commands.py
+++ b/bambookeel/control/fleet_commands.py
@@ -12,6 +12,7 @@
 from bambookeel.core import ids
 from bambookeel.core import resources
 from bambookeel.fleet import changes
+from bambookeel.fleet import jobs
 from bambookeel.fleet import records
 from bambookeel.state import commands
 
@@ -69,6 +70,16 @@
         )
         key = f"{update.kind.value}-{update.name}"
         yield key, commands.wrap_change(put_status)
+    for job in plan.jobs:
+        put_job = commands.PutStatus(
+            resources.Kind.JOB,
+            job.after.name,
+            job.before.version,
+            jobs.write_job_status(job.after),
+        )
+        # All jobs of one plan stand or fall together, as they share workers
+        # and limits.
+        yield "jobs", commands.wrap_change(put_job)
     for adoption in plan.adoptions:
         put_spec = commands.PutSpec(
             resources.Kind.INSTANCE,
--- a/bambookeel/control/fleet_view.py
+++ b/bambookeel/control/fleet_view.py
@@ -10,12 +10,14 @@
 import typing
 
 from bambookeel.core import resources
+from bambookeel.fleet import jobs
 from bambookeel.fleet import records
 
 _READERS = {
     resources.Kind.POOL: records.read_pool,
     resources.Kind.INSTANCE: records.read_instance,
     resources.Kind.WAVE: records.read_wave,
+    resources.Kind.JOB: jobs.read_job,
 }
 _TUNING_NAME = "fleet"
 # A renewal of an earlier leader may reach a worker this much later.
@@ -23,6 +25,14 @@
 _ResourceMap = Mapping[tuple[resources.Kind, str], resources.Resource]
 
 
+def _read_tuning(by_key: _ResourceMap) -> records.Tuning:
+    resource = by_key.get((resources.Kind.CONFIGURATION, _TUNING_NAME))
+    if resource is None:
+        return records.Tuning()
+    assert isinstance(resource.spec, resources.ConfigurationSpec)
+    return records.Tuning.from_config(resource.spec)
+
+
 class ViewBuilder:
     """Keeps reports, lease ends and the records read so far."""
 
@@ -88,22 +98,20 @@
         fresh: dict[resources.Kind, dict[str, typing.Any]] = {
             kind: {} for kind in _READERS
         }
-        tuning = records.Tuning()
+        teams: dict[str, resources.TeamSpec] = {}
         for (kind, name), resource in by_key.items():
             reader = _READERS.get(kind)
             if reader is None:
-                if kind is resources.Kind.CONFIGURATION:
-                    if name == _TUNING_NAME:
-                        assert isinstance(
-                            resource.spec, resources.ConfigurationSpec
-                        )
-                        tuning = records.Tuning.from_config(resource.spec)
+                if kind is resources.Kind.TEAM:
+                    assert isinstance(resource.spec, resources.TeamSpec)
+                    teams[name] = resource.spec
                 continue
             known = self._read[kind].get(name)
             if known is None or known.version != resource.version:
                 known = reader(resource)
             fresh[kind][name] = known
         self._read = fresh
+        tuning = _read_tuning(by_key)
         leases = self._build_leases(
             fresh[resources.Kind.INSTANCE], tuning.worker_lease_ms
         )
@@ -116,6 +124,8 @@
             reports=dict(self._reports),
             lease_until_ms=leases,
             tuning=tuning,
+            job_records=fresh[resources.Kind.JOB],
+            teams=teams,
         )
 
     def _build_leases(
--- a/bambookeel/fleet/changes.py
+++ b/bambookeel/fleet/changes.py
@@ -9,6 +9,7 @@
 import enum
 
 from bambookeel.core import resources
+from bambookeel.fleet import jobs
 from bambookeel.fleet import records
 
 
@@ -19,6 +20,11 @@
     RESUME = "resume"
     REBOOT = "reboot"
     ASSIGN = "assign"
+    START = "start"
+    STOP = "stop"
+    CHECKPOINT = "checkpoint"
+    THROTTLE = "throttle"
+    FORGET = "forget"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +39,9 @@
         sequence: Version of the instance's resource; the platform drops an
             order with a lower one than it has seen.
         pool: The pool to assign to.
+        task_id: The attempt that a task's order is for.
+        cores: Cores that the attempt gets.
+        memory_mb: Memory that the attempt gets.
     """
 
     kind: OrderKind
@@ -40,6 +49,9 @@
     incarnation: int
     sequence: int
     pool: str = ""
+    task_id: str = ""
+    cores: int = 0
+    memory_mb: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +91,19 @@
     is_planned: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobChange:
+    """A new record of a job.
+
+    Attributes:
+        before: The record that the change was decided on.
+        after: The new record.
+    """
+
+    before: jobs.Job
+    after: jobs.Job
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusChange:
     """A new status of a pool or wave.
@@ -116,6 +141,7 @@
     Attributes:
         instances: Changes of instances, at most one for each.
         statuses: New statuses of pools and waves.
+        jobs: Changes of jobs.
         adoptions: Instances that are to be recorded.
         orders: Orders for the platform, from the state before this plan.
         decisions: Reasons.
@@ -123,6 +149,7 @@
 
     instances: tuple[InstanceChange, ...] = ()
     statuses: tuple[StatusChange, ...] = ()
+    jobs: tuple[JobChange, ...] = ()
     adoptions: tuple[Adoption, ...] = ()
     orders: tuple[Order, ...] = ()
     decisions: tuple[Decision, ...] = ()
--- a/bambookeel/fleet/invariants.py
+++ b/bambookeel/fleet/invariants.py
@@ -5,12 +5,16 @@
 instance, and no reuse of an instance whose lease may still be in force.
 """
 
+from collections import Counter
+
 from bambookeel.core import faults
 from bambookeel.core import resources
 from bambookeel.fleet import account
 from bambookeel.fleet import changes
+from bambookeel.fleet import jobs
 from bambookeel.fleet import observe
 from bambookeel.fleet import records
+from bambookeel.fleet import task_steps
 
 _State = resources.InstanceState
 
@@ -71,6 +75,38 @@
             )
 
 
+def _check_jobs(view: records.FleetView, plan: changes.Plan) -> None:
+    """Checks that no attempt is replaced before it is surely over."""
+    running: Counter[str] = Counter()
+    started: set[str] = set()
+    updated = {change.after.name: change.after for change in plan.jobs}
+    reports = task_steps.index_reports(view)
+    for name, before in view.job_records.items():
+        after = updated.get(name, before)
+        for old, new in zip(before.tasks, after.tasks, strict=True):
+            is_active = new.state in jobs.ACTIVE_STATES
+            running[after.spec.team] += is_active
+            if new.attempt == old.attempt:
+                continue
+            started.add(after.spec.team)
+            report = reports.get(jobs.render_task_id(name, old))
+            faults.check_invariant(
+                old.state not in jobs.ACTIVE_STATES
+                or (
+                    report is not None
+                    and report.phase is not jobs.TaskPhase.RUNNING
+                )
+                or task_steps.has_worker_lost_it(view, old),
+                f"task {old.index} of {name} starts before its end is known",
+            )
+    for team in sorted(started):
+        limit = view.teams[team].upper_limit
+        faults.check_invariant(
+            running[team] <= limit,
+            f"team {team} runs {running[team]} of at most {limit}",
+        )
+
+
 def check_plan(view: records.FleetView, plan: changes.Plan) -> None:
     """Checks a plan against the view that it was made from.
 
@@ -93,6 +129,7 @@
         _check_state_step(view, change)
         if change.is_planned:
             planned_pools.add(change.guard_pool)
+    _check_jobs(view, plan)
     groups = account.group_members(drafted.values())
     for name in sorted(planned_pools):
         held = account.count_pool(view, view.pools[name], groups.get(name, ()))
--- /dev/null
+++ b/bambookeel/fleet/jobs.py
@@ -0,0 +1,234 @@
+"""Records of jobs, their tasks and what the platform reports of tasks.
+
+A job's tasks live in its status, one entry for each task that has been placed
+at least once. A task's id names its attempt, so that the platform can run every
+attempt at most once, however often it is told to.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+import msgspec
+
+from bambookeel.core import ids
+from bambookeel.core import resources
+
+
+class TaskState(enum.Enum):
+    """The life of one task of a job."""
+
+    PENDING = "pending"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+class TaskPhase(enum.Enum):
+    """What a worker says of an attempt."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+
+
+class JobState(enum.Enum):
+    """The life of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    PARKED = "parked"
+    CANCELLED = "cancelled"
+
+
+# States in which an attempt may be running somewhere.
+ACTIVE_STATES = frozenset((TaskState.RUNNING, TaskState.STOPPING))
+ENDED_STATES = frozenset((JobState.DONE, JobState.PARKED, JobState.CANCELLED))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A failed attempt.
+
+    Attributes:
+        worker: Where it ran.
+        at_ms: Wall time at which it was known.
+    """
+
+    worker: str
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Task:
+    """One task of a job.
+
+    Attributes:
+        index: Its number within the job.
+        state: Its state.
+        attempt: Number of the latest attempt, from 1; 0 before the first.
+        worker: Where the latest attempt runs or ran.
+        incarnation: The life of the worker that runs it.
+        started_ms: Wall time at which the latest attempt was placed.
+        failures: Its failed attempts.
+    """
+
+    index: int
+    state: TaskState = TaskState.PENDING
+    attempt: int = 0
+    worker: str = ""
+    incarnation: int = 0
+    started_ms: int = 0
+    failures: tuple[Failure, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """A job as the replicated state holds it.
+
+    Attributes:
+        name: Its name.
+        version: Version of its resource.
+        spec: What was handed in.
+        state: Its state.
+        reason: Why it is in this state.
+        tasks: All its tasks.
+        peak_cores: The most cores that one of its tasks was seen to use.
+        peak_memory_mb: The most memory that one of its tasks used.
+        ended_ms: Wall time of its end; 0 before.
+    """
+
+    name: str
+    version: ids.StateVersion
+    spec: resources.JobSpec
+    state: JobState = JobState.QUEUED
+    reason: str = "waits for placement"
+    tasks: tuple[Task, ...] = ()
+    peak_cores: int = 0
+    peak_memory_mb: int = 0
+    ended_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TaskReport:
+    """What a worker says of one attempt, usage with a lag.
+
+    Attributes:
+        task_id: Job, task and attempt.
+        phase: What became of it.
+        cores_used: Cores in use; 0 while unknown.
+        memory_used_mb: Memory in use; 0 while unknown.
+        throttled: Whether it is held back.
+    """
+
+    task_id: str
+    phase: TaskPhase
+    cores_used: int = 0
+    memory_used_mb: int = 0
+    throttled: bool = False
+
+
+def render_task_id(job: str, task: Task) -> ids.TaskId:
+    """Names the latest attempt of a task.
+
+    Args:
+        job: The job.
+        task: The task.
+
+    Returns:
+        An id that no other attempt ever has.
+    """
+    return ids.TaskId(f"{job}.{task.index}.{task.attempt}")
+
+
+def _read_tasks(text: str, count: int) -> tuple[Task, ...]:
+    placed = {}
+    if text:
+        decoded = msgspec.json.decode(text, type=tuple[Task, ...])
+        placed = {task.index: task for task in decoded}
+    return tuple(placed.get(i) or Task(index=i) for i in range(count))
+
+
+def _read_int(details: Mapping[str, str], name: str) -> int:
+    text = details.get(name, "")
+    return int(text) if text.isdecimal() else 0
+
+
+def read_job(resource: resources.Resource) -> Job:
+    """Reads a job from its resource.
+
+    Args:
+        resource: The resource.
+
+    Returns:
+        The job.
+    """
+    assert isinstance(resource.spec, resources.JobSpec)
+    details = resource.status.details
+    state = JobState.QUEUED
+    if resource.status.state:
+        state = JobState(resource.status.state)
+    return Job(
+        name=resource.name,
+        version=resource.version,
+        spec=resource.spec,
+        state=state,
+        reason=details.get("reason", ""),
+        tasks=_read_tasks(details.get("tasks", ""), resource.spec.tasks),
+        peak_cores=_read_int(details, "peak_cores"),
+        peak_memory_mb=_read_int(details, "peak_memory_mb"),
+        ended_ms=_read_int(details, "ended_ms"),
+    )
+
+
+def write_job_status(job: Job) -> resources.Status:
+    """Writes a job's facts as its status.
+
+    Args:
+        job: The job.
+
+    Returns:
+        The status; `read_job` reads it back.
+    """
+    placed = tuple(task for task in job.tasks if task != Task(index=task.index))
+    done = sum(task.state is TaskState.DONE for task in job.tasks)
+    running = sum(task.state is TaskState.RUNNING for task in job.tasks)
+    failed = sum(len(task.failures) for task in job.tasks)
+    message = (
+        f"{done} of {len(job.tasks)} tasks done, {running} running,"
+        f" {failed} attempts failed; {job.reason}"
+    )
+    condition = resources.Condition(
+        "Progressing",
+        job.state not in (JobState.PARKED, JobState.CANCELLED),
+        job.state.value,
+        message,
+    )
+    details = {
+        "reason": job.reason,
+        "tasks": msgspec.json.encode(placed).decode() if placed else "",
+        "peak_cores": str(job.peak_cores or ""),
+        "peak_memory_mb": str(job.peak_memory_mb or ""),
+        "ended_ms": str(job.ended_ms or ""),
+    }
+    kept = {name: text for name, text in details.items() if text}
+    return resources.Status(
+        state=job.state.value, conditions=(condition,), details=kept
+    )
+
+
+def replace_task(job: Job, task: Task) -> Job:
+    """Replaces one task of a job.
+
+    Args:
+        job: The job.
+        task: The new record of one of its tasks.
+
+    Returns:
+        The new job.
+    """
+    tasks = list(job.tasks)
+    tasks[task.index] = task
+    return dataclasses.replace(job, tasks=tuple(tasks))
--- a/bambookeel/fleet/moves.py
+++ b/bambookeel/fleet/moves.py
@@ -231,6 +231,12 @@
     return True
 
 
+def _is_broken_by_failures(held: account.PoolAccount) -> bool:
+    """Tells whether failures, not a new wanted size, exceed the budget."""
+    lost = sum(held.unavailable.get(state.value, 0) for state in _LOST_STATES)
+    return held.get_room() < 0 < lost
+
+
 def start_moves(plan: draft.Draft) -> None:
     """Starts moves into pools that have been short for long enough.
 
@@ -246,10 +252,10 @@
         shortage = pool.spec.wanted_size - staying[pool.name]
         if shortage <= 0:
             continue
-        is_broken = plan.accounts[pool.name].get_room() < 0
+        is_urgent = _is_broken_by_failures(plan.accounts[pool.name])
         short_for_ms = plan.view.wall_ms - pool.short_since_ms
         has_lasted = pool.short_since_ms > 0 and short_for_ms >= hold_ms
-        if not is_broken and not has_lasted:
+        if not is_urgent and not has_lasted:
             continue
         while shortage > 0 and _start_move(plan, pool.name, shortage, staying):
             shortage -= 1
--- a/bambookeel/fleet/observe.py
+++ b/bambookeel/fleet/observe.py
@@ -82,6 +82,17 @@
         plan.change(instance, reason, incarnation=report.incarnation)
 
 
+def _is_fenced(instance: records.Instance, report: records.Report) -> bool:
+    """Tells whether no order from before its failure can reach an instance.
+
+    Its lease has ended, so what it still runs must stop first, and it must have
+    taken an order that is later than all those sent before.
+    """
+    if report.incarnation > instance.incarnation:
+        return True
+    return report.running == 0 and report.sequence >= instance.version
+
+
 def _is_found_empty(instance: records.Instance, report: records.Report) -> bool:
     """Tells whether an instance between pools is drained as it should be."""
     if instance.spec.pool or report.running:
@@ -96,10 +107,7 @@
 ) -> None:
     if is_proved_healthy(report):
         assert report is not None
-        if instance.state is _State.FAILED and (
-            report.incarnation == instance.incarnation and report.running
-        ):
-            # Its lease has ended, so what it still runs must stop first.
+        if instance.state is _State.FAILED and not _is_fenced(instance, report):
             return
         plan.change(
             instance,
--- a/bambookeel/fleet/orders.py
+++ b/bambookeel/fleet/orders.py
@@ -29,7 +29,10 @@
                 return changes.OrderKind.REBOOT
         case _State.EMPTY if instance.spec.pool and not instance.wave:
             return changes.OrderKind.ASSIGN
-        case _State.SERVING | _State.IN_DOUBT | _State.FAILED:
+        case _State.FAILED if report is not None:
+            if report.sequence < instance.version:
+                return changes.OrderKind.RESUME
+        case _State.SERVING | _State.IN_DOUBT:
             if not instance.spec.pool:
                 return None
             if phase in (records.Phase.DRAINING, records.Phase.DRAINED):
--- a/bambookeel/fleet/planner.py
+++ b/bambookeel/fleet/planner.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from bambookeel.core import resources
+from bambookeel.fleet import attribution
 from bambookeel.fleet import changes
 from bambookeel.fleet import draft
 from bambookeel.fleet import explain
@@ -16,7 +17,11 @@
 from bambookeel.fleet import moves
 from bambookeel.fleet import observe
 from bambookeel.fleet import orders
+from bambookeel.fleet import placement
+from bambookeel.fleet import quarantine
 from bambookeel.fleet import records
+from bambookeel.fleet import task_orders
+from bambookeel.fleet import task_steps
 from bambookeel.fleet import waves
 
 _State = resources.InstanceState
@@ -128,6 +133,32 @@
     return found
 
 
+def _plan_jobs(plan: draft.Draft) -> tuple[changes.JobChange, ...]:
+    """Brings jobs up to date, judges workers and places tasks."""
+    view = plan.view
+    quarantine.end_quarantines(plan)
+    if not view.job_records:
+        return ()
+    reports = task_steps.index_reports(view)
+    # What has ended counts as evidence in the same plan.
+    before = attribution.gather_evidence(
+        view.job_records.values(), view.instances
+    )
+    current = {
+        name: task_steps.observe_job(view, job, reports, before)
+        for name, job in view.job_records.items()
+    }
+    evidence = attribution.gather_evidence(current.values(), view.instances)
+    quarantine.start_quarantines(plan, evidence)
+    drafted = dataclasses.replace(view, instances=plan.instances)
+    placement.Placer(drafted, current, evidence).place_all()
+    return tuple(
+        changes.JobChange(job, current[name])
+        for name, job in view.job_records.items()
+        if current[name] is not job
+    )
+
+
 def plan_fleet(view: records.FleetView) -> changes.Plan:
     """Plans once.
 
@@ -148,12 +179,14 @@
     waves.advance_reboots(plan)
     moves.start_moves(plan)
     waves.start_maintenance(plan)
+    updated = _plan_jobs(plan)
     statuses = _describe_pools(plan) + _describe_waves(plan)
     made = changes.Plan(
         instances=tuple(plan.changes.values()),
         statuses=tuple(statuses),
         adoptions=_list_adoptions(view),
-        orders=orders.list_orders(view),
+        jobs=updated,
+        orders=orders.list_orders(view) + task_orders.list_task_orders(view),
         decisions=tuple(plan.decisions),
     )
     invariants.check_plan(view, made)
--- /dev/null
+++ b/bambookeel/fleet/quarantine.py
@@ -0,0 +1,85 @@
+"""Takes workers that fail everything out of use, and tries them again.
+
+A convicted worker is set aside as a planned act within its pool's budget; where
+the budget has no room it keeps its place but gets no tasks. After a while one
+task may run on it again: a success brings it back, a failure starts the time
+anew.
+"""
+
+from collections.abc import Mapping
+
+from bambookeel.core import resources
+from bambookeel.fleet import account
+from bambookeel.fleet import attribution
+from bambookeel.fleet import draft
+from bambookeel.fleet import observe
+from bambookeel.fleet import records
+
+_State = resources.InstanceState
+
+
+def start_quarantines(
+    plan: draft.Draft, evidence: Mapping[str, attribution.WorkerEvidence]
+) -> None:
+    """Sets convicted workers aside, as far as budgets allow.
+
+    Args:
+        plan: The draft.
+        evidence: Evidence by worker.
+    """
+    for name, found in sorted(evidence.items()):
+        if not found.is_convicted() or plan.is_settled(name):
+            continue
+        instance = plan.instances.get(name)
+        if instance is None or instance.spec.pool not in plan.accounts:
+            continue
+        if not records.is_available(plan.view, instance):
+            continue
+        held = plan.accounts[instance.spec.pool]
+        if account.find_refusal(held, instance, plan.suspects):
+            continue
+        cleared = ", ".join(sorted(found.cleared_jobs))
+        plan.change(
+            instance,
+            f"jobs that failed here succeeded elsewhere: {cleared}",
+            alternatives="parking the jobs",
+            is_planned=True,
+            state=_State.QUARANTINED,
+        )
+
+
+def end_quarantines(plan: draft.Draft) -> None:
+    """Lets a quarantined worker try again when its time has passed.
+
+    It comes back without a success to its name, so that it gets few tasks
+    until one has succeeded.
+
+    Args:
+        plan: The draft.
+    """
+    for instance in plan.view.instances.values():
+        if instance.state is not _State.QUARANTINED:
+            continue
+        if plan.is_settled(instance.name):
+            continue
+        report = records.find_fresh_report(plan.view, instance)
+        if report is None:
+            if observe.has_lease_ended(plan.view, instance.name):
+                plan.change(
+                    instance,
+                    "silent until its lease ended",
+                    state=_State.FAILED,
+                )
+            continue
+        waited_ms = plan.view.wall_ms - instance.since_ms
+        if waited_ms < plan.view.tuning.probe_after_ms:
+            continue
+        if not observe.is_proved_healthy(report):
+            continue
+        plan.change(
+            instance,
+            "tried again after its time in quarantine",
+            state=_State.SERVING,
+            incarnation=report.incarnation,
+            trusted_since_ms=plan.view.wall_ms,
+        )
--- a/bambookeel/fleet/records.py
+++ b/bambookeel/fleet/records.py
@@ -12,6 +12,7 @@
 
 from bambookeel.core import ids
 from bambookeel.core import resources
+from bambookeel.fleet import jobs
 
 
 class Phase(enum.Enum):
@@ -60,6 +61,7 @@
         since_ms: Wall time of the last change of its state.
         act_since_ms: Wall time at which its maintenance started.
         retry_after_ms: Wall time before which no wave takes it again.
+        trusted_since_ms: Wall time before which failures on it do not count.
         reason: Why it is in this state.
     """
 
@@ -75,6 +77,7 @@
     since_ms: int = 0
     act_since_ms: int = 0
     retry_after_ms: int = 0
+    trusted_since_ms: int = 0
     reason: str = "no report yet"
 
 
@@ -115,6 +118,8 @@
         running: Requests and tasks that run on it.
         heard_ms: When the report was made, on the leader's monotonic clock.
         spec: Its place and size.
+        sequence: The highest sequence among the orders that it has taken.
+        tasks: Attempts that it runs, or has run and not been told to forget.
     """
 
     name: str
@@ -125,6 +130,8 @@
     running: int
     heard_ms: int
     spec: resources.InstanceSpec
+    sequence: int = 0
+    tasks: tuple[jobs.TaskReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -137,6 +144,7 @@
         drain_timeout_ms: Time for a drain before it is given up.
         boot_timeout_ms: Time for a reboot before the instance has failed.
         retry_ms: Time before a wave takes an instance again.
+        probe_after_ms: Time in quarantine before one task is tried.
         hold_ms: How long a shortage must last before a move starts.
         maintenance_interval_ms: Time between two maintenances of each
             instance; 0 where there is no regular maintenance.
@@ -152,6 +160,7 @@
     drain_timeout_ms: int = 1_800_000
     boot_timeout_ms: int = 900_000
     retry_ms: int = 600_000
+    probe_after_ms: int = 600_000
     hold_ms: int = 30_000
     maintenance_interval_ms: int = 0
     max_wave_failures: int = 3
@@ -198,6 +207,8 @@
         lease_until_ms: By instance, the end of the last lease that may have
             been granted to it, on the leader's monotonic clock.
         tuning: Timings and weights.
+        job_records: Jobs by name.
+        teams: Teams by name.
     """
 
     now_ms: int
@@ -208,6 +219,12 @@
     reports: Mapping[str, Report]
     lease_until_ms: Mapping[str, int]
     tuning: Tuning = Tuning()
+    job_records: Mapping[str, jobs.Job] = dataclasses.field(
+        default_factory=dict
+    )
+    teams: Mapping[str, resources.TeamSpec] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def _read_int(details: Mapping[str, str], name: str) -> int:
@@ -261,6 +278,7 @@
         since_ms=_read_int(details, "since_ms"),
         act_since_ms=_read_int(details, "act_since_ms"),
         retry_after_ms=_read_int(details, "retry_after_ms"),
+        trusted_since_ms=_read_int(details, "trusted_since_ms"),
         reason=details.get("reason", ""),
     )
 
@@ -287,6 +305,7 @@
         "since_ms": str(instance.since_ms),
         "act_since_ms": str(instance.act_since_ms),
         "retry_after_ms": str(instance.retry_after_ms),
+        "trusted_since_ms": str(instance.trusted_since_ms or ""),
         "reason": instance.reason,
     }
     kept = {name: text for name, text in details.items() if text}
--- a/bambookeel/net/platform_client.py
+++ b/bambookeel/net/platform_client.py
@@ -16,12 +16,23 @@
 from bambookeel.core import faults
 from bambookeel.core import resources
 from bambookeel.fleet import changes
+from bambookeel.fleet import jobs
 from bambookeel.fleet import records
 from bambookeel.net import addresses
 
 _TIMEOUT_S = 2.0
 
 
+class _Task(msgspec.Struct, frozen=True, kw_only=True):
+    """An attempt as a worker reports it."""
+
+    task_id: str
+    phase: jobs.TaskPhase
+    cores_used: int = 0
+    memory_used_mb: int = 0
+    throttled: bool = False
+
+
 class _Worker(msgspec.Struct, frozen=True, kw_only=True):
     """A worker as the platform reports it."""
 
@@ -37,6 +48,8 @@
     cores: int = 64
     memory_mb: int = 262_144
     accelerators: int = 0
+    sequence: int = 0
+    tasks: tuple[_Task, ...] = ()
 
 
 class _Workers(msgspec.Struct, frozen=True):
@@ -54,6 +67,16 @@
         memory_mb=worker.memory_mb,
         accelerators=worker.accelerators,
     )
+    tasks = tuple(
+        jobs.TaskReport(
+            task_id=task.task_id,
+            phase=task.phase,
+            cores_used=task.cores_used,
+            memory_used_mb=task.memory_used_mb,
+            throttled=task.throttled,
+        )
+        for task in worker.tasks
+    )
     return records.Report(
         name=worker.name,
         incarnation=worker.incarnation,
@@ -63,6 +86,8 @@
         running=worker.running,
         heard_ms=now_ms - worker.age_ms,
         spec=spec,
+        sequence=worker.sequence,
+        tasks=tasks,
     )
 
 
@@ -105,6 +130,9 @@
         "incarnation": order.incarnation,
         "sequence": order.sequence,
         "pool": order.pool,
+        "task_id": order.task_id,
+        "cores": order.cores,
+        "memory_mb": order.memory_mb,
     }
 
 
--- a/features/fakes/fleet_platform.py
+++ b/features/fakes/fleet_platform.py
@@ -5,6 +5,7 @@
 or an assignment of a worker on which work still runs.
 """
 
+import collections
 import dataclasses
 
 
@@ -26,6 +27,14 @@
     says_drained_too_early: bool = False
     never_boots: bool = False
     reboots: int = 0
+    says_serving_too_early: bool = False
+    fails_all_tasks: bool = False
+    tasks: dict = dataclasses.field(default_factory=dict)
+
+    def count_running(self):
+        return self.running + sum(
+            task["phase"] == "running" for task in self.tasks.values()
+        )
 
 
 class FakePlatform:
@@ -37,6 +46,11 @@
         self.boot_ms = boot_ms
         self.now_ms = 0
         self.broken = []
+        self.run_ms = 4_000
+        self.starts = collections.Counter()
+        self.successes = collections.Counter()
+        self.failures_by_worker = collections.Counter()
+        self.usage_factor = {}
 
     def add_worker(self, name, data_centre, rack, pool):
         worker = FakeWorker(name, data_centre, rack, pool)
@@ -47,9 +61,11 @@
         """Lets drains and reboots that are due come to their end."""
         self.now_ms = now_ms
         for worker in self.workers.values():
+            self._end_tasks(worker)
             if worker.phase == "draining" and now_ms >= worker.phase_ends_ms:
                 worker.running = 0
-                worker.phase = "drained"
+                if not worker.count_running():
+                    worker.phase = "drained"
             if worker.phase == "rebooting" and now_ms >= worker.phase_ends_ms:
                 if worker.never_boots:
                     continue
@@ -57,6 +73,7 @@
             if now_ms >= worker.lease_until_ms:
                 # A worker stops its work when nobody renews its lease.
                 worker.running = 0
+                self._lose_results(worker)
             if not worker.is_silent and worker.phase != "down":
                 worker.reported_ms = now_ms
 
@@ -64,6 +81,7 @@
         worker.incarnation += 1
         worker.phase = "serving"
         worker.running = 0
+        self._lose_results(worker)
 
     def take_order(self, order):
         """Carries out one order unless it is meant for an earlier life."""
@@ -75,6 +93,9 @@
         if order["sequence"] < worker.sequence:
             return
         worker.sequence = order["sequence"]
+        if order["task_id"]:
+            self._take_task_order(worker, order)
+            return
         if order["kind"] == "drain" and worker.phase == "serving":
             worker.phase = "draining"
             worker.phase_ends_ms = self.now_ms + self.drain_ms
@@ -94,8 +115,60 @@
             if worker.phase == "drained":
                 worker.phase = "serving"
 
+    def _take_task_order(self, worker, order):
+        task_id = order["task_id"]
+        known = worker.tasks.get(task_id)
+        if order["kind"] == "start":
+            can_start = worker.phase == "serving" and known is None
+            if can_start and self.now_ms < worker.lease_until_ms:
+                self._start_task(worker, task_id, order)
+        elif order["kind"] in ("stop", "checkpoint"):
+            if known is None:
+                # An attempt that is stopped before it starts never starts.
+                worker.tasks[task_id] = {
+                    "phase": "stopped",
+                    "cores_used": 0,
+                    "memory_used_mb": 0,
+                }
+            elif known["phase"] == "running":
+                known["phase"] = "stopped"
+        elif order["kind"] == "forget" and known is not None:
+            if known["phase"] != "running":
+                del worker.tasks[task_id]
+
+    def _start_task(self, worker, task_id, order):
+        self.starts[task_id] += 1
+        if self.starts[task_id] > 1:
+            self.broken.append(f"{task_id} started twice")
+        name = task_id.rpartition(".")[0]
+        for other in self.workers.values():
+            for held, task in other.tasks.items():
+                is_same = held.rpartition(".")[0] == name
+                if is_same and task["phase"] == "running":
+                    self.broken.append(f"{name} runs twice at once")
+        factor = self.usage_factor.get(name.rpartition(".")[0], 1.0)
+        worker.tasks[task_id] = {
+            "phase": "running",
+            "ends_ms": self.now_ms + self.run_ms,
+            "cores_used": int(order["cores"] * factor) or 1,
+            "memory_used_mb": int(order["memory_mb"] * factor) or 1,
+        }
+
+    def _end_tasks(self, worker):
+        for task_id, task in worker.tasks.items():
+            if task["phase"] != "running":
+                continue
+            is_bad = worker.fails_all_tasks or task_id.startswith("bad")
+            if is_bad:
+                task["phase"] = "failed"
+                self.failures_by_worker[worker.name] += 1
+            elif self.now_ms >= task["ends_ms"]:
+                task["phase"] = "succeeded"
+                name = task_id.rpartition(".")[0]
+                self.successes[name] += 1
+
     def _check_empty(self, worker, verb):
-        if worker.running:
+        if worker.count_running():
             self.broken.append(f"{worker.name} {verb} with work on it")
 
     def renew_leases(self, names, lease_ms):
@@ -108,6 +181,14 @@
         worker = self.workers[name]
         worker.phase = "down"
         worker.running = 0
+        self._lose_results(worker)
+
+    def _lose_results(self, worker):
+        """Ends a worker's life, with results that nobody has collected."""
+        for task_id, task in worker.tasks.items():
+            if task["phase"] == "succeeded":
+                self.successes[task_id.rpartition(".")[0]] -= 1
+        worker.tasks = {}
 
     def repair(self, name):
         """Brings a worker back under its old name."""
@@ -129,6 +210,8 @@
             phase = worker.phase
             if worker.says_drained_too_early and phase == "draining":
                 phase = "drained"
+            if worker.says_serving_too_early and phase == "rebooting":
+                phase = "serving"
             reports.append(
                 {
                     "name": worker.name,
@@ -136,10 +219,20 @@
                     "phase": phase,
                     "healthy": worker.healthy,
                     "pool": worker.pool,
-                    "running": worker.running,
+                    "running": worker.count_running(),
+                    "tasks": [
+                        {
+                            "task_id": task_id,
+                            "phase": task["phase"],
+                            "cores_used": task["cores_used"],
+                            "memory_used_mb": task["memory_used_mb"],
+                        }
+                        for task_id, task in worker.tasks.items()
+                    ],
                     "age_ms": self.now_ms - worker.reported_ms,
                     "data_centre": worker.data_centre,
                     "rack": worker.rack,
+                    "sequence": worker.sequence,
                 }
             )
         return reports
--- a/features/fakes/fleet_run.py
+++ b/features/fakes/fleet_run.py
@@ -13,6 +13,7 @@
 from bambookeel.control import fleet_view
 from bambookeel.core import ids
 from bambookeel.core import resources
+from bambookeel.fleet import jobs
 from bambookeel.fleet import planner
 from bambookeel.fleet import records
 from bambookeel.net import platform_client
@@ -37,6 +38,7 @@
         self.now_ms = 1_000
         self.plans = 0
         self.moves = 0
+        self.releases = 0
         self.order_loss = 0.0
         self.report_loss = 0.0
         self.command_loss = 0.0
@@ -44,16 +46,18 @@
         self.last_plan = None
         self.broken = []
         self.known = {}
-        self.declare("configuration", "fleet", {"values": self._tune(values)})
+        self.done_tasks = {}
+        self.declare("configuration", "fleet", {"values": self.tune(values)})
 
     @staticmethod
-    def _tune(values):
+    def tune(values):
         defaults = {
             "hold_ms": 2_000,
             "drain_timeout_ms": 20_000,
             "boot_timeout_ms": 15_000,
             "retry_ms": 5_000,
             "worker_lease_ms": 3_000,
+            "probe_after_ms": 20_000,
         }
         return {k: str(v) for k, v in {**defaults, **values}.items()}
 
@@ -112,14 +116,49 @@
                 self.broken.append(f"{instance.name} changed pool in one step")
             if old.spec.pool != instance.spec.pool:
                 self.moves += bool(instance.spec.pool)
-                if self.platform.workers[instance.name].running:
+                if self.platform.workers[instance.name].count_running():
                     self.broken.append(f"{instance.name} moved with work on it")
+            self._check_reboot(old, instance)
             is_drained = instance.state is resources.InstanceState.DRAINING
             if is_drained and old.state is resources.InstanceState.SERVING:
+                self.releases += bool(instance.moving_to)
                 drained_pools.add(instance.spec.pool)
         for pool in drained_pools:
             self._check_budget(pool)
 
+    def _check_reboot(self, old, instance):
+        is_back = old.state is resources.InstanceState.REBOOTING
+        if is_back and instance.state is resources.InstanceState.SERVING:
+            if self.platform.workers[instance.name].phase == "rebooting":
+                self.broken.append(f"{instance.name} serves while it reboots")
+
+    def _check_done(self):
+        """Asserts that a task that is done stays done."""
+        for (kind, name), resource in self.state.by_key.items():
+            if kind is not resources.Kind.JOB:
+                continue
+            for task in jobs.read_job(resource).tasks:
+                key = (name, task.index)
+                if task.state is jobs.TaskState.DONE:
+                    known = self.done_tasks.setdefault(key, task.attempt)
+                    if known != task.attempt:
+                        self.broken.append(f"{key} is done twice")
+                elif key in self.done_tasks:
+                    self.broken.append(f"{key} is done no more")
+
+    def _check_limits(self):
+        """Asserts that no team runs more than its upper limit."""
+        running = {}
+        for worker in self.platform.workers.values():
+            for task_id, task in worker.tasks.items():
+                if task["phase"] != "running":
+                    continue
+                job = self.get("job", task_id.split(".")[0])
+                running[job.spec.team] = running.get(job.spec.team, 0) + 1
+        for team, count in running.items():
+            if count > self.get("team", team).spec.upper_limit:
+                self.broken.append(f"team {team} runs {count}")
+
     def _check_budget(self, pool):
         spec = self.get("pool", pool).spec
         members = [i for i in self.list_instances() if i.spec.pool == pool]
@@ -185,6 +224,8 @@
         lease_ms = view.tuning.worker_lease_ms
         self.platform.renew_leases(names, lease_ms)
         self.builder.extend_leases(names, self.now_ms + lease_ms)
+        self._check_limits()
+        self._check_done()
         self.broken += self.platform.broken
         assert not self.broken, self.broken
 
--- a/features/fleet/fault_matrix.feature
+++ b/features/fleet/fault_matrix.feature
@@ -17,6 +17,7 @@
       | wave   | own restart        | 12    |
       | wave   | false drain report | 12    |
       | wave   | reboot hangs       | 12    |
+      | wave   | false reboot report | 12    |
       | wave   | orders lost        | 12    |
       | wave   | reports lost       | 12    |
       | wave   | commands lost      | 12    |
--- /dev/null
+++ b/features/steps/fleet_job_steps.py
@@ -0,0 +1,218 @@
+"""Steps for the placement of jobs and the blame for their failures."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.fakes import fleet_run
+
+
+def _build_fleet(seed=1):
+    run = fleet_run.FleetRun(seed)
+    run.add_pool("orders", 6, max_unavailable=2)
+    run.add_pool("labels", 3, max_unavailable=1)
+    run.declare("team", "coach", {"upper_limit": 40})
+    run.declare("team", "school", {"upper_limit": 5})
+    run.run(3)
+    return run
+
+
+def _declare_job(run, name, **spec):
+    run.declare("job", name, {"team": "coach", "pool": "orders", **spec})
+
+
+def _get_job_state(run, name):
+    return run.get("job", name).status.state
+
+
+def _run_until_ended(run, names, steps=200):
+    for _ in range(steps):
+        states = {_get_job_state(run, name) for name in names}
+        if states <= {"done", "parked", "cancelled"}:
+            return
+        run.step()
+
+
+@given("a fleet of jobs with seed {seed:d}")
+def build_job_fleet(context, seed):
+    context.run = _build_fleet(seed)
+    context.jobs = []
+
+
+@given('the fleet worker "{name}" fails every task')
+def break_worker(context, name):
+    context.run.platform.workers[name].fails_all_tasks = True
+
+
+@when("{count:d} good jobs and {bad:d} bad jobs are handed in")
+def hand_in_jobs(context, count, bad):
+    run = context.run
+    names = [f"good-{i}" for i in range(count)]
+    names += [f"bad-{i}" for i in range(bad)]
+    run.random.shuffle(names)
+    for name in names:
+        tasks = run.random.randint(1, 3)
+        _declare_job(run, name, tasks=tasks, cores=run.random.randint(1, 8))
+        run.step()
+    context.jobs = names
+    _run_until_ended(run, names)
+
+
+@then("every good job is done and every bad job is parked")
+def check_jobs(context):
+    run = context.run
+    states = {name: _get_job_state(run, name) for name in context.jobs}
+    for name, state in states.items():
+        expected = "parked" if name.startswith("bad") else "done"
+        assert state == expected, (name, state, run.get("job", name).status)
+    twice = [name for name, n in run.platform.successes.items() if n > 1]
+    assert not twice, twice
+
+
+@then('only the fleet workers "{names}" were quarantined')
+def check_quarantined(context, names):
+    expected = set() if names == "none" else set(names.split(","))
+    found = {
+        instance.name
+        for instance in context.run.list_instances()
+        if instance.state.value == "quarantined"
+    }
+    assert found == expected, found
+
+
+@then('at most {count:d} fleet tasks were wasted on "{name}"')
+def check_wasted(context, count, name):
+    wasted = context.run.platform.failures_by_worker[name]
+    assert wasted <= count, wasted
+
+
+@when('the fleet worker "{name}" is mended and its time has passed')
+def mend_worker(context, name):
+    context.run.platform.workers[name].fails_all_tasks = False
+    context.run.run(60)
+
+
+@when("a job asks for more than any worker of its pool has")
+def hand_in_hopeless(context):
+    _declare_job(context.run, "huge", cores=65)
+    context.run.step()
+
+
+@then("it is parked in the first plan with the reason")
+def check_hopeless(context):
+    status = context.run.get("job", "huge").status
+    assert status.state == "parked", status
+    assert "65 cores" in status.details["reason"], status
+
+
+@when("lesser jobs fill the pool and an urgent job comes")
+def hand_in_urgent(context):
+    run = context.run
+    run.platform.run_ms = 60_000
+    for worker in run.platform.workers.values():
+        assert worker.phase == "serving"
+    _declare_job(run, "filler", tasks=6, cores=60, can_checkpoint=True)
+    run.run(4)
+    _declare_job(run, "siren", cores=30, urgent=True)
+    context.urgent_from_ms = run.now_ms
+    for _ in range(10):
+        run.step()
+        if any(t.startswith("siren") for t in run.platform.starts):
+            break
+
+
+@then("the urgent job starts within {limit_ms:d} ms")
+def check_urgent(context, limit_ms):
+    run = context.run
+    assert run.platform.starts["siren.0.1"] == 1
+    assert run.now_ms - context.urgent_from_ms <= limit_ms
+
+
+@when("a team with an upper limit of 5 hands in {count:d} tasks")
+def hand_in_many(context, count):
+    _declare_job(context.run, "many", team="school", tasks=count)
+    context.jobs = ["many"]
+    _run_until_ended(context.run, context.jobs)
+
+
+@then("all tasks succeeded once and the limit was never exceeded")
+def check_many(context):
+    assert _get_job_state(context.run, "many") == "done"
+    assert set(context.run.platform.successes.values()) == {1}
+
+
+@when("{count:d} jobs are withdrawn at once while they run")
+def withdraw_jobs(context, count):
+    run = context.run
+    names = [f"short-lived-{i}" for i in range(count)]
+    for name in names:
+        _declare_job(run, name)
+    run.run(2)
+    for name in names:
+        _declare_job(run, name, cancelled=True)
+    context.plans = run.plans
+    run.step()
+    context.plans = run.plans - context.plans
+    context.jobs = names
+    run.run(4)
+
+
+@then("one plan ends them all and nothing is left running")
+def check_withdrawn(context):
+    run = context.run
+    assert context.plans == 1
+    for name in context.jobs:
+        assert _get_job_state(run, name) == "cancelled"
+    assert not any(w.tasks for w in run.platform.workers.values())
+
+
+_FAULTS = ("fail", "silence", "restart", "loss", "leader", "wave", "repair")
+
+
+def _strike_jobs(run, i):
+    match run.random.choice(_FAULTS):
+        case "fail":
+            run.platform.fail(run.random.choice(sorted(run.platform.workers)))
+        case "silence":
+            name = run.random.choice(sorted(run.platform.workers))
+            run.platform.workers[name].is_silent = True
+        case "restart":
+            run.platform.restart(
+                run.random.choice(sorted(run.platform.workers))
+            )
+        case "loss":
+            run.order_loss = run.report_loss = run.command_loss = 0.5
+        case "leader":
+            run.step(run.random.randint(0, 3))
+        case "wave":
+            run.declare("wave", f"wave-{i}", {})
+        case "repair":
+            _repair_all(run)
+
+
+def _repair_all(run):
+    run.order_loss = run.report_loss = run.command_loss = 0.0
+    for name in run.platform.workers:
+        run.platform.repair(name)
+
+
+@when("{count:d} jobs are handed in while faults strike")
+def hand_in_under_faults(context, count):
+    run = context.run
+    for i in range(count):
+        name = f"good-{i}"
+        spec = {
+            "tasks": run.random.randint(1, 4),
+            "cores": run.random.randint(1, 30),
+            "urgent": run.random.random() < 0.2,
+            "can_checkpoint": run.random.random() < 0.5,
+            "team": run.random.choice(("coach", "school")),
+        }
+        _declare_job(run, name, **spec)
+        run.platform.usage_factor[name] = run.random.choice((0.25, 1.0, 4.0))
+        context.jobs.append(name)
+        if run.random.random() < 0.3:
+            _strike_jobs(run, i)
+        run.run(run.random.randint(1, 4))
+    _repair_all(run)
+    _run_until_ended(run, context.jobs)
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -53,6 +53,8 @@
             run.platform.restart(subject)
         case "false drain report":
             workers[subject].says_drained_too_early = True
+        case "false reboot report":
+            workers[subject].says_serving_too_early = True
         case "reboot hangs":
             workers[subject].never_boots = True
         case "orders lost":
@@ -77,6 +79,7 @@
     run.order_loss = run.report_loss = run.command_loss = 0.0
     for worker in run.platform.workers.values():
         worker.says_drained_too_early = False
+        worker.says_serving_too_early = False
         if worker.never_boots:
             worker.never_boots = False
         run.platform.repair(worker.name)
@@ -155,6 +158,7 @@
     "own restart",
     "false drain report",
     "reboot hangs",
+    "false reboot report",
     "orders lost",
     "reports lost",
     "commands lost",
