--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -7,8 +7,10 @@
 
 from bambookeel.api import operator_app
 from bambookeel.control import allotment_task
+from bambookeel.control import control_metrics
 from bambookeel.control import events
 from bambookeel.control import lease_task
+from bambookeel.control import planner_task
 from bambookeel.control import replica_task
 from bambookeel.control import stream_task
 from bambookeel.core import ids
@@ -16,6 +18,7 @@
 from bambookeel.core import settings as core_settings
 from bambookeel.net import admin_app
 from bambookeel.net import http_server
+from bambookeel.net import link_config
 from bambookeel.net import links
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
@@ -42,23 +45,26 @@
         self._leases = lease_task.LeaseTask(
             settings.leases, replica, self._links.send
         )
-        self._allotments = allotment_task.AllotmentTask(
-            ids.ProcessId(settings.process_id),
-            settings.leases,
+        self._streams = stream_task.StreamTask(
             replica,
             self._links.send,
+            tuple(ids.ProcessId(p.process_id) for p in settings.entries),
         )
-        self._streams = stream_task.StreamTask(
+        self._allotments = allotment_task.AllotmentTask(
+            ids.ProcessId(settings.process_id),
+            settings.leases,
             replica,
             self._links.send,
-            tuple(ids.ProcessId(p.process_id) for p in settings.entries),
         )
         listeners = [self._streams.mailbox, self._leases.mailbox]
+        self._planner: planner_task.PlannerTask | None = None
+        if settings.platform_address:
+            self._planner = planner_task.PlannerTask(settings, replica)
+            listeners.append(self._planner.mailbox)
         replica.connect(self._links.send, listeners)
-        app = operator_app.OperatorApp(
-            replica.mailbox, settings.bootstrap_key_sha256
-        )
-        self._api = http_server.Server(settings.api_listen, app)
+        self._app = operator_app.OperatorApp(settings, replica, self._streams)
+        control_metrics.show_control(replica, self._streams)
+        self._api = http_server.Server(settings.api_listen, self._app)
         self._admin = http_server.Server(
             settings.admin_listen, admin_app.AdminApp(self.find_unready_reason)
         )
@@ -94,13 +100,7 @@
 
     def _build_links(self) -> links.PeerLinks:
         settings = self._settings
-        peers = settings.control + settings.entries
-        link_settings = links.LinkSettings(
-            settings.peer_listen,
-            {ids.ProcessId(p.process_id): p.address for p in peers},
-            settings.links.heartbeat_ms,
-            settings.links.timeout_ms,
-        )
+        link_settings = link_config.build_link_settings(settings)
         identity = messages.Hello(
             ids.ProcessId(settings.process_id),
             messages.ProcessRole.CONTROL,
@@ -153,6 +153,9 @@
         self._supervisor.start_task("leases", self._leases.run)
         self._supervisor.start_task("allotments", self._allotments.run)
         self._supervisor.start_task("streams", self._streams.run)
+        if self._planner is not None:
+            self._planner.subscribe_timers(self._timers)
+            self._supervisor.start_task("planner", self._planner.run)
         self._links.listen()
         for peer in self._links.get_dialled_peers():
             dial = functools.partial(self._links.dial_forever, peer)
@@ -165,6 +168,7 @@
         """Stops the process's tasks and closes its sockets."""
         self._stopping = True
         logs.log_event("stopping")
+        self._app.stop()
         self._api.stop(timeout=5)
         self._replica.hand_over()
         self._supervisor.stop()
--- a/bambookeel/control/streams.py
+++ b/bambookeel/control/streams.py
@@ -146,11 +146,7 @@
             state: The state after it.
             changed: The changed resources.
         """
-        before = self._state
-        if state.version <= before.version:
-            return
-        if not changed and state.by_key is not before.by_key:
-            self._replace(state)
+        if state.version <= self._state.version:
             return
         self._state = state
         changes: tuple[messages.StateChange, ...] = ()
@@ -174,12 +170,17 @@
                 # Too slow: its end notices the gap by the missing watch.
                 self._watchers.remove(watcher)
 
-    def _replace(self, state: model.State) -> None:
+    def replace(self, state: model.State) -> None:
         """Takes a state whose changes are unknown, such as a snapshot's.
 
+        Subscribers get it whole: what came and went in between is in no
+        difference of two states, but may be in what a subscriber has.
+
         Args:
             state: The state.
         """
+        if state.version <= self._state.version:
+            return
         self._state = state
         self._kept.clear()
         self._kept_after = state.version
@@ -187,6 +188,14 @@
         for peer, subscription in list(self._subscriptions.items()):
             self._send_snapshot(peer, subscription)
 
+    def count_watches(self) -> int:
+        """Counts the watches that get changes.
+
+        Returns:
+            Their number.
+        """
+        return len(self._watchers)
+
     def is_watching(self, watcher: mailbox.Mailbox) -> bool:
         """Tells whether a watch still gets every change.
 
--- a/bambookeel/core/resources.py
+++ b/bambookeel/core/resources.py
@@ -135,6 +135,7 @@
         survive_racks: Whole racks whose loss the pool must survive.
         survive_data_centres: Whole data centres whose loss it must survive.
         lends_spare: Whether other pools may borrow its instances.
+        min_after_loss: Instances that must be left after such a loss.
     """
 
     wanted_size: NonNegativeInt
@@ -142,6 +143,7 @@
     survive_racks: NonNegativeInt = 0
     survive_data_centres: NonNegativeInt = 0
     lends_spare: bool = False
+    min_after_loss: NonNegativeInt = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -155,6 +157,7 @@
         cores: Processor cores.
         memory_mb: Memory in megabytes.
         accelerators: Accelerators.
+        drain_wanted: Whether an operator wants it drained and kept empty.
     """
 
     pool: str
@@ -163,6 +166,7 @@
     cores: PositiveInt = 64
     memory_mb: PositiveInt = 262_144
     accelerators: NonNegativeInt = 0
+    drain_wanted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -201,6 +205,7 @@
         urgent: Whether it goes before the team's other work.
         max_attempts: Failed attempts of a task before the job is parked.
         cancelled: Whether it was withdrawn.
+        can_checkpoint: Whether a stopped task goes on where it was.
     """
 
     team: str
@@ -213,6 +218,7 @@
     urgent: bool = False
     max_attempts: PositiveInt = 4
     cancelled: bool = False
+    can_checkpoint: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bambookeel/net/http_server.py
+++ b/bambookeel/net/http_server.py
@@ -11,6 +11,7 @@
 import http.client
 import socket as plain_socket
 import time
+import traceback
 import typing
 
 import gevent
@@ -22,6 +23,7 @@
 from bambookeel.net import headers
 from bambookeel.net import problem
 from bambookeel.net import request_heads
+from bambookeel.runtime import logs
 
 WsgiApp = Callable[..., typing.Iterable[bytes]]
 
@@ -79,16 +81,30 @@
         self._send_refusal(refusal)
 
     def MessageClass(self, *args: typing.Any) -> typing.Any:  # noqa: N802
-        """Parses the header fields.
+        """Parses and checks the header fields, before pywsgi changes them.
 
         Args:
             *args: The stream, as pywsgi passes it.
 
         Returns:
             The parsed fields.
+
+        Raises:
+            HeadError: If the head is refused.
         """
         reader = request_heads.HeadReader(args[0], self.server.max_header_bytes)
-        return gevent.pywsgi.headers_factory(reader)
+        parsed = gevent.pywsgi.headers_factory(reader)
+        fields = tuple((n, v.strip()) for n, v in parsed.items())
+        request_heads.check_names(fields)
+        fault = headers.find_fault(fields)
+        if parsed.defects or parsed.get_payload():
+            fault = "a line of the head is no header field"
+        if fault:
+            raise request_heads.HeadError(
+                outcomes.Reason.REQUEST_MALFORMED, fault
+            )
+        self._fields = fields
+        return parsed
 
     def read_request(self, raw_requestline: str) -> typing.Any:
         """Reads and checks the header fields within the head's time.
@@ -116,16 +132,6 @@
         request_heads.check_request_line(*words)
         with gevent.Timeout(left_s, late):
             super().read_request(raw_requestline)
-        fields = tuple((n, v.strip()) for n, v in self.headers.items())
-        request_heads.check_names(fields)
-        fault = headers.find_fault(fields)
-        if self.headers.defects or self.headers.get_payload():
-            fault = "a line of the head is no header field"
-        if fault:
-            raise request_heads.HeadError(
-                outcomes.Reason.REQUEST_MALFORMED, fault
-            )
-        self._fields = fields
         return True
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
@@ -190,6 +196,34 @@
         if self._lingers:
             self._linger()
 
+    def handle_error(
+        self, kind: typing.Any, error: typing.Any, trace: typing.Any
+    ) -> None:
+        """Logs a failure of the application and tells the caller the truth.
+
+        Args:
+            kind: The exception's class.
+            error: The exception.
+            trace: Where it came from.
+        """
+        if issubclass(kind, gevent.GreenletExit):
+            self.close_connection = True
+            return
+        lines = traceback.format_exception(kind, error, trace, limit=-8)
+        logs.log_event("request_failed", error=repr(error), trace=lines)
+        self.close_connection = True
+        if self.headers_sent:
+            return
+        failed = outcomes.Unknown(
+            outcomes.Reason.INTERNAL_FAULT, "this process failed the request"
+        )
+        response = problem.build_problem(failed, "")
+        try:
+            self.start_response(response.status, response.headers)
+            self.write(response.body)
+        except OSError:
+            pass
+
     def close_unread(self) -> None:
         """Ends the connection after this answer if the body was not read."""
         stream = self.wsgi_input
@@ -222,7 +256,9 @@
         if self.server.is_draining:
             self.close_connection = True
         super().finalize_headers()
-        if self.close_connection and self.request_version == "HTTP/1.1":
+        if not self.close_connection or self.request_version != "HTTP/1.1":
+            return
+        if all(name != b"Connection" for name, _ in self.response_headers):
             self.response_headers.append((b"Connection", b"close"))
 
     def log_request(self) -> None:
