--- a/bambookeel/dispatch/copies.py
+++ b/bambookeel/dispatch/copies.py
@@ -174,6 +174,9 @@
         The messages.
     """
     asked: list[effects.Effect] = []
+    keys = [
+        key for key in keys if idempotency.is_sure(state.records.by_key[key])
+    ]
     for start in range(0, len(keys), _PART_RECORDS):
         part = tuple(
             idempotency.export(key, state.records.by_key[key], now_ms)
--- a/bambookeel/dispatch/idempotency.py
+++ b/bambookeel/dispatch/idempotency.py
@@ -77,6 +77,18 @@
     restored: bool = False
 
 
+def is_sure(record: Record) -> bool:
+    """Tells whether a record may be told to others.
+
+    Args:
+        record: The record.
+
+    Returns:
+        False for a mere claim, which others would take for a record.
+    """
+    return record.standing > Standing.CLAIMED
+
+
 def put(table: RecordTable, key: ids.IdempotencyKey, record: Record) -> None:
     """Adds or renews a key's record.
 
