Let a resent command wait out an election in its test

Cause: on a loaded machine an election outlasts the replica's own wait, and the test took the true answer 'not run, no leader' for the command's outcome. Ruled out: a lost outcome; the same id gave the first outcome on the next try. Change: the test sends the id again until it has an outcome, as callers do; its assertion on that outcome is unchanged. The process tests take ports by process.

--- a/bambookeel/net/http_server.py
+++ b/bambookeel/net/http_server.py
@@ -196,6 +196,7 @@
         if self._lingers:
             self._linger()
 
+    # pylint: disable-next=arguments-renamed
     def handle_error(
         self, kind: typing.Any, error: typing.Any, trace: typing.Any
     ) -> None:
--- a/features/fakes/replica_group.py
+++ b/features/fakes/replica_group.py
@@ -66,6 +66,13 @@
         self.task.mailbox.put(events.LocalCommand(command, reply))
         return reply.get(timeout=_LIMIT_S)
 
+    def put_team_until_committed(self, name, command_id):
+        with gevent.Timeout(_LIMIT_S):
+            while True:
+                answer = self.put_team(name, command_id)
+                if not isinstance(answer, events.NotCommitted):
+                    return answer
+
     def read_teams(self):
         reply = gevent.event.AsyncResult()
         self.task.mailbox.put(events.LocalRead(reply))
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -4,6 +4,7 @@
 not depend on the machine; `make proof` checks all of them.
 """
 
+import os
 import re
 import subprocess
 import sys
@@ -12,7 +13,8 @@
 from behave import then
 from behave import when
 
-_BASE_PORT = 29_000
+# Each run of the tests takes ports of its own.
+_BASE_PORT = 10_000 + os.getpid() % 180 * 100
 _TIMEOUT_S = 240
 _REQUEST_PROMISES = ("team-key", "whole-answer", "not-run-true", "at-most-once")
 _STATE_PROMISES = ("upper-limit", "no-revert")
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -94,7 +94,7 @@
 @when('command "{command_id}" puts team "{name}" at each running replica')
 def put_at_each(context, command_id, name):
     context.answers = [
-        replica.put_team(name, command_id)
+        replica.put_team_until_committed(name, command_id)
         for replica in context.group.list_running()
     ]
 
