--- a/bambookeel/dispatch/granting.py
+++ b/bambookeel/dispatch/granting.py
@@ -5,6 +5,7 @@
 the least loaded backend server.
 """
 
+import dataclasses
 import heapq
 
 from bambookeel.core import ids
@@ -13,6 +14,7 @@
 from bambookeel.dispatch import effects
 from bambookeel.dispatch import fair_queue
 from bambookeel.dispatch import grant_table
+from bambookeel.dispatch import idempotency
 from bambookeel.dispatch import service
 from bambookeel.dispatch import team_limits
 
@@ -88,6 +90,13 @@
         state.backends, announcement.backend_id, announcement.incarnation
     )
     team_limits.charge(state.limits, request.team)
+    idempotency.note_started(
+        state.records,
+        request.idempotency_key,
+        request.request_id,
+        waiting.entry,
+        waiting.deadline_ms + state.spec.idempotency_ttl_ms,
+    )
     heapq.heappush(state.recharges, (now_ms + int(use_ms) + 1, grant.key))
     grant.message = messages.SlotGranted(
         request.request_id,
@@ -104,6 +113,81 @@
     return effects.Send(waiting.entry, grant.message)
 
 
+def tell_duplicate(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    request: messages.AcquireSlot,
+    record: idempotency.Record,
+) -> effects.Effect:
+    """Tells an entry that another request has its Idempotency-Key.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        request: Its request.
+        record: The key's record.
+
+    Returns:
+        The message.
+    """
+    duplicate = messages.SlotDuplicate(
+        request.request_id,
+        state.service,
+        record.request_id,
+        record.entry,
+        record.finished,
+    )
+    return effects.Send(entry, duplicate)
+
+
+def _find_earlier(
+    state: service.ServiceState, request: messages.AcquireSlot
+) -> idempotency.Record | None:
+    """Looks for another request that has the key by now.
+
+    An entry that is heard late may tell of one while a request waits.
+
+    Args:
+        state: The service's state.
+        request: A request whose turn it is.
+
+    Returns:
+        The record of the other request, or None.
+    """
+    if not request.idempotency_key:
+        return None
+    record = state.records.by_key.get(request.idempotency_key)
+    if record is None or record.request_id == request.request_id:
+        return None
+    return record
+
+
+def reissue(
+    state: service.ServiceState, grant: grant_table.Grant, now_ms: int
+) -> messages.SlotGranted | None:
+    """Grants the same slot again to an entry that asks again.
+
+    Args:
+        state: The service's state.
+        grant: The request's grant, made by this holder.
+        now_ms: The time.
+
+    Returns:
+        The message, or None when nothing may be granted now.
+    """
+    if grant.message is None or not service.may_grant(state, now_ms):
+        return None
+    state.grants.last_id += 1
+    key = (state.epoch, ids.GrantId(state.grants.last_id))
+    grant_table.reissue(state.grants, grant, key)
+    # The entry counts the time to start from its newest question.
+    grant.granted_at_ms = now_ms
+    grant.message = dataclasses.replace(
+        grant.message, grant_id=key[1], waited_ms=0
+    )
+    return grant.message
+
+
 def grant_slots(
     state: service.ServiceState, now_ms: int
 ) -> list[effects.Effect]:
@@ -134,6 +218,13 @@
             continue
         use_ms = service.get_expected_use(state, team.team)
         waiting = fair_queue.start(state.queue, team, use_ms)
+        earlier = _find_earlier(state, waiting.request)
+        if earlier is not None:
+            fair_queue.charge(state.queue, team.team, -use_ms)
+            asked.append(
+                tell_duplicate(state, waiting.entry, waiting.request, earlier)
+            )
+            continue
         asked.append(_grant_slot(state, backend, waiting, use_ms, now_ms))
     if needs_allotment:
         asked.append(effects.AskAllotments())
