Let tasks of jobs share the teams' limits with requests

Cause: tasks counted against an upper limit of their own beside the requests. Change: the planner reports tasks as the service jobs/fleet to the accounts of allotments, which wait for it in a new term; limits go into the view and the invariant; after a plan that changed something the next follows in 150 ms.

--- a/bambookeel/control/allotment_task.py
+++ b/bambookeel/control/allotment_task.py
@@ -6,6 +6,7 @@
 """
 
 from bambookeel.control import events
+from bambookeel.control import job_allotments
 from bambookeel.control import replica_task
 from bambookeel.core import ids
 from bambookeel.core import messages
@@ -27,12 +28,15 @@
         leases: core_settings.LeaseTimings,
         replica: replica_task.ReplicaTask,
         send: replica_task.SendMessage,
+        has_jobs: bool = False,
     ) -> None:
         self.mailbox = mailbox.Mailbox("allotments")
         self._process_id = process_id
         self._leases = leases
         self._replica = replica
         self._send = send
+        # Whether the planner runs tasks that count against the limits.
+        self._has_jobs = has_jobs
         self._keeper = allotments.Keeper()
         self._rules: allotments.Rules | None = None
         self._holders: dict[ids.ServiceName, ids.ProcessId] = {}
@@ -115,6 +119,9 @@
                     service = ids.ServiceName(name)
                     epochs[service] = ids.Epoch(epoch)
                     self._holders[service] = ids.ProcessId(holder)
+        if self._has_jobs:
+            # No limit is divided anew before the tasks have been counted.
+            epochs[job_allotments.JOBS_SERVICE] = allotments.FIRST_EPOCH
         self._rules = allotments.Rules(limits, epochs)
         self._rules_version = state.version
         return self._rules
--- a/bambookeel/control/fleet_view.py
+++ b/bambookeel/control/fleet_view.py
@@ -83,7 +83,11 @@
             self._lease_until_ms[name] = max(held_ms, until_ms)
 
     def build_view(
-        self, by_key: _ResourceMap, now_ms: int, wall_ms: int
+        self,
+        by_key: _ResourceMap,
+        now_ms: int,
+        wall_ms: int,
+        task_limits: Mapping[str, int] | None = None,
     ) -> records.FleetView:
         """Builds the view.
 
@@ -91,6 +95,8 @@
             by_key: All resources.
             now_ms: The leader's monotonic time.
             wall_ms: Wall time.
+            task_limits: Tasks that each team may run; None where only its
+                upper limit counts.
 
         Returns:
             The view.
@@ -126,6 +132,7 @@
             tuning=tuning,
             job_records=fresh[resources.Kind.JOB],
             teams=teams,
+            task_limits=task_limits,
         )
 
     def _build_leases(
@@ -173,4 +180,5 @@
                 tasks,
             )
         )
-    return hash(tuple(parts))
+    limits = tuple(sorted((view.task_limits or {}).items()))
+    return hash((tuple(parts), limits))
--- a/bambookeel/control/planner_task.py
+++ b/bambookeel/control/planner_task.py
@@ -13,11 +13,14 @@
 from bambookeel.control import events
 from bambookeel.control import fleet_commands
 from bambookeel.control import fleet_view
+from bambookeel.control import job_allotments
 from bambookeel.control import replica_task
 from bambookeel.core import ids
+from bambookeel.core import messages
 from bambookeel.core import resources
 from bambookeel.core import settings as core_settings
 from bambookeel.fleet import changes
+from bambookeel.fleet import jobs
 from bambookeel.fleet import planner
 from bambookeel.fleet import records
 from bambookeel.net import platform_client
@@ -28,6 +31,8 @@
 from bambookeel.state import commands
 
 _TICK_MS = 500
+# Time until the next plan after one that has changed something.
+_BUSY_TICK_MS = 150
 # How long a plan's commands may take before the state is planned from anew.
 _COMMIT_TIMEOUT_S = 5.0
 # A renewal that timed out may reach a worker this much later.
@@ -43,9 +48,12 @@
         self,
         settings: core_settings.ControlSettings,
         replica: replica_task.ReplicaTask,
+        accounts: mailbox.Mailbox,
         client: platform_client.PlatformClient | None = None,
     ) -> None:
         self.mailbox = mailbox.Mailbox("planner")
+        self._accounts = accounts
+        self._allotments = job_allotments.JobAllotments()
         self._replica = replica
         self._process_id = settings.process_id
         self._client = client or platform_client.PlatformClient(
@@ -57,6 +65,7 @@
         # What the last plan with nothing to do was made from, and when.
         self._quiet_inputs: tuple[ids.StateVersion, int] | None = None
         self._quiet_ms = 0
+        self._pause_ms = _TICK_MS
         self._started_ms = clock.read_wall_ms()
 
     def subscribe_timers(self, service: timers.TimerService) -> None:
@@ -77,19 +86,24 @@
                         self._plan_once()
                     finally:
                         self._schedule_next()
+                case events.FromPeer(_, messages.AllotmentReply() as reply):
+                    self._allotments.take_reply(reply)
                 case events.LeadershipChanged():
+                    self._allotments.forget()
                     # What was heard under another term proves nothing now.
                     self._builder.forget_reports()
                     self._quiet_inputs = None
 
     def _schedule_next(self) -> None:
         if self._timers is not None:
-            self._timers.schedule(self.mailbox, _TICK_MS, events.Tick())
+            self._timers.schedule(self.mailbox, self._pause_ms, events.Tick())
+            self._pause_ms = _TICK_MS
 
     def _plan_once(self) -> None:
         sent_ms = clock.read_now_ms()
         if not self._replica.view.leads(sent_ms):
             return
+        self._ask_for_allotments()
         match self._client.fetch_reports(sent_ms):
             case result.Success(reports):
                 self._builder.take_reports(reports, sent_ms)
@@ -103,10 +117,12 @@
         current = self._replica.view
         if not current.leads(now_ms):
             return
+        limits = self._allotments.get_limits(current.term)
         view = self._builder.build_view(
-            current.state.by_key, now_ms, clock.read_wall_ms()
+            current.state.by_key, now_ms, clock.read_wall_ms(), limits
         )
-        inputs = (current.state.version, fleet_view.sign_inputs(view))
+        signature = fleet_view.sign_inputs(view)
+        inputs = (current.state.version, signature)
         if inputs == self._quiet_inputs:
             if now_ms - self._quiet_ms < _IDLE_PLAN_MS:
                 self._renew_leases(view)
@@ -115,6 +131,7 @@
         is_quiet = plan == changes.Plan()
         self._quiet_inputs = inputs if is_quiet else None
         self._quiet_ms = now_ms
+        self._pause_ms = _TICK_MS if is_quiet else _BUSY_TICK_MS
         took_ms = clock.read_now_ms() - now_ms
         self._commit(view, plan, current.term)
         self._send_orders(plan)
@@ -128,6 +145,17 @@
                 took_ms=took_ms,
             )
 
+    def _ask_for_allotments(self) -> None:
+        """Reports tasks to the accounts of the teams' limits."""
+        all_jobs = [
+            jobs.read_job(resource)
+            for (kind, _), resource in self._replica.view.state.by_key.items()
+            if kind is resources.Kind.JOB
+        ]
+        request = self._allotments.build_request(all_jobs)
+        own_id = ids.ProcessId(self._process_id)
+        self._accounts.put(events.FromPeer(own_id, request))
+
     def _commit(
         self, view: records.FleetView, plan: changes.Plan, term: ids.Term
     ) -> None:
--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -54,12 +54,15 @@
             ids.ProcessId(settings.process_id),
             settings.leases,
             replica,
-            self._links.send,
+            self._send_or_deliver,
+            has_jobs=bool(settings.platform_address),
         )
         listeners = [self._streams.mailbox, self._leases.mailbox]
         self._planner: planner_task.PlannerTask | None = None
         if settings.platform_address:
-            self._planner = planner_task.PlannerTask(settings, replica)
+            self._planner = planner_task.PlannerTask(
+                settings, replica, self._allotments.mailbox
+            )
             listeners.append(self._planner.mailbox)
         replica.connect(self._links.send, listeners)
         self._app = operator_app.OperatorApp(settings, replica, self._streams)
@@ -110,6 +113,23 @@
         )
         return links.PeerLinks(link_settings, identity, self._deliver)
 
+    def _send_or_deliver(
+        self, peer: ids.ProcessId, message: messages.Message
+    ) -> bool:
+        """Sends a message, which may be for a task of this process.
+
+        Args:
+            peer: The process.
+            message: The message.
+
+        Returns:
+            Whether it is on its way.
+        """
+        if peer == self._settings.process_id:
+            self._deliver(links.Received(peer, message))
+            return True
+        return self._links.send(peer, message)
+
     def _deliver(
         self, event: links.LinkUp | links.Received | links.LinkDown
     ) -> None:
@@ -126,6 +146,9 @@
                 self._streams.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, messages.AllotmentRequest() as message):
                 self._allotments.mailbox.put(events.FromPeer(peer, message))
+            case links.Received(peer, messages.AllotmentReply() as message):
+                if self._planner is not None:
+                    self._planner.mailbox.put(events.FromPeer(peer, message))
             case links.Received(peer, message):
                 self._replica.mailbox.put(events.FromPeer(peer, message))
             case links.LinkDown(peer):
--- a/bambookeel/fleet/invariants.py
+++ b/bambookeel/fleet/invariants.py
@@ -101,6 +101,8 @@
             )
     for team in sorted(started):
         limit = view.teams[team].upper_limit
+        if view.task_limits is not None:
+            limit = min(limit, view.task_limits.get(team, 0))
         faults.check_invariant(
             running[team] <= limit,
             f"team {team} runs {running[team]} of at most {limit}",
--- a/bambookeel/fleet/placement.py
+++ b/bambookeel/fleet/placement.py
@@ -155,7 +155,12 @@
 
     def _is_at_limit(self, team: str) -> bool:
         spec = self._view.teams.get(team)
-        return spec is None or self.running_by_team[team] >= spec.upper_limit
+        if spec is None:
+            return True
+        limit = spec.upper_limit
+        if self._view.task_limits is not None:
+            limit = min(limit, self._view.task_limits.get(team, 0))
+        return self.running_by_team[team] >= limit
 
     def _find_share(self, team: str) -> float:
         """Finds what a team has in relation to its share."""
--- a/bambookeel/fleet/records.py
+++ b/bambookeel/fleet/records.py
@@ -209,6 +209,8 @@
         tuning: Timings and weights.
         job_records: Jobs by name.
         teams: Teams by name.
+        task_limits: Tasks that each team may run by its allotment; None where
+            only its upper limit counts.
     """
 
     now_ms: int
@@ -225,6 +227,7 @@
     teams: Mapping[str, resources.TeamSpec] = dataclasses.field(
         default_factory=dict
     )
+    task_limits: Mapping[str, int] | None = None
 
 
 def _read_int(details: Mapping[str, str], name: str) -> int:
