--- a/bambookeel/net/http_server.py
+++ b/bambookeel/net/http_server.py
@@ -197,20 +197,20 @@
             self._linger()
 
     def handle_error(
-        self, kind: typing.Any, error: typing.Any, trace: typing.Any
+        self, t: typing.Any, v: typing.Any, tb: typing.Any
     ) -> None:
         """Logs a failure of the application and tells the caller the truth.
 
         Args:
-            kind: The exception's class.
-            error: The exception.
-            trace: Where it came from.
+            t: The exception's class.
+            v: The exception.
+            tb: Where it came from.
         """
-        if issubclass(kind, gevent.GreenletExit):
+        if issubclass(t, gevent.GreenletExit):
             self.close_connection = True
             return
-        lines = traceback.format_exception(kind, error, trace, limit=-8)
-        logs.log_event("request_failed", error=repr(error), trace=lines)
+        lines = traceback.format_exception(t, v, tb, limit=-8)
+        logs.log_event("request_failed", error=repr(v), trace="".join(lines))
         self.close_connection = True
         if self.headers_sent:
             return
@@ -261,6 +261,27 @@
         if all(name != b"Connection" for name, _ in self.response_headers):
             self.response_headers.append((b"Connection", b"close"))
 
+    def _write_with_headers(self, data: bytes) -> None:
+        """Writes the head, together with a body that is not large.
+
+        Args:
+            data: The first part of the body.
+        """
+        if len(data) > _JOIN_BYTES:
+            super()._write_with_headers(data)
+            return
+        self.headers_sent = True
+        self.finalize_headers()
+        parts = [b"HTTP/1.1 ", self.status, b"\r\n"]
+        for name, value in self.response_headers:
+            parts += (name, b": ", value, b"\r\n")
+        parts.append(b"\r\n")
+        if data and self.response_use_chunked:
+            parts += (b"%x\r\n" % len(data), data, b"\r\n")
+        else:
+            parts.append(data)
+        self._sendall(b"".join(parts))
+
     def log_request(self) -> None:
         """Logs nothing; requests are logged as events."""
 
