--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -604,13 +604,17 @@
 class KeepRecords:
     """Asks a process to keep copies of a service's idempotency records.
 
-    A record with `remaining_ms` 0 is to be dropped.
+    A record with `remaining_ms` 0 is to be dropped. For `incomplete_ms` records
+    of the service may be missing everywhere. With `restored` the process has
+    again everything that it should keep.
     """
 
     service: ids.ServiceName
     epoch: ids.Epoch
     nonce: int
     records: tuple[IdempotencyRecord, ...]
+    incomplete_ms: int = 0
+    restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -637,12 +641,16 @@
     Attributes:
         uptime_ms: Age of the process; what an earlier life of it has
             outstanding is not in its `RecoverReply`.
+        incomplete_ms: For how long records may be missing, as it was told.
+        restored: Whether a holder has given it everything since its start.
     """
 
     service: ids.ServiceName
     epoch: ids.Epoch
     uptime_ms: int
     records: tuple[IdempotencyRecord, ...]
+    incomplete_ms: int = 0
+    restored: bool = False
 
 
 # The order gives each message its number on the wire: append only.
--- a/bambookeel/dispatch/recovery.py
+++ b/bambookeel/dispatch/recovery.py
@@ -12,14 +12,15 @@
 
 from bambookeel.core import ids
 from bambookeel.core import messages
+from bambookeel.dispatch import admission
 from bambookeel.dispatch import announcing
 from bambookeel.dispatch import backend_table
 from bambookeel.dispatch import copies
 from bambookeel.dispatch import effects
-from bambookeel.dispatch import ending
 from bambookeel.dispatch import grant_table
 from bambookeel.dispatch import granting
 from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import outstanding
 from bambookeel.dispatch import service
 from bambookeel.dispatch import team_limits
 
@@ -27,6 +28,8 @@
 _ANSWER_WAIT_MS = 1_500
 # An unanswered question is repeated after this time.
 _ASK_AGAIN_MS = 300
+# Time after which no answer to an earlier question is under way.
+_ANSWERS_END_MS = 5_000
 _FIRST_EPOCH = ids.Epoch(1)
 
 
@@ -85,6 +88,7 @@
         return []
     if account.asked_at_ms is None:
         account.asked_at_ms = now_ms
+        account.lists_until_ms = now_ms
     account.repeated_at_ms = now_ms
     recover = messages.RecoverRequest(state.service, state.epoch)
     records = messages.RecordsRequest(state.service, state.epoch)
@@ -115,6 +119,30 @@
     return ask_entry(state, entry, now_ms)
 
 
+def ask_again(
+    state: service.ServiceState, entry: ids.ProcessId, now_ms: int
+) -> list[effects.Effect]:
+    """Asks a linked entry once more, because a release may have gone astray.
+
+    Args:
+        state: The service's state.
+        entry: The entry.
+        now_ms: The time.
+
+    Returns:
+        Questions to the entry; none while one is open.
+    """
+    account = state.accounts.get(entry)
+    if account is None or not account.is_heard():
+        return []
+    account.told_outstanding = False
+    account.asked_at_ms = None
+    asked = ask_entry(state, entry, now_ms)
+    # An answer to a repeated question may still be under way.
+    account.lists_until_ms = now_ms - _ANSWERS_END_MS
+    return asked
+
+
 def take_entry_down(state: service.ServiceState, entry: ids.ProcessId) -> None:
     """Takes in the loss of a link; grants of the entry go on counting.
 
@@ -145,9 +173,17 @@
     account = state.accounts.get(entry)
     if reply.epoch != state.epoch or account is None:
         return []
-    idempotency.merge(state.records, reply.records, now_ms)
+    idempotency.recover(state.records, reply.records, frozenset(), now_ms)
+    incomplete_until_ms = now_ms + reply.incomplete_ms
+    if reply.incomplete_ms and not state.ready:
+        state.records.inherited_until_ms = max(
+            state.records.inherited_until_ms, incomplete_until_ms
+        )
     account.alive_since_ms = now_ms - reply.uptime_ms
-    asked = copies.restore_copies(state, entry, reply, now_ms)
+    account.restored = reply.restored
+    asked: list[effects.Effect] = []
+    if state.ready and not reply.restored:
+        asked.extend(copies.restore_copies(state, entry, now_ms))
     asked.extend(check_progress(state, now_ms))
     return asked
 
@@ -174,10 +210,16 @@
         return []
     if account.asked_at_ms is None or account.told_outstanding:
         return []
-    idempotency.merge(state.records, reply.records, now_ms)
-    _drop_lost_grants(state, entry, reply, account)
-    for outstanding in reply.outstanding:
-        _add_outstanding(state, entry, outstanding, now_ms)
+    granted = {told.request_id for told in reply.outstanding}
+    claimed = frozenset(
+        record.request_id
+        for record in reply.records
+        if not record.finished and record.request_id not in granted
+    )
+    idempotency.recover(state.records, reply.records, claimed, now_ms)
+    outstanding.drop_lost_grants(state, entry, reply, account)
+    for told in reply.outstanding:
+        outstanding.add_told(state, entry, told, now_ms)
     account.told_outstanding = True
     asked: list[effects.Effect] = []
     for announcement in reply.announcements:
@@ -186,77 +228,6 @@
     return asked
 
 
-def _drop_lost_grants(
-    state: service.ServiceState,
-    entry: ids.ProcessId,
-    reply: messages.RecoverReply,
-    account: service.EntryAccount,
-) -> None:
-    """Ends grants that were lost on their way to an entry.
-
-    A grant made before the question, to the same life of the entry, and not in
-    its answer was lost with an older link.
-
-    Args:
-        state: The service's state.
-        entry: The entry.
-        reply: Its answer.
-        account: What was heard of it before.
-    """
-    if account.alive_since_ms is None or account.asked_at_ms is None:
-        return
-    alive_since_ms = account.alive_since_ms
-    listed = {outstanding.request_id for outstanding in reply.outstanding}
-    for grant in ending.get_outstanding_of(state, entry):
-        if grant.request_id in listed:
-            continue
-        if alive_since_ms < grant.granted_at_ms < account.asked_at_ms:
-            ending.end_unknown_to_entry(state, grant)
-
-
-def _add_outstanding(
-    state: service.ServiceState,
-    entry: ids.ProcessId,
-    outstanding: messages.OutstandingRequest,
-    now_ms: int,
-) -> None:
-    """Counts a request that an entry has outstanding.
-
-    Args:
-        state: The service's state.
-        entry: The entry.
-        outstanding: The request.
-        now_ms: The time.
-    """
-    if outstanding.request_id in state.grants.by_request:
-        return
-    key = (outstanding.epoch, outstanding.grant_id)
-    if key in state.grants.by_key:
-        return
-    grant = grant_table.Grant(
-        key,
-        entry,
-        outstanding.request_id,
-        outstanding.team,
-        outstanding.backend_id,
-        outstanding.incarnation,
-        now_ms,
-        now_ms + max(0, outstanding.remaining_ms) + grant_table.GRACE_MS,
-        idempotency_key=outstanding.idempotency_key,
-    )
-    grant_table.add(state.grants, grant)
-    backend_table.use_slot(
-        state.backends, outstanding.backend_id, outstanding.incarnation
-    )
-    team_limits.charge(state.limits, outstanding.team)
-    # It was counted as unheard or unseen until now.
-    limit = team_limits.get_limit(state.limits, outstanding.team)
-    limit.unheard = max(0, limit.unheard - 1)
-    backend = state.backends.by_id.get(outstanding.backend_id)
-    if backend is not None:
-        backend.unseen = max(0, backend.unseen - 1)
-
-
 def _has_everything(state: service.ServiceState) -> bool:
     if state.started_at_ms is None:
         return False
@@ -294,9 +265,9 @@
     waited_ms = now_ms - state.started_at_ms
     if state.counts_all or not missing or waited_ms >= _ANSWER_WAIT_MS:
         state.ready = True
-    copies.check_records(state)
+    asked.extend(copies.check_records(state, now_ms))
     if now_ms >= state.limits.unheard_until_ms and not state.counts_all:
-        _finish_accounts(state)
+        _bound_unheard(state)
     if state.ready and not was_ready:
         fields: dict[str, str | int | float] = {
             "service": state.service,
@@ -308,6 +279,8 @@
         asked.append(effects.Record("dispatch_ready", fields))
         asked.append(effects.AskAllotments())
         asked.extend(copies.spread_records(state, now_ms))
+        asked.extend(copies.restore_all(state, now_ms))
+        asked.extend(admission.take_early(state, now_ms))
         asked.extend(granting.grant_slots(state, now_ms))
     return asked
 
@@ -330,6 +303,23 @@
     account.covered = account.alive_since_ms + longest_ms <= now_ms
 
 
+def _bound_unheard(state: service.ServiceState) -> None:
+    """Bounds what is unheard past the longest deadline.
+
+    Only answers that stream can still be running, and the backend servers
+    count them.
+
+    Args:
+        state: The service's state.
+    """
+    state.limits.complete = True
+    unseen = 0
+    for backend in state.backends.by_id.values():
+        unseen += backend.unseen
+    for limit in state.limits.by_team.values():
+        limit.unheard = min(limit.unheard, unseen)
+
+
 def _finish_accounts(state: service.ServiceState) -> None:
     """Ends what was counted for unheard entries.
 
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -288,6 +288,8 @@
   epoch @1 :Int64;
   nonce @2 :Int64;
   records @3 :List(IdempotencyRecord);
+  incompleteMs @4 :Int64;
+  restored @5 :Bool;
 }
 
 struct RecordsKept {
@@ -306,6 +308,8 @@
   epoch @1 :Int64;
   uptimeMs @2 :Int64;
   records @3 :List(IdempotencyRecord);
+  incompleteMs @4 :Int64;
+  restored @5 :Bool;
 }
 
 struct LogEntry {
--- a/dev/run_deployment.py
+++ b/dev/run_deployment.py
@@ -82,7 +82,7 @@
     """Starts the deployment, sends the requests, stops it."""
     folder = pathlib.Path(_FOLDER.value) / time.strftime("%Y%m%d-%H%M%S")
     running = deployment.Deployment(
-        folder, deployment.Shape(), _BASE_PORT.value
+        folder, deployment.Shape(has_platform=True), _BASE_PORT.value
     )
     outcome = None
     try:
