--- a/bambookeel/entry/kept_answers.py
+++ b/bambookeel/entry/kept_answers.py
@@ -14,6 +14,8 @@
 from bambookeel.core import outcomes
 
 _MAX_RECORDS = 50_000
+# Expired records that one new key makes room from.
+_DROPPED_AT_ONCE = 100
 # No single answer may take more than this part of the memory.
 _LARGEST_PART = 16
 
@@ -133,9 +135,20 @@
         return True
 
     def _drop_expired(self, now_ms: int) -> None:
-        for record in list(self._records.values()):
-            if record.result is not None and record.expires_at_ms <= now_ms:
-                self._drop(record)
+        """Drops the oldest records whose time is over, a few at once.
+
+        Args:
+            now_ms: The time.
+        """
+        for _ in range(min(_DROPPED_AT_ONCE, len(self._records))):
+            key, record = next(iter(self._records.items()))
+            if record.result is None:
+                # It still runs; the next round looks at those behind it.
+                self._records.move_to_end(key)
+                continue
+            if record.expires_at_ms > now_ms:
+                return
+            self._drop(record)
 
     def _drop(self, record: Record) -> None:
         self._forget_answer(record)
