Store and publish a burst of changes as a whole at entries

Cause: an entry with a data folder synced its version file for each change, so a flow of changes faster than its disk let the key table's lease lapse.

Ruled out: storing by a timer (a version would be served before it lasts).

Change: while messages wait, up to 100, the view is neither stored nor published.

--- a/bambookeel/entry/follower_task.py
+++ b/bambookeel/entry/follower_task.py
@@ -28,6 +28,8 @@
 SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
 # Heartbeats that may be unanswered at once.
 _MAX_PENDING = 64
+# Messages that may be handled before a new view is published.
+_MAX_UNPUBLISHED = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +66,8 @@
         self._nonce = 0
         self._pending: dict[int, _PendingHeartbeat] = {}
         self._stopping = False
+        # Messages handled since a view that is not yet published.
+        self._unpublished = 0
         # The state version that control told first. An assignment up to it
         # was made to an earlier life of this process and is given up.
         self._born_version: ids.StateVersion | None = None
@@ -84,7 +88,26 @@
     def run(self) -> None:
         """Handles messages until the task is killed."""
         while True:
-            self._handle(self.mailbox.get())
+            self.take_event(self.mailbox.get())
+
+    def take_event(self, event: object) -> None:
+        """Handles one message, and publishes what has come in so far.
+
+        While more messages wait, nothing is published, so that a burst of
+        changes is stored once; but for so many only.
+
+        Args:
+            event: The message.
+        """
+        self._handle(event)
+        current = self._subscription.view
+        if current is self.view:
+            return
+        self._unpublished += 1
+        if self.mailbox.get_depth() and self._unpublished < _MAX_UNPUBLISHED:
+            return
+        self._unpublished = 0
+        self._publish(current)
 
     def _handle(self, event: object) -> None:
         match event:
@@ -99,8 +122,7 @@
                     subscription.take_peer_down(self._subscription, peer)
                 )
             case events.FromPeer(peer, messages.ChangeBatch() as batch):
-                if subscription.take_batch(self._subscription, peer, batch):
-                    self._publish(self._subscription.view)
+                subscription.take_batch(self._subscription, peer, batch)
             case events.FromPeer(peer, messages.EntryHeartbeatReply() as reply):
                 self._take_reply(reply)
             case events.StopDispatching():
--- a/features/followers/restart.feature
+++ b/features/followers/restart.feature
@@ -5,6 +5,11 @@
     When control-0 sends the state of version 4
     Then version 4 was stored before it was published
 
+  Scenario: A burst of changes is stored a few times only
+    Given an entry with a data folder that follows control-0
+    When 500 changes wait in its mailbox and are handled
+    Then at most 10 versions were stored and the last one is served
+
   Scenario: An older state is not trusted after a restart
     Given an entry with a data folder that follows control-0
     When control-0 sends the state of version 4
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -23,8 +23,7 @@
 
 
 def _handle(context, event):
-    # pylint: disable-next=protected-access
-    context.task._handle(event)
+    context.task.take_event(event)
 
 
 def _start_entry(context):
@@ -81,6 +80,31 @@
     _handle(context, events.FromPeer(_CONTROL, batch))
 
 
+@when("{number:d} changes wait in its mailbox and are handled")
+def handle_burst(context, number):
+    _send_state(context, 1)
+    context.order.clear()
+    state = fake_commits.commit_team(model.State(), "coach", 1).state
+    for i in range(number):
+        applied = fake_commits.commit_team(state, "coach", i)
+        state = applied.state
+        change = messages.StateChange(
+            state.version, model.encode_changes(applied.changed)
+        )
+        batch = messages.ChangeBatch(False, True, state.version, (change,), 1)
+        context.task.mailbox.put(events.FromPeer(_CONTROL, batch))
+    while context.task.mailbox.get_depth():
+        context.task.take_event(context.task.mailbox.get())
+    context.state = state
+
+
+@then("at most {number:d} versions were stored and the last one is served")
+def check_stores(context, number):
+    assert len(context.order) <= number, len(context.order)
+    assert context.task.view.version == context.state.version
+    assert context.task.view.by_key == context.state.by_key
+
+
 @when("control-0 sends the state of version {version:d}")
 def send_state(context, version):
     _send_state(context, version)
