--- a/bambookeel/entry/dispatcher_task.py
+++ b/bambookeel/entry/dispatcher_task.py
@@ -19,11 +19,11 @@
 from bambookeel.dispatch import announcing
 from bambookeel.dispatch import dispatcher
 from bambookeel.dispatch import effects
-from bambookeel.dispatch import idempotency
 from bambookeel.dispatch import recovery
 from bambookeel.dispatch import service as dispatch_service
 from bambookeel.entry import allotment_client
 from bambookeel.entry import events
+from bambookeel.entry import record_keeper
 from bambookeel.entry import view
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
@@ -53,14 +53,11 @@
         self.mailbox = mailbox.Mailbox("dispatcher")
         self._deployment = deployment
         self._process_id = deployment.process_id
-        self._born_at_ms = born_at_ms
-        self._services: dict[ids.ServiceName, dispatch_service.ServiceState] = (
-            {}
-        )
+        self.services: dict[ids.ServiceName, dispatch_service.ServiceState] = {}
         self._holders: dict[ids.ServiceName, ids.ProcessId] = {}
         self._linked: set[ids.ProcessId] = set()
         self._store = announcement_store.AnnouncementStore()
-        self._copies: dict[ids.ServiceName, idempotency.RecordTable] = {}
+        self._records = record_keeper.RecordKeeper(born_at_ms)
         self._allotments = allotment_client.AllotmentClient(
             control, leases.report_ms
         )
@@ -136,14 +133,14 @@
             case events.FromPeer(peer, message):
                 self._handle_message(peer, message, now_ms)
             case events.Tick():
-                for state in self._services.values():
+                for state in self.services.values():
                     self._perform(dispatcher.handle_tick(state, now_ms))
             case AllotmentTick():
                 self._report_demands(now_ms)
             case events.ViewChanged(current):
                 self._take_view(current, now_ms)
             case events.LeaseRenewed(service, epoch, until_ms):
-                held = self._services.get(service)
+                held = self.services.get(service)
                 if held is not None and held.epoch == epoch:
                     reachable = self._linked | {self._process_id}
                     self._perform(
@@ -155,7 +152,7 @@
                 self._take_entry_up(peer, now_ms)
             case events.PeerDown(peer):
                 self._linked.discard(peer)
-                for state in self._services.values():
+                for state in self.services.values():
                     recovery.take_entry_down(state, peer)
             case events.StopDispatching():
                 self._stop_dispatching()
@@ -163,14 +160,14 @@
     def _stop_dispatching(self) -> None:
         """Gives up every lease, then lets the follower tell control."""
         self._stopping = True
-        for state in self._services.values():
+        for state in self.services.values():
             self._perform(dispatcher.release_lease(state))
         if self._follower is not None:
             self._follower.put(events.StopDispatching())
 
     def _take_entry_up(self, peer: ids.ProcessId, now_ms: int) -> None:
         self._linked.add(peer)
-        for state in self._services.values():
+        for state in self.services.values():
             self._perform(recovery.take_entry_up(state, peer, now_ms))
         for service, holder in self._holders.items():
             if holder == peer:
@@ -204,11 +201,11 @@
                 continue
             held[service] = state
             dispatcher.set_teams(state, teams)
-        for service, state in self._services.items():
+        for service, state in self.services.items():
             if held.get(service) is not state:
                 self._end_state(state)
-        added = [s for n, s in held.items() if self._services.get(n) is not s]
-        self._services = held
+        added = [s for n, s in held.items() if self.services.get(n) is not s]
+        self.services = held
         for state in added:
             for announcement in announcement_store.list_fresh(
                 self._store, state.service, now_ms
@@ -241,7 +238,7 @@
                 self._tell_holder(service, holder, now_ms)
             return None
         self._holders[service] = holder
-        state = self._services.get(service)
+        state = self.services.get(service)
         if state is None or state.epoch != assigned.epoch:
             held_epoch = state.epoch if state else 0
             dispatcher.check_epoch(held_epoch, assigned.epoch)
@@ -262,17 +259,9 @@
             state: Its state; its idempotency records are kept as copies.
         """
         self._perform(dispatcher.release_lease(state))
-        copies = self._get_copies(state.service)
-        for key, record in state.records.by_key.items():
-            idempotency.put(copies, key, record)
-        copies.incomplete_until_ms = max(
-            copies.incomplete_until_ms, state.records.incomplete_until_ms
-        )
+        self._records.take_over(state)
         logs.log_event("dispatch_end", service=state.service, epoch=state.epoch)
 
-    def _get_copies(self, service: ids.ServiceName) -> idempotency.RecordTable:
-        return self._copies.setdefault(service, idempotency.RecordTable())
-
     def _handle_message(
         self, peer: ids.ProcessId, message: messages.Message, now_ms: int
     ) -> None:
@@ -282,26 +271,18 @@
             case messages.AllotmentReply():
                 self._take_allotments(peer, message, now_ms)
             case messages.KeepRecords():
-                copies = self._get_copies(message.service)
-                idempotency.keep_copies(copies, message.records, now_ms)
-                idempotency.drop_expired(copies, now_ms)
-                copies.incomplete_until_ms = max(
-                    copies.incomplete_until_ms, now_ms + message.incomplete_ms
-                )
-                if message.nonce:
-                    kept = messages.RecordsKept(
-                        message.service, message.epoch, message.nonce
-                    )
-                    self._send(peer, kept)
+                self._perform(self._records.keep(peer, message, now_ms))
             case messages.RecordsRequest():
-                self._tell_records(peer, message, now_ms)
+                state = self.services.get(message.service)
+                told = self._records.tell(peer, message, state, now_ms)
+                self._perform([told])
             case _:
                 self._handle_service_message(peer, message, now_ms)
 
     def _handle_service_message(
         self, peer: ids.ProcessId, message: messages.Message, now_ms: int
     ) -> None:
-        state = self._services.get(message.service)
+        state = self.services.get(message.service)
         if state is None:
             self._refuse(peer, message)
             self._forward_release(message)
@@ -343,7 +324,7 @@
         """
         if not announcement_store.keep(self._store, announcement, now_ms):
             return
-        state = self._services.get(announcement.service)
+        state = self.services.get(announcement.service)
         if state is not None:
             self._perform(
                 announcing.take_announcement(state, announcement, now_ms)
@@ -354,46 +335,9 @@
             announcement_store.pass_on(announcement, holder, self._linked)
         )
 
-    def _tell_records(
-        self,
-        peer: ids.ProcessId,
-        request: messages.RecordsRequest,
-        now_ms: int,
-    ) -> None:
-        """Tells a new holder which idempotency records are kept here.
-
-        Args:
-            peer: The holder.
-            request: Its question.
-            now_ms: The time.
-        """
-        copies = self._get_copies(request.service)
-        records = dict(copies.by_key)
-        incomplete_until_ms = copies.incomplete_until_ms
-        state = self._services.get(request.service)
-        if state is not None and state.epoch < request.epoch:
-            records.update(state.records.by_key)
-            incomplete_until_ms = max(
-                incomplete_until_ms, state.records.incomplete_until_ms
-            )
-        exported = tuple(
-            idempotency.export(key, record, now_ms)
-            for key, record in records.items()
-        )
-        reply = messages.RecordsReply(
-            request.service,
-            request.epoch,
-            now_ms - self._born_at_ms,
-            exported,
-            max(0, incomplete_until_ms - now_ms),
-        )
-        self._send(peer, reply)
-
     def _report_demands(self, now_ms: int) -> None:
         self._perform(
-            self._allotments.build_request(
-                list(self._services.values()), now_ms
-            )
+            self._allotments.build_request(list(self.services.values()), now_ms)
         )
 
     def _take_allotments(
@@ -405,7 +349,7 @@
         until_ms = self._allotments.take_reply(peer, reply)
         if until_ms is None:
             return
-        for state in self._services.values():
+        for state in self.services.values():
             self._perform(
                 dispatcher.take_allotments(state, reply, until_ms, now_ms)
             )
