Refuse malformed specs before the log, shortly

Cause: a malformed spec went through the log, with up to 4 MiB of it kept there, and deeply nested or very long values came back in full in the faults; an encoder's recursion limit could have been met in the replica.

Ruled out: a limit of depth in the parser (the fields of a kind already bound what can be stored).

Change: the API checks specs by their kind first and then reports all faults against what holds; shown values are shortened and accepted values of an enumeration are listed.

--- a/bambookeel/api/changes.py
+++ b/bambookeel/api/changes.py
@@ -313,6 +313,10 @@
     if request.has_flag("dry_run"):
         checked = apply.check_command(sender.state, command)
         return _build_response(request, checked, is_bundle, {"dry_run": True})
+    if not all(_is_well_formed(change) for change in changes):
+        # It could never be applied, whatever holds, so it needs no log.
+        checked = apply.check_command(sender.state, command)
+        return _build_response(request, checked, is_bundle, {})
     outcome = sender.replica.commit(command)
     if isinstance(outcome, events.NotCommitted):
         return answers.build_refusal(answers.refuse_not_committed(outcome))
@@ -322,6 +326,14 @@
     return _build_response(request, outcome, is_bundle, extra)
 
 
+def _is_well_formed(change: commands.Change) -> bool:
+    if not isinstance(change, commands.PutSpec):
+        return True
+    spec_type = resources.SPEC_TYPES[change.kind]
+    checked = checking.check_record(change.spec, spec_type)
+    return isinstance(checked, result.Success)
+
+
 def _show_secret(
     sender: Sender, key: keys.NewKey, version: ids.StateVersion
 ) -> dict[str, typing.Any]:
--- a/bambookeel/core/checking.py
+++ b/bambookeel/core/checking.py
@@ -7,7 +7,9 @@
 
 import dataclasses
 import difflib
+import enum
 import functools
+import reprlib
 import typing
 
 import msgspec
@@ -15,6 +17,12 @@
 
 from bambookeel.core import faults
 
+# Values are shown shortened, since faults go into answers and logs.
+_SHORT = reprlib.Repr()
+_SHORT.maxstring = 80
+_SHORT.maxother = 80
+_MAX_NAME_CHARS = 80
+
 Checked = result.Result[typing.Any, tuple[faults.Fault, ...]]
 
 
@@ -44,10 +52,21 @@
     try:
         return msgspec.convert(data, annotation), []
     except msgspec.ValidationError as error:
-        message = f"{error} (found {data!r})"
+        message = (
+            f"{error} (found {_SHORT.repr(data)}{_list_accepted(annotation)})"
+        )
         return None, [faults.Fault(place, message)]
 
 
+def _list_accepted(annotation: typing.Any) -> str:
+    if not isinstance(annotation, type) or not issubclass(
+        annotation, enum.Enum
+    ):
+        return ""
+    accepted = ", ".join(str(member.value) for member in annotation)
+    return f"; accepted: {accepted}"
+
+
 def _check_records(
     items: list[typing.Any], record_type: type, place: str
 ) -> tuple[typing.Any, list[faults.Fault]]:
@@ -84,7 +103,7 @@
         The record, or None beside faults, and the faults.
     """
     if not isinstance(data, dict):
-        message = f"expected an object, found {data!r}"
+        message = f"expected an object, found {_SHORT.repr(data)}"
         return None, [faults.Fault(place or "top", message)]
     hints = _get_hints(record_type)
     prefix = f"{place}." if place else ""
@@ -140,7 +159,7 @@
         hint = f"; did you mean {close[0]!r}?" if close else ""
         accepted = ", ".join(known)
         message = f"unknown field{hint} (accepted: {accepted})"
-        found.append(faults.Fault(prefix + name, message))
+        found.append(faults.Fault(prefix + name[:_MAX_NAME_CHARS], message))
     return found
 
 
--- a/bambookeel/state/rules.py
+++ b/bambookeel/state/rules.py
@@ -59,8 +59,8 @@
     found = []
     if not _NAME.match(change.name):
         message = (
-            f"name {change.name!r} is malformed (accepted: 1 to 63 of a-z, 0-9"
-            " and -, not - at either end)"
+            f"name {change.name[:80]!r} is malformed (accepted: 1 to 63 of"
+            " a-z, 0-9 and -, not - at either end)"
         )
         found.append(commands.CommandFault(f"{place}.name", message))
     if not actor.startswith(commands.OPERATOR_PREFIX):
--- a/features/operators/api.feature
+++ b/features/operators/api.feature
@@ -160,6 +160,23 @@
   Scenario: Any body and any path get a refusal that is an object
     Then random requests are answered with known statuses and valid problems
 
+  Scenario: A malformed spec is refused before the log, with all faults
+    When "POST /v1/bundle" is sent with
+      """
+      {"resources": [
+        {"kind": "operator", "name": "ann", "spec": {"role": "king"}},
+        {"kind": "service", "name": "labels", "spec": {"pool": "absent"}}
+      ]}
+      """
+    Then the status is 422
+    And the answer has faults at resources[0].spec.role, resources[1].spec.pool
+    And the answer's "detail" contains "accepted: viewer, editor, admin"
+    And nothing has been committed
+
+  Scenario: Deeply nested and very long values get a short refusal
+    Then specs nested 10 to 3000 levels deep are refused before the log
+    And a value of a million characters gets an answer of under 4000 bytes
+
   Scenario: An operator's command never meets another's outcome
     Given operators ann, ed and vic with the roles admin, editor and viewer
     When "PUT /v1/team/coach" is sent with {"upper_limit": 1} with the key "ann-1" as command "same"
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -214,6 +214,36 @@
     run()
 
 
+@then("specs nested 10 to 3000 levels deep are refused before the log")
+def send_nested(context):
+    for path, head, tail in (
+        ("PUT /v1/team/a", b'{"upper_limit": ', b"}"),
+        (
+            "POST /v1/bundle",
+            b'{"resources": [{"kind": "team", "name": "a", "spec": {"b": ',
+            b"}}]}",
+        ),
+        ("POST /v1/key/a", b'{"team": ', b"}"),
+    ):
+        for depth in (*range(10, 1_100, 15), 3_000):
+            nested = b"[" * depth + b"]" * depth
+            _send(context, path, head + nested + tail)
+            assert context.status in (400, 422), context.answer
+            assert context.replica.commits == context.commits_before
+
+
+@then("a value of a million characters gets an answer of under {bound:d} bytes")
+def send_long(context, bound):
+    body = json.dumps({"upper_limit": "x" * 1_000_000}).encode()
+    _send(context, "PUT /v1/team/a", body)
+    assert context.status == 422
+    assert len(json.dumps(context.answer)) < bound
+    body = json.dumps({"x" * 1_000_000: 1}).encode()
+    _send(context, "PUT /v1/team/a", body)
+    assert context.status == 422
+    assert len(json.dumps(context.answer)) < bound
+
+
 @given("{number:d} changes have been made")
 def make_changes(context, number):
     for i in range(number):
