--- a/bambookeel/control/core_runner.py
+++ b/bambookeel/control/core_runner.py
@@ -18,11 +18,13 @@
 from bambookeel.control import events
 from bambookeel.control import replica_disk
 from bambookeel.control import replicated_state
+from bambookeel.core import faults
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.core import settings as core_settings
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
+from bambookeel.runtime import supervisor
 from bambookeel.state import commands
 from bambookeel.state import snapshot as state_snapshot
 from bambookeel.storage import snapshot_format
@@ -174,6 +176,11 @@
         except replica_disk.DiskFullError as error:
             self._undo_step(before, event, str(error))
             return f"the disk is full: {error}"
+        except faults.InvariantError:
+            raise
+        # The core counts on each effect; without one its state is not true.
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            supervisor.end_process(f"an effect of a step failed: {error!r}")
         if before.leader != self.core.leader:
             leader = self.core.leader or "none"
             logs.log_event("leader_known", leader=leader, term=self.core.term)
