--- a/features/consensus/guards.feature
+++ b/features/consensus/guards.feature
@@ -61,3 +61,13 @@
     Given a core of a, b and c that leads with a lease
     When b asks for a read
     Then the read is confirmed and b is told the commit index
+
+  Scenario Outline: A snapshot that ends in term <term> <fate> later entries
+    Given a core of a, b and c with unsure entries 1 to 5 of term 1
+    When a snapshot up to entry 3 of term <term> is installed
+    Then its log ends at <last>
+
+    Examples:
+      | term | fate    | last |
+      | 1    | keeps   | 5    |
+      | 2    | replaces | 3   |
--- a/features/steps/guards_steps.py
+++ b/features/steps/guards_steps.py
@@ -256,3 +256,21 @@
     (sent,) = _find(context.effects, effects.Send)
     assert sent.to == "b/1"
     assert sent.message.commit_index == context.core.commit_index
+
+
+@given("a core of a, b and c with unsure entries 1 to 5 of term 1")
+def start_unsure(context):
+    _start(context, [_entry(1, index) for index in range(1, 6)], term=2)
+
+
+@when("a snapshot up to entry 3 of term {term:d} is installed")
+def install_snapshot(context, term):
+    _step(context, events.SnapshotInstalled(3, term, _MEMBERS))
+    kinds = (effects.DropPrefix, effects.ResetLog)
+    assert len(_find(context.effects, kinds)) == 1
+
+
+@then("its log ends at {last:d}")
+def check_log_end(context, last):
+    assert context.core.log.last_index == last
+    assert context.core.commit_index == 3
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -60,6 +60,31 @@
     assert context.replica.read_teams() == set(names.split(","))
 
 
+@when(
+    'the disk of a follower is full and command "{command_id}" puts team "{name}"'
+)
+def put_past_full_follower(context, command_id, name):
+    context.follower = context.group.find_follower()
+    context.follower.folder.space = 0
+    leader = context.group.find_leader()
+    outcome = leader.put_team(name, command_id)
+    assert not isinstance(outcome, events.NotCommitted)
+
+
+@then("the leader and its term stay for 2 longest election timeouts")
+def check_leader_stays(context):
+    before = context.replica.task.view
+    gevent.sleep(2 * context.group.timings.election_max_ms / 1000.0)
+    assert context.replica.task.view.is_leader
+    assert context.replica.task.view.term == before.term
+    assert context.follower.task.view.leader == before.leader
+
+
+@when("that follower's disk has room again")
+def give_room(context):
+    context.follower.folder.space = None
+
+
 @when('syncs fail and team "{name}" is put')
 def put_with_failing_sync(context, name):
     context.ended = []
--- a/features/storage/replica.feature
+++ b/features/storage/replica.feature
@@ -11,6 +11,13 @@
     And the replica crashes and starts again
     Then the teams are "one,three"
 
+  Scenario: A follower with a full disk goes on hearing its leader
+    Given 3 running replicas
+    When the disk of a follower is full and command "c1" puts team "one"
+    Then the leader and its term stay for 2 longest election timeouts
+    When that follower's disk has room again
+    Then a read at each replica shows team "one"
+
   Scenario: A failed sync ends the process
     Given 1 running replica
     When team "one" is put
