--- a/bambookeel/control/process.py
+++ b/bambookeel/control/process.py
@@ -7,6 +7,7 @@
 
 from bambookeel.api import operator_app
 from bambookeel.control import allotment_task
+from bambookeel.control import control_metrics
 from bambookeel.control import events
 from bambookeel.control import lease_task
 from bambookeel.control import planner_task
@@ -17,6 +18,7 @@
 from bambookeel.core import settings as core_settings
 from bambookeel.net import admin_app
 from bambookeel.net import http_server
+from bambookeel.net import link_config
 from bambookeel.net import links
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
@@ -61,6 +63,7 @@
             listeners.append(self._planner.mailbox)
         replica.connect(self._links.send, listeners)
         self._app = operator_app.OperatorApp(settings, replica, self._streams)
+        control_metrics.show_control(replica, self._streams)
         self._api = http_server.Server(settings.api_listen, self._app)
         self._admin = http_server.Server(
             settings.admin_listen, admin_app.AdminApp(self.find_unready_reason)
@@ -97,13 +100,7 @@
 
     def _build_links(self) -> links.PeerLinks:
         settings = self._settings
-        peers = settings.control + settings.entries
-        link_settings = links.LinkSettings(
-            settings.peer_listen,
-            {ids.ProcessId(p.process_id): p.address for p in peers},
-            settings.links.heartbeat_ms,
-            settings.links.timeout_ms,
-        )
+        link_settings = link_config.build_link_settings(settings)
         identity = messages.Hello(
             ids.ProcessId(settings.process_id),
             messages.ProcessRole.CONTROL,
