Number a replica's reads anew after each start

Cause: read numbers began at 1 in each life, so that a leader's late answer to a read of the earlier life could confirm a newer read with an older index. Change: numbers begin at the process's random seed.

--- a/bambookeel/control/leader_requests.py
+++ b/bambookeel/control/leader_requests.py
@@ -32,11 +32,16 @@
     """Commands and reads that have no answer yet."""
 
     def __init__(
-        self, runner: core_runner.CoreRunner, election_max_ms: int
+        self,
+        runner: core_runner.CoreRunner,
+        election_max_ms: int,
+        first_number: int,
     ) -> None:
         self._runner = runner
         self._leaderless_ms = _LEADERLESS_ELECTIONS * election_max_ms
-        self._waiting = waiting.Waiting()
+        # A leader may still answer reads of this process's earlier life, so
+        # that their numbers must not come again.
+        self._waiting = waiting.Waiting(last_number=first_number)
         # Answers that wait for the view to be published.
         self._answers: list[Callable[[], None]] = []
 
--- a/bambookeel/control/replica_task.py
+++ b/bambookeel/control/replica_task.py
@@ -50,7 +50,7 @@
         self._identity_due_ms = 0
         self._runner = core_runner.CoreRunner(timings, loaded, self.disk, seed)
         self._requests = leader_requests.LeaderRequests(
-            self._runner, timings.election_max_ms
+            self._runner, timings.election_max_ms, seed
         )
         self._told_leading = False
         self._stop_wanted = False
--- a/features/fakes/replica_group.py
+++ b/features/fakes/replica_group.py
@@ -8,6 +8,7 @@
 from bambookeel.control import events
 from bambookeel.control import replica_task
 from bambookeel.core import ids
+from bambookeel.core import messages
 from bambookeel.core import resources
 from bambookeel.core import settings
 from bambookeel.runtime import mailbox
@@ -29,11 +30,15 @@
         self.task = None
         self.greenlets = []
         self.listener = None
+        self.asked_reads = []
 
     def start(self):
         opened = store.open_store(self.folder, self.process).unwrap()
         self.task = replica_task.ReplicaTask(
-            tuple(self.group.names), self.group.timings, *opened, 7
+            tuple(self.group.names),
+            self.group.timings,
+            *opened,
+            self.group.rng.getrandbits(62),
         )
         self.listener = mailbox.Mailbox("listener")
         self.task.connect(self._send, [self.listener])
@@ -43,6 +48,8 @@
         self.greenlets = [gevent.spawn(run) for run in runs]
 
     def _send(self, peer, message):
+        if isinstance(message, messages.ReadIndexRequest):
+            self.asked_reads.append(message.nonce)
         other = self.group.replicas[peer]
         if other.task is None:
             return False
@@ -77,6 +84,7 @@
     """All replicas of a test."""
 
     def __init__(self, size, snapshot_every=1_000):
+        self.rng = random.Random(7)
         self.names = [ids.ProcessId(f"r{i}") for i in range(size)]
         self.timings = settings.ConsensusTimings(
             heartbeat_ms=20,
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -150,6 +150,25 @@
         assert replica.read_teams() == {name}
 
 
+@when("a follower reads, is killed, started, and reads again")
+def read_in_two_lives(context):
+    context.follower = context.group.find_follower()
+    context.follower.read_teams()
+    context.follower.kill()
+    context.follower.start()
+    context.group.wait_for(
+        lambda: not context.follower.task.find_unready_reason()
+    )
+    context.follower.read_teams()
+
+
+@then("no number of its reads to the leader came twice")
+def check_numbers(context):
+    numbers = context.follower.asked_reads
+    assert len(numbers) >= 2
+    assert len(set(numbers)) == len(numbers), numbers
+
+
 @when("{count:d} teams are put with a snapshot every {every:d} entries")
 def put_many(context, count, every):
     context.group.stop()
--- a/features/storage/replica.feature
+++ b/features/storage/replica.feature
@@ -41,6 +41,11 @@
     When command "c1" puts team "one" at a follower
     Then a read at each replica shows team "one"
 
+  Scenario: A restarted replica numbers its reads anew
+    Given 3 running replicas
+    When a follower reads, is killed, started, and reads again
+    Then no number of its reads to the leader came twice
+
   Scenario: A snapshot, a restart and a wiped disk keep state and outcomes
     Given 3 running replicas
     When 60 teams are put with a snapshot every 20 entries
