End the process of a disk that another one has replaced

Cause: a replaced disk that is put back would go on as if it were counted, ready for operators, while the leader takes no answer from it. Change: a replica whose identity is retired ends with a message.

--- a/bambookeel/control/replica_task.py
+++ b/bambookeel/control/replica_task.py
@@ -22,6 +22,7 @@
 from bambookeel.core import settings as core_settings
 from bambookeel.runtime import clock
 from bambookeel.runtime import mailbox
+from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
 from bambookeel.storage import store as replica_store
 
@@ -162,7 +163,19 @@
             case _:
                 self._runner.run_step(core_events.MessageReceived(message))
 
+    def _end_if_retired(self) -> None:
+        """Ends the process of a disk that another one has replaced."""
+        core = self._runner.core
+        if core.membership_index > core.commit_index:
+            return
+        if self._formation.member in core.membership.retired:
+            supervisor.end_process(
+                f"the disk of {self._formation.member} was retired from the"
+                " deployment; empty the data folder to join again"
+            )
+
     def _tick(self, now_ms: int) -> None:
+        self._end_if_retired()
         self._runner.run_step(core_events.TimerDue())
         if self._stop_wanted:
             self._runner.run_step(core_events.HandOverAsked())
--- a/features/fakes/replica_group.py
+++ b/features/fakes/replica_group.py
@@ -111,7 +111,7 @@
         return [r for r in self.list_running() if r is not leader][0]
 
     def wait_for(self, holds):
-        with gevent.Timeout(_LIMIT_S):
+        with gevent.Timeout(_LIMIT_S, AssertionError("not in time")):
             while not holds():
                 gevent.sleep(0.01)
 
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -99,6 +99,32 @@
         context.group.wait_for(lambda: context.ended)
 
 
+@when("a follower's disk is replaced and then put back")
+def put_disk_back(context):
+    follower = context.group.find_follower()
+    follower.kill()
+    old_folder = follower.folder
+    follower.folder = memory_folder.MemoryFolder()
+    follower.start()
+    context.group.wait_for(lambda: not follower.task.find_unready_reason())
+    follower.kill()
+    follower.folder = old_folder
+    context.ended = []
+
+    def note_end(reason):
+        context.ended.append(reason)
+        context.group.stop()
+
+    with mock.patch.object(supervisor, "end_process", note_end):
+        follower.start()
+        context.group.wait_for(lambda: context.ended)
+
+
+@then('the process ends and names "retired"')
+def check_ended_retired(context):
+    assert "retired" in context.ended[0]
+
+
 @then("the process ends and names the data folder")
 def check_ended(context):
     assert "data folder failed" in context.ended[0]
--- a/features/storage/replica.feature
+++ b/features/storage/replica.feature
@@ -54,6 +54,11 @@
     And command "team-0" again gets its first outcome at each replica
     And listeners at the wiped replica were told of 60 teams
 
+  Scenario: A replaced disk that comes back ends its process
+    Given 3 running replicas
+    When a follower's disk is replaced and then put back
+    Then the process ends and names "retired"
+
   Scenario: A first start forms only when every disk is new
     Given replicas a, b and c without a membership
     When a has heard that b is new
