--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -60,6 +60,31 @@
     assert context.replica.read_teams() == set(names.split(","))
 
 
+@when(
+    'the disk of a follower is full and command "{command_id}" puts team "{name}"'
+)
+def put_past_full_follower(context, command_id, name):
+    context.follower = context.group.find_follower()
+    context.follower.folder.space = 0
+    leader = context.group.find_leader()
+    outcome = leader.put_team(name, command_id)
+    assert not isinstance(outcome, events.NotCommitted)
+
+
+@then("the leader and its term stay for 2 longest election timeouts")
+def check_leader_stays(context):
+    before = context.replica.task.view
+    gevent.sleep(2 * context.group.timings.election_max_ms / 1000.0)
+    assert context.replica.task.view.is_leader
+    assert context.replica.task.view.term == before.term
+    assert context.follower.task.view.leader == before.leader
+
+
+@when("that follower's disk has room again")
+def give_room(context):
+    context.follower.folder.space = None
+
+
 @when('syncs fail and team "{name}" is put')
 def put_with_failing_sync(context, name):
     context.ended = []
@@ -74,6 +99,32 @@
         context.group.wait_for(lambda: context.ended)
 
 
+@when("a follower's disk is replaced and then put back")
+def put_disk_back(context):
+    follower = context.group.find_follower()
+    follower.kill()
+    old_folder = follower.folder
+    follower.folder = memory_folder.MemoryFolder()
+    follower.start()
+    context.group.wait_for(lambda: not follower.task.find_unready_reason())
+    follower.kill()
+    follower.folder = old_folder
+    context.ended = []
+
+    def note_end(reason):
+        context.ended.append(reason)
+        context.group.stop()
+
+    with mock.patch.object(supervisor, "end_process", note_end):
+        follower.start()
+        context.group.wait_for(lambda: context.ended)
+
+
+@then('the process ends and names "retired"')
+def check_ended_retired(context):
+    assert "retired" in context.ended[0]
+
+
 @then("the process ends and names the data folder")
 def check_ended(context):
     assert "data folder failed" in context.ended[0]
@@ -125,6 +176,25 @@
         assert replica.read_teams() == {name}
 
 
+@when("a follower reads, is killed, started, and reads again")
+def read_in_two_lives(context):
+    context.follower = context.group.find_follower()
+    context.follower.read_teams()
+    context.follower.kill()
+    context.follower.start()
+    context.group.wait_for(
+        lambda: not context.follower.task.find_unready_reason()
+    )
+    context.follower.read_teams()
+
+
+@then("no number of its reads to the leader came twice")
+def check_numbers(context):
+    numbers = context.follower.asked_reads
+    assert len(numbers) >= 2
+    assert len(set(numbers)) == len(numbers), numbers
+
+
 @when("{count:d} teams are put with a snapshot every {every:d} entries")
 def put_many(context, count, every):
     context.group.stop()
--- a/features/storage/replica.feature
+++ b/features/storage/replica.feature
@@ -11,6 +11,13 @@
     And the replica crashes and starts again
     Then the teams are "one,three"
 
+  Scenario: A follower with a full disk goes on hearing its leader
+    Given 3 running replicas
+    When the disk of a follower is full and command "c1" puts team "one"
+    Then the leader and its term stay for 2 longest election timeouts
+    When that follower's disk has room again
+    Then a read at each replica shows team "one"
+
   Scenario: A failed sync ends the process
     Given 1 running replica
     When team "one" is put
@@ -34,6 +41,11 @@
     When command "c1" puts team "one" at a follower
     Then a read at each replica shows team "one"
 
+  Scenario: A restarted replica numbers its reads anew
+    Given 3 running replicas
+    When a follower reads, is killed, started, and reads again
+    Then no number of its reads to the leader came twice
+
   Scenario: A snapshot, a restart and a wiped disk keep state and outcomes
     Given 3 running replicas
     When 60 teams are put with a snapshot every 20 entries
@@ -42,6 +54,11 @@
     And command "team-0" again gets its first outcome at each replica
     And listeners at the wiped replica were told of 60 teams
 
+  Scenario: A replaced disk that comes back ends its process
+    Given 3 running replicas
+    When a follower's disk is replaced and then put back
+    Then the process ends and names "retired"
+
   Scenario: A first start forms only when every disk is new
     Given replicas a, b and c without a membership
     When a has heard that b is new
