Tell a replaced disk that it is retired

Ruled out: the committed check and the formation. Change: the leader answers a retired member with ReplicaRetired, which ends its process. The scenario is as it was.

--- a/bambookeel/control/replica_task.py
+++ b/bambookeel/control/replica_task.py
@@ -160,22 +160,41 @@
                 | messages.ReadIndexReply()
             ):
                 self._requests.take_message(peer, message, now_ms)
+            case messages.ReplicaRetired(member):
+                self._end_if_retired(member)
             case _:
+                if isinstance(message, messages.AppendReply):
+                    self._tell_if_retired(message)
                 self._runner.run_step(core_events.MessageReceived(message))
 
-    def _end_if_retired(self) -> None:
-        """Ends the process of a disk that another one has replaced."""
+    def _tell_if_retired(self, answer: messages.AppendReply) -> None:
+        """Tells a replaced disk that its answers count for nobody.
+
+        Args:
+            answer: An answer to the leader.
+        """
         core = self._runner.core
-        if core.membership_index > core.commit_index:
+        is_leading = core.role is records.Role.LEADER
+        if not is_leading or core.membership_index > core.commit_index:
             return
-        if self._formation.member in core.membership.retired:
+        if answer.follower in core.membership.retired:
+            process = membership.get_process(answer.follower)
+            retired = messages.ReplicaRetired(answer.follower)
+            self._runner.send(process, retired)
+
+    def _end_if_retired(self, member: ids.MemberId) -> None:
+        """Ends the process of a disk that another one has replaced.
+
+        Args:
+            member: The retired member.
+        """
+        if member == self._formation.member:
             supervisor.end_process(
-                f"the disk of {self._formation.member} was retired from the"
-                " deployment; empty the data folder to join again"
+                f"the disk of {member} was retired from the deployment;"
+                " empty the data folder to join again"
             )
 
     def _tick(self, now_ms: int) -> None:
-        self._end_if_retired()
         self._runner.run_step(core_events.TimerDue())
         if self._stop_wanted:
             self._runner.run_step(core_events.HandOverAsked())
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -227,6 +227,13 @@
     wants_reply: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaRetired:
+    """Tells a replica that another disk of its process has replaced it."""
+
+    member: ids.MemberId
+
+
 # --- Control: followers of state ---
 
 
@@ -690,6 +697,7 @@
     RecordsKept,
     RecordsRequest,
     RecordsReply,
+    ReplicaRetired,
 )
 
 # Records that appear only inside messages.
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -38,6 +38,7 @@
     recordsKept @32 :RecordsKept;
     recordsRequest @33 :RecordsRequest;
     recordsReply @34 :RecordsReply;
+    replicaRetired @35 :ReplicaRetired;
   }
 }
 
@@ -312,6 +313,10 @@
   restored @5 :Bool;
 }
 
+struct ReplicaRetired {
+  member @0 :Text;
+}
+
 struct LogEntry {
   term @0 :Int64;
   index @1 :Int64;
