--- a/bambookeel/control/fleet_view.py
+++ b/bambookeel/control/fleet_view.py
@@ -83,7 +83,11 @@
             self._lease_until_ms[name] = max(held_ms, until_ms)
 
     def build_view(
-        self, by_key: _ResourceMap, now_ms: int, wall_ms: int
+        self,
+        by_key: _ResourceMap,
+        now_ms: int,
+        wall_ms: int,
+        task_limits: Mapping[str, int] | None = None,
     ) -> records.FleetView:
         """Builds the view.
 
@@ -91,6 +95,8 @@
             by_key: All resources.
             now_ms: The leader's monotonic time.
             wall_ms: Wall time.
+            task_limits: Tasks that each team may run; None where only its
+                upper limit counts.
 
         Returns:
             The view.
@@ -126,6 +132,7 @@
             tuning=tuning,
             job_records=fresh[resources.Kind.JOB],
             teams=teams,
+            task_limits=task_limits,
         )
 
     def _build_leases(
@@ -140,3 +147,38 @@
             )
             for name in instances
         }
+
+
+def sign_inputs(view: records.FleetView) -> int:
+    """Signs what reports say, apart from times and usage.
+
+    Two views of the same state with the same signature differ only in time, so
+    a plan that found nothing to do finds nothing again until a date passes.
+
+    Args:
+        view: The view.
+
+    Returns:
+        A hash that is good within this process.
+    """
+    parts: list[tuple[object, ...]] = []
+    for name, report in view.reports.items():
+        is_fresh = view.now_ms - report.heard_ms <= view.tuning.silent_ms
+        has_lease = view.now_ms < view.lease_until_ms.get(name, 0)
+        tasks = tuple((task.task_id, task.phase) for task in report.tasks)
+        parts.append(
+            (
+                name,
+                report.incarnation,
+                report.phase,
+                report.healthy,
+                report.pool,
+                report.running == 0,
+                report.sequence,
+                is_fresh,
+                has_lease,
+                tasks,
+            )
+        )
+    limits = tuple(sorted((view.task_limits or {}).items()))
+    return hash((tuple(parts), limits))
--- a/bambookeel/dispatch/copies.py
+++ b/bambookeel/dispatch/copies.py
@@ -174,6 +174,9 @@
         The messages.
     """
     asked: list[effects.Effect] = []
+    keys = [
+        key for key in keys if idempotency.is_sure(state.records.by_key[key])
+    ]
     for start in range(0, len(keys), _PART_RECORDS):
         part = tuple(
             idempotency.export(key, state.records.by_key[key], now_ms)
@@ -193,6 +196,38 @@
     )
 
 
+def _spread_to(
+    state: service.ServiceState, target: ids.ProcessId, now_ms: int
+) -> list[effects.Effect]:
+    """Copies records that are all in one data centre to a process elsewhere.
+
+    Args:
+        state: The service's state.
+        target: A process that has come back.
+        now_ms: The time.
+
+    Returns:
+        The messages.
+    """
+    centres = state.deployment.data_centres
+    own = state.deployment.process_id
+    keys = []
+    for key, record in state.records.by_key.items():
+        places = {
+            centres[place]
+            for place in (record.entry, record.copy_at, own)
+            if place in centres
+        }
+        if len(places) != 1 or centres[target] in places:
+            continue
+        keys.append(key)
+    for key in keys:
+        state.records.by_key[key] = dataclasses.replace(
+            state.records.by_key[key], copy_at=target
+        )
+    return _send_copies(state, target, keys, now_ms)
+
+
 def restore_copies(
     state: service.ServiceState, entry: ids.ProcessId, now_ms: int
 ) -> list[effects.Effect]:
@@ -212,6 +247,7 @@
         if entry in (record.entry, record.copy_at)
     ]
     asked = _send_copies(state, entry, lost, now_ms)
+    asked.extend(_spread_to(state, entry, now_ms))
     asked.append(effects.Send(entry, _build_note(state, True, now_ms)))
     return asked
 
@@ -285,7 +321,7 @@
     unheard = [
         entry
         for entry, account in state.accounts.items()
-        if not (account.told_outstanding and account.restored)
+        if not (account.told_outstanding and account.was_whole)
     ]
     lost_centres = {centres[entry] for entry in unheard}
     all_centres = set(centres.values())
