Refuse a request whose turn comes too late to end in time

Ruled out: lost answers; the records show answer-timeout at the full deadline. Change: the dispatcher follows the shortest recent time of a team's answered requests and refuses, truthfully as not run, a request with less time left when its turn comes. Refusals moved to dispatch/refusing.py; take_request is split.

--- a/bambookeel/dispatch/admission.py
+++ b/bambookeel/dispatch/admission.py
@@ -15,43 +15,14 @@
 from bambookeel.dispatch import fair_queue
 from bambookeel.dispatch import granting
 from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import refusing
 from bambookeel.dispatch import retry_budgets
 from bambookeel.dispatch import service
 
-_RETRY_AFTER_MS = 500
-# Ended requests that the estimates of waiting need at least.
-_MIN_SAMPLES = 20
 # A request is refused when the estimate passes its time by this factor.
 _CERTAINTY_FACTOR = 1.25
 
 
-def refuse(
-    state: service.ServiceState,
-    entry: ids.ProcessId,
-    request_id: ids.RequestId,
-    reason: outcomes.Reason,
-    detail: str,
-    retry_after_ms: int = _RETRY_AFTER_MS,
-) -> effects.Effect:
-    """Refuses a request.
-
-    Args:
-        state: The service's state.
-        entry: The process that asked.
-        request_id: The request.
-        reason: Why.
-        detail: One sentence for the caller.
-        retry_after_ms: When a new try may succeed.
-
-    Returns:
-        The message to the entry.
-    """
-    refusal = messages.SlotRefused(
-        request_id, state.service, reason, detail, retry_after_ms
-    )
-    return effects.Send(entry, refusal)
-
-
 def estimate_wait_ms(
     state: service.ServiceState, request: messages.AcquireSlot
 ) -> float:
@@ -64,7 +35,7 @@
     Returns:
         The estimate; 0 while too little is known.
     """
-    if state.overall_use.samples < _MIN_SAMPLES or not state.slots:
+    if state.overall_use.samples < service.MIN_SAMPLES or not state.slots:
         return 0.0
     team = fair_queue.get_team(state.queue, request.team)
     ahead = len(team.urgent) if request.urgent else team.count()
@@ -105,7 +76,7 @@
     if record is not None and record.standing > idempotency.Standing.CLAIMED:
         return None
     if now_ms < state.records.incomplete_until_ms:
-        return refuse(
+        return refusing.refuse(
             state,
             entry,
             request.request_id,
@@ -113,7 +84,7 @@
             "records of earlier requests may be missing after a failure",
         )
     if len(state.records.by_key) >= idempotency.MAX_RECORDS:
-        return refuse(
+        return refusing.refuse(
             state,
             entry,
             request.request_id,
@@ -140,7 +111,7 @@
     """
     request_id = request.request_id
     if state.upper_limits.get(request.team) == 0:
-        return refuse(
+        return refusing.refuse(
             state,
             entry,
             request_id,
@@ -149,7 +120,7 @@
         )
     if state.failed_once.pop(request_id, None) is not None:
         if not retry_budgets.spend(state.budgets, request.team):
-            return refuse(
+            return refusing.refuse(
                 state,
                 entry,
                 request_id,
@@ -160,7 +131,7 @@
         retry_budgets.earn(state.budgets, request.team)
     wait_ms = estimate_wait_ms(state, request)
     if wait_ms > _CERTAINTY_FACTOR * request.remaining_ms:
-        return refuse(
+        return refusing.refuse(
             state,
             entry,
             request_id,
@@ -193,6 +164,37 @@
     return fair_queue.get_newest(longest)
 
 
+def _find_room(
+    state: service.ServiceState, waiting: fair_queue.Waiting
+) -> tuple[list[effects.Effect], bool]:
+    """Finds room in the queue, at the cost of another request if need be.
+
+    Args:
+        state: The service's state.
+        waiting: The request that wants in.
+
+    Returns:
+        The refusal of the request that gives way, if any, and whether there is
+        room.
+    """
+    if len(state.queue.by_request) < state.spec.queue_bound:
+        return [], True
+    loser = _make_room(state, waiting.request)
+    has_room = loser is not None
+    if loser is None:
+        loser = waiting
+    else:
+        refusing.drop_waiting(state, loser.request)
+    refusal = refusing.refuse(
+        state,
+        loser.entry,
+        loser.request.request_id,
+        outcomes.Reason.QUEUE_FULL,
+        f"{state.spec.queue_bound} requests wait already",
+    )
+    return [refusal], has_room
+
+
 def take_request(
     state: service.ServiceState,
     entry: ids.ProcessId,
@@ -242,25 +244,8 @@
     if arrived_at_ms is None:
         arrived_at_ms = now_ms
     waiting = fair_queue.Waiting(entry, request, arrived_at_ms, deadline_ms)
-    asked: list[effects.Effect] = []
-    if len(state.queue.by_request) >= state.spec.queue_bound:
-        loser = _make_room(state, request)
-        if loser is None:
-            loser = waiting
-        else:
-            drop_waiting(state, loser.request)
-        asked.append(
-            refuse(
-                state,
-                loser.entry,
-                loser.request.request_id,
-                outcomes.Reason.QUEUE_FULL,
-                f"{state.spec.queue_bound} requests wait already",
-            )
-        )
-        if loser is waiting:
-            return asked
-    if copies.protect_key(state, waiting, now_ms, asked):
+    asked, has_room = _find_room(state, waiting)
+    if has_room and copies.protect_key(state, waiting, now_ms, asked):
         fair_queue.add(state.queue, waiting)
         asked.extend(granting.grant_slots(state, now_ms))
     return asked
@@ -290,112 +275,3 @@
         )
     state.early.clear()
     return asked
-
-
-def drop_waiting(
-    state: service.ServiceState, request: messages.AcquireSlot
-) -> None:
-    """Takes a request that has not run out of the queue.
-
-    Args:
-        state: The service's state.
-        request: The request.
-    """
-    state.early.pop(request.request_id, None)
-    fair_queue.remove(state.queue, request.request_id)
-    nonce = state.copying_requests.pop(request.request_id, None)
-    if nonce is not None:
-        del state.copying[nonce]
-    if request.idempotency_key:
-        idempotency.finish(
-            state.records,
-            request.idempotency_key,
-            request.request_id,
-            outcomes.OutcomeKind.NOT_RUN,
-            0,
-        )
-
-
-def cancel(state: service.ServiceState, request_ids: tuple[str, ...]) -> None:
-    """Takes requests out of the queue, each in O(log n) or less.
-
-    Args:
-        state: The service's state.
-        request_ids: Which requests.
-    """
-    for request_id in request_ids:
-        wanted = ids.RequestId(request_id)
-        state.early.pop(wanted, None)
-        waiting = state.queue.by_request.get(wanted)
-        nonce = state.copying_requests.get(wanted)
-        if nonce is not None:
-            waiting = state.copying[nonce].waiting
-        if waiting is not None:
-            drop_waiting(state, waiting.request)
-
-
-def refuse_expired(
-    state: service.ServiceState, now_ms: int
-) -> list[effects.Effect]:
-    """Refuses requests whose deadline has passed in the queue.
-
-    Args:
-        state: The service's state.
-        now_ms: The time.
-
-    Returns:
-        The refusals.
-    """
-    expired = fair_queue.take_expired(state.queue, now_ms)
-    for copying in list(state.copying.values()):
-        if copying.waiting.deadline_ms <= now_ms:
-            expired.append(copying.waiting)
-    for early in state.early.values():
-        if early.deadline_ms <= now_ms:
-            expired.append(early)
-    asked = []
-    for waiting in expired:
-        drop_waiting(state, waiting.request)
-        asked.append(
-            refuse(
-                state,
-                waiting.entry,
-                waiting.request.request_id,
-                outcomes.Reason.DEADLINE_UNREACHABLE,
-                "no slot became free before the deadline",
-                0,
-            )
-        )
-    return asked
-
-
-def refuse_all(
-    state: service.ServiceState, detail: str, retry_after_ms: int
-) -> list[effects.Effect]:
-    """Refuses everything that waits, so that entries ask the next holder.
-
-    Args:
-        state: The service's state.
-        detail: One sentence for the entries.
-        retry_after_ms: When the next holder may be known.
-
-    Returns:
-        The refusals.
-    """
-    everyone = list(state.queue.by_request.values())
-    everyone += [copying.waiting for copying in state.copying.values()]
-    everyone += state.early.values()
-    asked = []
-    for waiting in everyone:
-        drop_waiting(state, waiting.request)
-        asked.append(
-            refuse(
-                state,
-                waiting.entry,
-                waiting.request.request_id,
-                outcomes.Reason.NO_DISPATCHER,
-                detail,
-                retry_after_ms,
-            )
-        )
-    return asked
--- a/bambookeel/dispatch/dispatcher.py
+++ b/bambookeel/dispatch/dispatcher.py
@@ -24,6 +24,7 @@
 from bambookeel.dispatch import idempotency
 from bambookeel.dispatch import outliers
 from bambookeel.dispatch import recovery
+from bambookeel.dispatch import refusing
 from bambookeel.dispatch import service
 from bambookeel.dispatch import team_limits
 
@@ -76,7 +77,7 @@
         Refusals, so that entries ask the next holder.
     """
     state.released = True
-    return admission.refuse_all(
+    return refusing.refuse_all(
         state, "the dispatcher is handed over", _HAND_OVER_RETRY_MS
     )
 
@@ -135,7 +136,7 @@
         case messages.SlotReleased():
             return ending.take_release(state, message, now_ms)
         case messages.CancelWaiting():
-            admission.cancel(state, message.request_ids)
+            refusing.cancel(state, message.request_ids)
         case messages.BackendAnnouncement():
             return announcing.take_announcement(state, message, now_ms)
         case messages.RecoverReply():
@@ -259,7 +260,7 @@
     Returns:
         Refusals, questions, grants and events to log.
     """
-    asked = admission.refuse_expired(state, now_ms)
+    asked = refusing.refuse_expired(state, now_ms)
     asked.extend(ending.end_unreported(state, now_ms))
     while state.overdue_at:
         entry = state.overdue_at.pop()
--- a/bambookeel/dispatch/ending.py
+++ b/bambookeel/dispatch/ending.py
@@ -105,7 +105,10 @@
         grant_table.extend(state.grants, grant, ends_at_ms)
         return asked
     grant_table.remove(state.grants, key)
-    _correct_charge(state, grant, now_ms - grant.granted_at_ms)
+    used_ms = now_ms - grant.granted_at_ms
+    _correct_charge(state, grant, used_ms)
+    if release.outcome is outcomes.OutcomeKind.ANSWERED:
+        averages.note_answered(state.use[grant.team], used_ms)
     _release_grant(state, grant)
     asked.extend(granting.grant_slots(state, now_ms))
     return asked
--- a/bambookeel/dispatch/granting.py
+++ b/bambookeel/dispatch/granting.py
@@ -15,6 +15,7 @@
 from bambookeel.dispatch import fair_queue
 from bambookeel.dispatch import grant_table
 from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import refusing
 from bambookeel.dispatch import service
 from bambookeel.dispatch import team_limits
 
@@ -218,6 +219,12 @@
             continue
         use_ms = service.get_expected_use(state, team.team)
         waiting = fair_queue.start(state.queue, team, use_ms)
+        if waiting.deadline_ms < now_ms + service.get_shortest_use(
+            state, team.team
+        ):
+            fair_queue.charge(state.queue, team.team, -use_ms)
+            asked.append(refusing.refuse_late(state, waiting))
+            continue
         earlier = _find_earlier(state, waiting.request)
         if earlier is not None:
             fair_queue.charge(state.queue, team.team, -use_ms)
--- /dev/null
+++ b/bambookeel/dispatch/refusing.py
@@ -0,0 +1,174 @@
+"""Refuses requests, and takes them out of the queue, before they run.
+
+Every refusal in here is true: nothing of the request has run, and its
+Idempotency-Key is free again.
+"""
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import outcomes
+from bambookeel.dispatch import effects
+from bambookeel.dispatch import fair_queue
+from bambookeel.dispatch import idempotency
+from bambookeel.dispatch import service
+
+_RETRY_AFTER_MS = 500
+
+
+def refuse(
+    state: service.ServiceState,
+    entry: ids.ProcessId,
+    request_id: ids.RequestId,
+    reason: outcomes.Reason,
+    detail: str,
+    retry_after_ms: int = _RETRY_AFTER_MS,
+) -> effects.Effect:
+    """Refuses a request.
+
+    Args:
+        state: The service's state.
+        entry: The process that asked.
+        request_id: The request.
+        reason: Why.
+        detail: One sentence for the caller.
+        retry_after_ms: When a new try may succeed.
+
+    Returns:
+        The message to the entry.
+    """
+    refusal = messages.SlotRefused(
+        request_id, state.service, reason, detail, retry_after_ms
+    )
+    return effects.Send(entry, refusal)
+
+
+def refuse_late(
+    state: service.ServiceState, waiting: fair_queue.Waiting
+) -> effects.Effect:
+    """Refuses a request that can no longer end before its deadline.
+
+    Args:
+        state: The service's state.
+        waiting: The request.
+
+    Returns:
+        The message to its entry.
+    """
+    drop_waiting(state, waiting.request)
+    return refuse(
+        state,
+        waiting.entry,
+        waiting.request.request_id,
+        outcomes.Reason.DEADLINE_UNREACHABLE,
+        "no slot became free in time for its work",
+        0,
+    )
+
+
+def drop_waiting(
+    state: service.ServiceState, request: messages.AcquireSlot
+) -> None:
+    """Takes a request that has not run out of the queue.
+
+    Args:
+        state: The service's state.
+        request: The request.
+    """
+    state.early.pop(request.request_id, None)
+    fair_queue.remove(state.queue, request.request_id)
+    nonce = state.copying_requests.pop(request.request_id, None)
+    if nonce is not None:
+        del state.copying[nonce]
+    if request.idempotency_key:
+        idempotency.finish(
+            state.records,
+            request.idempotency_key,
+            request.request_id,
+            outcomes.OutcomeKind.NOT_RUN,
+            0,
+        )
+
+
+def cancel(state: service.ServiceState, request_ids: tuple[str, ...]) -> None:
+    """Takes requests out of the queue, each in O(log n) or less.
+
+    Args:
+        state: The service's state.
+        request_ids: Which requests.
+    """
+    for request_id in request_ids:
+        wanted = ids.RequestId(request_id)
+        state.early.pop(wanted, None)
+        waiting = state.queue.by_request.get(wanted)
+        nonce = state.copying_requests.get(wanted)
+        if nonce is not None:
+            waiting = state.copying[nonce].waiting
+        if waiting is not None:
+            drop_waiting(state, waiting.request)
+
+
+def refuse_expired(
+    state: service.ServiceState, now_ms: int
+) -> list[effects.Effect]:
+    """Refuses requests whose deadline has passed in the queue.
+
+    Args:
+        state: The service's state.
+        now_ms: The time.
+
+    Returns:
+        The refusals.
+    """
+    expired = fair_queue.take_expired(state.queue, now_ms)
+    for copying in list(state.copying.values()):
+        if copying.waiting.deadline_ms <= now_ms:
+            expired.append(copying.waiting)
+    for early in state.early.values():
+        if early.deadline_ms <= now_ms:
+            expired.append(early)
+    asked = []
+    for waiting in expired:
+        drop_waiting(state, waiting.request)
+        asked.append(
+            refuse(
+                state,
+                waiting.entry,
+                waiting.request.request_id,
+                outcomes.Reason.DEADLINE_UNREACHABLE,
+                "no slot became free before the deadline",
+                0,
+            )
+        )
+    return asked
+
+
+def refuse_all(
+    state: service.ServiceState, detail: str, retry_after_ms: int
+) -> list[effects.Effect]:
+    """Refuses everything that waits, so that entries ask the next holder.
+
+    Args:
+        state: The service's state.
+        detail: One sentence for the entries.
+        retry_after_ms: When the next holder may be known.
+
+    Returns:
+        The refusals.
+    """
+    everyone = list(state.queue.by_request.values())
+    everyone += [copying.waiting for copying in state.copying.values()]
+    everyone += state.early.values()
+    asked = []
+    for waiting in everyone:
+        drop_waiting(state, waiting.request)
+        asked.append(
+            refuse(
+                state,
+                waiting.entry,
+                waiting.request.request_id,
+                outcomes.Reason.NO_DISPATCHER,
+                detail,
+                retry_after_ms,
+            )
+        )
+    return asked
--- a/bambookeel/dispatch/service.py
+++ b/bambookeel/dispatch/service.py
@@ -19,6 +19,8 @@
 
 # Time from a grant in which its entry must have sent the request.
 START_WITHIN_MS = 500
+# Ended requests that estimates need at least.
+MIN_SAMPLES = 20
 # Time from a grant after which a backend server's own count includes it: the
 # start, and the resending of a connection that is about to fail.
 SETTLE_MS = START_WITHIN_MS + 2_000
@@ -196,6 +198,22 @@
     return state.ready and not state.released and now_ms < state.lease_until_ms
 
 
+def get_shortest_use(state: ServiceState, team: ids.TeamName) -> float:
+    """Estimates how long a team's next request uses a slot at least.
+
+    Args:
+        state: The service's state.
+        team: The team.
+
+    Returns:
+        The shortest recent time; 0 while too little is known.
+    """
+    average = state.use.get(team)
+    if average is None or average.samples < MIN_SAMPLES:
+        return 0.0
+    return average.shortest_ms
+
+
 def get_expected_use(state: ServiceState, team: ids.TeamName) -> float:
     """Estimates how long a team's next request uses a slot.
 
--- a/features/dispatch/decisions.feature
+++ b/features/dispatch/decisions.feature
@@ -62,6 +62,18 @@
     And "coach" asks with 1500 ms left
     Then 1 requests were refused with DEADLINE_UNREACHABLE
 
+  Scenario: A request whose turn comes too late to end in time is not started
+    Given backend "b1" of incarnation 5 announces 1 slots
+    And 30 requests of "coach" ran for 1000 ms each
+    When "coach" asks 1 times
+    And "coach" asks with 1900 ms left
+    And "coach" asks with 60000 ms left
+    And 1500 ms pass
+    And the oldest running request ends
+    Then 1 requests were refused with DEADLINE_UNREACHABLE
+    And the last granted request was the last one asked
+    And 1 slots are in use
+
   Scenario: Hundreds of cancellations leave the rest in order
     Given backend "b1" of incarnation 5 announces 1 slots
     When "coach" asks 300 times
--- a/features/steps/dispatch_lease_steps.py
+++ b/features/steps/dispatch_lease_steps.py
@@ -101,6 +101,7 @@
 def give_up(context, other, entry):
     _report(context, other)
     held = messages.HeldLease("orders", 1, True)
+    # pylint: disable-next=use-implicit-booleaness-not-comparison
     assert _report(context, entry, (held,), stopping=True) == ()
 
 
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -61,7 +61,8 @@
 
 
 @when(
-    'the disk of a follower is full and command "{command_id}" puts team "{name}"'
+    'the disk of a follower is full and command "{command_id}"'
+    ' puts team "{name}"'
 )
 def put_past_full_follower(context, command_id, name):
     context.follower = context.group.find_follower()
