Count a grant's time from the question that it answers

Cause: an entry counted the time to start from a grant's arrival, so a grant held back by the network could be used after its holder had stopped counting it. Change: the time counts from the sent question and the wait that the holder tells, or from the arrival if that was earlier.

--- a/bambookeel/entry/slot_asker.py
+++ b/bambookeel/entry/slot_asker.py
@@ -164,11 +164,14 @@
                 last_holder_ms + _MAX_WITHOUT_HOLDER_MS,
             )
         try:
-            return waiting.get(timeout=max(0.001, (until_ms - now_ms) / 1000.0))
+            answer = waiting.get(
+                timeout=max(0.001, (until_ms - now_ms) / 1000.0)
+            )
+            return _date_grant(answer, now_ms)
         except gevent.Timeout:
             if waiting.ready():
                 # The answer came in the same turn as the time-out.
-                return waiting.get()
+                return _date_grant(waiting.get(), now_ms)
             if not sent:
                 return _build_no_holder(request)
             self._cancel(request, holder)
@@ -238,6 +241,29 @@
         self._send(holder.process_id, cancel)
 
 
+def _date_grant(
+    answer: request_table.SlotAnswer, asked_at_ms: int
+) -> request_table.SlotAnswer:
+    """Dates a grant by the earliest moment at which it can have been made.
+
+    A grant may have been long on its way, and its holder no longer count it.
+
+    Args:
+        answer: The holder's answer.
+        asked_at_ms: When the question was sent.
+
+    Returns:
+        The answer; a grant counts from the question and the wait that the
+        holder tells, unless it arrived earlier.
+    """
+    if not isinstance(answer, request_table.ReceivedGrant):
+        return answer
+    made_at_ms = asked_at_ms + answer.grant.waited_ms
+    return dataclasses.replace(
+        answer, received_at_ms=min(answer.received_at_ms, made_at_ms)
+    )
+
+
 def _build_acquire(request: SlotRequest, now_ms: int) -> messages.AcquireSlot:
     return messages.AcquireSlot(
         request.request_id,
--- a/features/requests/requests.feature
+++ b/features/requests/requests.feature
@@ -144,3 +144,10 @@
     When the entry itself fails as an answer arrives
     Then the caller is told "unknown" for "internal-fault"
     And the slot of the failed request is held as one that may be running
+
+  Scenario: A grant that was long on its way is given back, however fast it is used
+    Given one entry with a scripted dispatcher and backend server
+    When the first grant is held back for longer than its time to start
+    And a request is sent and waited for
+    Then the waiting request is answered
+    And the late grant was given back unused
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -272,3 +272,34 @@
     assert seen.told == "answered" and b"work w done" in seen.body, seen
     (release,) = context.holder.releases
     assert release.outcome is outcomes.OutcomeKind.ANSWERED, release
+
+
+@when("the first grant is held back for longer than its time to start")
+def hold_back_grant(context):
+    context.holder.start_within_ms = 200
+    context.late = []
+
+    def hold_back():
+        if context.late:
+            return
+        context.late.extend(context.holder.granted)
+        gevent.sleep(0.5)
+        context.holder.start_within_ms = 5_000
+
+    context.holder.after_grant = hold_back
+
+
+@when("a request is sent and waited for")
+def send_and_wait(context):
+    _send_later(context)
+    context.calling.join(timeout=20)
+
+
+@then("the late grant was given back unused")
+def check_given_back(context):
+    unused = [
+        (release.epoch, release.grant_id)
+        for release in context.holder.releases
+        if release.outcome is outcomes.OutcomeKind.NOT_RUN
+    ]
+    assert unused == context.late, (unused, context.late)
