Drain and keep empty an instance that an operator wants drained

Cause: bambookeel drain set drain_wanted, which no decision read. Change: fleet/operator_drains.py takes a place in the pool's account, drains and keeps the instance empty; taking the wish back resumes it. No reboot follows.

--- a/bambookeel/fleet/planner.py
+++ b/bambookeel/fleet/planner.py
@@ -16,6 +16,7 @@
 from bambookeel.fleet import invariants
 from bambookeel.fleet import moves
 from bambookeel.fleet import observe
+from bambookeel.fleet import operator_drains
 from bambookeel.fleet import orders
 from bambookeel.fleet import placement
 from bambookeel.fleet import quarantine
@@ -182,6 +183,7 @@
     moves.advance_moves(plan)
     waves.advance_reboots(plan)
     moves.start_moves(plan)
+    operator_drains.start_drains(plan)
     waves.start_maintenance(plan)
     updated = _plan_jobs(plan)
     statuses = _describe_pools(plan) + _describe_waves(plan)
--- a/bambookeel/fleet/waves.py
+++ b/bambookeel/fleet/waves.py
@@ -14,6 +14,7 @@
 from bambookeel.core import resources
 from bambookeel.fleet import account
 from bambookeel.fleet import draft
+from bambookeel.fleet import operator_drains
 from bambookeel.fleet import records
 
 _State = resources.InstanceState
@@ -234,7 +235,10 @@
         drained.sort(key=lambda item: (-item.since_ms, item.name))
         for member in drained:
             wave = known.get(member.wave)
-            if member.wave and (wave is None or wave.spec.aborted):
+            has_ended = wave is None or wave.spec.aborted
+            if operator_drains.is_still_wanted(member):
+                has_ended = False
+            if member.wave and has_ended:
                 plan.resume(member, f"wave {member.wave} has ended")
             elif plan.accounts[pool].get_room() < 0:
                 plan.resume(member, "failures exceed the pool's budget")
@@ -259,6 +263,8 @@
     for instance in plan.view.instances.values():
         if plan.is_settled(instance.name) or not instance.wave:
             continue
+        if operator_drains.is_kept_empty(instance):
+            continue
         if instance.state is not _State.EMPTY:
             continue
         held = plan.accounts.get(instance.spec.pool)
--- a/features/fleet/account.feature
+++ b/features/fleet/account.feature
@@ -51,3 +51,10 @@
     Given a fleet pool of 6 with budget 1 at rest
     When 3 instances of the fleet pool fail for good
     Then the fleet pool is within its budget and 1 of its members has failed
+
+  Scenario: An operator's drain keeps an instance empty until it is taken back
+    Given a fleet pool of 4 with budget 1 at rest
+    When an operator wants "orders-1" and "orders-2" drained
+    Then one of them is kept empty without a reboot and the other still serves
+    When the operator takes both drains back
+    Then every instance of the fleet pool serves and none was rebooted
--- a/features/steps/fleet_account_steps.py
+++ b/features/steps/fleet_account_steps.py
@@ -3,6 +3,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from bambookeel.fleet import records
 from features.fakes import fleet_run
@@ -221,3 +222,48 @@
     condition = status.conditions[0]
     assert condition.reason == "WithinBudget", condition
     assert context.run.count_states("orders").get("failed", 0) == count
+
+
+def _want_drains(context, wanted):
+    for name in context.drained_names:
+        held = context.run.get("instance", name).spec
+        spec = msgspec.to_builtins(held)
+        context.run.declare("instance", name, {**spec, "drain_wanted": wanted})
+    context.run.run(30)
+
+
+def _list_states(context, names):
+    return sorted(
+        records.read_instance(context.run.get("instance", name)).state.value
+        for name in names
+    )
+
+
+def _count_reboots(context):
+    return sum(w.reboots for w in context.run.platform.workers.values())
+
+
+@when('an operator wants "{first}" and "{second}" drained')
+def want_drains(context, first, second):
+    context.drained_names = (first, second)
+    _want_drains(context, True)
+
+
+@then("one of them is kept empty without a reboot and the other still serves")
+def check_kept_empty(context):
+    states = _list_states(context, context.drained_names)
+    assert states == ["empty", "serving"], states
+    assert _count_reboots(context) == 0
+
+
+@when("the operator takes both drains back")
+def take_drains_back(context):
+    _want_drains(context, False)
+
+
+@then("every instance of the fleet pool serves and none was rebooted")
+def check_all_serve(context):
+    states = _list_states(context, [f"orders-{i}" for i in range(4)])
+    assert states == ["serving"] * 4, states
+    assert _count_reboots(context) == 0
+    assert not context.run.broken, context.run.broken
