Count any cut answer against a planned stop

Cause: an unknown outcome other than a missed deadline was not held against the planned-stop promise. Change: the check fails on it, and each cell prints unknown outcomes by reason.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(PYTHON) -m bench.run_benchmarks $(ONLY)
 
 proof: $(STAMP)
-	$(PYTHON) -m dev.run_proof --base_port=$(BASE_PORT) --seed=$(SEED) $(if $(ONLY),--only=$(ONLY),) $(if $(LONG),--long_minutes=$(LONG),)
+	$(PYTHON) -m dev.run_proof --base_port=$(BASE_PORT) --seed=$(SEED) $(if $(ONLY),--only='$(ONLY)',) $(if $(LONG),--long_minutes=$(LONG),)
 
 soak: $(STAMP)
 	$(PYTHON) -m dev.run_soak --base_port=$(BASE_PORT) --seed=$(SEED) --minutes=$(MINUTES)
--- a/dev/proof_evidence.py
+++ b/dev/proof_evidence.py
@@ -243,6 +243,15 @@
     for name, code in evidence.exit_codes.items():
         if code != 0:
             found.append(f"{name} ended with {code}")
+    # An answer that misses its deadline is late, not cut.
+    cut = [
+        record.reason
+        for record in evidence.records
+        if record.told is audit.Told.UNKNOWN
+        and record.reason != "answer-timeout"
+    ]
+    if cut:
+        found.append(f"{len(cut)} cut: {sorted(set(cut))}")
     return found + check_whole_answers(evidence)
 
 
--- a/dev/run_proof.py
+++ b/dev/run_proof.py
@@ -10,6 +10,7 @@
 gevent.monkey.patch_all()
 
 # pylint: disable=wrong-import-position
+import collections  # noqa: E402
 import pathlib  # noqa: E402
 import shutil  # noqa: E402
 import sys  # noqa: E402
@@ -89,6 +90,12 @@
     took_ms = audit.find_recovery_ms(
         evidence.records, evidence.measured_team, evidence.fault_ms
     )
+    unknown = collections.Counter(
+        record.reason
+        for record in evidence.records
+        if record.told is audit.Told.UNKNOWN
+    )
+    print(f"unknown {place} by_reason={dict(unknown)}", flush=True)
     print(f"counts {place} recovery_ms={took_ms} {counts.render()}", flush=True)
 
 
