Send most heartbeats of an entry to the leader alone

Cause: an entry sent every heartbeat to all of control, though only the leader's answer renews anything. Ruled out as the main cost: the heartbeats' number; a bare wake of an idle process costs 110-220 us here, so idle cost follows wakes of all kinds. Change: three of four heartbeats go to the leader alone while it answers.

--- a/bambookeel/entry/follower_task.py
+++ b/bambookeel/entry/follower_task.py
@@ -28,6 +28,10 @@
 SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
 # Heartbeats that may be unanswered at once.
 _MAX_PENDING = 64
+# Heartbeats to the leader between two that go to all of control.
+_PERIODS_BETWEEN_ALL = 4
+# Periods without an answer after which all of control is asked again.
+_LEADER_SILENCE_PERIODS = 2
 # Messages that may be handled before a new view is published.
 _MAX_UNPUBLISHED = 100
 
@@ -66,6 +70,9 @@
         self._nonce = 0
         self._pending: dict[int, _PendingHeartbeat] = {}
         self._stopping = False
+        # Who answered as leader last, and when.
+        self._leader: ids.ProcessId | None = None
+        self._leader_heard_ms = 0
         # Messages handled since a view that is not yet published.
         self._unpublished = 0
         # The state version that control told first. An assignment up to it
@@ -185,9 +192,26 @@
         self._pending[self._nonce] = _PendingHeartbeat(now_ms, held)
         while len(self._pending) > _MAX_PENDING:
             del self._pending[next(iter(self._pending))]
-        for peer in self._control:
+        for peer in self._choose_receivers(now_ms):
             self._send(peer, heartbeat)
 
+    def _choose_receivers(self, now_ms: int) -> tuple[ids.ProcessId, ...]:
+        """Chooses who gets the next heartbeat.
+
+        Args:
+            now_ms: The time.
+
+        Returns:
+            The leader while it answers, and all of control now and then or
+            while no leader does.
+        """
+        answers_within_ms = _LEADER_SILENCE_PERIODS * self._leases.report_ms
+        is_silent = now_ms - self._leader_heard_ms > answers_within_ms
+        is_turn = self._nonce % _PERIODS_BETWEEN_ALL == 0
+        if self._leader is None or is_silent or is_turn or self._stopping:
+            return self._control
+        return (self._leader,)
+
     def _take_reply(self, reply: messages.EntryHeartbeatReply) -> None:
         """Takes in the leader's answer to a heartbeat.
 
@@ -197,6 +221,8 @@
         pending = self._pending.get(reply.nonce)
         if pending is None or not reply.is_leader:
             return
+        self._leader = reply.leader
+        self._leader_heard_ms = clock.read_now_ms()
         if self._born_version is None:
             self._born_version = reply.committed_version
         freshness.take_confirmation(
