--- a/bambookeel/runtime/timers.py
+++ b/bambookeel/runtime/timers.py
@@ -59,9 +59,15 @@
             The subscription.
         """
         timer = Timer(target, message, period_ms)
-        self._push(clock.read_now_ms() + period_ms, timer)
+        self._push_period(clock.read_now_ms(), timer)
         return timer
 
+    def _push_period(self, now_ms: int, timer: Timer) -> None:
+        # Multiples of the period, so that timers of several tasks fall due
+        # together and wake the process once.
+        due_ms = (now_ms // timer.period_ms + 1) * timer.period_ms
+        self._push(due_ms, timer)
+
     def schedule(
         self, target: mailbox.Mailbox, delay_ms: int, message: typing.Any
     ) -> Timer:
@@ -106,4 +112,4 @@
             if timer.period_ms == 0:
                 continue
             # After a pause of the process, missed periods are not made up.
-            self._push(now_ms + timer.period_ms, timer)
+            self._push_period(now_ms, timer)
