Let a status name its spec's version, and find resources by plain name

Change: a status without a version takes that of the spec that holds, which its expected version guarantees; a match also finds kind/NAME; a drain taken back says so.

--- a/bambookeel/fleet/waves.py
+++ b/bambookeel/fleet/waves.py
@@ -239,7 +239,10 @@
             if operator_drains.is_still_wanted(member):
                 has_ended = False
             if member.wave and has_ended:
-                plan.resume(member, f"wave {member.wave} has ended")
+                reason = f"wave {member.wave} has ended"
+                if operator_drains.is_kept_empty(member):
+                    reason = "its operator took the drain back"
+                plan.resume(member, reason)
             elif plan.accounts[pool].get_room() < 0:
                 plan.resume(member, "failures exceed the pool's budget")
 
--- a/bambookeel/state/drafting.py
+++ b/bambookeel/state/drafting.py
@@ -193,11 +193,13 @@
         draft.deleted[key] = place
         draft.by_key = draft.by_key.remove(key)
         return
+    status = change.status
+    if not status.spec_version:
+        # Its expected version tells that this spec is the one it was made from.
+        status = dataclasses.replace(status, spec_version=current.spec_version)
     draft.by_key = draft.by_key.set(
         key,
-        dataclasses.replace(
-            current, version=draft.version, status=change.status
-        ),
+        dataclasses.replace(current, version=draft.version, status=status),
     )
 
 
--- a/bambookeel/tools/log_lines.py
+++ b/bambookeel/tools/log_lines.py
@@ -122,6 +122,15 @@
     to_ms: int = 0
 
 
+def _has_word(event: LogEvent, words: tuple[str, ...]) -> bool:
+    for value in event.fields.values():
+        # A resource may be named with its kind, as in `instance/NAME`.
+        name = value.rpartition("/")[2]
+        if value in words or name in words:
+            return True
+    return False
+
+
 def filter_events(
     events: list[LogEvent], wanted: EventFilter
 ) -> list[LogEvent]:
@@ -144,8 +153,7 @@
             continue
         if wanted.to_ms and event.stamp.wall_ms > wanted.to_ms:
             continue
-        values = event.fields.values()
-        if wanted.words and not any(word in values for word in wanted.words):
+        if wanted.words and not _has_word(event, wanted.words):
             continue
         kept.append(event)
     return kept
--- a/features/state/validation.feature
+++ b/features/state/validation.feature
@@ -73,6 +73,10 @@
     Then the outcome is "applied"
     And "service/orders" exists and "team/coach" does not
 
+  Scenario: A status speaks of the spec that holds when it is written
+    When the system writes a status of "team/coach"
+    Then that status speaks of the version of the spec that holds
+
   Scenario: A withdrawn key stays withdrawn
     When an operator sends the changes
       | action | resource    | spec                                                                      |
--- a/features/steps/validation_steps.py
+++ b/features/steps/validation_steps.py
@@ -215,3 +215,23 @@
             assert second == first
 
     run()
+
+
+@when('the system writes a status of "{resource}"')
+def write_status(context, resource):
+    kind, _, name = resource.partition("/")
+    context.written = (resources.Kind(kind), name)
+    status = resources.Status(state="observed")
+    change = commands.PutStatus(*context.written, commands.ANY_VERSION, status)
+    command = commands.Command(
+        ids.CommandId("status"), "planner", (commands.wrap_change(change),)
+    )
+    version = ids.StateVersion(context.state.version + 1)
+    context.state = apply.apply_command(context.state, version, command).state
+
+
+@then("that status speaks of the version of the spec that holds")
+def check_spoken_version(context):
+    held = context.state.by_key[context.written]
+    assert held.status.state == "observed", held
+    assert held.status.spec_version == held.spec_version, held
--- a/features/timeline/timeline.feature
+++ b/features/timeline/timeline.feature
@@ -17,5 +17,14 @@
     And one line is reported as no event
     And the page is self-contained and names both processes
 
+  Scenario: A resource's name finds the events that name its kind too
+    Given log lines of "control-0"
+      """
+      at=100.00000 event=decision process=control-0 subject=instance/orders-1
+      at=100.00001 event=decision process=control-0 subject=instance/orders-11
+      """
+    When the time line is filtered by "orders-1"
+    Then its events are "decision"
+
   Scenario: Lines that the logs write are read back without loss
     Then any field values survive a log line
