Cut one way by one function; drop code that nothing calls

Cause: three cells of the fault matrix were copies but for the cut, the incoming cut was worked out beside the outgoing one, and two functions and a flag had no user. Behaviour and checks are as before.

--- a/bambookeel/dispatch/allotments.py
+++ b/bambookeel/dispatch/allotments.py
@@ -327,17 +327,3 @@
         filled[service] = min(asked[service], part)
         left -= filled[service]
     return filled
-
-
-def drop_service(keeper: Keeper, service: ids.ServiceName) -> None:
-    """Forgets a service that was deleted and has nothing running.
-
-    Args:
-        keeper: The keeper.
-        service: The service.
-    """
-    account = keeper.accounts.pop(service, None)
-    if account is None:
-        return
-    for team in account.shares:
-        keeper.services_of[team].discard(service)
--- a/bambookeel/fleet/explain.py
+++ b/bambookeel/fleet/explain.py
@@ -157,22 +157,3 @@
         progress,
         _describe_forecast(wave, plan.view.wall_ms, forecast),
     )
-
-
-def render_conditions(status: resources.Status) -> str:
-    """Renders a status's conditions as a few lines of text.
-
-    Args:
-        status: The status of any resource.
-
-    Returns:
-        One line for each condition.
-    """
-    lines: list[str] = []
-    for condition in status.conditions:
-        holds = "yes" if condition.holds else "no"
-        lines.append(
-            f"{condition.name}: {holds} ({condition.reason})"
-            f" {condition.message}"
-        )
-    return "\n".join(lines)
--- a/bambookeel/runtime/supervisor.py
+++ b/bambookeel/runtime/supervisor.py
@@ -51,7 +51,6 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self._children: list[_Child] = []
-        self._stopping = False
 
     def start_task(self, name: str, run: Callable[[], None]) -> None:
         """Starts a task that should run as long as the process.
@@ -111,7 +110,6 @@
 
     def stop(self) -> None:
         """Stops all tasks, the last started first."""
-        self._stopping = True
         for child in reversed(self._children):
             if child.greenlet is None:
                 child.run()
--- a/dev/proof_cells.py
+++ b/dev/proof_cells.py
@@ -8,7 +8,6 @@
 import dataclasses
 
 from dev import proof_run
-from dev import relay
 
 Act = Callable[[proof_run.ProofRun], None]
 _FREEZE_S = 4.0
@@ -39,6 +38,7 @@
 
 
 Find = Callable[[proof_run.ProofRun], str]
+Build = Callable[[Find], Act]
 
 
 def _find_holder(run: proof_run.ProofRun) -> str:
@@ -92,40 +92,26 @@
     return act
 
 
-def _cut(find: Find) -> Act:
-    def act(run: proof_run.ProofRun) -> None:
-        name = find(run)
-        run.cut(name)
-        run.pause(_CUT_S)
-        run.heal(name)
-
-    return act
+def _cut_by(cut: Callable[[proof_run.ProofRun, str], None]) -> Build:
+    """Builds the fault that cuts a process off for a while.
 
+    Args:
+        cut: Cuts the links of a process, in one direction or both.
 
-def _cut_outgoing(find: Find) -> Act:
-    def act(run: proof_run.ProofRun) -> None:
-        name = find(run)
-        run.cut_outgoing(name)
-        run.pause(_CUT_S)
-        run.heal(name)
-
-    return act
+    Returns:
+        What builds the fault for a role.
+    """
 
+    def build(find: Find) -> Act:
+        def act(run: proof_run.ProofRun) -> None:
+            name = find(run)
+            cut(run, name)
+            run.pause(_CUT_S)
+            run.heal(name)
 
-def _cut_incoming(find: Find) -> Act:
-    def act(run: proof_run.ProofRun) -> None:
-        name = find(run)
-        for (dialler, _), each in run.running.peer_relays.items():
-            if each in run.running.find_relays(name):
-                way = relay.Direction.TO_TARGET
-                if dialler == name:
-                    way = relay.Direction.FROM_TARGET
-                each.cut((way,))
-        run.evidence.disturbed.add(name)
-        run.pause(_CUT_S)
-        run.heal(name)
+        return act
 
-    return act
+    return build
 
 
 def _silence(find: Find) -> Act:
@@ -145,14 +131,14 @@
     return act
 
 
-_FAULTS: tuple[tuple[str, str, Callable[[Find], Act]], ...] = (
+_FAULTS: tuple[tuple[str, str, Build], ...] = (
     ("kill", "under load", _kill),
     ("kill and restart", "under load", _kill_and_restart),
     ("kill twice", "right after a repair", _kill_twice),
     ("freeze and wake", "under load", _freeze),
-    ("cut both ways", "under load", _cut),
-    ("cut outgoing", "under load", _cut_outgoing),
-    ("cut incoming", "under load", _cut_incoming),
+    ("cut both ways", "under load", _cut_by(proof_run.ProofRun.cut)),
+    ("cut outgoing", "under load", _cut_by(proof_run.ProofRun.cut_outgoing)),
+    ("cut incoming", "under load", _cut_by(proof_run.ProofRun.cut_incoming)),
     ("silent connections", "under load", _silence),
     ("planned stop", "under load", _stop_and_restart),
 )
@@ -201,14 +187,10 @@
     run.kill(leader)
     run.start(leader)
     run.pause(0.3)
-    run.kill(_find_holder_from_logs(run))
+    run.kill(run.running.entry_names[0])
     run.pause(2.0)
 
 
-def _find_holder_from_logs(run: proof_run.ProofRun) -> str:
-    return run.running.entry_names[0]
-
-
 def _lose_second_after_repair(run: proof_run.ProofRun) -> None:
     first = run.find_follower()
     run.kill(first)
--- a/dev/proof_run.py
+++ b/dev/proof_run.py
@@ -110,14 +110,30 @@
 
     def cut_outgoing(self, name: str) -> None:
         """Cuts what a process sends to its peers, not what it receives."""
+        self._cut_one_way(
+            name, relay.Direction.TO_TARGET, relay.Direction.FROM_TARGET
+        )
+
+    def cut_incoming(self, name: str) -> None:
+        """Cuts what a process receives from its peers, not what it sends."""
+        self._cut_one_way(
+            name, relay.Direction.FROM_TARGET, relay.Direction.TO_TARGET
+        )
+
+    def _cut_one_way(
+        self, name: str, dialled: relay.Direction, accepted: relay.Direction
+    ) -> None:
+        """Cuts one direction of all peer links of a process.
+
+        Args:
+            name: The process.
+            dialled: The direction on links that it dialled.
+            accepted: The direction on links that it accepted.
+        """
         self.evidence.disturbed.add(name)
-        for (dialler, _), each in self.running.peer_relays.items():
-            if each not in self.running.find_relays(name):
-                continue
-            way = relay.Direction.FROM_TARGET
-            if dialler == name:
-                way = relay.Direction.TO_TARGET
-            each.cut((way,))
+        for pair, each in self.running.peer_relays.items():
+            if name in pair:
+                each.cut((dialled if pair[0] == name else accepted,))
 
     def heal(self, name: str) -> None:
         """Heals all peer links of a process."""
