--- /dev/null
+++ b/bambookeel/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration document: queues, services and teams."""
--- a/bambookeel/control/core_runner.py
+++ b/bambookeel/control/core_runner.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import typing
 
 from returns import result
 
@@ -15,7 +16,6 @@
 from bambookeel.consensus import events as core_events
 from bambookeel.consensus import membership
 from bambookeel.consensus import records
-from bambookeel.control import events
 from bambookeel.control import replica_disk
 from bambookeel.control import replicated_state
 from bambookeel.core import faults
@@ -25,8 +25,6 @@
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
 from bambookeel.runtime import supervisor
-from bambookeel.state import commands
-from bambookeel.state import snapshot as state_snapshot
 from bambookeel.storage import snapshot_format
 from bambookeel.storage import store as replica_store
 
@@ -45,8 +43,8 @@
     """
 
     index: int
-    outcome: commands.CommandOutcome
-    committed: events.Committed
+    outcome: typing.Any
+    committed: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +55,7 @@
         committed: What differs, for listeners.
     """
 
-    committed: events.Committed
+    committed: typing.Any
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +102,7 @@
         loaded: replica_store.Loaded,
         disk: replica_disk.ReplicaDisk,
         seed: int,
+        machine: replicated_state.StateMachine,
     ) -> None:
         self.disk = disk
         self.send: SendMessage = lambda peer, message: False
@@ -111,7 +110,7 @@
         self._timings = timings
         self._seed = seed
         self.core = self._start_core(loaded.member, loaded.recovered)
-        self.replicated = replicated_state.restore(loaded.snapshot)
+        self.replicated = machine
         self.replicated.applied_index = self.core.commit_index
 
     def _start_core(
@@ -247,7 +246,7 @@
         return ""
 
     def _apply(self, entry: messages.LogEntry) -> None:
-        applied = replicated_state.apply_entry(self.replicated, entry)
+        applied = self.replicated.apply_entry(entry)
         if applied is not None:
             outcome, committed = applied
             self.outputs.append(Applied(entry.index, outcome, committed))
@@ -257,12 +256,14 @@
         since = applied.applied_index - self.core.snapshot_index
         if since < self._timings.snapshot_every:
             return
+        payload = applied.encode_state()
+        if payload is None:
+            return
         head = snapshot_format.SnapshotHead(
             ids.LogIndex(applied.applied_index),
             ids.Term(applied.applied_term),
             records.get_membership_at(self.core, applied.applied_index),
         )
-        payload = state_snapshot.encode_state(applied.state)
         if self.disk.save_snapshot(snapshot_format.Snapshot(head, payload)):
             logs.log_event("snapshot_made", index=head.last_index)
             self.run_step(core_events.SnapshotMade(head.last_index))
@@ -297,7 +298,7 @@
 
     def _install_snapshot(self, snapshot: snapshot_format.Snapshot) -> None:
         head = snapshot.head
-        committed = replicated_state.replace_state(self.replicated, snapshot)
+        committed = self.replicated.replace_state(snapshot)
         self.outputs.append(StateReplaced(committed))
         logs.log_event("snapshot_installed", index=head.last_index)
         self.run_step(
--- a/bambookeel/control/leader_requests.py
+++ b/bambookeel/control/leader_requests.py
@@ -17,6 +17,7 @@
 from bambookeel.consensus import records
 from bambookeel.control import core_runner
 from bambookeel.control import events
+from bambookeel.control import replicated_state
 from bambookeel.control import waiting
 from bambookeel.core import ids
 from bambookeel.core import messages
@@ -34,10 +35,12 @@
     def __init__(
         self,
         runner: core_runner.CoreRunner,
+        replicated: replicated_state.ReplicatedState,
         election_max_ms: int,
         first_number: int,
     ) -> None:
         self._runner = runner
+        self._replicated = replicated
         self._leaderless_ms = _LEADERLESS_ELECTIONS * election_max_ms
         # A leader may still answer reads of this process's earlier life, so
         # that their numbers must not come again.
@@ -253,7 +256,7 @@
         answer: ids.LogIndex | events.NotCommitted,
     ) -> None:
         is_refused = isinstance(answer, events.NotCommitted)
-        reply.set(answer if is_refused else self._runner.replicated.state)
+        reply.set(answer if is_refused else self._replicated.state)
 
     def _answer_peer_read(
         self,
--- a/bambookeel/control/replica_task.py
+++ b/bambookeel/control/replica_task.py
@@ -17,6 +17,7 @@
 from bambookeel.control import leader_requests
 from bambookeel.control import replica_disk
 from bambookeel.control import replica_view
+from bambookeel.control import replicated_state
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.core import settings as core_settings
@@ -49,9 +50,12 @@
         self._listeners: list[mailbox.Mailbox] = []
         self._formation = formation.Formation(loaded.member, control)
         self._identity_due_ms = 0
-        self._runner = core_runner.CoreRunner(timings, loaded, self.disk, seed)
+        self._state = replicated_state.restore(loaded.snapshot)
+        self._runner = core_runner.CoreRunner(
+            timings, loaded, self.disk, seed, self._state
+        )
         self._requests = leader_requests.LeaderRequests(
-            self._runner, timings.election_max_ms, seed
+            self._runner, self._state, timings.election_max_ms, seed
         )
         self._told_leading = False
         self._stop_wanted = False
@@ -247,7 +251,7 @@
         is_established = state.role is records.Role.LEADER
         is_established &= state.commit_index >= state.term_start_index
         return replica_view.ReplicaView(
-            self._runner.replicated.state,
+            self._state.state,
             membership.get_process(state.leader),
             state.term,
             is_established,
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -660,6 +660,56 @@
     restored: bool = False
 
 
+# --- Calls to the scheduling leader ---
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderCall:
+    """A call for the scheduling leader; `jobs.calls` holds what it may be.
+
+    Attributes:
+        number: Comes back with the answer; new for each try of each process.
+        payload: The encoded call.
+    """
+
+    number: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderAnswer:
+    """Answers `LeaderCall`."""
+
+    number: int
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderQuestion:
+    """Asks a process who leads."""
+
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderKnown:
+    """Answers `LeaderQuestion`.
+
+    Attributes:
+        nonce: That of the question.
+        leader: The leader as far as known; empty for none.
+        term: Its term.
+        is_certain: Whether the answering process itself leads under a lease.
+        voters: Processes of the voters, as far as known.
+    """
+
+    nonce: int
+    leader: ids.ProcessId
+    term: ids.Term
+    is_certain: bool
+    voters: tuple[ids.ProcessId, ...]
+
+
 # The order gives each message its number on the wire: append only.
 MESSAGE_TYPES: tuple[type, ...] = (
     Hello,
@@ -698,6 +748,10 @@
     RecordsRequest,
     RecordsReply,
     ReplicaRetired,
+    LeaderCall,
+    LeaderAnswer,
+    LeaderQuestion,
+    LeaderKnown,
 )
 
 # Records that appear only inside messages.
--- /dev/null
+++ b/bambookeel/jobs/book_snapshot.py
@@ -0,0 +1,131 @@
+"""The job book as bytes, for snapshots of the replicated log."""
+
+import msgspec
+
+from bambookeel.configuration import document as configuration
+from bambookeel.jobs import book as job_book
+from bambookeel.jobs import commands
+from bambookeel.jobs import specs
+
+
+class _SavedTask(msgspec.Struct, array_like=True):
+    last_run: int
+    failures: int
+    is_done: bool
+    saved: str
+
+
+class _SavedStep(msgspec.Struct, array_like=True):
+    failures: int
+    tasks: list[_SavedTask]
+
+
+class _SavedJob(msgspec.Struct):
+    admitted: commands.AdmitJob
+    state: specs.JobState
+    ended_wall_ms: int
+    steps: list[_SavedStep]
+
+
+class _SavedRun(msgspec.Struct, array_like=True):
+    task: specs.TaskRef
+    run: int
+    heard: int
+    ticket: str
+
+
+class _SavedWave(msgspec.Struct):
+    request: commands.StartWave
+    waiting: list[str]
+    ordered: list[str]
+
+
+class _SavedBook(msgspec.Struct):
+    document: configuration.Document
+    former_queues: list[configuration.Queue]
+    jobs: list[_SavedJob]
+    held: list[tuple[specs.WorkerLife, list[_SavedRun]]]
+    waves: list[_SavedWave]
+
+
+def encode_book(book: job_book.Book) -> bytes:
+    """Encodes a book.
+
+    Args:
+        book: The book.
+
+    Returns:
+        The bytes, equal for equal books.
+    """
+    jobs = [_save_job(job) for job in book.jobs.values()]
+    held = [
+        (
+            life,
+            [
+                _SavedRun(h.task, h.run, h.heard, h.ticket)
+                for h in runs.values()
+            ],
+        )
+        for life, runs in book.held.items()
+    ]
+    waves = [
+        _SavedWave(wave.request, list(wave.waiting), list(wave.ordered))
+        for wave in book.waves.values()
+    ]
+    former = list(book.former_queues.values())
+    return msgspec.msgpack.encode(
+        _SavedBook(book.view.document, former, jobs, held, waves)
+    )
+
+
+def _save_job(job: job_book.Job) -> _SavedJob:
+    steps = []
+    for step in job.steps.values():
+        tasks = [
+            _SavedTask(t.last_run, t.failures, t.is_done, t.saved)
+            for t in step.tasks
+        ]
+        steps.append(_SavedStep(step.failures, tasks))
+    admitted = commands.AdmitJob(
+        job.job, job.queue, job.team, job.spec, job.admitted_wall_ms
+    )
+    return _SavedJob(admitted, job.state, job.ended_wall_ms, steps)
+
+
+def decode_book(payload: bytes) -> job_book.Book:
+    """Decodes a book.
+
+    Args:
+        payload: What `encode_book` gave; empty for a new book.
+
+    Returns:
+        The book with all its look-ups.
+    """
+    book = job_book.Book()
+    if not payload:
+        return book
+    saved = msgspec.msgpack.decode(payload, type=_SavedBook)
+    if saved.document.version:
+        book.apply(commands.PutConfiguration(saved.document))
+    book.former_queues = {queue.name: queue for queue in saved.former_queues}
+    for each in saved.jobs:
+        book.restore_job(each.admitted, each.state, each.ended_wall_ms)
+        job = book.jobs[each.admitted.job]
+        for step, saved_step in zip(job.steps.values(), each.steps):
+            step.failures = saved_step.failures
+            for task, saved_task in zip(step.tasks, saved_step.tasks):
+                task.last_run = saved_task.last_run
+                task.failures = saved_task.failures
+                task.is_done = saved_task.is_done
+                task.saved = saved_task.saved
+    for life, runs in saved.held:
+        for run in runs:
+            held = job_book.HeldRun(run.task, run.run, run.heard, run.ticket)
+            book.restore_run(life, held)
+    for job in book.jobs.values():
+        book.restore_progress(job)
+    for wave in saved.waves:
+        restored = job_book.Wave(wave.request, dict.fromkeys(wave.waiting))
+        restored.ordered = dict.fromkeys(wave.ordered)
+        book.waves[wave.request.wave] = restored
+    return book
--- /dev/null
+++ b/bambookeel/jobs/objectives.py
@@ -0,0 +1,105 @@
+"""When a job should be complete, and how much work it is.
+
+The length of a job is its longest chain of steps. Declared run times may be far
+off, so that what earlier tasks of the same queue took corrects them.
+"""
+
+from bambookeel.configuration import document as configuration
+from bambookeel.jobs import book as job_book
+from bambookeel.jobs import specs
+
+# Weight of a new observation in the average of real to declared run time.
+_LEARNING_RATE = 0.1
+# Bounds of the correction; a few odd runs must not turn admission off.
+_MIN_FACTOR = 0.3
+_MAX_FACTOR = 4.0
+# A job is still of use to its caller up to this multiple of its objective.
+LATE_FACTOR = 3.0
+
+
+class RunTimes:
+    """Real run times against the declared ones, by queue."""
+
+    def __init__(self) -> None:
+        self._factors: dict[str, float] = {}
+
+    def observe(self, queue: str, declared_ms: int, real_ms: int) -> None:
+        """Takes a run that ended well.
+
+        Args:
+            queue: Its queue.
+            declared_ms: The declared run time.
+            real_ms: The real one.
+        """
+        if declared_ms <= 0:
+            return
+        seen = real_ms / declared_ms
+        known = self._factors.get(queue, 1.0)
+        mixed = known + _LEARNING_RATE * (seen - known)
+        self._factors[queue] = min(_MAX_FACTOR, max(_MIN_FACTOR, mixed))
+
+    def estimate_ms(self, queue: str, step: specs.StepSpec) -> float:
+        """Estimates how long a task of a step runs.
+
+        Args:
+            queue: Its queue.
+            step: The step.
+
+        Returns:
+            Milliseconds.
+        """
+        return step.estimate_ms * self._factors.get(queue, 1.0)
+
+
+def measure_chain_ms(spec: specs.JobSpec) -> float:
+    """Measures the longest chain of declared run times.
+
+    Args:
+        spec: The job.
+
+    Returns:
+        Milliseconds.
+    """
+    ends: list[float] = []
+    for step in spec.steps:
+        begins = max((ends[i] for i in step.after), default=0.0)
+        ends.append(begins + step.estimate_ms)
+    return max(ends, default=0.0)
+
+
+def compute_objective_ms(
+    queue: configuration.Queue | None, spec: specs.JobSpec
+) -> float:
+    """Computes how long a job may take.
+
+    Args:
+        queue: Its queue; None once that is gone.
+        spec: The job.
+
+    Returns:
+        Milliseconds from its admission.
+    """
+    chain_ms = measure_chain_ms(spec)
+    if queue is None:
+        return chain_ms
+    return chain_ms * queue.stretch + queue.objective_ms
+
+
+def count_open_work(job: job_book.Job, times: RunTimes) -> float:
+    """Estimates the processor time that a job still needs.
+
+    Args:
+        job: The job.
+        times: What is known of run times.
+
+    Returns:
+        Thousandths of a core times milliseconds.
+    """
+    total = 0.0
+    for step in job.steps.values():
+        if step.spec.is_standing or step.spec.is_filler:
+            continue
+        left = len(step.tasks) - step.done
+        each_ms = times.estimate_ms(job.queue, step.spec)
+        total += left * each_ms * step.spec.needs.cpu_milli
+    return total
--- /dev/null
+++ b/bambookeel/jobs/workers.py
@@ -0,0 +1,182 @@
+"""What the leader knows of workers from their reports.
+
+Nothing here is replicated: a new leader learns it from the next reports. What
+a worker may still be running is in the book; this table adds how long that can
+last, and how much room there is.
+"""
+
+import dataclasses
+
+from bambookeel.jobs import calls
+from bambookeel.jobs import specs
+
+# A worker's clock may run this much slower than the leader's, in thousandths.
+CLOCK_DRIFT_MILLI = 20
+# Covers rounding of the leader's own clock.
+LEASE_MARGIN_MS = 50
+
+
+@dataclasses.dataclass(slots=True)
+class Worker:
+    """One life of a worker, as it was last heard.
+
+    Attributes:
+        report: Its newest report.
+        heard_ms: When that came.
+        lease_until_ms: When everything on it has surely ended, if it is not
+            heard again.
+        reserved: What its held runs and unknown ones take.
+        running: Runs of its newest report, by task.
+        faults: Recent runs that failed there; fades.
+        started_ms: When each run was first listed, by task and run.
+        is_suspect: Whether it fails or stalls what others run well.
+        suspect_until_ms: When it is tried again.
+    """
+
+    report: calls.WorkerReport
+    heard_ms: int
+    lease_until_ms: int
+    reserved: specs.Resources = specs.Resources()
+    running: dict[specs.TaskRef, calls.RunningRun] = dataclasses.field(
+        default_factory=dict
+    )
+    faults: float = 0.0
+    started_ms: dict[tuple[specs.TaskRef, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+    suspect_until_ms: int = 0
+
+    @property
+    def life(self) -> specs.WorkerLife:
+        """Its id and start."""
+        return self.report.life
+
+    @property
+    def free(self) -> specs.Resources:
+        """What is left of its capacity."""
+        return self.report.capacity - self.reserved
+
+    @property
+    def rack(self) -> str:
+        """Its rack: the last of its labels."""
+        labels = self.report.labels
+        return labels[-1] if labels else ""
+
+
+def compute_lease_end(heard_ms: int, lease_ms: int) -> int:
+    """Computes when a lease that a report gets has surely run out.
+
+    Args:
+        heard_ms: When the report came, which is not before it was sent.
+        lease_ms: The lease.
+
+    Returns:
+        The time on the leader's clock.
+    """
+    drift_ms = lease_ms * CLOCK_DRIFT_MILLI // 1000
+    return heard_ms + lease_ms + drift_ms + LEASE_MARGIN_MS
+
+
+class WorkerTable:
+    """The workers that this leader has heard."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Worker] = {}
+        self._by_instance: dict[str, str] = {}
+        self._by_address: dict[str, str] = {}
+
+    def find_newer(self, report: calls.WorkerReport) -> str:
+        """Tells why a report is not of the present.
+
+        Args:
+            report: The report.
+
+        Returns:
+            One sentence; empty when the report is news.
+        """
+        known = self.by_id.get(report.life.worker)
+        if known is not None:
+            if known.life.born_wall_ms > report.life.born_wall_ms:
+                return "a later life of the worker is known"
+            is_same = known.life == report.life
+            if is_same and known.report.number >= report.number:
+                return "a later report is known"
+        for other in self._find_neighbours(report):
+            if other.life.born_wall_ms > report.life.born_wall_ms:
+                return "a later worker of the instance is known"
+        return ""
+
+    def _find_neighbours(self, report: calls.WorkerReport) -> list[Worker]:
+        """Finds other workers that cannot be up together with this one.
+
+        Args:
+            report: A worker's report.
+
+        Returns:
+            Workers of the same instance or address.
+        """
+        names = (
+            self._by_instance.get(report.instance),
+            self._by_address.get(report.address),
+        )
+        found = []
+        for name in names:
+            if name is None or name == report.life.worker:
+                continue
+            if name in self.by_id:
+                found.append(self.by_id[name])
+        return found
+
+    def take_report(
+        self, report: calls.WorkerReport, now_ms: int
+    ) -> tuple[Worker, list[Worker]]:
+        """Takes a report that is news.
+
+        Args:
+            report: The report.
+            now_ms: When it came.
+
+        Returns:
+            The worker, and earlier ones that the report shows to be gone.
+        """
+        gone = self._find_neighbours(report)
+        known = self.by_id.get(report.life.worker)
+        if known is not None and known.life != report.life:
+            gone.append(known)
+            known = None
+        for other in gone:
+            self.remove(other)
+        if known is None:
+            known = Worker(report, now_ms, now_ms)
+            self.by_id[report.life.worker] = known
+        known.report = report
+        known.heard_ms = now_ms
+        known.running = {run.task: run for run in report.running}
+        listed = {(run.task, run.run) for run in report.running}
+        known.started_ms = {
+            key: known.started_ms.get(key, now_ms) for key in listed
+        }
+        if report.instance:
+            self._by_instance[report.instance] = report.life.worker
+        self._by_address[report.address] = report.life.worker
+        return known, gone
+
+    def remove(self, worker: Worker) -> None:
+        """Forgets a worker.
+
+        Args:
+            worker: The worker.
+        """
+        if self.by_id.get(worker.life.worker) is worker:
+            del self.by_id[worker.life.worker]
+
+    def find_by_instance(self, instance: str) -> Worker | None:
+        """Finds the worker of an instance.
+
+        Args:
+            instance: The instance.
+
+        Returns:
+            Its worker, or None.
+        """
+        return self.by_id.get(self._by_instance.get(instance, ""))
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -39,6 +39,10 @@
     recordsRequest @33 :RecordsRequest;
     recordsReply @34 :RecordsReply;
     replicaRetired @35 :ReplicaRetired;
+    leaderCall @36 :LeaderCall;
+    leaderAnswer @37 :LeaderAnswer;
+    leaderQuestion @38 :LeaderQuestion;
+    leaderKnown @39 :LeaderKnown;
   }
 }
 
@@ -317,6 +321,28 @@
   member @0 :Text;
 }
 
+struct LeaderCall {
+  number @0 :Int64;
+  payload @1 :Data;
+}
+
+struct LeaderAnswer {
+  number @0 :Int64;
+  payload @1 :Data;
+}
+
+struct LeaderQuestion {
+  nonce @0 :Int64;
+}
+
+struct LeaderKnown {
+  nonce @0 :Int64;
+  leader @1 :Text;
+  term @2 :Int64;
+  isCertain @3 :Bool;
+  voters @4 :List(Text);
+}
+
 struct LogEntry {
   term @0 :Int64;
   index @1 :Int64;
--- /dev/null
+++ b/bambookeel/node/__init__.py
@@ -0,0 +1,1 @@
+"""One process that takes calls, keeps the replicated book and schedules."""
--- /dev/null
+++ b/bambookeel/node/book_machine.py
@@ -0,0 +1,107 @@
+"""The job book as a state machine of the replicated log.
+
+The leader decides on its own book before its decisions are committed, one
+batch at a time. Such a batch is not applied again when it commits; if the
+leader loses its term instead, the book is built anew from what is committed.
+"""
+
+from collections.abc import Callable
+
+from bambookeel.consensus import log as core_log
+from bambookeel.control import replicated_state
+from bambookeel.core import messages
+from bambookeel.jobs import book as job_book
+from bambookeel.jobs import book_snapshot
+from bambookeel.jobs import commands
+from bambookeel.storage import snapshot_format
+
+
+class BookMachine:
+    """Applies committed batches to the book."""
+
+    def __init__(self, snapshot: snapshot_format.Snapshot | None) -> None:
+        self.applied_index = 0
+        self.applied_term = 0
+        self.book = job_book.Book()
+        self.get_log: Callable[[], core_log.Log] = core_log.Log
+        self._base = b""
+        self._base_index = 0
+        # Index and term of the batch that the book holds before its commit.
+        self._ahead = (0, 0)
+        if snapshot is not None:
+            self.replace_state(snapshot)
+
+    @property
+    def is_ahead(self) -> bool:
+        """Whether the book holds a batch that is not committed."""
+        return self._ahead[0] > self.applied_index
+
+    def note_ahead(self, index: int, term: int) -> None:
+        """Notes that the book holds the batch of an entry to come.
+
+        Args:
+            index: The entry's index.
+            term: Its term.
+        """
+        self._ahead = (index, term)
+
+    def apply_entry(self, entry: messages.LogEntry) -> tuple[None, None] | None:
+        """Applies one committed entry, unless the book already holds it.
+
+        Args:
+            entry: The next entry.
+
+        Returns:
+            A pair of nothing for a batch; None where there is none.
+        """
+        is_held = (entry.index, entry.term) == self._ahead
+        has_batch = bool(entry.payload) and not entry.is_membership
+        if not is_held and (has_batch or entry.index == self._ahead[0]):
+            self.drop_uncommitted()
+        replicated_state.note_applied(self, entry)
+        if not has_batch:
+            return None
+        if not is_held:
+            self._apply_batch(entry.payload)
+        return None, None
+
+    def _apply_batch(self, payload: bytes) -> None:
+        for command in commands.decode_batch(payload):
+            self.book.apply(command)
+
+    def replace_state(self, snapshot: snapshot_format.Snapshot) -> None:
+        """Replaces the book by that of a snapshot.
+
+        Args:
+            snapshot: The snapshot.
+        """
+        self._base = snapshot.payload
+        self._base_index = snapshot.head.last_index
+        self._ahead = (0, 0)
+        self.book = book_snapshot.decode_book(snapshot.payload)
+        self.applied_index = snapshot.head.last_index
+        self.applied_term = snapshot.head.last_term
+
+    def encode_state(self) -> bytes | None:
+        """Encodes the book for a snapshot.
+
+        Returns:
+            The bytes; None while it holds what is not committed.
+        """
+        if self.is_ahead:
+            return None
+        self._base = book_snapshot.encode_book(self.book)
+        self._base_index = self.applied_index
+        return self._base
+
+    def drop_uncommitted(self) -> None:
+        """Builds the book anew from what is committed, if it is ahead."""
+        if not self.is_ahead:
+            return
+        self._ahead = (0, 0)
+        self.book = book_snapshot.decode_book(self._base)
+        first = self._base_index + 1
+        log = self.get_log()
+        for entry in core_log.get_entries(log, first, self.applied_index):
+            if not entry.is_membership and entry.payload:
+                self._apply_batch(entry.payload)
--- /dev/null
+++ b/bambookeel/node/process.py
@@ -0,0 +1,164 @@
+"""Builds and runs a node: channels, gateway, and a replica where there is a disk."""
+
+import secrets
+
+from returns import result
+
+from bambookeel.control import events
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.jobs import calls
+from bambookeel.net import channels
+from bambookeel.net import links
+from bambookeel.node import gateway
+from bambookeel.node import leader_finder
+from bambookeel.node import replica
+from bambookeel.node import settings as node_settings
+from bambookeel.runtime import clock
+from bambookeel.runtime import logs
+from bambookeel.runtime import supervisor
+from bambookeel.runtime import timers
+from bambookeel.storage import folder
+from bambookeel.storage import store as replica_store
+
+
+class Node:
+    """The parts of a node, under one supervisor."""
+
+    def __init__(self, settings: node_settings.NodeSettings) -> None:
+        self.settings = settings
+        self._supervisor = supervisor.Supervisor("node")
+        self._timers = timers.TimerService()
+        self._is_stopping = False
+        identity = messages.Hello(
+            settings.address,
+            messages.ProcessRole.CONTROL,
+            settings.data_centre,
+            ids.Incarnation(clock.read_wall_ms()),
+            ids.LinkNumber(0),
+        )
+        link_settings = links.LinkSettings(
+            settings.address,
+            {},
+            settings.channel_heartbeat_ms,
+            settings.channel_timeout_ms,
+        )
+        self._channels = channels.Channels(
+            link_settings, identity, self._deliver
+        )
+        belief = leader_finder.Belief(settings.address, settings.seeds)
+        self.gateway = gateway.Gateway(belief, self._channels)
+        self._replica: replica.Replica | None = None
+
+    @classmethod
+    def from_config(cls, settings: node_settings.NodeSettings) -> "Node":
+        """Builds a node; opens its disk and no socket.
+
+        Args:
+            settings: Its settings.
+
+        Returns:
+            The node.
+        """
+        node = cls(settings)
+        if settings.data_folder:
+            node.open_disk()
+        return node
+
+    def open_disk(self) -> None:
+        """Opens the data folder; ends the process when it is damaged."""
+        opened = folder.open_folder(self.settings.data_folder).bind(
+            lambda locked: replica_store.open_store(
+                locked, self.settings.address
+            )
+        )
+        match opened:
+            case result.Failure(fault):
+                supervisor.end_process(f"{fault.place}: {fault.message}")
+        store, loaded = opened.unwrap()
+        if loaded.torn_bytes:
+            logs.log_event("torn_log_cut", cut_bytes=loaded.torn_bytes)
+        self._replica = replica.Replica(
+            self.settings,
+            store,
+            loaded,
+            self._channels.send,
+            secrets.randbits(62),
+        )
+
+    def _deliver(self, peer: ids.ProcessId, message: messages.Message) -> None:
+        """Hands a message to the task that it is for.
+
+        Args:
+            peer: Who sent it.
+            message: The message.
+        """
+        match message:
+            case messages.LeaderAnswer() | messages.LeaderKnown():
+                self.gateway.take_message(peer, message)
+                if self._replica is not None:
+                    belief = self.gateway.belief
+                    contacts = (belief.leader,) if belief.leader else ()
+                    self._replica.take_contacts(contacts + belief.voters)
+            case _ if self._replica is not None:
+                event = events.FromPeer(peer, message)
+                if not self._replica.mailbox.put(event):
+                    logs.log_event("mailbox_full", peer=peer)
+            case messages.LeaderCall(number):
+                leader = self.gateway.belief.leader
+                payload = calls.encode_answer(calls.NotLeading(leader, False))
+                self._channels.send(
+                    peer, messages.LeaderAnswer(number, payload)
+                )
+            case messages.LeaderQuestion():
+                self._channels.send(peer, self.gateway.describe_leader())
+
+    def change_seeds(self, seeds: tuple[ids.ProcessId, ...]) -> None:
+        """Takes other seeds into use.
+
+        Args:
+            seeds: The seeds.
+        """
+        if seeds == self.gateway.belief.seeds:
+            return
+        self.gateway.belief.seeds = seeds
+        logs.log_event("seeds_changed", seeds=",".join(seeds))
+
+    def find_unready_reason(self) -> str:
+        """Tells why callers should not be sent here.
+
+        Returns:
+            The reason; empty when the node is ready.
+        """
+        if self._is_stopping:
+            return "stopping"
+        if not self.gateway.belief.is_confirmed(clock.read_now_ms()):
+            return "no leader is known"
+        return ""
+
+    def start(self) -> None:
+        """Starts all tasks and opens the channels' socket."""
+        self._supervisor.start_task("timers", self._timers.run)
+        if self._replica is not None:
+            self._replica.subscribe_timers(self._timers)
+            self._supervisor.start_task("replica", self._replica.run)
+            disk = self._replica.disk
+            self._supervisor.start_task("log-syncs", disk.run_syncs)
+        self._channels.listen()
+        self._supervisor.start_task("gateway", self.gateway.run)
+        logs.log_event("started", listen=self.settings.address)
+
+    def begin_stop(self) -> None:
+        """Says that the node is not ready and hands leadership over."""
+        self._is_stopping = True
+        logs.log_event("stopping")
+        if self._replica is not None:
+            self._replica.mailbox.put(events.StopReplica())
+
+    def stop(self) -> None:
+        """Stops the tasks and closes the sockets."""
+        self._supervisor.stop()
+        self._channels.close()
+        if self._replica is not None:
+            self._replica.disk.close()
+        logs.log_event("stopped")
--- /dev/null
+++ b/bambookeel/node/replica.py
@@ -0,0 +1,334 @@
+"""The replica of a node with a disk: it votes, applies, and may lead.
+
+One task owns the consensus core, the book and, while it leads, the scheduler.
+Calls that wait are handled together; their commands become one log entry, and
+their answers go out once it is committed, or once the lease proves that nobody
+else could have decided.
+"""
+
+from collections.abc import Callable
+import functools
+
+from bambookeel.consensus import effects as core_effects
+from bambookeel.consensus import events as core_events
+from bambookeel.consensus import membership
+from bambookeel.consensus import records
+from bambookeel.consensus import replication
+from bambookeel.control import core_runner
+from bambookeel.control import events
+from bambookeel.control import formation
+from bambookeel.control import replica_disk
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.jobs import calls
+from bambookeel.jobs import commands
+from bambookeel.jobs import scheduler as job_scheduler
+from bambookeel.node import book_machine
+from bambookeel.node import settings as node_settings
+from bambookeel.runtime import clock
+from bambookeel.runtime import logs
+from bambookeel.runtime import mailbox
+from bambookeel.runtime import supervisor
+from bambookeel.runtime import timers
+from bambookeel.storage import store as replica_store
+
+_TICK_MS = 25
+_IDENTITY_PERIOD_MS = 200
+# Calls that are handled together; more wait for the next log entry.
+_MAX_CALLS = 200
+# How long an answer may wait for the lease to be confirmed.
+_CONFIRM_MS = 900
+
+Reply = Callable[[calls.Answer], None]
+_Waiting = tuple[job_scheduler.Answer, Reply, int]
+
+
+class Replica:
+    """Owns the log, the book and the scheduler of one node."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        store: replica_store.ReplicaStore,
+        loaded: replica_store.Loaded,
+        send: core_runner.SendMessage,
+        seed: int,
+    ) -> None:
+        self.mailbox = mailbox.Mailbox("replica")
+        self.disk = replica_disk.ReplicaDisk(store, self.mailbox)
+        self._settings = settings
+        self._machine = book_machine.BookMachine(loaded.snapshot)
+        self._runner = core_runner.CoreRunner(
+            settings.consensus, loaded, self.disk, seed, self._machine
+        )
+        self._runner.send = send
+        self._machine.get_log = lambda: self._runner.core.log
+        self._formation = formation.Formation(loaded.member, settings.seeds)
+        self._identity_due_ms = 0
+        self._contacts: tuple[ids.ProcessId, ...] = ()
+        self._scheduler: job_scheduler.Scheduler | None = None
+        self._calls: list[tuple[calls.Call, Reply]] = []
+        self._plan_due = False
+        # Answers that wait for the entry at an index to be committed.
+        self._in_flight: tuple[int, list[_Waiting]] | None = None
+        # Answers that wait for the lease alone.
+        self._unconfirmed: list[_Waiting] = []
+        self._stop_wanted = False
+
+    def run(self) -> None:
+        """Handles messages until the task is killed."""
+        while True:
+            self._handle(self.mailbox.get())
+            while self.mailbox.get_depth() and len(self._calls) < _MAX_CALLS:
+                self._handle(self.mailbox.get())
+            self._finish_turn()
+
+    def subscribe_timers(self, service: timers.TimerService) -> None:
+        """Asks for this task's regular messages.
+
+        Args:
+            service: The timer service.
+        """
+        service.subscribe(self.mailbox, _TICK_MS, events.Tick())
+
+    def take_contacts(self, contacts: tuple[ids.ProcessId, ...]) -> None:
+        """Takes processes that may let a new disk in.
+
+        Args:
+            contacts: The processes.
+        """
+        self._contacts = contacts
+
+    def _handle(self, event: object) -> None:
+        match event:
+            case core_events.LogSynced():
+                self._runner.run_step(event)
+            case events.Tick():
+                self._tick()
+            case events.FromPeer(peer, message):
+                self._take_message(peer, message)
+            case events.StopReplica():
+                self._stop_wanted = True
+                self._runner.run_step(core_events.HandOverAsked())
+
+    def _take_message(
+        self, peer: ids.ProcessId, message: messages.Message
+    ) -> None:
+        match message:
+            case messages.LeaderCall(number, payload):
+                reply = functools.partial(self._reply, peer, number)
+                call = calls.CALL_DECODER.decode(payload)
+                self._calls.append((call, reply))
+            case messages.LeaderQuestion(nonce):
+                self._runner.send(peer, self._describe_leader(nonce))
+            case messages.ReplicaIdentity():
+                self._take_identity(peer, message)
+            case messages.ReplicaRetired(member):
+                self._end_if_retired(member)
+            case _:
+                if isinstance(message, messages.AppendReply):
+                    self._tell_if_retired(message)
+                self._runner.run_step(core_events.MessageReceived(message))
+
+    def _reply(
+        self, peer: ids.ProcessId, number: int, answer: calls.Answer
+    ) -> None:
+        payload = calls.encode_answer(answer)
+        self._runner.send(peer, messages.LeaderAnswer(number, payload))
+
+    def _describe_leader(self, nonce: int) -> messages.LeaderKnown:
+        core = self._runner.core
+        voters = tuple(
+            membership.get_process(member) for member in core.membership.voters
+        )
+        return messages.LeaderKnown(
+            nonce,
+            membership.get_process(core.leader),
+            core.term,
+            self._holds_lease(),
+            voters,
+        )
+
+    def _holds_lease(self) -> bool:
+        core = self._runner.core
+        return clock.read_now_ms() < replication.compute_lease_until(core)
+
+    # --- Membership ---
+
+    def _tick(self) -> None:
+        self._runner.run_step(core_events.TimerDue())
+        self._plan_due = True
+        if self._stop_wanted:
+            self._runner.run_step(core_events.HandOverAsked())
+        if not self._is_member():
+            self._try_to_join(clock.read_now_ms())
+
+    def _is_member(self) -> bool:
+        members = self._runner.core.membership.members
+        return self._runner.core.member in members
+
+    def _try_to_join(self, now_ms: int) -> None:
+        if now_ms < self._identity_due_ms:
+            return
+        self._identity_due_ms = now_ms + _IDENTITY_PERIOD_MS
+        own = self._settings.address
+        if self._formation.control == (own,) and self._may_form():
+            member = self._formation.member
+            self._runner.form(membership.Membership((member,)))
+            return
+        asked = dict.fromkeys((*self._formation.control, *self._contacts))
+        for process in asked:
+            if process != own:
+                self._runner.send(process, self._build_identity(True))
+
+    def _may_form(self) -> bool:
+        is_new = not self._runner.has_membership()
+        return is_new and self._settings.is_first_start
+
+    def _build_identity(self, wants_reply: bool) -> messages.ReplicaIdentity:
+        has_membership = self._runner.has_membership()
+        return messages.ReplicaIdentity(
+            self._formation.member, has_membership, wants_reply
+        )
+
+    def _take_identity(
+        self, peer: ids.ProcessId, identity: messages.ReplicaIdentity
+    ) -> None:
+        self._runner.run_step(core_events.StrangerSeen(identity.member))
+        if identity.wants_reply:
+            self._runner.send(peer, self._build_identity(False))
+        if not self._may_form():
+            return
+        formation.take_identity(self._formation, identity)
+        formed = formation.try_to_form(self._formation)
+        if formed is not None:
+            self._runner.form(formed)
+
+    def _tell_if_retired(self, answer: messages.AppendReply) -> None:
+        core = self._runner.core
+        is_leading = core.role is records.Role.LEADER
+        if not is_leading or core.membership_index > core.commit_index:
+            return
+        if answer.follower in core.membership.retired:
+            process = membership.get_process(answer.follower)
+            retired = messages.ReplicaRetired(answer.follower)
+            self._runner.send(process, retired)
+
+    def _end_if_retired(self, member: ids.MemberId) -> None:
+        if member == self._formation.member:
+            supervisor.end_process(f"the disk of {member} was retired")
+
+    # --- Leading ---
+
+    def _read_now(self) -> job_scheduler.Now:
+        return job_scheduler.Now(clock.read_now_ms(), clock.read_wall_ms())
+
+    def _finish_turn(self) -> None:
+        self._take_outputs()
+        core = self._runner.core
+        is_leading = core.role is records.Role.LEADER
+        is_leading &= core.commit_index >= core.term_start_index
+        if not is_leading or core.hand_over_to:
+            self._refuse_calls()
+            return
+        if self._scheduler is None:
+            self._scheduler = job_scheduler.Scheduler(
+                self._machine.book,
+                self._settings.scheduling,
+                core.term,
+                self._read_now(),
+            )
+            logs.log_event("scheduling", term=core.term)
+        if self._in_flight is None:
+            self._run_scheduler(self._scheduler)
+        self._answer_confirmed()
+
+    def _take_outputs(self) -> None:
+        outputs = self._runner.outputs
+        self._runner.outputs = []
+        for output in outputs:
+            match output:
+                case core_runner.Applied(index):
+                    self._note_applied(index)
+                case core_effects.RoleChanged(_, False):
+                    self._stop_leading()
+
+    def _note_applied(self, index: int) -> None:
+        if self._in_flight is None or self._in_flight[0] != index:
+            return
+        waiting = self._in_flight[1]
+        self._in_flight = None
+        for answer, reply, _ in waiting:
+            reply(answer())
+
+    def _stop_leading(self) -> None:
+        self._machine.drop_uncommitted()
+        self._scheduler = None
+        waiting = self._unconfirmed
+        self._unconfirmed = []
+        if self._in_flight is not None:
+            waiting = waiting + self._in_flight[1]
+            self._in_flight = None
+        for _, reply, _ in waiting:
+            reply(calls.NotLeading("", True))
+
+    def _refuse_calls(self) -> None:
+        refused = self._calls
+        self._calls = []
+        leader = self._runner.get_leader()
+        for _, reply in refused:
+            reply(calls.NotLeading(leader, False))
+
+    def _run_scheduler(self, scheduler: job_scheduler.Scheduler) -> None:
+        """Handles what waits, and proposes what was decided.
+
+        Args:
+            scheduler: The scheduler of this term.
+        """
+        if not self._calls and not self._plan_due:
+            return
+        now = self._read_now()
+        waiting: list[_Waiting] = []
+        taken = self._calls
+        self._calls = []
+        if self._plan_due:
+            scheduler.tick(now)
+        for call, reply in taken:
+            waiting.append((scheduler.handle(call, now), reply, now.steady_ms))
+        scheduler.plan(now)
+        self._plan_due = False
+        batch = scheduler.take_batch()
+        if not batch:
+            self._unconfirmed.extend(waiting)
+            return
+        # A batch that is under way would show through in older answers too.
+        waiting = self._unconfirmed + waiting
+        self._unconfirmed = []
+        index = self._runner.core.log.last_index + 1
+        payload = commands.encode_batch(batch)
+        self._machine.note_ahead(index, self._runner.core.term)
+        self._in_flight = (index, waiting)
+        refusal = self._runner.run_step(core_events.ProposalsMade((payload,)))
+        if refusal:
+            logs.log_event("batch_refused", reason=refusal)
+            self._machine.note_ahead(index, 0)
+            self._stop_leading()
+        self._take_outputs()
+
+    def _answer_confirmed(self) -> None:
+        if not self._unconfirmed:
+            return
+        if self._holds_lease():
+            waiting = self._unconfirmed
+            self._unconfirmed = []
+            for answer, reply, _ in waiting:
+                reply(answer())
+            return
+        now_ms = clock.read_now_ms()
+        kept = []
+        for each in self._unconfirmed:
+            if now_ms - each[2] < _CONFIRM_MS:
+                kept.append(each)
+                continue
+            each[1](calls.NotLeading("", False))
+        self._unconfirmed = kept
--- a/bambookeel/runtime/clock.py
+++ b/bambookeel/runtime/clock.py
@@ -1,8 +1,9 @@
 """The process's clocks: the only place that reads time.
 
-Decisions take `now_ms` as an argument; daemons get it here. `now_ms` is the
-monotonic clock, which is never compared between processes; `HybridClock` gives
-the stamps of logs and frames.
+Decisions take `now_ms` as an argument; daemons get it here. `now_ms` comes from
+a steady clock that counts suspended time, since a lease that is measured on one
+that does not outlives its end. It is never compared between processes;
+`HybridClock` gives the stamps of logs and frames.
 """
 
 import time
@@ -11,12 +12,12 @@
 
 
 def read_now_ms() -> int:
-    """Reads the monotonic clock.
+    """Reads the steady clock, which also counts suspended time.
 
     Returns:
         Milliseconds from an arbitrary start.
     """
-    return time.monotonic_ns() // 1_000_000
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 def read_wall_ms() -> int:
--- a/bench/bench_storage.py
+++ b/bench/bench_storage.py
@@ -92,7 +92,7 @@
     replicated = replicated_state.restore(loaded.snapshot)
     for entry in loaded.recovered.log.entries:
         if entry.index > replicated.applied_index:
-            replicated_state.apply_entry(replicated, entry)
+            replicated.apply_entry(entry)
     opened.close()
     return replicated
 
