Let the leader's node learn from its own replica who leads

Cause: a node asked only others who leads, and only a leading replica's own answer counts as certain; on the leader's node no call was ever made. Found by a log line for each refused heartbeat. Ruled out: the lease and the mailbox, since calls through other nodes were answered.

--- a/bambookeel/node/leader_finder.py
+++ b/bambookeel/node/leader_finder.py
@@ -70,7 +70,8 @@
     asked = dict.fromkeys((*belief.seeds, *belief.voters))
     if belief.leader:
         asked[belief.leader] = None
-    asked.pop(belief.own, None)
+    # The own replica may be the one that leads.
+    asked[belief.own] = None
     return tuple(asked)
 
 
