Take instances down for upkeep and move them between pools

Change: goals for instances (drain, order through the provider, wait until heard), waves, and pools that grow from the spare one and shrink to it.

--- /dev/null
+++ b/bambookeel/jobs/pool_demand.py
@@ -0,0 +1,98 @@
+"""Measures what the pools have to do, for the decision on their sizes."""
+
+import typing
+
+from bambookeel.jobs import fleet as fleet_view
+from bambookeel.jobs import instances
+from bambookeel.jobs import pools
+
+if typing.TYPE_CHECKING:
+    from bambookeel.jobs import scheduler as job_scheduler
+
+
+def find_spare(
+    fleet: fleet_view.Fleet, spare_pool: str, now_ms: int
+) -> tuple[str, ...]:
+    """Finds instances of the spare pool that may be moved.
+
+    Args:
+        fleet: The fleet.
+        spare_pool: The pool of instances that are off.
+        now_ms: The time.
+
+    Returns:
+        Their names.
+    """
+    return tuple(
+        name
+        for name, known in sorted(fleet.known.items())
+        if known.pool == spare_pool
+        and known.phase is instances.InstancePhase.UP
+        and name not in fleet.goals
+        and now_ms >= known.retry_ms
+    )
+
+
+def measure_pool(
+    scheduler: "job_scheduler.Scheduler",
+    service: str,
+    idle_since_ms: int,
+    now_ms: int,
+) -> pools.PoolState:
+    """Measures one pool.
+
+    Args:
+        scheduler: The scheduler, with book, workers and goals.
+        service: The pool's service.
+        idle_since_ms: Since when it has been idle, as known so far.
+        now_ms: The time.
+
+    Returns:
+        Its state.
+    """
+    book = scheduler.book
+    fleet = scheduler.steering.fleet
+    members = 0
+    each_milli = 0
+    empty = []
+    for worker in scheduler.workers.by_id.values():
+        report = worker.report
+        if report.service != service or report.is_leaving or worker.is_silent:
+            continue
+        goal = fleet.goals.get(report.instance)
+        if goal is not None and isinstance(goal.order, instances.Move):
+            continue
+        members += 1
+        each_milli = max(each_milli, report.capacity.cpu_milli)
+        is_free = not book.held.get(worker.life) and not worker.running
+        if is_free and goal is None and report.instance in fleet.known:
+            empty.append(report.instance)
+    coming = sum(
+        isinstance(goal.order, instances.Move) and goal.order.pool == service
+        for goal in fleet.goals.values()
+    )
+    load = scheduler.measure_load(service)
+    standing = 0
+    needed = 0
+    for name, jobs in book.open_jobs.items():
+        queue = book.find_queue(name)
+        if queue is None or queue.service != service:
+            continue
+        for job_id in jobs:
+            for step in book.jobs[job_id].spec.steps:
+                if not step.is_standing or step.is_filler:
+                    continue
+                standing += step.count * step.needs.cpu_milli
+                most = step.max_per_instance
+                if most:
+                    needed = max(needed, -(-step.count // most))
+    return pools.PoolState(
+        service,
+        load.open_work,
+        (members + coming) * each_milli - standing,
+        each_milli,
+        members + coming,
+        needed,
+        tuple(sorted(empty)),
+        idle_since_ms,
+    )
--- /dev/null
+++ b/bambookeel/jobs/pools.py
@@ -0,0 +1,98 @@
+"""Moves instances between the pools and the spare one, as demand turns.
+
+A pool grows when its open work would take too long for it, and gives an empty
+instance back once it has had too little to do for as long as a move costs. The
+price of a move there and back is that of a little more than two seconds of an
+instance in a pool.
+"""
+
+import dataclasses
+
+# Open work that a pool should be able to end within this time; well within
+# the objective of an ordinary job, with time for the instance to come.
+GROW_AT_MS = 2_200
+# A pool whose open work takes less than this may give an instance up.
+SHRINK_AT_MS = 500
+# How long that must have been so: the price of a move there and back.
+IDLE_MS = 2_300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolState:
+    """One pool's demand and capacity.
+
+    Attributes:
+        pool: Its name.
+        open_work: Work of its open jobs, in thousandths of a core times ms.
+        capacity_milli: Processor time of its instances, with those that are
+            on their way, less what standing tasks take.
+        each_milli: Processor time of one instance.
+        members: Its instances, with those that are on their way.
+        needed: Instances that its standing tasks need.
+        empty: Its instances that run nothing.
+        idle_since_ms: Since when it has had too little to do; -1 if not.
+    """
+
+    pool: str
+    open_work: float
+    capacity_milli: int
+    each_milli: int
+    members: int
+    needed: int
+    empty: tuple[str, ...]
+    idle_since_ms: int
+
+
+def is_idle(state: PoolState) -> bool:
+    """Tells whether a pool has too little to do for its size.
+
+    Args:
+        state: The pool.
+
+    Returns:
+        Whether it could do with one instance less.
+    """
+    left = state.capacity_milli - state.each_milli
+    if state.members <= max(1, state.needed) or left <= 0:
+        return False
+    return state.open_work / left < SHRINK_AT_MS
+
+
+def choose_moves(
+    states: list[PoolState],
+    spare_pool: str,
+    spare: tuple[str, ...],
+    now_ms: int,
+) -> list[tuple[str, str]]:
+    """Chooses instances to move.
+
+    Args:
+        states: The pools that have work.
+        spare_pool: The pool of instances that are off.
+        spare: Its instances that may be moved.
+        now_ms: The time.
+
+    Returns:
+        Pairs of an instance and the pool that it should go to.
+    """
+    moves: list[tuple[str, str]] = []
+    free = list(spare)
+    wanting = []
+    for state in states:
+        target = state.open_work / GROW_AT_MS
+        lacking = target - state.capacity_milli
+        if lacking > 0 and state.each_milli > 0:
+            wanting.append((-lacking, state))
+    wanting.sort(key=lambda pair: pair[0])
+    for lacking, state in wanting:
+        count = -int(lacking // state.each_milli)
+        while count > 0 and free:
+            moves.append((free.pop(), state.pool))
+            count -= 1
+    for state in states:
+        if not is_idle(state) or not state.empty:
+            continue
+        if state.idle_since_ms < 0 or now_ms - state.idle_since_ms < IDLE_MS:
+            continue
+        moves.append((state.empty[0], spare_pool))
+    return moves
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import typing
 
 from bambookeel.configuration import document as configuration
 from bambookeel.core import faults
@@ -14,9 +15,15 @@
 from bambookeel.jobs import book as job_book
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import fleet as fleet_view
+from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
 from bambookeel.jobs import placing
+from bambookeel.jobs import pool_demand
+from bambookeel.jobs import pools
 from bambookeel.jobs import specs
+from bambookeel.jobs import steering
+from bambookeel.jobs import upkeep
 from bambookeel.jobs import workers as worker_table
 
 Answer = Callable[[], calls.Answer]
@@ -45,6 +52,8 @@
         report_ms: Time between the reports of a worker.
         keep_ended_ms: How long ended jobs are remembered.
         fresh_ms: A worker that is silent for longer gets no new runs.
+        holder_ms: How long an earlier leader's orders to the provider may
+            still arrive.
     """
 
     lease_ms: int
@@ -52,6 +61,7 @@
     report_ms: int
     keep_ended_ms: int
     fresh_ms: int
+    holder_ms: int
 
 
 class Scheduler:
@@ -68,6 +78,11 @@
         self.batch: list[commands.Command] = []
         self.workers = worker_table.WorkerTable()
         self.times = objectives.RunTimes()
+        self.steering = steering.Steering(now.steady_ms + settings.holder_ms)
+        # Decisions for the log: an event's name and its fields.
+        self.notes: list[tuple[str, dict[str, typing.Any]]] = []
+        self._orders: list[instances.Order] = []
+        self._idle_since_ms: dict[str, int] = {}
         self._settings = settings
         self._fencing_token = fencing_token
         # An earlier leader may have given leases until just now.
@@ -85,6 +100,29 @@
         self.batch = []
         return batch
 
+    def take_orders(self) -> list[instances.Order]:
+        """Takes the orders to the provider that were decided on.
+
+        Returns:
+            The orders, to be sent once the batch before them is committed.
+        """
+        orders = self._orders
+        self._orders = []
+        return orders
+
+    def take_notes(self) -> list[tuple[str, dict[str, typing.Any]]]:
+        """Takes what the log should say of decisions.
+
+        Returns:
+            Events with their fields.
+        """
+        notes = self.notes
+        self.notes = []
+        return notes
+
+    def _note(self, event: str, **fields: typing.Any) -> None:
+        self.notes.append((event, fields))
+
     def _decide(self, command: commands.Command) -> None:
         self.book.apply(command)
         self.batch.append(command)
@@ -168,12 +206,28 @@
         retry_ms = self._find_retry_ms(queue, call.spec)
         if retry_ms is not None:
             reason = f"{queue.service} cannot end it in time"
+            self._note(
+                "job_refused",
+                job=call.job,
+                queue=queue.name,
+                team=team,
+                retry_ms=retry_ms,
+            )
             return calls.NotStored(reason, retry_ms, is_overload=True)
         self._decide(
             commands.AdmitJob(
                 call.job, queue.name, team, call.spec, now.wall_ms
             )
         )
+        self._note(
+            "job_admitted",
+            job=call.job,
+            queue=queue.name,
+            team=team,
+            service=queue.service,
+            tasks=sum(step.count for step in call.spec.steps),
+            chain_ms=int(objectives.measure_chain_ms(call.spec)),
+        )
         return calls.Done()
 
     def _find_retry_ms(
@@ -246,6 +300,7 @@
             return found
         if found.is_open:
             self._decide(commands.CancelJob(found.job, now.wall_ms))
+            self._note("job_cancelled", job=found.job, team=found.team)
         return calls.Done()
 
     def _count(self, call: calls.CountJobs) -> calls.Answer:
@@ -261,6 +316,7 @@
             return calls.Invalid(tuple((f.place, f.message) for f in found))
         if document.version > self.book.view.document.version:
             self._decide(commands.PutConfiguration(document))
+            self._note("configuration_in_force", version=document.version)
         return calls.Done()
 
     def _get_document(self) -> calls.Answer:
@@ -289,6 +345,17 @@
         if stale:
             return _settle(calls.BadRequest(stale))
         worker, gone = self.workers.take_report(report, now.steady_ms)
+        if worker.report.number == report.number and worker.is_new:
+            worker.is_new = False
+            self._note(
+                "worker_heard",
+                worker=report.life.worker,
+                born=report.life.born_wall_ms,
+                instance=report.instance,
+                service=report.service,
+            )
+        if self.steering.note_heard(worker):
+            self._end_goal(report.instance)
         for other in gone:
             self._lose_all(other.life, "a later life was heard", other)
         for life in list(self.book.held):
@@ -320,6 +387,16 @@
                 commands.EndedRun(end.task, end.run, end.how, end.saved)
             )
             self._learn(worker, end, now)
+        for ended in ends:
+            self._note(
+                "run_ended",
+                job=ended.task.job,
+                task=f"{ended.task.occurrence}.{ended.task.step}"
+                f".{ended.task.place}",
+                run=ended.run,
+                how=ended.how.value,
+                worker=worker.life.worker,
+            )
         if ends:
             self._decide(
                 commands.EndRuns(worker.life, tuple(ends), now.wall_ms)
@@ -429,7 +506,8 @@
             call.born_wall_ms in (0, worker.life.born_wall_ms)
         ):
             self._lose_all(worker.life, "the worker has left", worker)
-            self.workers.remove(worker)
+            self.workers.end(worker)
+            self._note("worker_left", worker=call.worker)
         return calls.Done()
 
     def _lose_all(
@@ -452,6 +530,13 @@
             lost.append((held.task, held.run, saved))
         if lost:
             self._decide(commands.LoseRuns(life, reason, tuple(lost)))
+            self._note(
+                "runs_lost",
+                worker=life.worker,
+                reason=reason,
+                runs=len(lost),
+                jobs=",".join(sorted({ref.job for ref, _, _ in lost})),
+            )
 
     # --- Timers ---
 
@@ -466,12 +551,129 @@
                 self._lose_all(worker.life, "its lease ran out", worker)
                 worker.running = {}
                 worker.reserved = specs.Resources()
+                if worker.is_silent:
+                    continue
+                worker.is_silent = True
+                self._note(
+                    "worker_silent",
+                    worker=worker.life.worker,
+                    age_ms=now.steady_ms - worker.heard_ms,
+                )
         if now.steady_ms >= self._inherited_until_ms:
             for life in list(self.book.held):
                 known = self.workers.by_id.get(life.worker)
                 if known is None or known.life != life:
                     self._lose_all(life, "not heard in this term", None)
         self._drop_old_jobs(now)
+        self._steer(now)
+
+    # --- Instances ---
+
+    def _steer(self, now: Now) -> None:
+        """Moves instances and takes them down for upkeep.
+
+        Args:
+            now: The time.
+        """
+        fleet = self.steering.fleet
+        if not fleet.listed_ms:
+            return
+        now_ms = now.steady_ms
+        for command in self.steering.find_gone(self.book):
+            self._decide(command)
+        for name, goal in list(fleet.goals.items()):
+            if goal.phase is fleet_view.GoalPhase.AWAY:
+                if fleet_view.is_back(fleet, name, goal):
+                    self._end_goal(name)
+        self.steering.resume(self.book, now_ms)
+        for order in upkeep.choose_next(
+            self.book, fleet, self.workers, now_ms
+        ):
+            self.steering.aim(order, now_ms)
+        self._steer_pools(now_ms)
+        for chosen in self.steering.choose_orders(
+            self.book, self.workers, now_ms, now.wall_ms
+        ):
+            self._order(chosen)
+
+    def _steer_pools(self, now_ms: int) -> None:
+        spare_pool = self.book.view.find_spare_pool()
+        if not spare_pool:
+            return
+        states = []
+        for service in self.book.view.services:
+            if service == spare_pool:
+                continue
+            state = pool_demand.measure_pool(
+                self, service, self._idle_since_ms.get(service, -1), now_ms
+            )
+            if not pools.is_idle(state):
+                self._idle_since_ms[service] = -1
+            elif state.idle_since_ms < 0:
+                self._idle_since_ms[service] = now_ms
+            states.append(state)
+        spare = pool_demand.find_spare(self.steering.fleet, spare_pool, now_ms)
+        moves = pools.choose_moves(states, spare_pool, spare, now_ms)
+        for name, pool in moves:
+            self.steering.aim(instances.Move(name, pool), now_ms)
+            self._note("move_chosen", instance=name, pool=pool)
+            self._idle_since_ms[pool] = -1
+
+    def _order(self, order: instances.Order) -> None:
+        if isinstance(order, instances.Upkeep):
+            wave = self.book.waves[order.wave]
+            if order.instance in wave.waiting:
+                self._decide(commands.UpkeepAsked(order.wave, order.instance))
+        self._orders.append(order)
+        self._note("instance_ordered", order=type(order).__name__, **{
+            field: getattr(order, field) for field in order.__struct_fields__
+        })
+
+    def _end_goal(self, name: str) -> None:
+        for command in self.steering.end_goal(name):
+            self._decide(command)
+        self._note("instance_back", instance=name)
+
+    def take_outcome(
+        self,
+        order: instances.Order,
+        outcome: instances.OrderOutcome,
+        now: Now,
+    ) -> None:
+        """Takes what came of an order to the provider.
+
+        Args:
+            order: The order.
+            outcome: What came of it.
+            now: The time.
+        """
+        ended = self.steering.take_outcome(order, outcome, now.steady_ms)
+        self._note(
+            "instance_order_ended",
+            instance=order.instance,
+            outcome=outcome.value,
+        )
+        if ended is None:
+            return
+        worker = self.workers.by_id.get(ended.worker)
+        if worker is not None and worker.life == ended:
+            self._lose_all(ended, "its instance was ordered away", worker)
+            self.workers.end(worker)
+
+    def take_list(
+        self, listed: tuple[instances.Instance, ...] | None, asked_ms: int
+    ) -> None:
+        """Takes the provider's list of instances.
+
+        Args:
+            listed: The instances; None when the list did not come.
+            asked_ms: When it was asked for.
+        """
+        self.steering.fleet.is_listing = False
+        if listed is not None:
+            fleet_view.take_list(self.steering.fleet, listed, asked_ms)
+
+    # --- Timers ---
 
     def _drop_old_jobs(self, now: Now) -> None:
         busy = {ref.job for held in self.book.held.values() for ref in held}
@@ -512,6 +714,7 @@
             if worker.report.service == service
             and not worker.report.is_leaving
             and now.steady_ms - worker.heard_ms <= self._settings.fresh_ms
+            and self.steering.is_usable(worker.report.instance)
         ]
         if not usable:
             return
@@ -537,6 +740,16 @@
                 commands.AssignRuns(life, worker.report.number, tuple(runs))
             )
             self._count_reserved(worker)
+            for run in runs:
+                self._note(
+                    "run_assigned",
+                    job=run.task.job,
+                    task=f"{run.task.occurrence}.{run.task.step}"
+                    f".{run.task.place}",
+                    run=run.run,
+                    worker=life.worker,
+                    heard_age_ms=now.steady_ms - worker.heard_ms,
+                )
 
     def _rank(self, step: job_book.StepRun, now: Now) -> tuple[int, float, int]:
         """Ranks a step: standing ones, then by slack, late ones last.
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -29,8 +29,9 @@
         running: Runs of its newest report, by task.
         faults: Recent runs that failed there; fades.
         started_ms: When each run was first listed, by task and run.
-        is_suspect: Whether it fails or stalls what others run well.
         suspect_until_ms: When it is tried again.
+        is_new: Whether its first report has not been told yet.
+        is_silent: Whether its lease has run out.
     """
 
     report: calls.WorkerReport
@@ -45,6 +46,8 @@
         default_factory=dict
     )
     suspect_until_ms: int = 0
+    is_new: bool = True
+    is_silent: bool = False
 
     @property
     def life(self) -> specs.WorkerLife:
@@ -82,6 +85,8 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, Worker] = {}
+        # Lives that have surely ended; a report of theirs is late.
+        self._ended: set[specs.WorkerLife] = set()
         self._by_instance: dict[str, str] = {}
         self._by_address: dict[str, str] = {}
 
@@ -94,6 +99,8 @@
         Returns:
             One sentence; empty when the report is news.
         """
+        if report.life in self._ended:
+            return "this life of the worker has ended"
         known = self.by_id.get(report.life.worker)
         if known is not None:
             if known.life.born_wall_ms > report.life.born_wall_ms:
@@ -145,11 +152,12 @@
             gone.append(known)
             known = None
         for other in gone:
-            self.remove(other)
+            self.end(other)
         if known is None:
             known = Worker(report, now_ms, now_ms)
             self.by_id[report.life.worker] = known
         known.report = report
+        known.is_silent = False
         known.heard_ms = now_ms
         known.running = {run.task: run for run in report.running}
         listed = {(run.task, run.run) for run in report.running}
@@ -170,6 +178,15 @@
         if self.by_id.get(worker.life.worker) is worker:
             del self.by_id[worker.life.worker]
 
+    def end(self, worker: Worker) -> None:
+        """Forgets a worker whose life has surely ended.
+
+        Args:
+            worker: The worker.
+        """
+        self._ended.add(worker.life)
+        self.remove(worker)
+
     def find_by_instance(self, instance: str) -> Worker | None:
         """Finds the worker of an instance.
 
--- a/bambookeel/node/process.py
+++ b/bambookeel/node/process.py
@@ -8,6 +8,7 @@
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.jobs import calls
+from bambookeel.jobs import instances
 from bambookeel.net import channels
 from bambookeel.net import links
 from bambookeel.node import gateway
@@ -51,22 +52,31 @@
         self._replica: replica.Replica | None = None
 
     @classmethod
-    def from_config(cls, settings: node_settings.NodeSettings) -> "Node":
+    def from_config(
+        cls,
+        settings: node_settings.NodeSettings,
+        provider: instances.Provider | None = None,
+    ) -> "Node":
         """Builds a node; opens its disk and no socket.
 
         Args:
             settings: Its settings.
+            provider: Who moves instances; None where nobody does.
 
         Returns:
             The node.
         """
         node = cls(settings)
         if settings.data_folder:
-            node.open_disk()
+            node.open_disk(provider)
         return node
 
-    def open_disk(self) -> None:
-        """Opens the data folder; ends the process when it is damaged."""
+    def open_disk(self, provider: instances.Provider | None) -> None:
+        """Opens the data folder; ends the process when it is damaged.
+
+        Args:
+            provider: Who moves instances; None where nobody does.
+        """
         opened = folder.open_folder(self.settings.data_folder).bind(
             lambda locked: replica_store.open_store(
                 locked, self.settings.address
@@ -85,6 +95,8 @@
             self._channels.send,
             secrets.randbits(62),
         )
+        if provider is not None:
+            self._replica.connect_provider(provider, self.settings.name)
 
     def _deliver(self, peer: ids.ProcessId, message: messages.Message) -> None:
         """Hands a message to the task that it is for.
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -22,8 +22,10 @@
 from bambookeel.core import messages
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import instances
 from bambookeel.jobs import scheduler as job_scheduler
 from bambookeel.node import book_machine
+from bambookeel.node import provider_task
 from bambookeel.node import settings as node_settings
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
@@ -74,6 +76,20 @@
         # Answers that wait for the lease alone.
         self._unconfirmed: list[_Waiting] = []
         self._stop_wanted = False
+        self._provider: provider_task.ProviderTask | None = None
+
+    def connect_provider(
+        self, provider: instances.Provider, holder: str
+    ) -> None:
+        """Gives the replica the provider of instances.
+
+        Args:
+            provider: The provider.
+            holder: Name under which orders are given.
+        """
+        self._provider = provider_task.ProviderTask(
+            provider, holder, self.mailbox
+        )
 
     def run(self) -> None:
         """Handles messages until the task is killed."""
@@ -107,6 +123,15 @@
                 self._tick()
             case events.FromPeer(peer, message):
                 self._take_message(peer, message)
+            case provider_task.OrderEnded(order, outcome, term):
+                if self._scheduler is not None and self._leads(term):
+                    self._scheduler.take_outcome(
+                        order, outcome, self._read_now()
+                    )
+                    self._plan_due = True
+            case provider_task.Listed(listed, asked_ms, term):
+                if self._scheduler is not None and self._leads(term):
+                    self._scheduler.take_list(listed, asked_ms)
             case events.StopReplica():
                 self._stop_wanted = True
                 self._runner.run_step(core_events.HandOverAsked())
@@ -149,6 +174,10 @@
             voters,
         )
 
+    def _leads(self, term: int) -> bool:
+        core = self._runner.core
+        return core.role is records.Role.LEADER and core.term == term
+
     def _holds_lease(self) -> bool:
         core = self._runner.core
         return clock.read_now_ms() < replication.compute_lease_until(core)
@@ -297,6 +326,9 @@
             waiting.append((scheduler.handle(call, now), reply, now.steady_ms))
         scheduler.plan(now)
         self._plan_due = False
+        self._use_provider(scheduler, now, waiting)
+        for event, fields in scheduler.take_notes():
+            logs.log_event(event, term=self._runner.core.term, **fields)
         batch = scheduler.take_batch()
         if not batch:
             self._unconfirmed.extend(waiting)
@@ -315,6 +347,49 @@
             self._stop_leading()
         self._take_outputs()
 
+    def _use_provider(
+        self,
+        scheduler: job_scheduler.Scheduler,
+        now: job_scheduler.Now,
+        waiting: list[_Waiting],
+    ) -> None:
+        """Lets orders wait for the batch, and reads the list when it is due.
+
+        Args:
+            scheduler: The scheduler.
+            now: The time.
+            waiting: What waits for the batch to be committed.
+        """
+        provider = self._provider
+        if provider is None:
+            return
+        term = self._runner.core.term
+        for order in scheduler.take_orders():
+            send = functools.partial(
+                self._send_order, provider, order, int(term)
+            )
+            waiting.append((calls.Done, send, now.steady_ms))
+        if scheduler.steering.is_list_due(scheduler.book, now.steady_ms):
+            provider.list_instances(int(term))
+
+    def _send_order(
+        self,
+        provider: provider_task.ProviderTask,
+        order: instances.Order,
+        term: int,
+        answer: calls.Answer,
+    ) -> None:
+        """Sends an order unless its batch was not committed.
+
+        Args:
+            provider: The provider.
+            order: The order.
+            term: The term in which it was decided on.
+            answer: Whether the batch was committed.
+        """
+        if isinstance(answer, calls.Done):
+            provider.carry_out(order, term, self._holds_lease)
+
     def _answer_confirmed(self) -> None:
         if not self._unconfirmed:
             return
