Keep pools' floors, count ordered instances as away, admit what can end late

Cause: pools shrank to one instance before the traffic and regrew each turn (115 moves, 80 refusals); two upkeeps of one tick each passed the availability check alone (AVAIL). Ruled out: late reports, since both orders left in one tick. Change: a pool keeps two thirds of its instances and what standing tasks need, grows by ready work, learns run times; an ordered worker counts as away.

--- a/bambookeel/jobs/availability.py
+++ b/bambookeel/jobs/availability.py
@@ -14,13 +14,17 @@
 
 
 def is_at_work(
-    table: worker_table.WorkerTable, task: job_book.Task, now_ms: int
+    table: worker_table.WorkerTable,
+    task: job_book.Task,
+    ordered: frozenset[specs.WorkerLife],
+    now_ms: int,
 ) -> bool:
     """Tells whether a standing task is at work.
 
     Args:
         table: The workers.
         task: The task.
+        ordered: Workers whose instances have been ordered away.
         now_ms: The time.
 
     Returns:
@@ -28,7 +32,7 @@
     """
     for run, life in task.runs.items():
         worker = table.by_id.get(life.worker)
-        if worker is None or worker.life != life:
+        if worker is None or worker.life != life or life in ordered:
             continue
         listed = worker.running.get(task.ref)
         if listed is None or listed.run != run:
@@ -44,6 +48,7 @@
     book: job_book.Book,
     table: worker_table.WorkerTable,
     life: specs.WorkerLife,
+    ordered: frozenset[specs.WorkerLife],
     now_ms: int,
 ) -> bool:
     """Tells whether everything on a worker may be ended.
@@ -52,6 +57,7 @@
         book: The book.
         table: The workers.
         life: The worker.
+        ordered: Workers whose instances have been ordered away.
         now_ms: The time.
 
     Returns:
@@ -67,7 +73,7 @@
         away = 0
         for task in step.tasks:
             on_worker = life in task.runs.values()
-            if on_worker or not is_at_work(table, task, now_ms):
+            if on_worker or not is_at_work(table, task, ordered, now_ms):
                 away += 1
         if away > max(1, step.spec.max_missing):
             return False
--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -85,6 +85,28 @@
     return chain_ms * queue.stretch + queue.objective_ms
 
 
+def count_ready_work(job: job_book.Job, times: RunTimes) -> float:
+    """Estimates the processor time of a job's tasks that could run now.
+
+    Args:
+        job: The job.
+        times: What is known of run times.
+
+    Returns:
+        Thousandths of a core times milliseconds; running tasks count half.
+    """
+    total = 0.0
+    for step in job.steps.values():
+        if step.spec.is_standing or step.spec.is_filler or step.unfinished:
+            continue
+        left = len(step.tasks) - step.done
+        running = left - len(step.waiting)
+        each_ms = times.estimate_ms(job.queue, step.spec)
+        tasks = len(step.waiting) + running / 2
+        total += tasks * each_ms * step.spec.needs.cpu_milli
+    return total
+
+
 def count_open_work(job: job_book.Job, times: RunTimes) -> float:
     """Estimates the processor time that a job still needs.
 
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -4,8 +4,14 @@
 
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
+from bambookeel.jobs import objectives
 from bambookeel.jobs import pools
 
+# A pool keeps two thirds of the instances that its operators gave it, for
+# losses and for the first moments of its turn.
+_KEPT_PARTS = 2
+_ALL_PARTS = 3
+
 if typing.TYPE_CHECKING:
     from bambookeel.jobs import scheduler as job_scheduler
 
@@ -71,15 +77,18 @@
         isinstance(goal.order, instances.Move) and goal.order.pool == service
         for goal in fleet.goals.values()
     )
-    load = scheduler.measure_load(service)
+    ready_work = 0.0
     standing = 0
-    needed = 0
+    needed = _KEPT_PARTS * scheduler.base_sizes.get(service, 0) // _ALL_PARTS
     for name, jobs in book.open_jobs.items():
         queue = book.find_queue(name)
         if queue is None or queue.service != service:
             continue
         for job_id in jobs:
-            for step in book.jobs[job_id].spec.steps:
+            job = book.jobs[job_id]
+            if not job.spec.is_timed:
+                ready_work += objectives.count_ready_work(job, scheduler.times)
+            for step in job.spec.steps:
                 if not step.is_standing or step.is_filler:
                     continue
                 standing += step.count * step.needs.cpu_milli
@@ -88,7 +97,7 @@
                     needed = max(needed, -(-step.count // most))
     return pools.PoolState(
         service,
-        load.open_work,
+        ready_work,
         (members + coming) * each_milli - standing,
         each_milli,
         members + coming,
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -1,17 +1,19 @@
 """Moves instances between the pools and the spare one, as demand turns.
 
-A pool grows when its open work would take too long for it, and gives an empty
-instance back once it has had too little to do for as long as a move costs. The
-price of a move there and back is that of a little more than two seconds of an
-instance in a pool.
+A pool grows when the tasks that could run now would take too long for it, and
+gives an empty instance back once it has had too little to do for as long as a
+move costs. The price of a move there and back is that of a little more than two
+seconds of an instance in a pool.
 """
 
 import dataclasses
 
-# Open work that a pool should be able to end within this time; well within
-# the objective of an ordinary job, with time for the instance to come.
-GROW_AT_MS = 2_200
-# A pool whose open work takes less than this may give an instance up.
+# A pool grows when its ready work takes longer than this; with the time that
+# an instance takes to come it is still within the objective of a short job.
+GROW_AT_MS = 2_500
+# It then grows until the work takes about this long.
+GROW_TO_MS = 1_800
+# A pool whose ready work takes less than this may give an instance up.
 SHRINK_AT_MS = 500
 # How long that must have been so: the price of a move there and back.
 IDLE_MS = 2_300
@@ -23,18 +25,20 @@
 
     Attributes:
         pool: Its name.
-        open_work: Work of its open jobs, in thousandths of a core times ms.
+        ready_work: Work that could go on now, in thousandths of a core times
+            milliseconds.
         capacity_milli: Processor time of its instances, with those that are
             on their way, less what standing tasks take.
         each_milli: Processor time of one instance.
         members: Its instances, with those that are on their way.
-        needed: Instances that its standing tasks need.
+        needed: Instances that it keeps: what its standing tasks need, and
+            part of what its operators gave it.
         empty: Its instances that run nothing.
         idle_since_ms: Since when it has had too little to do; -1 if not.
     """
 
     pool: str
-    open_work: float
+    ready_work: float
     capacity_milli: int
     each_milli: int
     members: int
@@ -55,7 +59,7 @@
     left = state.capacity_milli - state.each_milli
     if state.members <= max(1, state.needed) or left <= 0:
         return False
-    return state.open_work / left < SHRINK_AT_MS
+    return state.ready_work / left < SHRINK_AT_MS
 
 
 def choose_moves(
@@ -79,8 +83,9 @@
     free = list(spare)
     wanting = []
     for state in states:
-        target = state.open_work / GROW_AT_MS
-        lacking = target - state.capacity_milli
+        if state.ready_work / GROW_AT_MS <= state.capacity_milli:
+            continue
+        lacking = state.ready_work / GROW_TO_MS - state.capacity_milli
         if lacking > 0 and state.each_milli > 0:
             wanting.append((-lacking, state))
     wanting.sort(key=lambda pair: pair[0])
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -83,6 +83,10 @@
         self.notes: list[tuple[str, dict[str, typing.Any]]] = []
         self._orders: list[instances.Order] = []
         self._idle_since_ms: dict[str, int] = {}
+        # Instances of each pool when this leader first listed them.
+        self.base_sizes: dict[str, int] = {}
+        # When each run was assigned, to learn how long runs take.
+        self._assigned_ms: dict[tuple[specs.TaskRef, int], int] = {}
         self._settings = settings
         self._fencing_token = fencing_token
         # An earlier leader may have given leases until just now.
@@ -241,7 +245,9 @@
             * step.needs.cpu_milli
             for step in spec.steps
         )
-        limit_ms = objectives.compute_objective_ms(queue, spec)
+        limit_ms = objectives.LATE_FACTOR * objectives.compute_objective_ms(
+            queue, spec
+        )
         load = self.measure_load(queue.service)
         return admission.compute_retry_ms(load, work, limit_ms)
 
@@ -419,6 +425,13 @@
             return
         if end.how is specs.RunEnd.DONE:
             worker.faults *= 0.5
+            begun_ms = self._assigned_ms.get((end.task, end.run))
+            step = self.book.get_step(end.task)
+            if begun_ms is None or step is None:
+                return
+            took_ms = now.steady_ms - begun_ms - self._settings.report_ms
+            queue = self.book.jobs[end.task.job].queue
+            self.times.observe(queue, step.spec.estimate_ms, max(1, took_ms))
 
     def _lose_untold(self, worker: worker_table.Worker) -> None:
         """Gives up runs of ended jobs that the worker was not told of.
@@ -586,9 +599,7 @@
                 if fleet_view.is_back(fleet, name, goal):
                     self._end_goal(name)
         self.steering.resume(self.book, now_ms)
-        for order in upkeep.choose_next(
-            self.book, fleet, self.workers, now_ms
-        ):
+        for order in upkeep.choose_next(self.book, fleet, self.workers, now_ms):
             self.steering.aim(order, now_ms)
         self._steer_pools(now_ms)
         for chosen in self.steering.choose_orders(
@@ -613,11 +624,15 @@
                 self._idle_since_ms[service] = now_ms
             states.append(state)
         spare = pool_demand.find_spare(self.steering.fleet, spare_pool, now_ms)
+        if any(not wave.is_complete for wave in self.book.waves.values()):
+            # Upkeep needs the room that standing tasks go to meanwhile.
+            self._idle_since_ms.clear()
         moves = pools.choose_moves(states, spare_pool, spare, now_ms)
         for name, pool in moves:
             self.steering.aim(instances.Move(name, pool), now_ms)
-            self._note("move_chosen", instance=name, pool=pool)
-            self._idle_since_ms[pool] = -1
+            source = self.steering.fleet.known[name].pool
+            self._idle_since_ms[source] = -1
+            self._note("move_chosen", instance=name, pool=pool, source=source)
 
     def _order(self, order: instances.Order) -> None:
         if isinstance(order, instances.Upkeep):
@@ -625,9 +640,14 @@
             if order.instance in wave.waiting:
                 self._decide(commands.UpkeepAsked(order.wave, order.instance))
         self._orders.append(order)
-        self._note("instance_ordered", order=type(order).__name__, **{
-            field: getattr(order, field) for field in order.__struct_fields__
-        })
+        self._note(
+            "instance_ordered",
+            order=type(order).__name__,
+            **{
+                field: getattr(order, field)
+                for field in order.__struct_fields__
+            },
+        )
 
     def _end_goal(self, name: str) -> None:
         for command in self.steering.end_goal(name):
@@ -670,8 +690,13 @@
             asked_ms: When it was asked for.
         """
         self.steering.fleet.is_listing = False
-        if listed is not None:
-            fleet_view.take_list(self.steering.fleet, listed, asked_ms)
+        if listed is None:
+            return
+        fleet_view.take_list(self.steering.fleet, listed, asked_ms)
+        if not self.base_sizes:
+            for instance in listed:
+                size = self.base_sizes.get(instance.pool, 0)
+                self.base_sizes[instance.pool] = size + 1
 
     # --- Timers ---
 
@@ -685,6 +710,9 @@
                 old.append(job.job)
         if old:
             self._decide(commands.DropJobs(tuple(old)))
+            for key in list(self._assigned_ms):
+                if key[0].job not in self.book.jobs:
+                    del self._assigned_ms[key]
 
     # --- Placing ---
 
@@ -741,6 +769,7 @@
             )
             self._count_reserved(worker)
             for run in runs:
+                self._assigned_ms[run.task, run.run] = now.steady_ms
                 self._note(
                     "run_assigned",
                     job=run.task.job,
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -149,6 +149,12 @@
         wall_ms: int,
     ) -> bool:
         life = worker.life
+        ordered = frozenset(
+            other.life
+            for other in self.fleet.goals.values()
+            if other.life is not None
+            and other.phase is not fleet_view.GoalPhase.DRAINING
+        )
         match goal.order:
             case instances.Upkeep(_, number):
                 wave = book.waves[number]
@@ -159,12 +165,14 @@
                 left_ms = (ends_ms - wall_ms) // rounds
                 waited_ms = now_ms - goal.since_ms
                 return upkeep.may_begin(
-                    book, table, life, waited_ms, left_ms, now_ms
+                    book, table, life, ordered, waited_ms, left_ms, now_ms
                 )
             case instances.Move():
                 if book.held.get(life):
                     return False
-                return availability.may_interrupt(book, table, life, now_ms)
+                return availability.may_interrupt(
+                    book, table, life, ordered, now_ms
+                )
         return False
 
     def take_outcome(
--- a/bambookeel/jobs/upkeep.py
+++ b/bambookeel/jobs/upkeep.py
@@ -85,6 +85,7 @@
     book: job_book.Book,
     table: worker_table.WorkerTable,
     life: specs.WorkerLife,
+    ordered: frozenset[specs.WorkerLife],
     waited_ms: int,
     left_ms: int,
     now_ms: int,
@@ -95,6 +96,7 @@
         book: The book.
         table: The workers.
         life: The worker on it.
+        ordered: Workers whose instances have been ordered away.
         waited_ms: How long it has been drained.
         left_ms: Time that the wave has for each round to come.
         now_ms: The time.
@@ -102,7 +104,7 @@
     Returns:
         Whether nothing runs there that is worth waiting for.
     """
-    if not availability.may_interrupt(book, table, life, now_ms):
+    if not availability.may_interrupt(book, table, life, ordered, now_ms):
         return False
     if waited_ms >= _DRAIN_MS or left_ms < _ROUND_MS:
         return True
