Let pools that have too little to do give at once to those that lack

Change: during upkeep a pool keeps its base size instead of every instance; a pool that lacks takes empty instances of idle pools without the idle time.

--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -77,9 +77,19 @@
         isinstance(goal.order, instances.Move) and goal.order.pool == service
         for goal in fleet.goals.values()
     )
+    has_upkeep = any(
+        fleet.known[name].pool == service
+        for wave in book.waves.values()
+        for name in (*wave.waiting, *wave.ordered)
+        if name in fleet.known
+    )
     ready_work = 0.0
     standing = 0
-    needed = _KEPT_PARTS * scheduler.base_sizes.get(service, 0) // _ALL_PARTS
+    base = scheduler.base_sizes.get(service, 0)
+    needed = _KEPT_PARTS * base // _ALL_PARTS
+    if has_upkeep:
+        # Upkeep needs the room that standing tasks go to meanwhile.
+        needed = base
     for name, jobs in book.open_jobs.items():
         queue = book.find_queue(name)
         if queue is None or queue.service != service:
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -79,25 +79,31 @@
     Returns:
         Pairs of an instance and the pool that it should go to.
     """
-    moves: list[tuple[str, str]] = []
-    free = list(spare)
+    supply = list(spare)
     wanting = []
     for state in states:
+        if is_idle(state):
+            # What another pool wants now need not wait for the idle time.
+            extra = state.members - max(1, state.needed)
+            supply = [*state.empty[:extra], *supply]
+            continue
         if state.ready_work / GROW_AT_MS <= state.capacity_milli:
             continue
         lacking = state.ready_work / GROW_TO_MS - state.capacity_milli
         if lacking > 0 and state.each_milli > 0:
-            wanting.append((-lacking, state))
-    wanting.sort(key=lambda pair: pair[0])
+            wanting.append((lacking, state))
+    wanting.sort(key=lambda pair: -pair[0])
+    moves: list[tuple[str, str]] = []
     for lacking, state in wanting:
-        count = -int(lacking // state.each_milli)
-        while count > 0 and free:
-            moves.append((free.pop(), state.pool))
-            count -= 1
+        for _ in range(int(-(-lacking // state.each_milli))):
+            if supply:
+                moves.append((supply.pop(), state.pool))
+    taken = {name for name, _ in moves}
     for state in states:
         if not is_idle(state) or not state.empty:
             continue
         if state.idle_since_ms < 0 or now_ms - state.idle_since_ms < IDLE_MS:
             continue
-        moves.append((state.empty[0], spare_pool))
+        if taken.isdisjoint(state.empty):
+            moves.append((state.empty[0], spare_pool))
     return moves
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -264,6 +264,8 @@
         for worker in self.workers.by_id.values():
             if worker.report.service != service or worker.report.is_leaving:
                 continue
+            if worker.is_silent:
+                continue
             capacity += worker.report.capacity.cpu_milli
         open_work = 0.0
         for name, jobs in self.book.open_jobs.items():
@@ -624,9 +626,6 @@
                 self._idle_since_ms[service] = now_ms
             states.append(state)
         spare = pool_demand.find_spare(self.steering.fleet, spare_pool, now_ms)
-        if any(not wave.is_complete for wave in self.book.waves.values()):
-            # Upkeep needs the room that standing tasks go to meanwhile.
-            self._idle_since_ms.clear()
         moves = pools.choose_moves(states, spare_pool, spare, now_ms)
         for name, pool in moves:
             self.steering.aim(instances.Move(name, pool), now_ms)
