Let pools grow by the work that is foreseen

Ruled out: lost runs and slow workers, from the log of pools that each leader now writes once a second. Change: the arrival rate joins the ready work in what a pool foresees.

--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -4,6 +4,8 @@
 off, so that what earlier tasks of the same queue took corrects them.
 """
 
+import math
+
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import book as job_book
 from bambookeel.jobs import specs
@@ -51,6 +53,39 @@
         return step.estimate_ms * self._factors.get(queue, 1.0)
 
 
+class ArrivalRate:
+    """How much work arrives in a time, as an average that fades."""
+
+    # Time in which a past arrival fades; demand turns within a second or two.
+    _FADE_MS = 1_200
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._at_ms = 0
+
+    def add(self, work: float, now_ms: int) -> None:
+        """Adds arriving work.
+
+        Args:
+            work: Thousandths of a core times milliseconds.
+            now_ms: The time.
+        """
+        self._rate = self.read(now_ms) + work / self._FADE_MS
+        self._at_ms = now_ms
+
+    def read(self, now_ms: int) -> float:
+        """Reads the rate.
+
+        Args:
+            now_ms: The time.
+
+        Returns:
+            Thousandths of a core that the arriving work asks for.
+        """
+        faded = math.exp(-(now_ms - self._at_ms) / self._FADE_MS)
+        return self._rate * faded
+
+
 def measure_chain_ms(spec: specs.JobSpec) -> float:
     """Measures the longest chain of declared run times.
 
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -108,6 +108,7 @@
     return pools.PoolState(
         service,
         ready_work,
+        scheduler.read_arriving(service, now_ms),
         (members + coming) * each_milli - standing,
         each_milli,
         members + coming,
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -7,14 +7,22 @@
 """
 
 import dataclasses
+import math
 
-# A pool grows when its ready work takes longer than this; with the time that
-# an instance takes to come it is still within the objective of a short job.
-GROW_AT_MS = 2_500
-# It then grows until the work takes about this long.
-GROW_TO_MS = 1_800
+# A pool grows when the work that is foreseen takes longer than this; with the
+# time that an instance takes to come it is within the objective of a short job.
+GROW_AT_MS = 2_000
+# It then grows until that work takes about this long.
+GROW_TO_MS = 1_500
+# How far ahead arrivals are foreseen: most of a turn of the demand.
+FORESEEN_MS = 4_000
 # A pool whose ready work takes less than this may give an instance up.
 SHRINK_AT_MS = 500
+# Work that arrives faster than this share of what would be left keeps a pool
+# from giving an instance up.
+ARRIVING_PARTS = 0.9
+# Most instances that a pool gets at a time.
+MAX_GROWTH = 50
 # How long that must have been so: the price of a move there and back.
 IDLE_MS = 2_300
 
@@ -27,6 +35,7 @@
         pool: Its name.
         ready_work: Work that could go on now, in thousandths of a core times
             milliseconds.
+        arriving_milli: Processor time that newly arriving work asks for.
         capacity_milli: Processor time of its instances, with those that are
             on their way, less what standing tasks take.
         each_milli: Processor time of one instance.
@@ -39,6 +48,7 @@
 
     pool: str
     ready_work: float
+    arriving_milli: float
     capacity_milli: int
     each_milli: int
     members: int
@@ -59,9 +69,49 @@
     left = state.capacity_milli - state.each_milli
     if state.members <= max(1, state.needed) or left <= 0:
         return False
+    if state.arriving_milli > ARRIVING_PARTS * left:
+        return False
     return state.ready_work / left < SHRINK_AT_MS
 
 
+def foresee_ms(state: PoolState, capacity_milli: int) -> float:
+    """Foresees how long a pool's work will take.
+
+    Args:
+        state: The pool.
+        capacity_milli: Its processor time.
+
+    Returns:
+        Milliseconds, for what is ready and what soon arrives beyond it.
+    """
+    if capacity_milli <= 0:
+        return math.inf if state.ready_work else 0.0
+    excess_milli = max(0.0, state.arriving_milli - capacity_milli)
+    work = state.ready_work + excess_milli * FORESEEN_MS
+    return work / capacity_milli
+
+
+def _count_lacking(state: PoolState) -> int:
+    """Counts the instances that a pool lacks.
+
+    Args:
+        state: The pool.
+
+    Returns:
+        How many more would end its work in good time.
+    """
+    capacity_milli = state.capacity_milli
+    if not state.each_milli or foresee_ms(state, capacity_milli) < GROW_AT_MS:
+        return 0
+    count = 0
+    while count < MAX_GROWTH:
+        if foresee_ms(state, capacity_milli) <= GROW_TO_MS:
+            break
+        count += 1
+        capacity_milli += state.each_milli
+    return count
+
+
 def choose_moves(
     states: list[PoolState],
     spare_pool: str,
@@ -87,15 +137,13 @@
             extra = state.members - max(1, state.needed)
             supply = [*state.empty[:extra], *supply]
             continue
-        if state.ready_work / GROW_AT_MS <= state.capacity_milli:
-            continue
-        lacking = state.ready_work / GROW_TO_MS - state.capacity_milli
-        if lacking > 0 and state.each_milli > 0:
-            wanting.append((lacking, state))
+        count = _count_lacking(state)
+        if count:
+            wanting.append((count, state))
     wanting.sort(key=lambda pair: -pair[0])
     moves: list[tuple[str, str]] = []
-    for lacking, state in wanting:
-        for _ in range(int(-(-lacking // state.each_milli))):
+    for count, state in wanting:
+        for _ in range(count):
             if supply:
                 moves.append((supply.pop(), state.pool))
     taken = {name for name, _ in moves}
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -26,6 +26,9 @@
 from bambookeel.jobs import upkeep
 from bambookeel.jobs import workers as worker_table
 
+# Time between two log lines on each pool.
+_POOL_NOTE_MS = 1_000
+
 Answer = Callable[[], calls.Answer]
 
 
@@ -84,7 +87,9 @@
         self._orders: list[instances.Order] = []
         self._idle_since_ms: dict[str, int] = {}
         # Instances of each pool when this leader first listed them.
+        self._arrivals: dict[str, objectives.ArrivalRate] = {}
         self.base_sizes: dict[str, int] = {}
+        self._pools_noted_ms = 0
         # When each run was assigned, to learn how long runs take.
         self._assigned_ms: dict[tuple[specs.TaskRef, int], int] = {}
         self._settings = settings
@@ -223,6 +228,11 @@
                 call.job, queue.name, team, call.spec, now.wall_ms
             )
         )
+        if not call.spec.is_timed:
+            rate = self._arrivals.setdefault(
+                queue.service, objectives.ArrivalRate()
+            )
+            rate.add(self._count_work(queue, call.spec), now.steady_ms)
         self._note(
             "job_admitted",
             job=call.job,
@@ -239,18 +249,46 @@
     ) -> int | None:
         if any(step.is_standing for step in spec.steps) or spec.is_timed:
             return None
-        work = sum(
-            step.count
-            * self.times.estimate_ms(queue.name, step)
-            * step.needs.cpu_milli
-            for step in spec.steps
-        )
+        work = self._count_work(queue, spec)
         limit_ms = objectives.LATE_FACTOR * objectives.compute_objective_ms(
             queue, spec
         )
         load = self.measure_load(queue.service)
         return admission.compute_retry_ms(load, work, limit_ms)
 
+    def _count_work(
+        self, queue: configuration.Queue, spec: specs.JobSpec
+    ) -> float:
+        """Estimates the work of a job that has not begun.
+
+        Args:
+            queue: Its queue.
+            spec: The job.
+
+        Returns:
+            Thousandths of a core times milliseconds.
+        """
+        return sum(
+            step.count
+            * self.times.estimate_ms(queue.name, step)
+            * step.needs.cpu_milli
+            for step in spec.steps
+            if not step.is_standing and not step.is_filler
+        )
+
+    def read_arriving(self, service: str, now_ms: int) -> float:
+        """Reads how much work arrives for a service.
+
+        Args:
+            service: The service.
+            now_ms: The time.
+
+        Returns:
+            Thousandths of a core that the arriving work asks for.
+        """
+        rate = self._arrivals.get(service)
+        return rate.read(now_ms) if rate is not None else 0.0
+
     def measure_load(self, service: str) -> admission.ServiceLoad:
         """Measures what a service can do and has to do.
 
@@ -625,6 +663,7 @@
             elif state.idle_since_ms < 0:
                 self._idle_since_ms[service] = now_ms
             states.append(state)
+        self._note_pools(states, now_ms)
         spare = pool_demand.find_spare(self.steering.fleet, spare_pool, now_ms)
         moves = pools.choose_moves(states, spare_pool, spare, now_ms)
         for name, pool in moves:
@@ -633,6 +672,22 @@
             self._idle_since_ms[source] = -1
             self._note("move_chosen", instance=name, pool=pool, source=source)
 
+    def _note_pools(self, states: list[pools.PoolState], now_ms: int) -> None:
+        if now_ms - self._pools_noted_ms < _POOL_NOTE_MS:
+            return
+        self._pools_noted_ms = now_ms
+        for state in states:
+            self._note(
+                "pool_state",
+                pool=state.pool,
+                members=state.members,
+                needed=state.needed,
+                empty=len(state.empty),
+                capacity_cores=state.capacity_milli // 1_000,
+                ready_core_s=int(state.ready_work / 1_000_000),
+                arriving_cores=int(state.arriving_milli / 1_000),
+            )
+
     def _order(self, order: instances.Order) -> None:
         if isinstance(order, instances.Upkeep):
             wave = self.book.waves[order.wave]
--- a/features/jobs/pools.feature
+++ b/features/jobs/pools.feature
@@ -3,14 +3,14 @@
   Scenario: A pool that lacks takes spare instances
     Given pools
       | pool    | ready_s | members | needed | empty | idle_ms |
-      | coaches | 2000    | 6       | 4      |       |         |
-    And 4 spare instances
-    Then 4 instances move to "coaches"
+      | coaches | 1300    | 6       | 4      |       |         |
+    And 9 spare instances
+    Then just as many instances move to "coaches" as end its work in time
 
   Scenario: A pool that lacks takes from an idle one without the idle time
     Given pools
       | pool    | ready_s | members | needed | empty | idle_ms |
-      | coaches | 1300    | 6       | 4      |       |         |
+      | coaches | 1900    | 6       | 4      |       |         |
       | clubs   | 0       | 6       | 4      | c1,c2 | 0       |
     Then 2 instances move to "coaches"
 
@@ -29,3 +29,11 @@
       | pool  | ready_s | members | needed | empty | idle_ms |
       | clubs | 0       | 6       | 4      | c1,c2 | 2400    |
     Then 1 instances move to "spare"
+
+  Scenario: A pool grows while work arrives faster than it can do
+    # The first second of a turn: five times the mean, no backlog yet.
+    Given pools
+      | pool  | ready_s | members | needed | empty | idle_ms | arriving |
+      | clubs | 60      | 3       | 3      |       |         | 480      |
+    And 9 spare instances
+    Then just as many instances move to "clubs" as end its work in time
--- a/features/steps/job_pool_steps.py
+++ b/features/steps/job_pool_steps.py
@@ -20,6 +20,7 @@
             pools.PoolState(
                 row["pool"],
                 float(row["ready_s"]) * 1_000_000,
+                float(row.get("arriving", "0")) * 1_000,
                 members * _CORES_MILLI,
                 _CORES_MILLI,
                 members,
@@ -49,3 +50,14 @@
 @then("nothing moves")
 def check_no_moves(context):
     assert _choose(context) == []
+
+
+@then('just as many instances move to "{pool}" as end its work in time')
+def check_growth(context, pool):
+    moves = _choose(context)
+    assert moves and {to for _, to in moves} == {pool}, moves
+    state = next(state for state in context.states if state.pool == pool)
+    grown = state.capacity_milli + len(moves) * _CORES_MILLI
+    assert pools.foresee_ms(state, grown) <= pools.GROW_TO_MS
+    one_less = grown - _CORES_MILLI
+    assert pools.foresee_ms(state, one_less) > pools.GROW_TO_MS
