Bound the voters, and pass on the vote of a lost one

Cause: larger deployments have more disks than votes they need (2 f + 1), and a disk that is replaced at another address has to get the lost one's vote. Change: a bound on voters; a learner gets a vote only below it or when a voter has been silent for 8 s, which then loses its vote and stays a learner. Removal for good was ruled out: a disk that comes back could then never join again.

--- a/bambookeel/consensus/changes.py
+++ b/bambookeel/consensus/changes.py
@@ -81,19 +81,51 @@
         The change, if any.
     """
     state = step.state
+    most = state.settings.max_voters
+    lost = _find_lost_voter(step)
+    if most and len(state.membership.voters) > most:
+        return membership.Demote(lost) if lost else None
+    may_vote = not most or len(state.membership.voters) < most or bool(lost)
     for learner in state.membership.learners:
         progress = state.progress[learner]
         silent_ms = step.now_ms - progress.heard_ms
-        if silent_ms >= state.settings.election_min_ms:
+        if silent_ms >= state.settings.election_min_ms or not may_vote:
             continue
         has_caught_up = progress.match_index >= state.commit_index
         if progress.answered_round and has_caught_up:
             return membership.Promote(learner)
-    if state.strangers:
-        return membership.AddLearner(state.strangers[0])
+    for stranger in state.strangers:
+        if may_vote or _has_other_disk(state, stranger):
+            return membership.AddLearner(stranger)
     return None
 
 
+def _find_lost_voter(step: records.Step) -> ids.MemberId:
+    """Finds the voter that has been silent for longest, if for too long.
+
+    Args:
+        step: The step of a leader.
+
+    Returns:
+        The voter; empty for none.
+    """
+    state = step.state
+    oldest_ms = step.now_ms - state.settings.lost_voter_ms
+    lost = records.NO_MEMBER
+    for voter in state.membership.voters:
+        progress = state.progress.get(voter)
+        if progress is not None and progress.heard_ms < oldest_ms:
+            oldest_ms = progress.heard_ms
+            lost = voter
+    return lost
+
+
+def _has_other_disk(state: records.CoreState, stranger: ids.MemberId) -> bool:
+    process = membership.get_process(stranger)
+    members = state.membership.members
+    return any(membership.get_process(m) == process for m in members)
+
+
 def leave_if_removed(step: records.Step) -> None:
     """Steps down once the removal of this member is committed.
 
--- a/bambookeel/consensus/membership.py
+++ b/bambookeel/consensus/membership.py
@@ -58,7 +58,14 @@
     member: ids.MemberId
 
 
-Change = AddLearner | Promote | Remove
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demote:
+    """Takes the vote of a voter that is lost; it stays a learner."""
+
+    member: ids.MemberId
+
+
+Change = AddLearner | Promote | Remove | Demote
 
 
 def build_member_id(process: str, disk: str) -> ids.MemberId:
@@ -105,6 +112,13 @@
                 voters=tuple(sorted((*current.voters, member))),
                 learners=tuple(m for m in current.learners if m != member),
             )
+        case Demote(member) if member in current.voters:
+            voters = tuple(m for m in current.voters if m != member)
+            if not voters:
+                return None
+            return dataclasses.replace(
+                current, voters=voters, learners=(*current.learners, member)
+            )
         case Remove(member) if member in current.members:
             return _remove(current, member)
     return None
--- a/bambookeel/consensus/records.py
+++ b/bambookeel/consensus/records.py
@@ -43,6 +43,9 @@
         retained_entries: Entries kept behind a snapshot for slow followers.
         max_batch_bytes: Payload of one append request.
         max_unanswered: Entries sent ahead of a follower's answers.
+        max_voters: Most members with a vote; 0 for all.
+        lost_voter_ms: Silence after which a voter's vote may go to another
+            member, where their number is bounded.
     """
 
     heartbeat_ms: int = 100
@@ -52,6 +55,8 @@
     retained_entries: int = 200
     max_batch_bytes: int = 1024 * 1024
     max_unanswered: int = 2_000
+    max_voters: int = 0
+    lost_voter_ms: int = 8_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bambookeel/control/core_runner.py
+++ b/bambookeel/control/core_runner.py
@@ -90,6 +90,8 @@
         election_max_ms=timings.election_max_ms,
         drift_margin_ms=timings.election_min_ms // 10,
         retained_entries=timings.snapshot_every // 4,
+        max_voters=timings.max_voters,
+        lost_voter_ms=timings.lost_voter_ms,
     )
 
 
--- a/bambookeel/core/settings.py
+++ b/bambookeel/core/settings.py
@@ -90,12 +90,17 @@
         election_min_ms: Shortest silence before an election.
         election_max_ms: Longest silence before an election.
         snapshot_every: Log entries between two snapshots.
+        max_voters: Most replicas with a vote; 0 for all.
+        lost_voter_ms: Silence after which another replica may get a voter's
+            vote, where their number is bounded.
     """
 
     heartbeat_ms: HeartbeatMs = 100
     election_min_ms: LeaseMs = 500
     election_max_ms: LeaseMs = 900
     snapshot_every: resources.PositiveInt = 1_000
+    max_voters: int = 0
+    lost_voter_ms: resources.PositiveInt = 8_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bambookeel/node/settings.py
+++ b/bambookeel/node/settings.py
@@ -18,7 +18,6 @@
         seeds: Addresses of other nodes, as `address`.
         is_first_start: Whether the deployment starts with empty disks.
         data_folder: Its disk; empty for a node that keeps no state.
-        max_voters: Most disks that vote.
         consensus: Timings of the replicated log.
         scheduling: Bounds of the scheduler.
         channel_heartbeat_ms: Time between heartbeats of a channel.
@@ -31,7 +30,6 @@
     seeds: tuple[ids.ProcessId, ...]
     is_first_start: bool
     data_folder: str
-    max_voters: int
     consensus: core_settings.ConsensusTimings
     scheduling: scheduler.SchedulerSettings
     channel_heartbeat_ms: int
--- a/features/consensus/scenarios.feature
+++ b/features/consensus/scenarios.feature
@@ -92,3 +92,20 @@
     When the leader of each is killed
     Then the median time without a leader is at most 1.5 election timeouts
     And the longest is at most 3 election timeouts
+
+  Scenario: A bounded number of voters takes nobody in without need
+    Given a world of 3 cores of which 3 vote, seed 14
+    And a stable leader
+    When a further core waits to be let in
+    Then the membership has 3 voters
+
+  Scenario: The vote of a lost voter goes to another core
+    Given a world of 3 cores of which 3 vote, seed 15
+    And a stable leader
+    When a further core waits to be let in
+    And a follower is gone for 8000 ms
+    Then the membership has 3 voters
+    And the follower has no vote
+    When the follower starts again
+    Then every core in touch with the leader applies its commits
+    And the membership has 3 voters
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -48,6 +48,48 @@
     context.world = consensus_world.World(seed, size)
 
 
+@given("a world of {size:d} cores of which {voters:d} vote, seed {seed:d}")
+def build_bounded_world(context, size, voters, seed):
+    context.world = consensus_world.World(seed, size, max_voters=voters)
+
+
+@when("a further core waits to be let in")
+def add_stranger(context):
+    node = context.world.add_node(f"p{len(context.world.nodes)}")
+    node.start()
+    context.world.run_for(4_000)
+
+
+@when("a follower is gone for {duration:d} ms")
+def lose_follower(context, duration):
+    context.follower = _pick_follower(context)
+    context.follower.stop()
+    context.world.run_for(duration)
+
+
+@then("the follower has no vote")
+def check_no_vote(context):
+    voters = context.world.find_leader().core.membership.voters
+    assert context.follower.member not in voters, voters
+
+
+@then("every core in touch with the leader applies its commits")
+def check_all_follow(context):
+    members = context.world.find_leader().core.membership.members
+
+    def follow():
+        leader = context.world.find_leader()
+        return leader is not None and all(
+            node.applied == leader.core.log.last_index
+            and node.digest == leader.digest
+            for node in context.world.nodes.values()
+            if node.member in members
+        )
+
+    assert context.follower.member in members, members
+    context.world.run_until(follow)
+
+
 @given("a stable leader")
 def wait_for_leader(context):
     context.world.run_until(context.world.has_stable_leader)
