Play the whole path on separate processes with stand-ins

Four scenarios start nodes by platform/start.py on loopback addresses, with workers, callers and operators that speak the platform's protocol: calls at any node, malformed input, kills of the leader and of all nodes, planned stops in turn.

--- /dev/null
+++ b/features/fakes/platform_site.py
@@ -0,0 +1,334 @@
+"""A small site of the users' platform: nodes as processes, and stand-ins.
+
+Each node runs `platform/start.py` at an address of its own on the loopback
+range. The stand-ins speak what the platform's protocol page says over real
+sockets: workers that report and obey, callers, an operator, and a provider of
+instances.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import geventhttpclient
+from geventhttpclient import response as http_response
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+_FRONT, _READY, _CONTROL, _PEER = range(4)
+HOST = "jobs.example"
+KEY = "key-of-the-team"
+# Longest wait for something that must happen; far above what it takes.
+WAIT_S = 60.0
+
+
+def request(address, method, path, body=None, headers=None, timeout_s=5.0):
+    """Sends one request; gives status, headers and body, or None."""
+    host, port = address
+    client = geventhttpclient.HTTPClient(
+        host, port, connection_timeout=timeout_s, network_timeout=timeout_s
+    )
+    data = body if isinstance(body, bytes) else b""
+    if body is not None and not isinstance(body, bytes):
+        data = json.dumps(body).encode()
+    try:
+        answer = client.request(method, path, data, headers or {})
+        return answer.status_code, dict(answer.headers), bytes(answer.read())
+    except (OSError, http_response.HTTPParseError):
+        return None
+    finally:
+        client.close()
+
+
+class Node:
+    """One process."""
+
+    def __init__(self, site, number, has_disk):
+        self.number = number
+        self.ip = f"127.0.{site.net}.{number + 1}"
+        self._site = site
+        self._folder = site.folder / f"node-{number}"
+        self._folder.mkdir()
+        self._has_disk = has_disk
+        self._starts = 0
+        self.process = None
+
+    def get_address(self, kind):
+        """Gives one of its addresses."""
+        return self.ip, self._site.base_port + kind
+
+    def start(self):
+        """Starts it."""
+        base = self._site.base_port
+        settings = {
+            "node_name": f"node-{self.number}",
+            "ip": self.ip,
+            "zone": "north",
+            "bind_addrs": {
+                "frontend": f"{self.ip}:{base + _FRONT}",
+                "ready": f"{self.ip}:{base + _READY}",
+                "control_plane": f"{self.ip}:{base + _CONTROL}",
+            },
+            "port_range": [base + _PEER, base + 9],
+            "seed_nodes": [
+                f"127.0.{self._site.net}.{i + 1}:{base + _CONTROL}"
+                for i in range(3)
+            ],
+            "bootstrap": self._starts == 0,
+            "data_dir": str(self._folder / "data") if self._has_disk else None,
+            "fault_tolerance": {"machines": 1},
+            "bounds": {"hold_max_ms": 6000, "status_s": 120, "grace_s": 6},
+            "cloud_api": {"address": ""},
+        }
+        path = self._folder / "settings.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        self._starts += 1
+        with open(self._folder / "log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "platform/start.py"],
+                cwd=_ROOT,
+                env={**os.environ, "BAMBOOKEEL_CONFIG": str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def read_log(self):
+        """Gives its whole log."""
+        return (self._folder / "log").read_text(encoding="utf-8")
+
+    def signal(self, number):
+        """Sends it a signal."""
+        self.process.send_signal(number)
+
+    def end(self):
+        """Kills it if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class StandInWorker:
+    """A worker that speaks the platform's heartbeats, one call at a time."""
+
+    def __init__(self, site, name, run_s=0.15):
+        self._site = site
+        self.name = name
+        self._run_s = run_s
+        self._born = int(time.time() * 1000)
+        self._number = 0
+        self._turn = 0
+        self.running = {}
+        self._finished = []
+        self._last_end = 0
+        self._address = None
+        self._lease_until = 0.0
+        self._due = 0.0
+        self._fence = 0
+        self._highest = {}
+
+    def step(self):
+        """Ends what is over, and reports when it is time."""
+        now = time.monotonic()
+        for task, (run, ends) in list(self.running.items()):
+            if now >= ends:
+                self._end(task, run, "done")
+            elif now >= self._lease_until:
+                self._end(task, run, "lapsed")
+        if now >= self._due:
+            self._report(now)
+
+    def _end(self, task, run, how):
+        del self.running[task]
+        self._last_end += 1
+        self._highest[task] = max(run, self._highest.get(task, 0))
+        self._finished.append([self._last_end, task, run, how, ""])
+        self._site.ends.append((task, run, how))
+        self._due = min(self._due, time.monotonic() + 0.05)
+
+    def _report(self, now):
+        self._number += 1
+        body = {
+            "service": "pack",
+            "address": f"127.0.0.1:{self.name}",
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
+            "labels": ["a", "r1"],
+            "clock_ms": int(now * 1000),
+            "seq_no": self._number,
+            "born": self._born,
+            "machine": f"m-{self.name}",
+            "running": [[t, r, "", 100, 0] for t, (r, _) in self.running.items()],
+            "finished": self._finished,
+        }
+        address = self._address
+        if address is None:
+            self._turn += 1
+            nodes = self._site.nodes
+            address = nodes[self._turn % len(nodes)].get_address(_CONTROL)
+        path = f"/v1/instances/{self.name}/heartbeat"
+        answer = request(address, "POST", path, body, timeout_s=1.0)
+        self._due = time.monotonic() + 0.1
+        if answer is None or answer[0] != 200:
+            self._address = None
+            return
+        self._obey(json.loads(answer[2]), now)
+
+    def _obey(self, orders, sent):
+        if orders.get("fencing_token", 0) < self._fence:
+            return
+        self._fence = orders.get("fencing_token", 0)
+        if "heartbeat_addr" in orders:
+            host, _, port = orders["heartbeat_addr"].rpartition(":")
+            self._address = (host, int(port))
+        self._finished = [
+            end
+            for end in self._finished
+            if end[0] > orders.get("acked_seq", 0)
+        ]
+        if "hold_ms" not in orders:
+            return
+        self._lease_until = max(
+            self._lease_until, sent + orders["hold_ms"] / 1000.0
+        )
+        for task, run in orders.get("stop_tasks", ()):
+            if task in self.running and self.running[task][0] == run:
+                self._end(task, run, "stopped")
+        for task, run, _spec, _saved in orders.get("start_tasks", ()):
+            if task in self.running or run <= self._highest.get(task, 0):
+                continue
+            self._site.note_start(task, run, self.name)
+            self.running[task] = (run, time.monotonic() + self._run_s)
+
+
+class Site:
+    """Nodes and workers."""
+
+    def __init__(self, folder, base_port, net, nodes=4):
+        self.folder = pathlib.Path(folder)
+        self.base_port = base_port
+        self.net = net
+        self.nodes = [Node(self, i, has_disk=i < 3) for i in range(nodes)]
+        self.workers = [StandInWorker(self, str(9000 + i)) for i in range(3)]
+        self.starts = []
+        self.ends = []
+        self.broken = []
+
+    def start(self):
+        """Starts all nodes and waits until they are ready."""
+        for node in self.nodes:
+            node.start()
+
+    def note_start(self, task, run, worker):
+        """Notes a start and checks that the task runs nowhere else."""
+        for other in self.workers:
+            if task in other.running:
+                self.broken.append(f"{task} runs on {other.name} and {worker}")
+        if any(end[0] == task and end[2] == "done" for end in self.ends):
+            self.broken.append(f"{task} starts again after its end")
+        self.starts.append((task, run, worker))
+
+    def wait_until(self, holds, what):
+        """Lets the workers go on until something holds."""
+        ends = time.monotonic() + WAIT_S
+        while time.monotonic() < ends:
+            for worker in self.workers:
+                worker.step()
+            if holds():
+                return
+            time.sleep(0.01)
+        logs = "\n".join(node.read_log()[-3000:] for node in self.nodes)
+        raise AssertionError(f"it did not happen: {what}\n{logs}")
+
+    def are_ready(self):
+        """Whether all nodes that run say that they are ready."""
+        for node in self.nodes:
+            if node.process.poll() is not None:
+                continue
+            answer = request(node.get_address(_READY), "GET", "/v1/readyz")
+            if answer is None or answer[0] != 200:
+                return False
+        return True
+
+    def call_front(self, number, method, path, body=None, key=KEY):
+        """Calls a node as a caller does."""
+        headers = {"Host": HOST, "Key": key, "Deadline-Ms": "3000"}
+        address = self.nodes[number].get_address(_FRONT)
+        return request(address, method, path, body, headers)
+
+    def call_control(self, number, method, path, body=None):
+        """Calls a node as workers and operators do."""
+        address = self.nodes[number].get_address(_CONTROL)
+        return request(address, method, path, body)
+
+    def find_leader(self):
+        """Finds the node that schedules, from the logs."""
+        found = None
+        for node in self.nodes:
+            if node.process.poll() is not None:
+                continue
+            log = node.read_log()
+            if "event=scheduling" in log:
+                term = int(log.rpartition("event=scheduling term=")[2].split()[0])
+                if found is None or term > found[0]:
+                    found = (term, node)
+        return found[1] if found else None
+
+    def end(self):
+        """Ends every process."""
+        for node in self.nodes:
+            node.end()
+
+
+def build_document(version=1):
+    """Builds a configuration with one queue."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r-orders",
+                "host": HOST,
+                "path_prefix": "/orders/",
+                "kind": "non_idempotent",
+                "timeout_ms": 3000,
+                "target_latency_ms": 3600,
+                "priority": 0,
+                "service": "pack",
+                "max_attempts": 3,
+                "slack_factor": 1.6,
+                "public": False,
+            }
+        ],
+        "services": [
+            {
+                "name": "pack",
+                "health_path": "/healthz",
+                "max_conns": 64,
+                "protocol": "h1",
+                "tls": False,
+                "enforces_capacity": True,
+                "standby": False,
+            }
+        ],
+        "limits": {"max_body_bytes": 262144},
+        "tenants": [
+            {
+                "name": "t1",
+                "api_keys": [KEY],
+                "priority": 1,
+                "weight": 28,
+                "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0},
+            }
+        ],
+    }
+
+
+TERMINATE = signal.SIGTERM
+KILL = signal.SIGKILL
+HANG_UP = signal.SIGHUP
--- /dev/null
+++ b/features/platform/whole_path.feature
@@ -0,0 +1,63 @@
+Feature: The whole path on the users' platform, on separate processes
+
+  Scenario: Jobs are handed in, asked for, counted and cancelled at any node
+    Given a site of four nodes, three with a disk
+    When a "GET" for "/orders/" is sent to node 3
+    Then the site answers with status 503
+    And the site says when to come back
+    Given a configuration with one queue
+    When job 1 of 4 tasks is handed in at node 3
+    Then the site answers with status 200
+    When job 1 of 4 tasks is handed in at node 0
+    Then the site answers with status 200
+    And every job is completed in the end
+    When a "GET" for "/orders/" is sent to node 1
+    Then the site answers with status 200
+    When a "GET" for "/orders/00000000000000ff" is sent to node 2
+    Then the site answers with status 410
+    When a "GET" for "/unknown/" is sent to node 2
+    Then the site answers with status 404
+    When the key "nobody" is shown in a "GET" for "/orders/" at node 3
+    Then the site answers with status 401
+    When a job that cannot be read is handed in at node 1
+    Then the site answers with status 400
+    When job 2 of 500 tasks is handed in at node 2
+    And a "DELETE" for "/orders/0000000000000002" is sent to node 0
+    Then the site answers with status 200
+    And job 2 is "cancelled" in the end
+    And no task ran twice
+
+  Scenario: Malformed heartbeats and configurations
+    Given a site of four nodes, three with a disk
+    And a configuration with one queue
+    When a heartbeat without a start time is sent to node 3
+    Then the site answers with status 400
+    And a log line tells why the heartbeat was left out
+    When a heartbeat of 5 MB is sent to node 3
+    Then the site answers with status 413
+    When configuration 7 is handed in
+    And configuration 3 is handed in
+    And the configuration is read at node 3
+    Then the site answers with status 200
+    And its version is 7
+
+  Scenario: Accepted jobs outlive the leader, and all nodes at once
+    Given a site of four nodes, three with a disk
+    And a configuration with one queue
+    When 6 jobs of 2 steps are handed in at all nodes
+    And the leading node is killed
+    Then every job is completed in the end
+    When that node starts again
+    And 3 jobs of 2 steps are handed in at all nodes
+    And all nodes are killed at once and start again
+    Then every job is completed in the end
+    And no task ran twice
+
+  Scenario: Planned stops and hang-ups lose nothing
+    Given a site of four nodes, three with a disk
+    And a configuration with one queue
+    When 6 jobs of 2 steps are handed in at all nodes
+    And node 1 gets a hang-up signal
+    And every node is stopped in turn and starts again
+    Then every job is completed in the end
+    And no task ran twice
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,226 @@
+"""Steps for the whole path on the users' platform, with stand-ins."""
+
+import json
+import os
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.fakes import platform_site
+
+# Each run of the tests takes a network and ports of its own.
+_NET = os.getpid() % 250 + 1
+_BASE_PORT = 28_000
+
+
+@given("a site of four nodes, three with a disk")
+def start_site(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.site = platform_site.Site(folder.name, _BASE_PORT, _NET)
+    context.add_cleanup(context.site.end)
+    context.site.start()
+    context.site.wait_until(context.site.are_ready, "all nodes are ready")
+    context.jobs = {}
+
+
+def _put(context, version):
+    document = platform_site.build_document(version)
+    for number in range(20):
+        node = number % len(context.site.nodes)
+        context.answer = context.site.call_control(
+            node, "POST", "/v1/config/put", document
+        )
+        if context.answer is not None and context.answer[0] == 200:
+            return
+    raise AssertionError(context.answer)
+
+
+@given("a configuration with one queue")
+def put_configuration(context):
+    _put(context, 1)
+
+
+@when("configuration {version:d} is handed in")
+def put_version(context, version):
+    _put(context, version)
+
+
+def _body(count, steps=1):
+    return {
+        "spec": "pack it",
+        "phases": [
+            {
+                "count": count,
+                "cpu": 1000,
+                "mem_mb": 100,
+                "estimate_ms": 150,
+                **({"depends_on": [i - 1]} if i else {}),
+            }
+            for i in range(steps)
+        ],
+    }
+
+
+@when("job {job:d} of {count:d} tasks is handed in at node {node:d}")
+def hand_in(context, job, count, node):
+    context.jobs[job] = _body(count)
+    path = f"/orders/{job:016x}"
+    context.answer = context.site.call_front(
+        node, "POST", path, context.jobs[job]
+    )
+
+
+@when("{count:d} jobs of 2 steps are handed in at all nodes")
+def hand_in_many(context, count):
+    for job in range(100, 100 + count):
+        path = f"/orders/{job:016x}"
+        body = _body(3, steps=2)
+        for attempt in range(30):
+            node = (job + attempt) % len(context.site.nodes)
+            answer = context.site.call_front(node, "POST", path, body)
+            if answer is not None and answer[0] == 200:
+                context.jobs[job] = body
+                break
+        assert job in context.jobs, answer
+
+
+@when('a "{method}" for "{path}" is sent to node {node:d}')
+def send(context, method, path, node):
+    context.answer = context.site.call_front(node, method, path)
+
+
+@when('the key "{key}" is shown in a "{method}" for "{path}" at node {node:d}')
+def send_with_key(context, method, path, key, node):
+    context.answer = context.site.call_front(node, method, path, key=key)
+
+
+@when("a job that cannot be read is handed in at node {node:d}")
+def send_broken(context, node):
+    context.answer = context.site.call_front(
+        node, "POST", f"/orders/{77:016x}", b'{"spec": 3'
+    )
+
+
+@when("a heartbeat without a start time is sent to node {node:d}")
+def send_heartbeat(context, node):
+    context.answer = context.site.call_control(
+        node, "POST", "/v1/instances/w1/heartbeat", {"service": "pack"}
+    )
+
+
+@when("a heartbeat of {size:d} MB is sent to node {node:d}")
+def send_large(context, size, node):
+    context.answer = context.site.call_control(
+        node, "POST", "/v1/instances/w1/heartbeat", b"x" * size * 1024 * 1024
+    )
+
+
+@when("the configuration is read at node {node:d}")
+def read_configuration(context, node):
+    context.answer = context.site.call_control(node, "GET", "/v1/config/get")
+
+
+@then("the site answers with status {status:d}")
+def check_status(context, status):
+    assert context.answer is not None and context.answer[0] == status, (
+        context.answer
+    )
+
+
+@then("its version is {version:d}")
+def check_version(context, version):
+    document = json.loads(context.answer[2])
+    assert document == platform_site.build_document(version), document
+
+
+@then("the site says when to come back")
+def check_retry(context):
+    assert "Retry-After" in context.answer[1], context.answer
+
+
+def _get_state(context, job):
+    for node in range(len(context.site.nodes)):
+        answer = context.site.call_front(node, "GET", f"/orders/{job:016x}")
+        if answer is not None and answer[0] == 200:
+            return json.loads(answer[2])["state"]
+    return None
+
+
+@then("every job is completed in the end")
+def check_completed(context):
+    def are_completed():
+        open_jobs = [
+            job
+            for job in context.jobs
+            if _get_state(context, job) != "completed"
+        ]
+        return not open_jobs
+
+    context.site.wait_until(are_completed, f"{len(context.jobs)} completed")
+
+
+@then('job {job:d} is "{state}" in the end')
+def check_state(context, job, state):
+    context.site.wait_until(
+        lambda: _get_state(context, job) == state, f"job {job} is {state}"
+    )
+
+
+@when("the leading node is killed")
+def kill_leader(context):
+    leader = context.site.find_leader()
+    leader.signal(platform_site.KILL)
+    leader.process.wait()
+    context.gone = leader
+
+
+@when("that node starts again")
+def start_again(context):
+    context.gone.start()
+    context.site.wait_until(context.site.are_ready, "all nodes are ready")
+
+
+@when("all nodes are killed at once and start again")
+def kill_all(context):
+    for node in context.site.nodes:
+        node.signal(platform_site.KILL)
+    for node in context.site.nodes:
+        node.process.wait()
+        node.start()
+    context.site.wait_until(context.site.are_ready, "all nodes are ready")
+
+
+@when("every node is stopped in turn and starts again")
+def roll(context):
+    for node in context.site.nodes:
+        node.signal(platform_site.TERMINATE)
+        context.site.wait_until(
+            lambda: node.process.poll() is not None, "the node stops"
+        )
+        assert node.process.returncode == 0, node.read_log()[-2000:]
+        node.start()
+        context.site.wait_until(context.site.are_ready, "all are ready")
+
+
+@when("node {node:d} gets a hang-up signal")
+def hang_up(context, node):
+    context.site.nodes[node].signal(platform_site.HANG_UP)
+
+
+@then("no task ran twice")
+def check_runs(context):
+    assert not context.site.broken, context.site.broken
+
+
+@then("all nodes are ready")
+def check_ready(context):
+    context.site.wait_until(context.site.are_ready, "all nodes are ready")
+
+
+@then("a log line tells why the heartbeat was left out")
+def check_log(context):
+    logs = "".join(node.read_log() for node in context.site.nodes)
+    assert "event=heartbeat_malformed worker=w1" in logs
