Fuzz the adapter; check that its names stay inside it

Hypothesis drives heartbeats, jobs, configurations, waves and raw bytes through the decoders: each gives a typed record or a reason.

--- a/features/fakes/jobs_checks.py
+++ b/features/fakes/jobs_checks.py
@@ -1,7 +1,5 @@
 """The promises of jobs, checked at each start of a run."""
 
-from bambookeel.jobs import specs
-
 
 def check_start(world, worker, task, step):
     """Checks the promises at a start."""
--- /dev/null
+++ b/features/platform/adapter.feature
@@ -0,0 +1,44 @@
+Feature: The adapter translates what arrives, and nothing else
+
+  Scenario: A step's fields reach the fields that say what they hold
+    When this job is decoded
+      """
+      {"spec":"(text)","phases":[
+        {"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,"affinity":"r1-3"},
+        {"count":20,"cpu":2000,"mem_mb":1024,"estimate_ms":7000,
+         "depends_on":[0],"checkpointing":true,"anti_affinity":2,
+         "requirements":"a","miss_allowed":1,"long_running":true}]}
+      """
+    Then step 0 has 4 tasks of 500 milli and its data on "r1-3"
+    And step 1 waits for step 0 and allows 2 tasks an instance
+
+  Scenario Outline: A job that cannot be taken is named
+    When the job <body> is decoded
+    Then it is refused because of "<reason>"
+
+    Examples:
+      | body                                                | reason        |
+      | {"spec":"x"                                         | truncated     |
+      | {"spec":"x","phases":[]}                            | at least one  |
+      | {"spec":"x","phases":[{"count":"3"}]}               | Expected      |
+      | {"spec":"x","phases":[{"count":0}]}                 | Expected      |
+      | {"spec":"x","phases":[{"count":1,"cpu":-1}]}        | Expected      |
+      | {"spec":"x","phases":[{"count":1,"depends_on":[0]}]} | not an earlier |
+
+  Scenario: Heartbeats of any shape are decoded or refused, never more
+    Then any JSON in a heartbeat gives a report or a reason
+    And any JSON in a job gives a job or a reason
+    And any JSON in a configuration gives a document or a reason
+    And any JSON in a wave gives a wave or a reason
+    And any bytes give a reason
+
+  Scenario: A run's row may leave its last figures out
+    When a heartbeat with these lists is decoded
+      | running                                      | finished                          |
+      | ["00000000000000aa.0.1.17",2,"saved",41]     | [58,"00000000000000aa.0.1.9",1,"done",""] |
+    Then run 2 of place 17 is listed with 41 percent
+    And end 58 of place 9 is listed as "done"
+
+  Scenario: Nothing outside the adapter knows the platform's names
+    Then no module outside "platform" holds the platform's field names
+    And the adapter is below 1200 lines and a twelfth of the product
--- /dev/null
+++ b/features/steps/adapter_steps.py
@@ -0,0 +1,225 @@
+"""Steps for the adapter of the users' platform."""
+
+import json
+import pathlib
+import sys
+
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from bambookeel.configuration import document as configuration
+from bambookeel.jobs import calls
+from bambookeel.jobs import specs
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+_ADAPTER = _ROOT / "platform"
+# The folder shadows a module of the standard library; it goes to the end.
+sys.path.append(str(_ADAPTER))
+
+# pylint: disable=wrong-import-position,import-error
+import adapter_jobs  # noqa: E402
+import adapter_operators  # noqa: E402
+import adapter_workers  # noqa: E402
+
+_SCALARS = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(allow_nan=False, allow_infinity=False),
+    strategies.text(max_size=8),
+)
+
+
+def _objects(names):
+    values = strategies.recursive(
+        _SCALARS,
+        lambda inner: strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(names), inner, max_size=5
+        ),
+        max_leaves=12,
+    )
+    return strategies.dictionaries(
+        strategies.sampled_from(names), values, max_size=len(names)
+    )
+
+
+_HEARTBEAT = {
+    "service": "pack",
+    "address": "10.0.0.1:80",
+    "zone": "north",
+    "state": "ready",
+    "seq_no": 4,
+    "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 0},
+    "born": 5,
+    "running": [],
+    "finished": [],
+}
+_JOB = {"spec": "x", "phases": [{"count": 1, "cpu": 1}]}
+_STEP = ["count", "cpu", "mem_mb", "depends_on", "estimate_ms", "gang"]
+_DOCUMENT = {"version": 1, "routes": [], "services": [], "tenants": []}
+_WAVE = {"rollout_wave": 1, "machines": [], "duration_s": 1, "cap": 1}
+
+
+def _check_any(decode, whole, names, kind):
+    """Checks that a decoder gives a value of its kind or a reason."""
+
+    @hypothesis.given(_objects(names), strategies.booleans())
+    def check(changes, keeps):
+        body = {**whole, **changes} if keeps else changes
+        found = decode(json.dumps(body).encode())
+        assert isinstance(found, (kind, str)), found
+        assert found != "", body
+
+    check()
+
+
+@then("any JSON in a heartbeat gives a report or a reason")
+def check_heartbeats(_context):
+    _check_any(
+        lambda body: adapter_workers.decode_heartbeat("w", body),
+        _HEARTBEAT,
+        [*_HEARTBEAT, "labels", "machine", "remaining_ms"],
+        calls.WorkerReport,
+    )
+
+
+@then("any JSON in a job gives a job or a reason")
+def check_jobs(_context):
+    names = [*_JOB, *_STEP, "repeat_count", "start_at_ms", "interval_ms"]
+    _check_any(adapter_jobs.decode_job, _JOB, names, specs.JobSpec)
+
+
+@then("any JSON in a configuration gives a document or a reason")
+def check_documents(_context):
+    _check_any(
+        adapter_operators.decode_document,
+        _DOCUMENT,
+        [*_DOCUMENT, "name", "host", "timeout_ms", "api_keys", "cap"],
+        configuration.Document,
+    )
+
+
+@then("any JSON in a wave gives a wave or a reason")
+def check_waves(_context):
+    _check_any(
+        adapter_operators.decode_wave, _WAVE, list(_WAVE), calls.StartWave
+    )
+
+
+@then("any bytes give a reason")
+def check_bytes(_context):
+    @hypothesis.given(strategies.binary(max_size=40))
+    def check(body):
+        for decode in (
+            adapter_jobs.decode_job,
+            adapter_operators.decode_document,
+            adapter_operators.decode_wave,
+            lambda data: adapter_workers.decode_heartbeat("w", data),
+        ):
+            assert isinstance(decode(body), str)
+        left = adapter_workers.decode_leave("w", body)
+        assert left == calls.WorkerLeft("w", 0)
+
+    check()
+
+
+@when("this job is decoded")
+def decode_text(context):
+    context.spec = adapter_jobs.decode_job(context.text.encode())
+
+
+@when("the job {body} is decoded")
+def decode_body(context, body):
+    context.spec = adapter_jobs.decode_job(body.encode())
+
+
+@then('it is refused because of "{reason}"')
+def check_reason(context, reason):
+    assert (
+        isinstance(context.spec, str) and reason in context.spec
+    ), context.spec
+
+
+@then('step 0 has {count:d} tasks of {milli:d} milli and its data on "{rack}"')
+def check_first(context, count, milli, rack):
+    step = context.spec.steps[0]
+    found = (step.count, step.needs.cpu_milli, step.data_rack)
+    assert found == (count, milli, rack), step
+
+
+@then("step 1 waits for step 0 and allows {most:d} tasks an instance")
+def check_second(context, most):
+    step = context.spec.steps[1]
+    assert step.after == (0,) and step.max_per_instance == most, step
+    assert step.checkpoints and step.is_standing and step.label == "a", step
+    assert step.max_missing == 1, step
+
+
+@when("a heartbeat with these lists is decoded")
+def decode_lists(context):
+    row = context.table[0]
+    body = {
+        **_HEARTBEAT,
+        "running": [json.loads(row["running"])],
+        "finished": [json.loads(row["finished"])],
+    }
+    context.report = adapter_workers.decode_heartbeat(
+        "w", json.dumps(body).encode()
+    )
+
+
+@then("run {run:d} of place {place:d} is listed with {percent:d} percent")
+def check_running(context, run, place, percent):
+    listed = context.report.running[0]
+    found = (listed.run, listed.task.place, listed.percent, listed.tail_ms)
+    assert found == (run, place, percent, 0), listed
+
+
+@then('end {number:d} of place {place:d} is listed as "{how}"')
+def check_end(context, number, place, how):
+    listed = context.report.ends[0]
+    found = (listed.number, listed.task.place, listed.how.value)
+    assert found == (number, place, how), listed
+
+
+# Names of the platform that no other part of the product has a use for.
+_PLATFORM_NAMES = (
+    "seq_no",
+    "mem_mb",
+    "anti_affinity",
+    "miss_allowed",
+    "start_tasks",
+    "stop_tasks",
+    "acked_seq",
+    "heartbeat_addr",
+    "rollout_wave",
+    "api_keys",
+    "slack_factor",
+    "long_running",
+    "cloud_api",
+)
+
+
+@then('no module outside "platform" holds the platform\'s field names')
+def check_names(_context):
+    found = []
+    for path in (_ROOT / "bambookeel").rglob("*.py"):
+        text = path.read_text(encoding="utf-8")
+        found += [(path.name, n) for n in _PLATFORM_NAMES if n in text]
+    assert not found, found
+
+
+def _count_lines(folder):
+    return sum(
+        len(path.read_text(encoding="utf-8").splitlines())
+        for path in folder.rglob("*.py")
+    )
+
+
+@then("the adapter is below {most:d} lines and a twelfth of the product")
+def check_size(_context, most):
+    lines = _count_lines(_ADAPTER)
+    assert lines < most and 12 * lines < _count_lines(_ROOT / "bambookeel")
