Let another node lead when the leader's disk is full; keep pools' base sizes

And each new leader took the pools that it met for those of the operators, so that one was kept at 12 instances and another at 2 in a turn of five times its mean. Change: a leader whose batch is refused hands over and answers that nothing was stored; the first leader puts the pools' sizes on record; during upkeep a pool keeps room for one standing task instead of its base size.

--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -18,6 +18,8 @@
 
     def __init__(self) -> None:
         self.view = configuration.EMPTY
+        # Instances of each pool before any of them was moved.
+        self.base_sizes: dict[str, int] = {}
         # Queues that a later configuration dropped; their jobs go on.
         self.former_queues: dict[str, configuration.Queue] = {}
         self.jobs: dict[str, book_records.Job] = {}
@@ -60,6 +62,8 @@
             case commands.LoseRuns(life, _, runs):
                 for task, run, saved in runs:
                     self._lose_run(life, task, run, saved)
+            case commands.NotePools(sizes):
+                self.base_sizes = dict(sizes)
             case _:
                 wave_records.apply_to_waves(self.waves, command)
 
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -47,6 +47,7 @@
     jobs: list[_SavedJob]
     held: list[tuple[specs.WorkerLife, list[_SavedRun]]]
     waves: list[_SavedWave]
+    base_sizes: dict[str, int]
 
 
 def encode_book(book: job_book.Book) -> bytes:
@@ -75,7 +76,9 @@
     ]
     former = list(book.former_queues.values())
     return msgspec.msgpack.encode(
-        _SavedBook(book.view.document, former, jobs, held, waves)
+        _SavedBook(
+            book.view.document, former, jobs, held, waves, book.base_sizes
+        )
     )
 
 
@@ -127,6 +130,7 @@
             book.restore_run(life, held)
     for job in book.jobs.values():
         book.restore_progress(job)
+    book.base_sizes = saved.base_sizes
     for wave in saved.waves:
         restored = book_records.Wave(wave.request, dict.fromkeys(wave.waiting))
         restored.ordered = dict.fromkeys(wave.ordered)
--- a/bambookeel/jobs/calls.py
+++ b/bambookeel/jobs/calls.py
@@ -283,6 +283,18 @@
 ANSWER_DECODER = msgspec.msgpack.Decoder(Answer)
 
 
+def encode_call(call: Call) -> bytes:
+    """Encodes a call.
+
+    Args:
+        call: The call.
+
+    Returns:
+        The bytes.
+    """
+    return msgspec.msgpack.encode(call)
+
+
 def encode_answer(answer: Answer) -> bytes:
     """Encodes an answer.
 
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -125,6 +125,12 @@
     instance: str
 
 
+class NotePools(msgspec.Struct, frozen=True, tag="pools"):
+    """Notes how the operators divided the instances among the pools."""
+
+    sizes: tuple[tuple[str, int], ...]
+
+
 Command = (
     PutConfiguration
     | AdmitJob
@@ -136,6 +142,7 @@
     | StartWave
     | UpkeepAsked
     | UpkeepEnded
+    | NotePools
 )
 
 _DECODER = msgspec.msgpack.Decoder(tuple[Command, ...])
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -158,7 +158,8 @@
     if listed is None:
         return
     fleet_view.take_list(term.steering.fleet, listed, asked_ms)
-    if not term.base_sizes:
+    if not term.book.base_sizes and listed:
+        sizes: dict[str, int] = {}
         for instance in listed:
-            size = term.base_sizes.get(instance.pool, 0)
-            term.base_sizes[instance.pool] = size + 1
+            sizes[instance.pool] = sizes.get(instance.pool, 0) + 1
+        term.decide(commands.NotePools(tuple(sorted(sizes.items()))))
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -129,11 +129,11 @@
     """
     members, each_milli, empty = _measure_members(term, service)
     ready_work, standing_milli, needed = _measure_work(term, service)
-    base = term.base_sizes.get(service, 0)
+    base = term.book.base_sizes.get(service, 0)
     kept = _KEPT_PARTS * base // _ALL_PARTS
     if _has_upkeep(term, service):
-        # Upkeep needs the room that standing tasks go to meanwhile.
-        kept = base
+        # Standing tasks need room to go to while an instance is down.
+        kept = max(kept, min(base, needed + 1))
     return pools.PoolState(
         pool=service,
         ready_work=ready_work,
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -87,8 +87,6 @@
         # When each run was assigned, to learn how long runs take.
         self.assigned_ms: dict[tuple[specs.TaskRef, int], int] = {}
         self.arrivals: dict[str, objectives.ArrivalRate] = {}
-        # Instances of each pool when this leader first listed them.
-        self.base_sizes: dict[str, int] = {}
         self.idle_since_ms: dict[str, int] = {}
         self.pools_noted_ms = 0
         self.steered_ms = 0
--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -10,7 +10,6 @@
 
 import gevent
 import gevent.event
-import msgspec
 
 from bambookeel.core import ids
 from bambookeel.core import messages
@@ -63,7 +62,7 @@
         begun_ms = clock.read_now_ms()
         ends_ms = begun_ms + timeout_ms
         may_have_effect = False
-        payload = msgspec.msgpack.encode(call)
+        payload = calls.encode_call(call)
         while True:
             now_ms = clock.read_now_ms()
             left_ms = ends_ms - now_ms
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -283,11 +283,24 @@
         self._in_flight = (index, waiting)
         refusal = self._runner.run_step(core_events.ProposalsMade((payload,)))
         if refusal:
-            logs.log_event("batch_refused", reason=refusal)
-            self._machine.note_ahead(index, 0)
-            self._stop_leading()
+            self._give_up(refusal)
         self._take_outputs()
 
+    def _give_up(self, refusal: str) -> None:
+        """Drops a batch that was not appended, and lets another one lead.
+
+        Args:
+            refusal: Why it was not appended, such as a full disk.
+        """
+        logs.log_event("batch_refused", reason=refusal)
+        dropped = self._in_flight
+        self._in_flight = None
+        self._machine.drop_uncommitted()
+        self._scheduler = None
+        for _, reply, _ in dropped[1] if dropped else ():
+            reply(calls.NotLeading("", False))
+        self._runner.run_step(core_events.HandOverAsked())
+
     def _use_provider(
         self,
         scheduler: job_scheduler.Scheduler,
--- /dev/null
+++ b/features/fakes/node_group.py
@@ -0,0 +1,153 @@
+"""Replicas of nodes in one process, connected by their mailboxes."""
+
+import random
+
+import gevent
+import gevent.event
+
+from bambookeel.configuration import document as configuration
+from bambookeel.control import events
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.core import settings as core_settings
+from bambookeel.jobs import calls
+from bambookeel.node import replica as node_replica
+from bambookeel.node import settings as node_settings
+from bambookeel.runtime import timers
+from bambookeel.storage import store
+from features.fakes import jobs_world
+from features.fakes import memory_folder
+
+_LIMIT_S = 30.0
+_TRY_S = 1.0
+
+
+class Member:
+    """One node's replica: its folder outlives the task."""
+
+    def __init__(self, group, address):
+        self.group = group
+        self.address = address
+        self.folder = memory_folder.MemoryFolder()
+        self.replica = None
+        self._greenlets = []
+        self._waiting = {}
+        self._starts = 0
+
+    def start(self):
+        """Starts it from its folder."""
+        self._starts += 1
+        settings = node_settings.NodeSettings(
+            name=self.address,
+            data_centre=ids.DataCentre("dc"),
+            address=self.address,
+            seeds=tuple(self.group.members),
+            is_first_start=self._starts == 1,
+            data_folder="memory",
+            consensus=self.group.timings,
+            scheduling=jobs_world.SETTINGS,
+            channel_heartbeat_ms=100,
+            channel_timeout_ms=500,
+        )
+        opened = store.open_store(self.folder, self.address).unwrap()
+        self.replica = node_replica.Replica(
+            settings, *opened, self._send, self.group.rng.getrandbits(62)
+        )
+        service = timers.TimerService()
+        self.replica.subscribe_timers(service)
+        runs = (service.run, self.replica.run, self.replica.disk.run_syncs)
+        self._greenlets = [gevent.spawn(run) for run in runs]
+
+    def _send(self, peer, message):
+        if isinstance(message, messages.LeaderAnswer):
+            reply = self._waiting.pop(message.number, None)
+            if reply is not None:
+                reply.set(calls.ANSWER_DECODER.decode(message.payload))
+            return True
+        if isinstance(message, messages.LeaderKnown):
+            return True
+        other = self.group.members[peer]
+        is_cut = self.group.cut in (self.address, peer)
+        if other.replica is None or (is_cut and peer != self.address):
+            return False
+        event = events.FromPeer(self.address, message)
+        return other.replica.mailbox.put(event)
+
+    def call(self, call):
+        """Makes one call here; None when it got no answer."""
+        number = self.group.rng.getrandbits(60)
+        reply = gevent.event.AsyncResult()
+        self._waiting[number] = reply
+        payload = calls.encode_call(call)
+        message = messages.LeaderCall(number, payload)
+        self.replica.mailbox.put(events.FromPeer(self.address, message))
+        try:
+            return reply.get(timeout=_TRY_S)
+        except gevent.Timeout:
+            return None
+
+    def kill(self):
+        """Kills it with a loss of power."""
+        gevent.killall(self._greenlets)
+        self.replica = None
+        self.folder.crash(random.Random(1))
+
+
+class Group:
+    """All nodes of a test."""
+
+    def __init__(self, size=3):
+        self.rng = random.Random(5)
+        self.timings = core_settings.ConsensusTimings(
+            heartbeat_ms=20,
+            election_min_ms=200,
+            election_max_ms=400,
+            snapshot_every=30,
+        )
+        # Address of the member that reaches nobody; None for none.
+        self.cut = None
+        self.members = {}
+        for i in range(size):
+            address = ids.ProcessId(f"10.0.0.{i + 1}:7000")
+            self.members[address] = Member(self, address)
+        for member in self.members.values():
+            member.start()
+
+    def call(self, call):
+        """Makes one call at whoever leads, until it is answered."""
+        with gevent.Timeout(_LIMIT_S, AssertionError("no answer")):
+            while True:
+                for member in self.members.values():
+                    if member.replica is None or member.address == self.cut:
+                        continue
+                    answer = member.call(call)
+                    if answer is None or isinstance(answer, calls.NotLeading):
+                        continue
+                    return answer, member
+                gevent.sleep(0.02)
+
+    def build_document(self, version):
+        """Builds a configuration."""
+        queue = configuration.Queue("orders", "h", "/o/", "pack", 3_000)
+        return configuration.Document(
+            version,
+            (queue,),
+            (configuration.Service("pack"),),
+            (configuration.Team("coach", ("key",)),),
+            f'{{"version":{version}}}'.encode(),
+        )
+
+    def put_document(self, version):
+        """Puts a configuration in force."""
+        return self.call(calls.PutDocument(self.build_document(version)))
+
+    def read_version(self):
+        """Reads which configuration is in force."""
+        answer, _ = self.call(calls.GetDocument())
+        return answer.original
+
+    def stop(self):
+        """Ends everything."""
+        for member in self.members.values():
+            if member.replica is not None:
+                member.kill()
--- /dev/null
+++ b/features/platform/replicas.feature
@@ -0,0 +1,25 @@
+Feature: Replicas of the job book
+
+  Scenario: A leader whose disk is full lets another one lead
+    Given three replicas of the book
+    And configuration 1 is in force there
+    When the leader's disk is full
+    And configuration 2 is put there
+    Then another replica has answered
+    And configuration 2 is read back
+
+  Scenario: What was acknowledged outlives a loss of power of all
+    Given three replicas of the book
+    And configuration 1 is in force there
+    When 40 configurations follow
+    And all replicas lose power and start again
+    Then configuration 41 is read back
+    And every replica has made a snapshot
+
+  Scenario: A batch that was lost with its leader is not in the book
+    Given three replicas of the book
+    And configuration 1 is in force there
+    When the leader is cut off and takes configuration 9
+    And configuration 2 is put at the others
+    And the leader is in touch again
+    Then configuration 2 is read back at every replica that leads in turn
