--- a/bambookeel/control/replica_disk.py
+++ b/bambookeel/control/replica_disk.py
@@ -33,6 +33,24 @@
     """A write found no room; the disk is as it was before."""
 
 
+def _catch_error(
+    call: Callable[..., typing.Any], *arguments: typing.Any
+) -> tuple[typing.Any, OSError | None]:
+    """Makes a call and catches its failure.
+
+    Args:
+        call: The call.
+        *arguments: Its arguments.
+
+    Returns:
+        Its result, and the failure if there was one.
+    """
+    try:
+        return call(*arguments), None
+    except OSError as error:
+        return None, error
+
+
 class ReplicaDisk:
     """The store of one replica, with a task that syncs its log."""
 
@@ -74,13 +92,14 @@
             DiskFullError: If there was no room.
         """
         pool = gevent.hub.get_hub().threadpool
-        try:
-            return pool.apply(call, arguments)
-        except OSError as error:
-            if error.errno in _NO_ROOM:
-                raise DiskFullError(str(error)) from error
-            supervisor.end_process(f"the data folder failed: {error}")
-            raise
+        # A thread that raises would print a trace of its own.
+        value, error = pool.apply(_catch_error, (call, *arguments))
+        if error is None:
+            return value
+        if error.errno in _NO_ROOM:
+            raise DiskFullError(str(error)) from error
+        supervisor.end_process(f"the data folder failed: {error}")
+        raise error
 
     def carry_out(self, effect: core_effects.Effect) -> None:
         """Carries out one effect on term or log.
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -102,7 +102,7 @@
     step: book_records.StepRun,
     now_ms: int,
     rack: str = "",
-    avoided: frozenset[specs.WorkerLife] = frozenset(),
+    avoided: frozenset[str] = frozenset(),
 ) -> Room | None:
     """Chooses where one task of a step goes.
 
@@ -111,7 +111,7 @@
         step: The step.
         now_ms: The time.
         rack: Rack of the step's other tasks, where they want one.
-        avoided: Workers that already run the task.
+        avoided: Workers that run the task, or have failed it.
 
     Returns:
         The room, or None when nothing fits.
@@ -123,15 +123,15 @@
     for room in rooms:
         if not room.takes(needs) or not _is_allowed(room, step):
             continue
-        if room.worker.life in avoided:
-            continue
         score = room.cpu_milli
+        if room.worker.life.worker in avoided:
+            score += _SUSPECT_PENALTY_MILLI
         if step.spec.is_standing:
             # Spread: one lost instance should not take many of them.
             score = -score
         if wanted and room.worker.rack != wanted:
             score += _AWAY_PENALTY_MILLI
-        if now_ms < room.worker.suspect_until_ms:
+        if room.worker.is_suspect(now_ms):
             score += _SUSPECT_PENALTY_MILLI
         if best is None or score < best_score:
             best, best_score = room, score
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -7,6 +7,7 @@
 from bambookeel.core import faults
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -47,6 +48,7 @@
         if life.worker == report.life.worker and life != report.life:
             term.lose_all(life, "the worker has started again", None)
     _note_ends(term, worker, now)
+    _withdraw_stalled(term, worker, now)
     _lose_untold(term, worker)
     term.count_reserved(worker)
     lease_ms = term.settings.lease_ms
@@ -101,20 +103,53 @@
         end: The end.
         now: The time.
     """
+    step = term.book.get_step(end.task)
+    if step is None or step.spec.is_standing:
+        return
     if end.how is specs.RunEnd.FAILED:
-        worker.faults += 1.0
-        if worker.faults >= 3.0:
-            worker.suspect_until_ms = now.steady_ms + 5_000
+        before = term.failed_on.setdefault(end.task, set())
+        if not before:
+            health.note_failure(worker.health, now.steady_ms)
+        before.add(worker.life.worker)
+        return
+    if end.how is not specs.RunEnd.DONE:
+        return
+    health.note_success(worker.health)
+    begun_ms = term.assigned_ms.get((end.task, end.run))
+    if begun_ms is None:
         return
-    if end.how is specs.RunEnd.DONE:
-        worker.faults *= 0.5
-        begun_ms = term.assigned_ms.get((end.task, end.run))
-        step = term.book.get_step(end.task)
-        if begun_ms is None or step is None:
-            return
-        took_ms = now.steady_ms - begun_ms - term.settings.report_ms
-        queue = term.book.jobs[end.task.job].queue
-        term.times.observe(queue, step.spec.estimate_ms, max(1, took_ms))
+    took_ms = now.steady_ms - begun_ms - term.settings.report_ms
+    queue = term.book.jobs[end.task.job].queue
+    term.times.observe(queue, step.spec.estimate_ms, max(1, took_ms))
+
+
+def _withdraw_stalled(
+    term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
+) -> None:
+    """Withdraws runs that stand still while their worker reports.
+
+    Args:
+        term: The leader's term.
+        worker: The worker.
+        now: The time.
+    """
+    listed = []
+    for run in worker.report.running:
+        step = term.book.get_step(run.task)
+        if step is None or step.spec.is_standing or step.spec.is_gang:
+            continue
+        listed.append((run.task, run.run, run.percent))
+    for key in health.find_stalled(worker.health, listed, now.steady_ms):
+        if key in term.withdrawn:
+            continue
+        term.withdrawn.add(key)
+        term.note(
+            "run_stalled",
+            job=key[0].job,
+            task=f"{key[0].occurrence}.{key[0].step}.{key[0].place}",
+            run=key[1],
+            worker=worker.life.worker,
+        )
 
 
 def _lose_untold(term: term_state.Term, worker: worker_table.Worker) -> None:
@@ -148,7 +183,8 @@
     for run in report.running:
         found = held.get(run.task)
         is_held = found is not None and found.run == run.run
-        if not is_held or not term.is_wanted(found):  # type: ignore[arg-type]
+        is_withdrawn = (run.task, run.run) in term.withdrawn
+        if not is_held or is_withdrawn or not term.is_wanted(found):  # type: ignore[arg-type]
             stops.append((run.task, run.run))
     starts = []
     listed = {(run.task, run.run) for run in report.running}
@@ -213,9 +249,7 @@
             old.append(job.job)
     if old:
         term.decide(commands.DropJobs(tuple(old)))
-        for key in list(term.assigned_ms):
-            if key[0].job not in term.book.jobs:
-                del term.assigned_ms[key]
+        term.forget_jobs()
 
 
 def end_leases(term: term_state.Term, now: term_state.Now) -> None:
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -86,6 +86,10 @@
         )
         # When each run was assigned, to learn how long runs take.
         self.assigned_ms: dict[tuple[specs.TaskRef, int], int] = {}
+        # Workers on which a task has failed.
+        self.failed_on: dict[specs.TaskRef, set[str]] = {}
+        # Runs that stand still and are to be stopped.
+        self.withdrawn: set[tuple[specs.TaskRef, int]] = set()
         self.arrivals: dict[str, objectives.ArrivalRate] = {}
         self.idle_since_ms: dict[str, int] = {}
         self.pools_noted_ms = 0
@@ -168,6 +172,21 @@
                     capacity -= step.count * step.needs.cpu_milli
         return admission.ServiceLoad(capacity, open_work)
 
+    def forget_jobs(self) -> None:
+        """Forgets what was learnt of jobs that are no longer on record."""
+        jobs = self.book.jobs
+        self.assigned_ms = {
+            key: at_ms
+            for key, at_ms in self.assigned_ms.items()
+            if key[0].job in jobs
+        }
+        self.failed_on = {
+            task: names
+            for task, names in self.failed_on.items()
+            if task.job in jobs
+        }
+        self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
+
     def list_open_jobs(self, service: str) -> Iterator[book_records.Job]:
         """Lists the open jobs of a service.
 
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from bambookeel.jobs import calls
+from bambookeel.jobs import health as worker_health
 from bambookeel.jobs import specs
 
 # A worker's clock may run this much slower than the leader's, in thousandths.
@@ -27,9 +28,7 @@
             heard again.
         reserved: What its held runs and unknown ones take.
         running: Runs of its newest report, by task.
-        faults: Recent runs that failed there; fades.
-        started_ms: When each run was first listed, by task and run.
-        suspect_until_ms: When it is tried again.
+        health: What its runs say of it.
         is_new: Whether its first report has not been told yet.
         is_silent: Whether its lease has run out.
     """
@@ -41,11 +40,9 @@
     running: dict[specs.TaskRef, calls.RunningRun] = dataclasses.field(
         default_factory=dict
     )
-    faults: float = 0.0
-    started_ms: dict[tuple[specs.TaskRef, int], int] = dataclasses.field(
-        default_factory=dict
+    health: worker_health.Record = dataclasses.field(
+        default_factory=worker_health.Record
     )
-    suspect_until_ms: int = 0
     is_new: bool = True
     is_silent: bool = False
 
@@ -59,6 +56,17 @@
         """What is left of its capacity."""
         return self.report.capacity - self.reserved
 
+    def is_suspect(self, now_ms: int) -> bool:
+        """Tells whether it is under suspicion.
+
+        Args:
+            now_ms: The time.
+
+        Returns:
+            Whether it should get nothing new.
+        """
+        return now_ms < self.health.suspect_until_ms
+
     @property
     def rack(self) -> str:
         """Its rack: the last of its labels."""
@@ -160,10 +168,6 @@
         known.is_silent = False
         known.heard_ms = now_ms
         known.running = {run.task: run for run in report.running}
-        listed = {(run.task, run.run) for run in report.running}
-        known.started_ms = {
-            key: known.started_ms.get(key, now_ms) for key in listed
-        }
         if report.instance:
             self._by_instance[report.instance] = report.life.worker
         self._by_address[report.address] = report.life.worker
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -15,6 +15,7 @@
     ends_ms: float
     how: specs.RunEnd
     saved: str
+    begun_ms: float = 0
     gang: tuple | None = None
 
 
@@ -30,6 +31,8 @@
     number: int = 0
     is_up: bool = True
     is_cut: bool = False
+    hangs: bool = False
+    fails: bool = False
     running: dict = dataclasses.field(default_factory=dict)
     finished: list = dataclasses.field(default_factory=list)
     last_end: int = 0
@@ -39,7 +42,14 @@
     highest: dict = dataclasses.field(default_factory=dict)
     due_ms: int = 0
 
-    def make_report(self):
+    def measure(self, run, now_ms):
+        """Gives the percentage that a run reports."""
+        if run.ends_ms - run.begun_ms > 10**8:
+            return 100
+        share = (now_ms - run.begun_ms) / (run.ends_ms - run.begun_ms)
+        return 1 if self.hangs else min(99, int(100 * share))
+
+    def make_report(self, now_ms):
         """Makes the next report."""
         self.number += 1
         return calls.WorkerReport(
@@ -54,7 +64,9 @@
             is_leaving=False,
             leaves_in_ms=-1,
             running=tuple(
-                calls.RunningRun(r.task, r.run, r.saved, 100)
+                calls.RunningRun(
+                    r.task, r.run, r.saved, self.measure(r, now_ms)
+                )
                 for r in self.running.values()
             ),
             ends=tuple(self.finished[:500]),
--- a/features/fakes/jobs_world.py
+++ b/features/fakes/jobs_world.py
@@ -245,7 +245,7 @@
             if run.gang is not None:
                 self.run_gang(run)
                 continue
-            if self.now_ms >= run.ends_ms:
+            if self.now_ms >= run.ends_ms and not worker.hangs:
                 self.end_run(worker, run, run.how)
         if self.now_ms < worker.due_ms:
             return
@@ -292,7 +292,7 @@
     def report(self, worker):
         """Sends a report, which may be lost, late, or answered in vain."""
         sent_ms = self.now_ms
-        report = worker.make_report()
+        report = worker.make_report(self.now_ms)
         worker.due_ms = self.now_ms + RESPONSE_MS
         if worker.is_cut:
             return
@@ -357,7 +357,7 @@
         jobs_checks.check_start(self, worker, task, step)
         length_ms = self.duration_ms or self.random.randrange(200, 2_000)
         how = specs.RunEnd.DONE
-        if self.random.random() < self.fail_share:
+        if worker.fails or self.random.random() < self.fail_share:
             how = specs.RunEnd.FAILED
         self.starts.append((self.now_ms, task, order.run, worker.name))
         if step.is_standing:
@@ -368,6 +368,7 @@
             self.now_ms + length_ms,
             how,
             order.saved,
+            self.now_ms,
             (task.job, task.occurrence, task.step, order.run)
             if step.is_gang
             else None,
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -43,6 +43,22 @@
     Then job "a" is "failed"
     And 3 runs have started
 
+  Scenario: A run that stands still is taken away from its worker
+    Given one worker lets its runs stand still
+    When job "a" of 1 step of 6 tasks is handed in
+    And 7000 ms pass for the jobs
+    Then job "a" is "completed"
+    And no promise was broken
+
+  Scenario: A worker that fails everything costs no job its attempts
+    Given one worker fails all that it starts
+    When job "a" of 1 step of 6 tasks is handed in
+    And job "b" of 2 steps of 6 tasks is handed in
+    And 15000 ms pass for the jobs
+    Then job "a" is "completed"
+    And job "b" is "completed"
+    And at most 12 runs ended as failed
+
   Scenario: The runs of a restarted worker are started again at once
     When job "a" of 1 step of 3 tasks of 10000 ms is handed in
     And 1000 ms pass for the jobs
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -115,7 +115,7 @@
 @when("the worker that runs it repeats an old report")
 def repeat_report(context):
     worker = _find_running(context)
-    report = dataclasses.replace(worker).make_report()
+    report = dataclasses.replace(worker).make_report(context.world.now_ms)
     old = calls.WorkerReport(
         **{
             field: getattr(report, field)
@@ -127,6 +127,28 @@
     context.answer = context.world.call(old)
 
 
+@given("one worker lets its runs stand still")
+def let_worker_hang(context):
+    context.world.workers["w0"].hangs = True
+
+
+@given("one worker fails all that it starts")
+def let_worker_fail(context):
+    context.world.workers["w0"].fails = True
+
+
+@then("at most {count:d} runs ended as failed")
+def check_failures(context, count):
+    failures = [
+        task
+        for job in context.world.scheduler.book.jobs.values()
+        for step in job.steps.values()
+        for task in step.tasks
+        if task.failures
+    ]
+    assert sum(task.failures for task in failures) <= count, failures
+
+
 @when("another scheduler takes over")
 def change_leader(context):
     context.world.lead()
