--- a/bambookeel/jobs/calls.py
+++ b/bambookeel/jobs/calls.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bambookeel.configuration import document as configuration
+from bambookeel.core import packing
 from bambookeel.jobs import specs
 
 
@@ -279,8 +280,8 @@
     | NotLeading
 )
 
-CALL_DECODER = msgspec.msgpack.Decoder(Call)
-ANSWER_DECODER = msgspec.msgpack.Decoder(Answer)
+_CALL_DECODER = msgspec.msgpack.Decoder(Call)
+_ANSWER_DECODER = msgspec.msgpack.Decoder(Answer)
 
 
 def encode_call(call: Call) -> bytes:
@@ -292,7 +293,7 @@
     Returns:
         The bytes.
     """
-    return msgspec.msgpack.encode(call)
+    return packing.pack(msgspec.msgpack.encode(call))
 
 
 def encode_answer(answer: Answer) -> bytes:
@@ -304,4 +305,28 @@
     Returns:
         The bytes.
     """
-    return msgspec.msgpack.encode(answer)
+    return packing.pack(msgspec.msgpack.encode(answer))
+
+
+def decode_call(payload: bytes) -> Call:
+    """Decodes a call.
+
+    Args:
+        payload: What `encode_call` gave.
+
+    Returns:
+        The call.
+    """
+    return _CALL_DECODER.decode(packing.unpack(payload))
+
+
+def decode_answer(payload: bytes) -> Answer:
+    """Decodes an answer.
+
+    Args:
+        payload: What `encode_answer` gave.
+
+    Returns:
+        The answer.
+    """
+    return _ANSWER_DECODER.decode(packing.unpack(payload))
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bambookeel.configuration import document as configuration
+from bambookeel.core import packing
 from bambookeel.jobs import specs
 
 
@@ -157,7 +158,7 @@
     Returns:
         The bytes.
     """
-    return msgspec.msgpack.encode(batch)
+    return packing.pack(msgspec.msgpack.encode(batch))
 
 
 def decode_batch(payload: bytes) -> tuple[Command, ...]:
@@ -169,4 +170,4 @@
     Returns:
         The commands.
     """
-    return _DECODER.decode(payload)
+    return _DECODER.decode(packing.unpack(payload))
--- a/bambookeel/net/links.py
+++ b/bambookeel/net/links.py
@@ -30,6 +30,7 @@
 
 _HEADER = struct.Struct(">IQ")
 _RECEIVE_BYTES = 65_536
+_SEND_BYTES = 16_384
 # Frames that wait for a slow peer; past it the link is replaced.
 _MAX_QUEUED_BYTES = 32 * 1024 * 1024
 _FIRST_REDIAL_MS = 50
@@ -147,7 +148,10 @@
             self._queue.clear()
             self._queued_bytes = 0
             try:
-                self._socket.sendall(data)
+                # Each part has the whole timeout: a large message takes longer
+                # than that on a narrow link.
+                for start in range(0, len(data), _SEND_BYTES):
+                    self._socket.sendall(data[start : start + _SEND_BYTES])
             except _CONNECTION_ERRORS:
                 self.close()
                 return
--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -115,7 +115,7 @@
             case messages.LeaderAnswer(number, payload):
                 reply = self._waiting.get(number)
                 if reply is not None:
-                    reply.set(calls.ANSWER_DECODER.decode(payload))
+                    reply.set(calls.decode_answer(payload))
             case messages.LeaderKnown():
                 now_ms = clock.read_now_ms()
                 belief = self.belief
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -68,6 +68,9 @@
         self._scheduler: job_scheduler.Scheduler | None = None
         self._calls: list[tuple[calls.Call, Reply]] = []
         self._plan_due = False
+        self._provider_news: list[
+            provider_task.OrderEnded | provider_task.Listed
+        ] = []
         # Answers that wait for the entry at an index to be committed.
         self._in_flight: tuple[int, list[_Waiting]] | None = None
         # Answers that wait for the lease alone.
@@ -120,15 +123,9 @@
                 self._tick()
             case events.FromPeer(peer, message):
                 self._take_message(peer, message)
-            case provider_task.OrderEnded(order, outcome, term):
-                if self._scheduler is not None and self._leads(term):
-                    self._scheduler.take_outcome(
-                        order, outcome, self._read_now()
-                    )
-                    self._plan_due = True
-            case provider_task.Listed(listed, asked_ms, term):
-                if self._scheduler is not None and self._leads(term):
-                    self._scheduler.take_list(listed, asked_ms)
+            case provider_task.OrderEnded() | provider_task.Listed():
+                self._provider_news.append(event)
+                self._plan_due = True
             case events.StopReplica():
                 self._stop_wanted = True
                 self._runner.run_step(core_events.HandOverAsked())
@@ -139,7 +136,7 @@
         match message:
             case messages.LeaderCall(number, payload):
                 reply = functools.partial(self._reply, peer, number)
-                call = calls.CALL_DECODER.decode(payload)
+                call = calls.decode_call(payload)
                 self._calls.append((call, reply))
             case messages.LeaderQuestion(nonce):
                 self._runner.send(peer, self._describe_leader(nonce))
@@ -171,10 +168,6 @@
             voters,
         )
 
-    def _leads(self, term: int) -> bool:
-        core = self._runner.core
-        return core.role is records.Role.LEADER and core.term == term
-
     def _holds_lease(self) -> bool:
         core = self._runner.core
         return clock.read_now_ms() < replication.compute_lease_until(core)
@@ -261,6 +254,7 @@
         waiting: list[_Waiting] = []
         taken = self._calls
         self._calls = []
+        self._take_provider_news(scheduler, now)
         if self._plan_due:
             scheduler.tick(now)
         for call, reply in taken:
@@ -286,6 +280,26 @@
             self._give_up(refusal)
         self._take_outputs()
 
+    def _take_provider_news(
+        self, scheduler: job_scheduler.Scheduler, now: job_scheduler.Now
+    ) -> None:
+        """Takes what came from the provider; decisions may follow from it.
+
+        Args:
+            scheduler: The scheduler.
+            now: The time.
+        """
+        news = self._provider_news
+        self._provider_news = []
+        for each in news:
+            if each.term != self._runner.core.term:
+                continue
+            match each:
+                case provider_task.OrderEnded(order, outcome):
+                    scheduler.take_outcome(order, outcome, now)
+                case provider_task.Listed(listed, asked_ms):
+                    scheduler.take_list(listed, asked_ms)
+
     def _give_up(self, refusal: str) -> None:
         """Drops a batch that was not appended, and lets another one lead.
 
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -62,7 +62,7 @@
         if isinstance(message, messages.LeaderAnswer):
             reply = self._waiting.pop(message.number, None)
             if reply is not None:
-                reply.set(calls.ANSWER_DECODER.decode(message.payload))
+                reply.set(calls.decode_answer(message.payload))
             return True
         if isinstance(message, messages.LeaderKnown):
             return True
