--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -9,6 +9,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
+from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
@@ -49,6 +50,7 @@
             term.lose_all(life, "the worker has started again", None)
     _note_ends(term, worker, now)
     _withdraw_stalled(term, worker, now)
+    _pace_fillers(term, worker, now.steady_ms)
     _lose_untold(term, worker)
     term.count_reserved(worker)
     lease_ms = term.settings.lease_ms
@@ -138,6 +140,9 @@
         step = term.book.get_step(run.task)
         if step is None or step.spec.is_standing or step.spec.is_gang:
             continue
+        if step.spec.is_filler:
+            # A filler may get no time at all from the tasks beside it.
+            continue
         listed.append((run.task, run.run, run.percent))
     for key in health.find_stalled(worker.health, listed, now.steady_ms):
         if key in term.withdrawn:
@@ -152,6 +157,58 @@
         )
 
 
+def _pace_fillers(
+    term: term_state.Term, worker: worker_table.Worker, now_ms: int
+) -> None:
+    """Adjusts the pace of filling tasks to the serving ones beside them.
+
+    Args:
+        term: The leader's term.
+        worker: The worker.
+        now_ms: The time.
+    """
+    tails = []
+    for run in worker.report.running:
+        step = term.book.get_step(run.task)
+        if step is not None and step.spec.target_ms:
+            tails.append((run.tail_ms, step.spec.target_ms))
+    if pacing.adjust(worker.pace, tails, now_ms):
+        term.note(
+            "pace_changed",
+            worker=worker.life.worker,
+            percent=worker.pace.percent,
+            tails=",".join(f"{tail}/{target}" for tail, target in tails),
+        )
+
+
+def _list_paces(
+    term: term_state.Term,
+    worker: worker_table.Worker,
+    report: calls.WorkerReport,
+) -> tuple[tuple[specs.TaskRef, int, int], ...]:
+    """Lists the paces that a worker is told with each report.
+
+    Args:
+        term: The leader's term.
+        worker: The worker.
+        report: Its report.
+
+    Returns:
+        Task, run and percentage of each filling run; none at full pace once
+        they have been released.
+    """
+    percent = worker.pace.percent
+    was_slowed = worker.pace.changed_ms > 0
+    if not was_slowed:
+        return ()
+    paces = []
+    for run in report.running:
+        step = term.book.get_step(run.task)
+        if step is not None and step.spec.is_filler:
+            paces.append((run.task, run.run, percent))
+    return tuple(paces)
+
+
 def _lose_untold(term: term_state.Term, worker: worker_table.Worker) -> None:
     """Gives up runs of ended jobs that the worker was not told of.
 
@@ -208,7 +265,7 @@
         term.fencing_token,
         tuple(starts),
         tuple(stops),
-        (),
+        _list_paces(term, worker, report),
         term.settings.report_ms,
     )
 
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -9,6 +9,7 @@
 
 from bambookeel.jobs import calls
 from bambookeel.jobs import health as worker_health
+from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
 
 # A worker's clock may run this much slower than the leader's, in thousandths.
@@ -29,6 +30,7 @@
         reserved: What its held runs and unknown ones take.
         running: Runs of its newest report, by task.
         health: What its runs say of it.
+        pace: The pace of the tasks that fill there.
         is_new: Whether its first report has not been told yet.
         is_silent: Whether its lease has run out.
     """
@@ -43,6 +45,7 @@
     health: worker_health.Record = dataclasses.field(
         default_factory=worker_health.Record
     )
+    pace: pacing.Pace = dataclasses.field(default_factory=pacing.Pace)
     is_new: bool = True
     is_silent: bool = False
 
--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -18,6 +18,7 @@
 from bambookeel.node import leader_finder
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
+from bambookeel.runtime import metrics
 
 # How long one try waits for the leader's answer.
 _TRY_MS = 1_000
@@ -48,6 +49,28 @@
 
     def call(
         self, call: calls.Call, timeout_ms: int, leaderless_ms: int
+    ) -> calls.Answer:
+        """Makes one call, and counts it.
+
+        Args:
+            call: The call.
+            timeout_ms: Longest time for it.
+            leaderless_ms: Longest wait while nobody is known to lead.
+
+        Returns:
+            The answer; `NotLeading` when there was none in time.
+        """
+        begun_ms = clock.read_now_ms()
+        answer = self._call(call, timeout_ms, leaderless_ms)
+        metrics.observe_call(
+            type(call).__name__,
+            type(answer).__name__,
+            clock.read_now_ms() - begun_ms,
+        )
+        return answer
+
+    def _call(
+        self, call: calls.Call, timeout_ms: int, leaderless_ms: int
     ) -> calls.Answer:
         """Makes one call.
 
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -30,6 +30,7 @@
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
 from bambookeel.runtime import mailbox
+from bambookeel.runtime import metrics
 from bambookeel.runtime import timers
 from bambookeel.storage import store as replica_store
 
@@ -264,6 +265,7 @@
         self._use_provider(scheduler, now, waiting)
         for event, fields in scheduler.take_notes():
             logs.log_event(event, term=self._runner.core.term, **fields)
+            metrics.count_decision(event)
         batch = scheduler.take_batch()
         if not batch:
             self._unconfirmed.extend(waiting)
--- a/bambookeel/runtime/logs.py
+++ b/bambookeel/runtime/logs.py
@@ -23,6 +23,16 @@
 _PLAIN_VALUE = re.compile(r"^[A-Za-z0-9_.:/@+-]+$")
 
 
+class LineStream(typing.Protocol):
+    """Where log lines go."""
+
+    def write(self, text: str, /) -> typing.Any:
+        """Writes a line."""
+
+    def flush(self) -> None:
+        """Makes sure that it is on its way."""
+
+
 def render_value(value: typing.Any) -> str:
     """Renders one value of a log line.
 
@@ -62,7 +72,7 @@
 def set_up_logs(
     process_id: ids.ProcessId,
     data_centre: ids.DataCentre,
-    stream: typing.TextIO = sys.stderr,
+    stream: LineStream = sys.stderr,
 ) -> None:
     """Sends this process's events to a stream.
 
--- a/bambookeel/runtime/metrics.py
+++ b/bambookeel/runtime/metrics.py
@@ -47,6 +47,17 @@
     ["service"],
     buckets=_DURATION_BUCKETS_S,
 )
+_CALLS = prometheus_client.Histogram(
+    "bambookeel_leader_call_seconds",
+    "Time of a call to the scheduling leader, by call and answer.",
+    ["call", "answer"],
+    buckets=_DURATION_BUCKETS_S,
+)
+_DECISIONS = prometheus_client.Counter(
+    "bambookeel_decisions_total",
+    "Decisions of the scheduling leader, by the name of their log line.",
+    ["decision"],
+)
 _REFUSALS = prometheus_client.Counter(
     "bambookeel_refusals_total",
     "Requests without an answer, by reason.",
@@ -157,3 +168,33 @@
         The Prometheus text format.
     """
     return prometheus_client.generate_latest()
+
+
+@functools.cache
+def _get_calls(call: str, answer: str) -> prometheus_client.Histogram:
+    return _CALLS.labels(call, answer)
+
+
+def observe_call(call: str, answer: str, took_ms: int) -> None:
+    """Observes one call to the scheduling leader.
+
+    Args:
+        call: Its kind.
+        answer: The kind of its answer.
+        took_ms: How long it took.
+    """
+    _get_calls(call, answer).observe(took_ms / 1000.0)
+
+
+@functools.cache
+def _get_decisions(decision: str) -> prometheus_client.Counter:
+    return _DECISIONS.labels(decision)
+
+
+def count_decision(decision: str) -> None:
+    """Counts one decision of the scheduling leader.
+
+    Args:
+        decision: The name of its log line.
+    """
+    _get_decisions(decision).inc()
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -32,6 +32,8 @@
     is_up: bool = True
     is_cut: bool = False
     hangs: bool = False
+    tail_ms: int = 0
+    paces: dict = dataclasses.field(default_factory=dict)
     fails: bool = False
     running: dict = dataclasses.field(default_factory=dict)
     finished: list = dataclasses.field(default_factory=list)
@@ -65,7 +67,11 @@
             leaves_in_ms=-1,
             running=tuple(
                 calls.RunningRun(
-                    r.task, r.run, r.saved, self.measure(r, now_ms)
+                    r.task,
+                    r.run,
+                    r.saved,
+                    self.measure(r, now_ms),
+                    self.tail_ms,
                 )
                 for r in self.running.values()
             ),
--- a/features/fakes/jobs_world.py
+++ b/features/fakes/jobs_world.py
@@ -342,6 +342,8 @@
             worker.highest[task] = max(highest, run)
             if found is not None and found.run == run:
                 self.end_run(worker, found, specs.RunEnd.STOPPED)
+        for task, _, percent in orders.paces:
+            worker.paces[task] = percent
         for order in orders.starts:
             self.start(worker, order)
 
--- /dev/null
+++ b/features/steps/pacing_steps.py
@@ -0,0 +1,53 @@
+"""Steps for filling tasks beside serving ones."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from bambookeel.jobs import pacing
+from bambookeel.jobs import specs
+
+
+@given("a worker whose filling tasks run at full pace")
+def create_pace(context):
+    context.pace = pacing.Pace()
+    context.now_ms = 10_000
+
+
+@when("a serving task reports tails of {a:d}, {b:d} and {c:d} ms of its 100 ms")
+def report_tails(context, a, b, c):
+    for tail in (a, b, c):
+        context.now_ms += pacing.STEP_MS
+        pacing.adjust(context.pace, [(tail, 100)], context.now_ms)
+
+
+@then("the filling tasks run at {percent:d} percent")
+def check_pace(context, percent):
+    assert context.pace.percent == percent, context.pace
+
+
+@given("a job of 1 serving and 2 filling tasks")
+def hand_in(context):
+    needs = specs.Resources(1_000, 100, 0)
+    serving = specs.StepSpec(
+        count=1, needs=needs, is_standing=True, target_ms=100
+    )
+    filling = specs.StepSpec(
+        count=2, needs=needs, is_standing=True, is_filler=True
+    )
+    job = f"{5:016x}"
+    context.world.submit(job, specs.JobSpec("body", (serving, filling)))
+    context.world.pass_time(1_000)
+
+
+@when("the serving task's tail is {tail:d} ms of its 100 ms for {ms:d} ms")
+def set_tail(context, tail, ms):
+    context.world.workers["w0"].tail_ms = tail
+    context.world.pass_time(ms)
+
+
+@then("the worker was told to slow both filling tasks down")
+def check_told(context):
+    paces = context.world.workers["w0"].paces
+    assert len(paces) == 2, paces
+    assert all(percent < 100 for percent in paces.values()), paces
