--- a/features/steps/log_stream_steps.py
+++ b/features/steps/log_stream_steps.py
@@ -46,11 +46,11 @@
             continue
         idle = 0
         parts.append(part)
-    context.text = b"".join(parts).decode()
+    context.log_text = b"".join(parts).decode()
 
 
 @then("the last line tells how many were dropped")
 def check_dropped(context):
-    last = context.text.strip().splitlines()[-1]
+    last = context.log_text.strip().splitlines()[-1]
     found = re.fullmatch(r"event=log_lines_dropped count=(\d+)", last)
     assert found and int(found[1]) > 0, last
