Explain a job from the logs of all processes

bambookeel explain-job JOB FILE... lists what was decided on a job and tells in one sentence where its time went; leaders log how each job ended. Five scenarios stand for turned away, late, failed, unknown and never seen.

--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -89,6 +89,33 @@
         )
     if ends:
         term.decide(commands.EndRuns(worker.life, tuple(ends), now.wall_ms))
+        _note_ended_jobs(term, ends, now)
+
+
+def _note_ended_jobs(
+    term: term_state.Term,
+    ends: list[commands.EndedRun],
+    now: term_state.Now,
+) -> None:
+    """Notes for the log which jobs these ends have completed or failed.
+
+    Args:
+        term: The leader's term.
+        ends: Ends that were just put on record.
+        now: The time.
+    """
+    for name in dict.fromkeys(ended.task.job for ended in ends):
+        job = term.book.jobs[name]
+        if job.is_open or job.ended_wall_ms != now.wall_ms:
+            continue
+        term.note(
+            "job_ended",
+            job=name,
+            queue=job.queue,
+            team=job.team,
+            state=job.state.value,
+            took_ms=now.wall_ms - job.admitted_wall_ms,
+        )
 
 
 def _learn(
--- a/bambookeel/tools/cli.py
+++ b/bambookeel/tools/cli.py
@@ -17,6 +17,7 @@
 from bambookeel.tools import cli_client
 from bambookeel.tools import cli_commands
 from bambookeel.tools import cli_output
+from bambookeel.tools import explain_job
 from bambookeel.tools import timeline
 
 _ADDRESS = flags.DEFINE_list(
@@ -65,7 +66,7 @@
     "create-key": cli_commands.create_key,
     "withdraw-key": cli_commands.withdraw_key,
 }
-_LOCAL_COMMANDS = ("check-settings", "timeline")
+_LOCAL_COMMANDS = ("check-settings", "explain-job", "timeline")
 
 
 def _read_key() -> str:
@@ -162,6 +163,8 @@
     try:
         if name == "check-settings":
             return _check_settings(rest)
+        if name == "explain-job":
+            return explain_job.main(rest)
         if name == "timeline":
             return timeline.main(rest)
         command = _COMMANDS.get(name)
--- /dev/null
+++ b/bambookeel/tools/explain_job.py
@@ -0,0 +1,132 @@
+"""`bambookeel explain-job JOB FILE...`: what became of a job, and why.
+
+Reads the logs of all processes, takes the lines that name the job, and tells in
+order what was decided, with a last line on where its time went.
+"""
+
+import dataclasses
+import sys
+
+from bambookeel.tools import log_lines
+
+EXIT_OK = 0
+EXIT_UNKNOWN = 1
+EXIT_BAD_INPUT = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobStory:
+    """What the logs say of a job.
+
+    Attributes:
+        events: The lines that name it, in order.
+        verdict: One sentence.
+    """
+
+    events: list[log_lines.LogEvent]
+    verdict: str
+
+
+def _names_job(event: log_lines.LogEvent, job: str) -> bool:
+    if event.fields.get("job") == job:
+        return True
+    return job in event.fields.get("jobs", "").split(",")
+
+
+def tell_story(events: list[log_lines.LogEvent], job: str) -> JobStory:
+    """Tells what became of a job.
+
+    Args:
+        events: Events of all processes, in order.
+        job: The job's id.
+
+    Returns:
+        Its story.
+    """
+    own = [event for event in events if _names_job(event, job)]
+    return JobStory(own, _judge(own))
+
+
+def _judge(own: list[log_lines.LogEvent]) -> str:
+    by_name: dict[str, list[log_lines.LogEvent]] = {}
+    for event in own:
+        by_name.setdefault(event.name, []).append(event)
+    if not own:
+        return "no line names it: it never reached a process that logs here"
+    admitted = by_name.get("job_admitted")
+    refused = by_name.get("job_refused", [])
+    if admitted is None:
+        return _judge_refused(by_name, refused)
+    begun_ms = admitted[0].stamp.wall_ms
+    parts = [f"admitted after {len(refused)} refusals"]
+    assigned = by_name.get("run_assigned")
+    if assigned is None:
+        parts.append("no worker was given any of its tasks")
+    else:
+        waited_ms = assigned[0].stamp.wall_ms - begun_ms
+        parts.append(f"first task given after {waited_ms} ms")
+    for name, text in (
+        ("runs_lost", "times runs were lost"),
+        ("run_stalled", "runs stood still"),
+    ):
+        if name in by_name:
+            parts.append(f"{len(by_name[name])} {text}")
+    bad = [
+        event
+        for event in by_name.get("run_ended", [])
+        if event.fields.get("how") != "done"
+    ]
+    if bad:
+        parts.append(f"{len(bad)} runs did not end well")
+    for event in by_name.get("job_cancelled", []):
+        parts.append(f"cancelled after {event.stamp.wall_ms - begun_ms} ms")
+    for event in by_name.get("job_ended", []):
+        took_ms = event.stamp.wall_ms - begun_ms
+        parts.append(f"{event.fields.get('state')} after {took_ms} ms")
+    if "job_ended" not in by_name and "job_cancelled" not in by_name:
+        parts.append("no end in these logs")
+    return "; ".join(parts)
+
+
+def _judge_refused(
+    by_name: dict[str, list[log_lines.LogEvent]],
+    refused: list[log_lines.LogEvent],
+) -> str:
+    if refused:
+        times = len(refused)
+        return f"turned away {times} times, as it could not end in time"
+    answers = by_name.get("caller_answered", [])
+    statuses = sorted({event.fields.get("status", "") for event in answers})
+    return f"never admitted; its calls were answered {', '.join(statuses)}"
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the subcommand.
+
+    Args:
+        arguments: The job's id and log files.
+
+    Returns:
+        0, 1 when no line names the job, or 2 when a file cannot be read.
+    """
+    if len(arguments) < 2:
+        print("explain-job: name a job and log files", file=sys.stderr)
+        return EXIT_BAD_INPUT
+    job, *names = arguments
+    files = []
+    for name in names:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as lines:
+                events, _ = log_lines.parse_lines(lines, name)
+        except OSError as error:
+            print(f"{name}: {error.strerror}", file=sys.stderr)
+            return EXIT_BAD_INPUT
+        files.append(events)
+    story = tell_story(log_lines.merge_events(files), job)
+    begun_ms = story.events[0].stamp.wall_ms if story.events else 0
+    for event in story.events:
+        pairs = " ".join(f"{k}={v}" for k, v in event.fields.items())
+        after_ms = event.stamp.wall_ms - begun_ms
+        print(f"+{after_ms:6d} ms {event.process} {event.name} {pairs}")
+    print(f"job {job}: {story.verdict}")
+    return EXIT_OK if story.events else EXIT_UNKNOWN
--- /dev/null
+++ b/features/timeline/explain_job.feature
@@ -0,0 +1,44 @@
+Feature: Explaining what became of a job
+
+  Scenario: A job that was turned away
+    Given these lines of a log
+      """
+      at=1000.00000 event=job_refused job=aa queue=q team=t retry_ms=700 process=n1 data_centre=d
+      at=1900.00000 event=job_refused job=aa queue=q team=t retry_ms=500 process=n1 data_centre=d
+      """
+    Then job "aa" is explained as "turned away 2 times, as it could not end in time"
+
+  Scenario: A job that lost its runs and was late
+    Given these lines of a log
+      """
+      at=1000.00000 event=job_admitted job=bb queue=q team=t tasks=2 process=n1 data_centre=d
+      at=1010.00000 event=job_admitted job=cc queue=q team=t tasks=2 process=n1 data_centre=d
+      at=1600.00000 event=run_assigned job=bb task=0.0.0 run=1 worker=w process=n1 data_centre=d
+      at=5700.00000 event=runs_lost worker=w reason="its lease ran out" runs=2 jobs=aa,bb process=n1 data_centre=d
+      at=9000.00000 event=job_ended job=bb state=completed took_ms=8000 process=n1 data_centre=d
+      """
+    Then job "bb" is explained as "admitted after 0 refusals; first task given after 600 ms; 1 times runs were lost; completed after 8000 ms"
+
+  Scenario: A job that failed
+    Given these lines of a log
+      """
+      at=1000.00000 event=job_admitted job=bb queue=q team=t tasks=2 process=n1 data_centre=d
+      at=1100.00000 event=run_assigned job=bb task=0.0.0 run=1 worker=w process=n1 data_centre=d
+      at=1500.00000 event=run_ended job=bb task=0.0.0 run=1 how=failed worker=w process=n1 data_centre=d
+      at=1500.00001 event=job_ended job=bb state=failed took_ms=500 process=n1 data_centre=d
+      """
+    Then job "bb" is explained as "admitted after 0 refusals; first task given after 100 ms; 1 runs did not end well; failed after 500 ms"
+
+  Scenario: A job whose calls met no leader
+    Given these lines of a log
+      """
+      at=1000.00000 event=caller_answered job=dd method=POST status=504 process=n1 data_centre=d
+      """
+    Then job "dd" is explained as "never admitted; its calls were answered 504"
+
+  Scenario: A job that no log names
+    Given these lines of a log
+      """
+      at=1000.00000 event=started process=n1 data_centre=d
+      """
+    Then job "ee" is explained as "no line names it: it never reached a process that logs here"
