--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -9,8 +9,8 @@
 from bambookeel.core import faults
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
+from bambookeel.jobs import instance_records
 from bambookeel.jobs import specs
-from bambookeel.jobs import wave_records
 
 
 class Book:
@@ -18,14 +18,10 @@
 
     def __init__(self) -> None:
         self.view = configuration.EMPTY
-        # Instances of each pool before any of them was moved.
-        self.base_sizes: dict[str, int] = {}
-        # When each instance was last ordered from the provider.
-        self.ordered_wall_ms: dict[str, int] = {}
         # Queues that a later configuration dropped; their jobs go on.
         self.former_queues: dict[str, configuration.Queue] = {}
         self.jobs: dict[str, book_records.Job] = {}
-        self.waves: dict[int, book_records.Wave] = {}
+        self.instances = instance_records.InstanceRecords()
         # Steps with waiting tasks whose earlier steps have ended, by queue.
         self.ready: dict[
             str, dict[book_records.StepKey, book_records.StepRun]
@@ -65,7 +61,7 @@
                 for task, run, saved in runs:
                     self._lose_run(life, task, run, saved)
             case _:
-                self._apply_to_instances(command)
+                instance_records.apply_to_instances(self.instances, command)
 
     def _apply_to_runs(
         self, command: commands.AssignRuns | commands.EndRuns
@@ -78,15 +74,6 @@
                 for ended in ends:
                     self._end_run(life, ended, at_wall_ms)
 
-    def _apply_to_instances(self, command: commands.Command) -> None:
-        match command:
-            case commands.NoteOrder(instance, at_wall_ms):
-                self.ordered_wall_ms[instance] = at_wall_ms
-            case commands.NotePools(sizes):
-                self.base_sizes = dict(sizes)
-            case _:
-                wave_records.apply_to_waves(self.waves, command)
-
     def find_queue(self, name: str) -> configuration.Queue | None:
         """Finds a queue, also one that is no longer configured.
 
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -73,7 +73,7 @@
     ]
     waves = [
         _SavedWave(wave.request, list(wave.waiting), list(wave.ordered))
-        for wave in book.waves.values()
+        for wave in book.instances.waves.values()
     ]
     former = list(book.former_queues.values())
     return msgspec.msgpack.encode(
@@ -83,8 +83,8 @@
             jobs,
             held,
             waves,
-            book.base_sizes,
-            book.ordered_wall_ms,
+            book.instances.base_sizes,
+            book.instances.ordered_wall_ms,
         )
     )
 
@@ -137,10 +137,10 @@
             book.restore_run(life, held)
     for job in book.jobs.values():
         book.restore_progress(job)
-    book.base_sizes = saved.base_sizes
-    book.ordered_wall_ms = saved.ordered_wall_ms
+    book.instances.base_sizes = saved.base_sizes
+    book.instances.ordered_wall_ms = saved.ordered_wall_ms
     for wave in saved.waves:
         restored = book_records.Wave(wave.request, dict.fromkeys(wave.waiting))
         restored.ordered = dict.fromkeys(wave.ordered)
-        book.waves[wave.request.wave] = restored
+        book.instances.waves[wave.request.wave] = restored
     return book
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -91,7 +91,7 @@
 
 def _order(term: term_state.Term, order: instances.Order, wall_ms: int) -> None:
     if isinstance(order, instances.Upkeep):
-        wave = term.book.waves[order.wave]
+        wave = term.book.instances.waves[order.wave]
         if order.instance in wave.waiting:
             term.decide(commands.UpkeepAsked(order.wave, order.instance))
     term.decide(commands.NoteOrder(order.instance, wall_ms))
@@ -159,7 +159,7 @@
     if listed is None:
         return
     fleet_view.take_list(term.steering.fleet, listed, asked_ms)
-    if not term.book.base_sizes and listed:
+    if not term.book.instances.base_sizes and listed:
         sizes: dict[str, int] = {}
         for instance in listed:
             sizes[instance.pool] = sizes.get(instance.pool, 0) + 1
--- a/bambookeel/jobs/operators.py
+++ b/bambookeel/jobs/operators.py
@@ -57,7 +57,7 @@
     Returns:
         The answer.
     """
-    if call.wave not in term.book.waves:
+    if call.wave not in term.book.instances.waves:
         term.decide(
             commands.StartWave(
                 call.wave,
@@ -80,7 +80,7 @@
     Returns:
         The answer.
     """
-    found = term.book.waves.get(wave)
+    found = term.book.instances.waves.get(wave)
     if found is None:
         return calls.NoSuchJob()
     return calls.WaveIs(found.is_complete)
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -39,7 +39,7 @@
     known = term.steering.fleet.known
     return any(
         known[name].pool == service
-        for wave in term.book.waves.values()
+        for wave in term.book.instances.waves.values()
         for name in (*wave.waiting, *wave.ordered)
         if name in known
     )
@@ -129,7 +129,7 @@
     """
     members, each_milli, empty = _measure_members(term, service)
     ready_work, standing_milli, needed = _measure_work(term, service)
-    base = term.book.base_sizes.get(service, 0)
+    base = term.book.instances.base_sizes.get(service, 0)
     kept = _KEPT_PARTS * base // _ALL_PARTS
     if _has_upkeep(term, service):
         # Standing tasks need room to go to while an instance is down.
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -65,7 +65,9 @@
             goal.phase is fleet_view.GoalPhase.AWAY
             for goal in fleet.goals.values()
         )
-        waits |= any(not wave.is_complete for wave in book.waves.values())
+        waits |= any(
+            not wave.is_complete for wave in book.instances.waves.values()
+        )
         period_ms = _BUSY_LIST_MS if waits else _CALM_LIST_MS
         if now_ms - fleet.asked_ms < period_ms:
             return False
@@ -103,7 +105,7 @@
             book: The book.
             now_ms: The time.
         """
-        for number, wave in book.waves.items():
+        for number, wave in book.instances.waves.items():
             for name in wave.ordered:
                 if name in self.fleet.goals or name not in self.fleet.known:
                     continue
@@ -122,7 +124,7 @@
             The commands.
         """
         found: list[commands.Command] = []
-        for number, wave in book.waves.items():
+        for number, wave in book.instances.waves.items():
             seen_ms = self._waves_seen_ms.setdefault(number, now_ms)
             if self.fleet.listed_ms <= seen_ms:
                 continue
@@ -154,7 +156,7 @@
             if goal.phase is not fleet_view.GoalPhase.DRAINING:
                 continue
             if now_ms < self._orders_from_ms and not _is_long_ago(
-                book.ordered_wall_ms.get(name), wall_ms
+                book.instances.ordered_wall_ms.get(name), wall_ms
             ):
                 continue
             worker = table.find_by_instance(name)
@@ -186,7 +188,7 @@
         )
         match goal.order:
             case instances.Upkeep(_, number):
-                wave = book.waves[number]
+                wave = book.instances.waves[number]
                 request = wave.request
                 ends_ms = request.at_wall_ms + request.duration_ms
                 waiting = len(wave.waiting)
--- a/bambookeel/jobs/upkeep.py
+++ b/bambookeel/jobs/upkeep.py
@@ -38,7 +38,7 @@
         The upkeeps to aim at.
     """
     chosen = []
-    for number, wave in sorted(book.waves.items()):
+    for number, wave in sorted(book.instances.waves.items()):
         if wave.is_complete:
             continue
         draining = sum(
