Count instances that can still come when a job is taken in or turned away

Change: admission counts instances on their way to the pool and those of the spare pool. Before: the scenario turns jobs away beside nine spare instances.

--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -149,6 +149,29 @@
         rate = self.arrivals.get(service)
         return rate.read(now_ms) if rate is not None else 0.0
 
+    def _count_in_reach(self, service: str) -> int:
+        """Counts instances that a pool is getting or can still get.
+
+        Args:
+            service: The pool's service.
+
+        Returns:
+            Instances on their way there, and those of the spare pool.
+        """
+        fleet = self.steering.fleet
+        spare_pool = self.book.view.find_spare_pool()
+        count = 0
+        for name, known in fleet.known.items():
+            goal = fleet.goals.get(name)
+            if goal is None:
+                is_up = known.phase is instances.InstancePhase.UP
+                count += is_up and known.pool == spare_pool != service
+                continue
+            match goal.order:
+                case instances.Move(_, pool) if pool == service:
+                    count += 1
+        return count
+
     def measure_load(self, service: str) -> admission.ServiceLoad:
         """Measures what a service can do and has to do.
 
@@ -159,12 +182,16 @@
             Its load.
         """
         capacity = 0
+        each_milli = 0
         for worker in self.workers.by_id.values():
+            room_milli = worker.report.capacity.cpu_milli
+            each_milli = max(each_milli, room_milli)
             if worker.report.service != service or worker.report.is_leaving:
                 continue
             if worker.is_silent:
                 continue
-            capacity += worker.report.capacity.cpu_milli
+            capacity += room_milli
+        capacity += self._count_in_reach(service) * each_milli
         open_work = 0.0
         for job in self.list_open_jobs(service):
             if job.spec.is_timed:
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -128,3 +128,12 @@
     When 40000 ms pass for the jobs with a provider
     Then the wave is complete
     And no instance was ordered by two leaders within 3000 ms
+
+  Scenario: A job is taken in when spare instances can still come
+    Given a calm world of 1 workers
+    When 12 jobs of 8 tasks of 20000 ms are handed in at once
+    Then some of them were turned away with a time to come back
+    Given a calm world of 1 workers
+    And 9 instances are in the spare pool
+    When 12 jobs of 8 tasks of 20000 ms are handed in at once
+    Then none of them was turned away
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -6,7 +6,9 @@
 from behave import then
 from behave import when
 
+from bambookeel.configuration import document as configuration
 from bambookeel.jobs import calls
+from bambookeel.jobs import instances
 from bambookeel.jobs import specs
 from features.fakes import jobs_provider
 from features.fakes import jobs_runs
@@ -237,6 +239,52 @@
     )
 
 
+@given("{count:d} instances are in the spare pool")
+def add_spare(context, count):
+    world = context.world
+    document = world.build_document(2)
+    services = (
+        configuration.Service("pack"),
+        configuration.Service("spare", is_spare=True),
+    )
+    values = {
+        field: getattr(document, field) for field in document.__struct_fields__
+    }
+    world.put_document(type(document)(**{**values, "services": services}))
+    up = instances.InstancePhase.UP
+    listed = [
+        instances.Instance(f"s{i}", "spare", up, "dc") for i in range(count)
+    ]
+    listed += [
+        instances.Instance(f"m-{worker.name}", "pack", up, "dc")
+        for worker in world.workers.values()
+    ]
+    world.scheduler.take_list(tuple(listed), world.now_ms + 1)
+    world.commit()
+
+
+@when("{count:d} jobs of 8 tasks of {ms:d} ms are handed in at once")
+def hand_in_burst(context, count, ms):
+    context.world.pass_time(200)
+    step = specs.StepSpec(8, specs.Resources(4_000, 100, 0), ms)
+    context.answers = [
+        context.world.submit(f"{i:016x}", specs.JobSpec("body", (step,)))
+        for i in range(count)
+    ]
+
+
+@then("some of them were turned away with a time to come back")
+def check_turned_away(context):
+    refused = [a for a in context.answers if isinstance(a, calls.NotStored)]
+    assert refused and all(answer.retry_after_ms for answer in refused)
+
+
+@then("none of them was turned away")
+def check_none_refused(context):
+    done = [isinstance(answer, calls.Done) for answer in context.answers]
+    assert all(done), context.answers
+
+
 @then("the wave is complete")
 def check_wave(context):
     answer = context.world.call(calls.AskWave(1))
