--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -16,6 +16,9 @@
     def __init__(self, world):
         self._world = world
         self._down = {}
+        # Whether the first answer to each order is lost.
+        self.loses_first = False
+        self._lost = set()
         self._answers = []
         self.most_down = 0
         # Time, leader's term and instance of each order.
@@ -48,9 +51,11 @@
         for at_ms, order in list(self._answers):
             if at_ms <= world.now_ms:
                 self._answers.remove((at_ms, order))
-                scheduler.take_outcome(
-                    order, instances.OrderOutcome.DONE, world.read_now()
-                )
+                outcome = instances.OrderOutcome.DONE
+                if self.loses_first and order not in self._lost:
+                    self._lost.add(order)
+                    outcome = instances.OrderOutcome.UNKNOWN
+                scheduler.take_outcome(order, outcome, world.read_now())
         for order in scheduler.take_orders():
             self._begin(order)
         for name, until_ms in list(self._down.items()):
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -137,3 +137,19 @@
     And 9 instances are in the spare pool
     When 12 jobs of 8 tasks of 20000 ms are handed in at once
     Then none of them was turned away
+
+  Scenario: An order that got no answer is given again
+    Given the provider's first answer to each order is lost
+    When a wave of all instances with 1 at once is asked for
+    And 60000 ms pass for the jobs with a provider
+    Then the wave is complete
+    And never more than 1 instance was down at a time
+
+  Scenario: A task that allows copies does not wait for a silent worker's lease
+    When job "a" of 1 task that allows copies is handed in for 8000 ms
+    And 1000 ms pass for the jobs
+    And the worker that runs it falls silent
+    And 1500 ms pass for the jobs
+    Then 2 runs have started
+    When 9000 ms pass for the jobs
+    Then job "a" is "completed"
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -71,6 +71,20 @@
     _hand_in(context, job, _build_spec(1, count))
 
 
+@when('job "{job}" of 1 task that allows copies is handed in for {ms:d} ms')
+def hand_in_copied(context, job, ms):
+    context.world.duration_ms = ms
+    step = specs.StepSpec(
+        1, specs.Resources(1_000, 100, 0), ms, allows_copies=True
+    )
+    _hand_in(context, job, specs.JobSpec("body", (step,)))
+
+
+@given("the provider's first answer to each order is lost")
+def lose_answers(context):
+    context.provider.loses_first = True
+
+
 @when('job "{job}" is handed in with key "{key}"')
 def hand_in_with_key(context, job, key):
     _hand_in(context, job, _build_spec(1, 1), key=key)
