Let both kinds of replica join by the same code

The way of a new disk into the membership stood twice, in the replica of the operators' resources and in that of the job book.

--- a/bambookeel/node/joining.py
+++ b/bambookeel/control/joining.py
@@ -1,8 +1,8 @@
 """How a replica's disk becomes a member: the first start, and later ones.
 
-At the first start the seed with the smallest address forms the membership once
-all seeds have told that their disks are new. Any other new disk tells the seeds
-and the leader of itself until the leader takes it in.
+At the first start the process with the smallest id forms the membership once
+all that are known have told that their disks are new. Any other new disk tells
+them, and the leader, of itself until the leader takes it in.
 """
 
 from bambookeel.consensus import events as core_events
@@ -12,7 +12,6 @@
 from bambookeel.control import formation
 from bambookeel.core import ids
 from bambookeel.core import messages
-from bambookeel.node import settings as node_settings
 from bambookeel.runtime import supervisor
 
 _IDENTITY_PERIOD_MS = 200
@@ -23,15 +22,16 @@
 
     def __init__(
         self,
-        settings: node_settings.NodeSettings,
-        member: ids.MemberId,
         runner: core_runner.CoreRunner,
+        member: ids.MemberId,
+        known: tuple[ids.ProcessId, ...],
+        is_first_start: bool,
     ) -> None:
-        # Processes besides the seeds that may know the leader.
+        self.formation = formation.Formation(member, known)
+        # Processes besides the known ones that may know the leader.
         self.contacts: tuple[ids.ProcessId, ...] = ()
-        self._settings = settings
         self._runner = runner
-        self._formation = formation.Formation(member, settings.seeds)
+        self._is_first_start = is_first_start
         self._identity_due_ms = 0
 
     def _is_member(self) -> bool:
@@ -47,24 +47,24 @@
         if self._is_member() or now_ms < self._identity_due_ms:
             return
         self._identity_due_ms = now_ms + _IDENTITY_PERIOD_MS
-        own = self._settings.address
-        if self._formation.control == (own,) and self._may_form():
-            member = self._formation.member
+        own = membership.get_process(self.formation.member)
+        if self.formation.control == (own,) and self._may_form():
+            member = self.formation.member
             self._runner.form(membership.Membership((member,)))
             return
-        asked = dict.fromkeys((*self._formation.control, *self.contacts))
+        asked = dict.fromkeys((*self.formation.control, *self.contacts))
         for process in asked:
             if process != own:
                 self._runner.send(process, self._build_identity(True))
 
     def _may_form(self) -> bool:
         is_new = not self._runner.has_membership()
-        return is_new and self._settings.is_first_start
+        return is_new and self._is_first_start
 
     def _build_identity(self, wants_reply: bool) -> messages.ReplicaIdentity:
         has_membership = self._runner.has_membership()
         return messages.ReplicaIdentity(
-            self._formation.member, has_membership, wants_reply
+            self.formation.member, has_membership, wants_reply
         )
 
     def take_identity(
@@ -81,8 +81,8 @@
             self._runner.send(peer, self._build_identity(False))
         if not self._may_form():
             return
-        formation.take_identity(self._formation, identity)
-        formed = formation.try_to_form(self._formation)
+        formation.take_identity(self.formation, identity)
+        formed = formation.try_to_form(self.formation)
         if formed is not None:
             self._runner.form(formed)
 
@@ -107,5 +107,8 @@
         Args:
             member: The retired member.
         """
-        if member == self._formation.member:
-            supervisor.end_process(f"the disk of {member} was retired")
+        if member == self.formation.member:
+            supervisor.end_process(
+                f"the disk of {member} was retired from the deployment;"
+                " empty the data folder to join again"
+            )
--- a/bambookeel/control/replica_task.py
+++ b/bambookeel/control/replica_task.py
@@ -14,6 +14,7 @@
 from bambookeel.control import core_runner
 from bambookeel.control import events
 from bambookeel.control import formation
+from bambookeel.control import joining
 from bambookeel.control import leader_requests
 from bambookeel.control import replica_disk
 from bambookeel.control import replica_view
@@ -23,12 +24,10 @@
 from bambookeel.core import settings as core_settings
 from bambookeel.runtime import clock
 from bambookeel.runtime import mailbox
-from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
 from bambookeel.storage import store as replica_store
 
 _TICKS_PER_HEARTBEAT = 5
-_IDENTITY_PERIOD_MS = 200
 _MAX_BATCH_COMMANDS = 500
 SendMessage = core_runner.SendMessage
 
@@ -48,12 +47,13 @@
         self.disk = replica_disk.ReplicaDisk(store, self.mailbox)
         self._timings = timings
         self._listeners: list[mailbox.Mailbox] = []
-        self._formation = formation.Formation(loaded.member, control)
-        self._identity_due_ms = 0
         self._state = replicated_state.restore(loaded.snapshot)
         self._runner = core_runner.CoreRunner(
             timings, loaded, self.disk, seed, self._state
         )
+        self._joining = joining.Joining(
+            self._runner, loaded.member, control, is_first_start=True
+        )
         self._requests = leader_requests.LeaderRequests(
             self._runner, self._state, timings.election_max_ms, seed
         )
@@ -93,7 +93,7 @@
         if core.leader:
             return ""
         if not self._runner.has_membership():
-            return formation.describe_wait(self._formation)
+            return formation.describe_wait(self._joining.formation)
         voters = len(core.membership.voters)
         return f"no leader is known in term {core.term} of {voters} voters"
 
@@ -141,11 +141,11 @@
             case events.Tick():
                 self._tick(now_ms)
             case events.FromPeer(peer, messages.ReplicaIdentity() as identity):
-                self._take_identity(peer, identity)
+                self._joining.take_identity(peer, identity)
             case events.FromPeer(peer, message):
                 self._take_message(peer, message, now_ms)
             case events.PeerDown(peer):
-                self._formation.heard.pop(peer, None)
+                self._joining.formation.heard.pop(peer, None)
                 self._requests.take_peer_down(peer)
             case events.LocalRead(reply):
                 self._requests.take_local_read(reply, now_ms)
@@ -165,87 +165,19 @@
             ):
                 self._requests.take_message(peer, message, now_ms)
             case messages.ReplicaRetired(member):
-                self._end_if_retired(member)
+                self._joining.end_if_retired(member)
             case _:
                 if isinstance(message, messages.AppendReply):
-                    self._tell_if_retired(message)
+                    self._joining.tell_if_retired(message)
                 self._runner.run_step(core_events.MessageReceived(message))
 
-    def _tell_if_retired(self, answer: messages.AppendReply) -> None:
-        """Tells a replaced disk that its answers count for nobody.
-
-        Args:
-            answer: An answer to the leader.
-        """
-        core = self._runner.core
-        is_leading = core.role is records.Role.LEADER
-        if not is_leading or core.membership_index > core.commit_index:
-            return
-        if answer.follower in core.membership.retired:
-            process = membership.get_process(answer.follower)
-            retired = messages.ReplicaRetired(answer.follower)
-            self._runner.send(process, retired)
-
-    def _end_if_retired(self, member: ids.MemberId) -> None:
-        """Ends the process of a disk that another one has replaced.
-
-        Args:
-            member: The retired member.
-        """
-        if member == self._formation.member:
-            supervisor.end_process(
-                f"the disk of {member} was retired from the deployment;"
-                " empty the data folder to join again"
-            )
-
     def _tick(self, now_ms: int) -> None:
         self._runner.run_step(core_events.TimerDue())
         if self._stop_wanted:
             self._runner.run_step(core_events.HandOverAsked())
-        if not self._runner.has_membership():
-            self._try_to_join(now_ms)
+        self._joining.try_to_join(now_ms)
         self._requests.retry_parked(now_ms, self.find_unready_reason())
 
-    def _try_to_join(self, now_ms: int) -> None:
-        """Tells the other replicas of this new disk, at times.
-
-        Args:
-            now_ms: The time.
-        """
-        if now_ms < self._identity_due_ms:
-            return
-        self._identity_due_ms = now_ms + _IDENTITY_PERIOD_MS
-        for process in self._formation.control:
-            self._runner.send(process, self._build_identity(True))
-        if len(self._formation.control) == 1:
-            member = self._formation.member
-            self._runner.form(membership.Membership((member,)))
-
-    def _build_identity(self, wants_reply: bool) -> messages.ReplicaIdentity:
-        return messages.ReplicaIdentity(
-            self._formation.member, self._runner.has_membership(), wants_reply
-        )
-
-    def _take_identity(
-        self, peer: ids.ProcessId, identity: messages.ReplicaIdentity
-    ) -> None:
-        """Takes in what another replica tells of its disk.
-
-        Args:
-            peer: The other replica.
-            identity: The message.
-        """
-        if not identity.has_membership:
-            self._runner.run_step(core_events.StrangerSeen(identity.member))
-        if identity.wants_reply:
-            self._runner.send(peer, self._build_identity(False))
-        if self._runner.has_membership():
-            return
-        formation.take_identity(self._formation, identity)
-        formed = formation.try_to_form(self._formation)
-        if formed is not None:
-            self._runner.form(formed)
-
     def _build_view(self) -> replica_view.ReplicaView:
         state = self._runner.core
         is_established = state.role is records.Role.LEADER
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -16,6 +16,7 @@
 from bambookeel.consensus import replication
 from bambookeel.control import core_runner
 from bambookeel.control import events
+from bambookeel.control import joining
 from bambookeel.control import replica_disk
 from bambookeel.core import ids
 from bambookeel.core import messages
@@ -24,7 +25,6 @@
 from bambookeel.jobs import instances
 from bambookeel.jobs import scheduler as job_scheduler
 from bambookeel.node import book_machine
-from bambookeel.node import joining
 from bambookeel.node import provider_task
 from bambookeel.node import settings as node_settings
 from bambookeel.runtime import clock
@@ -65,7 +65,12 @@
         )
         self._runner.send = send
         self._machine.get_log = lambda: self._runner.core.log
-        self._joining = joining.Joining(settings, loaded.member, self._runner)
+        self._joining = joining.Joining(
+            self._runner,
+            loaded.member,
+            settings.seeds,
+            settings.is_first_start,
+        )
         self._scheduler: job_scheduler.Scheduler | None = None
         self._calls: list[tuple[calls.Call, Reply]] = []
         self._plan_due = False
