--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -20,7 +20,7 @@
         host: Host that the caller named.
         path: The path.
         key: The key.
-        job: The job that the path ends with; empty for the queue itterm.
+        job: The job that the path ends with; empty for the queue itself.
 
     Returns:
         Queue and team, or the refusal.
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -89,7 +89,7 @@
             if step is None or not step.spec.allows_copies:
                 continue
             task = step.tasks[run.task.place]
-            if len(task.runs) == 1 and term.is_wanted(run):
+            if len(task.runs) == 1 and term.is_task_wanted(run.task):
                 yield task
 
 
@@ -242,8 +242,7 @@
             term.note(
                 "run_assigned",
                 job=run.task.job,
-                task=f"{run.task.occurrence}.{run.task.step}"
-                f".{run.task.place}",
+                task=run.task.position,
                 run=run.run,
                 worker=life.worker,
                 heard_age_ms=now_ms - worker.heard_ms,
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -32,7 +32,7 @@
     if stale:
         return term_state.settle(calls.BadRequest(stale))
     worker, gone = term.workers.take_report(report, now.steady_ms)
-    if worker.report.number == report.number and worker.is_new:
+    if worker.is_new:
         worker.is_new = False
         term.note(
             "worker_heard",
@@ -81,8 +81,7 @@
         term.note(
             "run_ended",
             job=ended.task.job,
-            task=f"{ended.task.occurrence}.{ended.task.step}"
-            f".{ended.task.place}",
+            task=ended.task.position,
             run=ended.run,
             how=ended.how.value,
             worker=worker.life.worker,
@@ -178,7 +177,7 @@
         term.note(
             "run_stalled",
             job=key[0].job,
-            task=f"{key[0].occurrence}.{key[0].step}.{key[0].place}",
+            task=key[0].position,
             run=key[1],
             worker=worker.life.worker,
         )
@@ -221,13 +220,12 @@
         report: Its report.
 
     Returns:
-        Task, run and percentage of each filling run; none at full pace once
-        they have been released.
+        Task, run and percentage of each filling run; none on a worker whose
+        fillers were never slowed down.
     """
-    percent = worker.pace.percent
-    was_slowed = worker.pace.changed_ms > 0
-    if not was_slowed:
+    if not worker.pace.changed_ms:
         return ()
+    percent = worker.pace.percent
     paces = []
     for run in report.running:
         step = term.book.get_step(run.task)
@@ -249,7 +247,7 @@
             continue
         if held.heard >= worker.report.number:
             continue
-        if term.is_wanted(held) and not worker.report.is_leaving:
+        if term.is_task_wanted(held.task) and not worker.report.is_leaving:
             continue
         lost.append((held.task, held.run, ""))
     if lost:
@@ -268,14 +266,15 @@
         found = held.get(run.task)
         is_held = found is not None and found.run == run.run
         is_withdrawn = (run.task, run.run) in term.withdrawn
-        if not is_held or is_withdrawn or not term.is_wanted(found):  # type: ignore[arg-type]
-            stops.append((run.task, run.run))
+        if is_held and not is_withdrawn and term.is_task_wanted(run.task):
+            continue
+        stops.append((run.task, run.run))
     starts = []
     listed = {(run.task, run.run) for run in report.running}
     for each in held.values():
         if (each.task, each.run) in listed or report.is_leaving:
             continue
-        if not term.is_wanted(each):
+        if not term.is_task_wanted(each.task):
             continue
         job = term.book.jobs[each.task.job]
         task = term.book.get_task(each.task)
--- a/bambookeel/jobs/specs.py
+++ b/bambookeel/jobs/specs.py
@@ -175,6 +175,11 @@
     step: int
     place: int
 
+    @property
+    def position(self) -> str:
+        """Occurrence, step and place, for log lines that name the job."""
+        return f"{self.occurrence}.{self.step}.{self.place}"
+
 
 class WorkerLife(typing.NamedTuple):
     """One life of a worker; a restart under the same id is another life."""
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -257,19 +257,19 @@
             for job in jobs:
                 yield self.book.jobs[job]
 
-    def is_wanted(self, held: book_records.HeldRun) -> bool:
-        """Tells whether a run's end is still of use.
+    def is_task_wanted(self, ref: specs.TaskRef) -> bool:
+        """Tells whether a task's end is still of use.
 
         Args:
-            held: The run.
+            ref: The task.
 
         Returns:
-            False once its job or its task has ended.
+            False once the task or its job has ended.
         """
-        job = self.book.jobs.get(held.task.job)
+        job = self.book.jobs.get(ref.job)
         if job is None or not job.is_open:
             return False
-        task = self.book.get_task(held.task)
+        task = self.book.get_task(ref)
         return task is not None and not task.is_done
 
     def count_reserved(self, worker: worker_table.Worker) -> None:
