Drop what a failed turn has decided

Cause: read in the code: the supervisor starts a failed task again, and the replica's book could then hold decisions that were never put on record. Change: the replica rebuilds its book from what is committed whenever its task starts. After: a scenario hands every replica a call that cannot be decoded; the configurations around it stand.

--- a/bambookeel/node/book_machine.py
+++ b/bambookeel/node/book_machine.py
@@ -96,8 +96,11 @@
 
     def drop_uncommitted(self) -> None:
         """Builds the book anew from what is committed, if it is ahead."""
-        if not self.is_ahead:
-            return
+        if self.is_ahead:
+            self.rebuild()
+
+    def rebuild(self) -> None:
+        """Builds the book anew from what is committed."""
         self._ahead = (0, 0)
         self.book = book_snapshot.decode_book(self._base)
         first = self._base_index + 1
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -98,7 +98,14 @@
         )
 
     def run(self) -> None:
-        """Handles messages until the task is killed."""
+        """Handles messages until the task is killed.
+
+        Started again after a failure, it drops what the failed turn may have
+        decided without putting it on record.
+        """
+        self._machine.rebuild()
+        self._calls = []
+        self._stop_leading()
         while True:
             self._handle(self.mailbox.get())
             while self.mailbox.get_depth() and len(self._calls) < _MAX_CALLS:
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -13,6 +13,7 @@
 from bambookeel.jobs import calls
 from bambookeel.node import replica as node_replica
 from bambookeel.node import settings as node_settings
+from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
 from bambookeel.storage import store
 from features.fakes import jobs_world
@@ -30,7 +31,7 @@
         self.address = address
         self.folder = memory_folder.MemoryFolder()
         self.replica = None
-        self._greenlets = []
+        self._supervisor = None
         self._waiting = {}
         self._starts = 0
 
@@ -55,8 +56,10 @@
         )
         service = timers.TimerService()
         self.replica.subscribe_timers(service)
-        runs = (service.run, self.replica.run, self.replica.disk.run_syncs)
-        self._greenlets = [gevent.spawn(run) for run in runs]
+        self._supervisor = supervisor.Supervisor("member")
+        self._supervisor.start_task("timers", service.run)
+        self._supervisor.start_task("replica", self.replica.run)
+        self._supervisor.start_task("syncs", self.replica.disk.run_syncs)
 
     def _send(self, peer, message):
         if isinstance(message, messages.LeaderAnswer):
@@ -86,9 +89,14 @@
         except gevent.Timeout:
             return None
 
+    def send_garbage(self):
+        """Hands it a call that cannot be decoded."""
+        message = messages.LeaderCall(1, b"\0garbage")
+        self.replica.mailbox.put(events.FromPeer(self.address, message))
+
     def kill(self):
         """Kills it with a loss of power."""
-        gevent.killall(self._greenlets)
+        self._supervisor.stop()
         self.replica = None
         self.folder.crash(random.Random(1))
 
--- a/features/platform/replicas.feature
+++ b/features/platform/replicas.feature
@@ -23,3 +23,10 @@
     And configuration 2 is put at the others
     And the leader is in touch again
     Then configuration 2 is read back at every replica that leads in turn
+
+  Scenario: A turn that fails leaves nothing half decided
+    Given three replicas of the book
+    And configuration 1 is in force there
+    When every replica gets a call that cannot be decoded
+    And configuration 2 is put there
+    Then configuration 2 is read back
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -30,6 +30,12 @@
     context.leader.folder.space = 0
 
 
+@when("every replica gets a call that cannot be decoded")
+def send_garbage(context):
+    for member in context.group.members.values():
+        member.send_garbage()
+
+
 @then("another replica has answered")
 def check_other(context):
     assert context.leader is not context.before, context.leader.address
