Let a new leader take down nothing whose worker it has not heard

Change: until the earlier holder's time is over, an instance without a heard worker is ordered only in the spare pool, and what an earlier leader has ordered lately counts as away. Before: the new scenario interrupts 3 standing tasks of a step that may miss 1.

--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -160,6 +160,10 @@
             ):
                 continue
             worker = table.find_by_instance(name)
+            is_off = goal.from_pool == book.view.find_spare_pool()
+            if worker is None and not is_off and now_ms < self._orders_from_ms:
+                # What runs there is not known yet.
+                continue
             if worker is not None and not self._may_order(
                 book, table, worker, goal, now_ms, wall_ms
             ):
@@ -186,6 +190,16 @@
             if other.life is not None
             and other.phase is not fleet_view.GoalPhase.DRAINING
         )
+        if now_ms < self._orders_from_ms:
+            # An earlier leader's order may have ended what was heard last.
+            ordered |= frozenset(
+                other.life
+                for other in table.by_id.values()
+                if not _is_long_ago(
+                    book.instances.ordered_wall_ms.get(other.report.instance),
+                    wall_ms,
+                )
+            )
         match goal.order:
             case instances.Upkeep(_, number):
                 wave = book.instances.waves[number]
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -153,3 +153,12 @@
     Then 2 runs have started
     When 9000 ms pass for the jobs
     Then job "a" is "completed"
+
+  Scenario: A new leader takes down nothing whose worker it has not heard
+    Given a standing job of 3 tasks that may miss 1
+    When 75 ms pass for the jobs
+    And a wave of all instances with 3 at once is asked for
+    And another scheduler takes over
+    And 60000 ms pass for the jobs with a provider
+    Then the wave is complete
+    And never more than 1 standing task was interrupted at a time
