Let an idle pool give back at once all that it does not need

Change: once idle for the price of a move, a pool gives up every empty instance without which it stays idle.

--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -112,6 +112,28 @@
     return count
 
 
+def _list_given_up(state: PoolState) -> list[str]:
+    """Lists the instances that an idle pool gives up.
+
+    Args:
+        state: The pool.
+
+    Returns:
+        Empty instances, as long as the pool stays idle without them.
+    """
+    given = []
+    for name in state.empty:
+        if not is_idle(state):
+            break
+        given.append(name)
+        state = dataclasses.replace(
+            state,
+            members=state.members - 1,
+            capacity_milli=state.capacity_milli - state.each_milli,
+        )
+    return given
+
+
 def choose_moves(
     states: list[PoolState],
     spare_pool: str,
@@ -153,5 +175,5 @@
         if state.idle_since_ms < 0 or now_ms - state.idle_since_ms < IDLE_MS:
             continue
         if taken.isdisjoint(state.empty):
-            moves.append((state.empty[0], spare_pool))
+            moves.extend((name, spare_pool) for name in _list_given_up(state))
     return moves
--- a/features/jobs/pools.feature
+++ b/features/jobs/pools.feature
@@ -28,7 +28,17 @@
     Given pools
       | pool  | ready_s | members | needed | empty | idle_ms |
       | clubs | 0       | 6       | 4      | c1,c2 | 2400    |
-    Then 1 instances move to "spare"
+    Then 2 instances move to "spare"
+
+  Scenario: After its turn a pool gives back at once all that it does not need
+    Given pools
+      | pool  | ready_s | members | needed | empty             | idle_ms |
+      | clubs | 20      | 12      | 4      | c1,c2,c3,c4,c5,c6 | 2400    |
+    Then 6 instances move to "spare"
+    Given pools
+      | pool  | ready_s | members | needed | empty             | idle_ms |
+      | clubs | 180     | 12      | 4      | c1,c2,c3,c4,c5,c6 | 2400    |
+    Then 6 instances move to "spare"
 
   Scenario: A pool grows while work arrives faster than it can do
     # The first second of a turn: five times the mean, no backlog yet.
