--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -42,3 +42,13 @@
   Scenario: Nothing outside the adapter knows the platform's names
     Then no module outside "platform" holds the platform's field names
     And the adapter is below 1200 lines and a twelfth of the product
+
+  Scenario Outline: A node with a bad settings file does not start
+    When a node is started with the settings <settings>
+    Then it ends with status 2 and names "<fault>"
+
+    Examples:
+      | settings                 | fault                     |
+      | {"node_name":"n"}        | missing required field    |
+      | {"node_name":4}          | $.node_name               |
+      | not JSON                 | JSON is malformed         |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -1,8 +1,11 @@
 """Steps for the adapter of the users' platform."""
 
 import json
+import os
 import pathlib
+import subprocess
 import sys
+import tempfile
 
 from behave import then
 from behave import when
@@ -223,3 +226,24 @@
 def check_size(_context, most):
     lines = _count_lines(_ADAPTER)
     assert lines < most and 12 * lines < _count_lines(_ROOT / "bambookeel")
+
+
+@when("a node is started with the settings {settings}")
+def start_node(context, settings):
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write(settings)
+        file.flush()
+        context.ended = subprocess.run(
+            [sys.executable, str(_ADAPTER / "start.py")],
+            env={**os.environ, "BAMBOOKEEL_CONFIG": file.name},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+
+@then('it ends with status {status:d} and names "{fault}"')
+def check_ended(context, status, fault):
+    assert context.ended.returncode == status, context.ended
+    assert fault in context.ended.stderr, context.ended.stderr
