--- a/bambookeel/jobs/admission.py
+++ b/bambookeel/jobs/admission.py
@@ -10,8 +10,6 @@
 # The least and the longest time after which a refused caller may come back.
 MIN_RETRY_MS = 500
 MAX_RETRY_MS = 10_000
-# Instances that join from the spare pool count for this much of themselves.
-UNKNOWN_CAPACITY_RETRY_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -134,7 +134,6 @@
     rooms: list[Room],
     step: book_records.StepRun,
     now_ms: int,
-    rack: str = "",
     avoided: frozenset[str] = frozenset(),
 ) -> Room | None:
     """Chooses where one task of a step goes.
@@ -143,14 +142,13 @@
         rooms: The rooms of the step's service.
         step: The step.
         now_ms: The time.
-        rack: Rack of the step's other tasks, where they want one.
         avoided: Workers that run the task, or have failed it.
 
     Returns:
         The room, or None when nothing fits.
     """
     needs = step.spec.reserved
-    wanted = step.spec.data_rack or rack
+    wanted = step.spec.data_rack
     held = _count_held(step)
     best: Room | None = None
     best_score = 0
