Log each change of the membership of the log

One line now tells voters, learners, index and commit index whenever the membership in the log changes.

--- a/bambookeel/control/core_runner.py
+++ b/bambookeel/control/core_runner.py
@@ -186,9 +186,22 @@
             leader = self.core.leader or "none"
             logs.log_event("leader_known", leader=leader, term=self.core.term)
             self.outputs.append(LeaderChanged())
+        if before.membership != self.core.membership:
+            self._log_membership()
         self._make_snapshot_if_due()
         return refusal
 
+    def _log_membership(self) -> None:
+        core_state = self.core
+        logs.log_event(
+            "membership",
+            term=core_state.term,
+            index=core_state.membership_index,
+            committed=core_state.commit_index,
+            voters=",".join(core_state.membership.voters),
+            learners=",".join(core_state.membership.learners),
+        )
+
     def _undo_step(
         self, before: records.CoreState, event: core_events.Event, error: str
     ) -> None:
