Ask the advisor which workers may run a step

Change: jobs/advice decides what to ask and keeps tickets; jobs/advising finds the steps; planning places such a step only on workers with a ticket, which goes into the log with the start. node/advisor_task asks in the background, and node/outside now holds what a leader asks of others. Also: a standing task that had failed on a worker preferred that worker, as the penalty was added before the sign was turned; it comes after it now. Ruled out: all workers of a service in one question, whose answer takes time for each of them.

--- a/bambookeel/configuration/document.py
+++ b/bambookeel/configuration/document.py
@@ -28,7 +28,8 @@
         priority: 0 comes first.
         max_attempts: Failed runs of a task after which its job has failed.
         is_open: Whether calls need no key.
-        has_advisor: Whether an advisor must approve the workers of a step.
+        ticket_ms: How long an advisor's approval of a worker for a step holds;
+            0 where no approval is needed.
     """
 
     name: NonEmpty
@@ -41,7 +42,7 @@
     priority: int = 0
     max_attempts: typing.Annotated[int, msgspec.Meta(ge=0)] = 1
     is_open: bool = False
-    has_advisor: bool = False
+    ticket_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class Service(msgspec.Struct, frozen=True):
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 
 from bambookeel.jobs import book_records
@@ -102,7 +103,10 @@
     room: Room,
     step: book_records.StepRun,
     held: collections.Counter[specs.WorkerLife],
+    tickets: Mapping[specs.WorkerLife, str] | None,
 ) -> bool:
+    if tickets is not None and room.worker.life not in tickets:
+        return False
     spec = step.spec
     if spec.label and spec.label not in room.worker.report.labels:
         return False
@@ -135,6 +139,7 @@
     step: book_records.StepRun,
     now_ms: int,
     avoided: frozenset[str] = frozenset(),
+    tickets: Mapping[specs.WorkerLife, str] | None = None,
 ) -> Room | None:
     """Chooses where one task of a step goes.
 
@@ -143,6 +148,7 @@
         step: The step.
         now_ms: The time.
         avoided: Workers that run the task, or have failed it.
+        tickets: Workers that the advisor allows; None for any.
 
     Returns:
         The room, or None when nothing fits.
@@ -153,14 +159,16 @@
     best: Room | None = None
     best_score = 0
     for room in rooms:
-        if not room.takes(needs) or not _is_allowed(room, step, held):
+        if not room.takes(needs):
+            continue
+        if not _is_allowed(room, step, held, tickets):
             continue
         score = room.cpu_milli
-        if room.worker.life.worker in avoided:
-            score += _SUSPECT_PENALTY_MILLI
         if step.spec.is_standing:
             # Spread: one lost instance should not take many of them.
             score = -score
+        if room.worker.life.worker in avoided:
+            score += _SUSPECT_PENALTY_MILLI
         if wanted and room.worker.rack != wanted:
             score += _AWAY_PENALTY_MILLI
         if room.worker.is_suspect(now_ms):
@@ -171,7 +179,10 @@
 
 
 def place_gang(
-    rooms: list[Room], step: book_records.StepRun, now_ms: int
+    rooms: list[Room],
+    step: book_records.StepRun,
+    now_ms: int,
+    tickets: Mapping[specs.WorkerLife, str] | None = None,
 ) -> list[Room] | None:
     """Chooses workers for all tasks of a gang.
 
@@ -179,6 +190,7 @@
         rooms: The rooms of the step's service.
         step: The step.
         now_ms: The time.
+        tickets: Workers that the advisor allows; None for any.
 
     Returns:
         A room a task, already taken; None when they do not all fit.
@@ -192,7 +204,7 @@
         trial = [dataclasses.replace(r, of_step=dict(r.of_step)) for r in group]
         places = []
         for _ in step.tasks:
-            found = choose_room(trial, step, now_ms)
+            found = choose_room(trial, step, now_ms, tickets=tickets)
             if found is None:
                 break
             found.take(step.key, step.spec.reserved)
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
 
 from bambookeel.jobs import book_records
@@ -93,7 +94,7 @@
                 yield task
 
 
-def _list_usable(
+def list_usable(
     term: term_state.Term, service: str, now_ms: int
 ) -> list[worker_table.Worker]:
     """Lists the workers of a service that may get work.
@@ -125,12 +126,12 @@
     copies: list[book_records.Task],
     now: term_state.Now,
 ) -> None:
-    usable = _list_usable(term, service, now.steady_ms)
+    usable = list_usable(term, service, now.steady_ms)
     if not usable:
         return
     current = _Plan(placing.build_rooms(usable), now)
     largest = placing.find_largest(current.rooms)
-    steps.sort(key=lambda step: _rank(term, step, now))
+    steps.sort(key=lambda step: rank_step(term, step, now))
     for step in steps:
         # Most steps of a long queue find no room anywhere; that must not cost
         # a look at every worker.
@@ -171,8 +172,10 @@
         return False
     avoided = set(term.failed_on.get(task.ref, ()))
     avoided.update(life.worker for life in task.runs.values())
+    now_ms = current.now.steady_ms
+    tickets = _list_tickets(term, step, now_ms)
     room = placing.choose_room(
-        current.rooms, step, current.now.steady_ms, avoided=frozenset(avoided)
+        current.rooms, step, now_ms, frozenset(avoided), tickets
     )
     if room is None:
         return False
@@ -183,6 +186,25 @@
     return True
 
 
+def _list_tickets(
+    term: term_state.Term, step: book_records.StepRun, now_ms: int
+) -> Mapping[specs.WorkerLife, str] | None:
+    """Lists the workers that the advisor allows for a step.
+
+    Args:
+        term: The leader's term.
+        step: The step.
+        now_ms: The time.
+
+    Returns:
+        Their tickets; None where no advice is needed.
+    """
+    queue = term.book.find_queue(term.book.jobs[step.key[0]].queue)
+    if queue is None or not queue.ticket_ms:
+        return None
+    return term.advice.list_tickets(step.key, now_ms)
+
+
 def _choose(
     term: term_state.Term,
     current: _Plan,
@@ -196,8 +218,11 @@
     run = task.last_run + 1
     if step.spec.is_gang:
         run = max(each.last_run for each in step.tasks) + 1
-    current.chosen.setdefault(room.worker.life, []).append(
-        commands.Assignment(task.ref, run)
+    life = room.worker.life
+    tickets = _list_tickets(term, step, current.now.steady_ms)
+    ticket = tickets[life] if tickets is not None else ""
+    current.chosen.setdefault(life, []).append(
+        commands.Assignment(task.ref, run, ticket)
     )
 
 
@@ -216,7 +241,8 @@
     if not _is_within_cap(term, step, len(step.tasks), current.given):
         return
     now_ms = current.now.steady_ms
-    places = placing.place_gang(current.rooms, step, now_ms)
+    tickets = _list_tickets(term, step, now_ms)
+    places = placing.place_gang(current.rooms, step, now_ms, tickets)
     if places is None:
         return
     for task, room in zip(step.tasks, places):
@@ -249,7 +275,7 @@
             )
 
 
-def _rank(
+def rank_step(
     term: term_state.Term, step: book_records.StepRun, now: term_state.Now
 ) -> tuple[int, float, int]:
     """Ranks a step: standing ones, then by slack, late ones last.
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from bambookeel.jobs import advice
+from bambookeel.jobs import advising
 from bambookeel.jobs import book as job_book
 from bambookeel.jobs import callers
 from bambookeel.jobs import calls
@@ -63,6 +65,16 @@
         self.term.orders = []
         return orders
 
+    def take_questions(self) -> list[advice.Question]:
+        """Takes the questions to the advisor that were decided on.
+
+        Returns:
+            The questions.
+        """
+        questions = self.term.questions
+        self.term.questions = []
+        return questions
+
     def take_notes(self) -> list[tuple[str, dict[str, typing.Any]]]:
         """Takes what the log should say of decisions.
 
@@ -147,6 +159,21 @@
         """
         instance_steps.take_list(self.term, listed, asked_ms)
 
+    def take_advice(
+        self,
+        question: advice.Question,
+        approvals: tuple[advice.Approval, ...] | None,
+        now: Now,
+    ) -> None:
+        """Takes what came of a question to the advisor.
+
+        Args:
+            question: The question.
+            approvals: The workers that are allowed; None without an answer.
+            now: The time.
+        """
+        advising.take_answer(self.term, question, approvals, now)
+
     def tick(self, now: Now) -> None:
         """Ends leases that have run out, forgets old jobs, steers instances.
 
@@ -168,3 +195,4 @@
             return
         term.planned_ms = now.steady_ms
         planning.plan(term, now)
+        advising.choose_question(term, now)
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -12,6 +12,7 @@
 
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import admission
+from bambookeel.jobs import advice
 from bambookeel.jobs import book as job_book
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
@@ -92,6 +93,9 @@
         self.failed_on: dict[specs.TaskRef, set[str]] = {}
         # Runs that stand still and are to be stopped.
         self.withdrawn: set[tuple[specs.TaskRef, int]] = set()
+        self.advice = advice.Advice()
+        # Questions to the advisor that nobody has taken yet.
+        self.questions: list[advice.Question] = []
         self.arrivals: dict[str, objectives.ArrivalRate] = {}
         self.idle_since_ms: dict[str, int] = {}
         self.pools_noted_ms = 0
@@ -221,6 +225,7 @@
             if job in jobs
         }
         self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
+        self.advice.forget(jobs)
 
     def find_due_wall_ms(
         self, job: book_records.Job, step: book_records.StepRun
--- a/bambookeel/net/json_answers.py
+++ b/bambookeel/net/json_answers.py
@@ -1,5 +1,6 @@
 """Answers with JSON bodies, for WSGI applications."""
 
+import dataclasses
 import http.client
 import math
 import typing
@@ -12,11 +13,57 @@
 
 # Status, body, and milliseconds after which to come back, 0 for none.
 Response = tuple[int, bytes, int]
+Environ = dict[str, typing.Any]
 
 _MS_PER_S = 1_000
 
 
-def send(start_response: typing.Any, response: Response) -> list[bytes]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Redirect:
+    """Sends a caller to another process, with the same method and body.
+
+    Attributes:
+        address: The other process.
+        path: The path there.
+    """
+
+    address: str
+    path: str
+
+
+class JsonApp:
+    """A WSGI application whose subclasses answer requests with JSON."""
+
+    def __call__(
+        self, environ: Environ, start_response: typing.Any
+    ) -> list[bytes]:
+        """Answers one request.
+
+        Args:
+            environ: WSGI environment.
+            start_response: WSGI callable for the head.
+
+        Returns:
+            The body.
+        """
+        answer = self.respond(environ)
+        if isinstance(answer, Redirect):
+            return _redirect(start_response, answer)
+        return _send(start_response, answer)
+
+    def respond(self, environ: Environ) -> Response | Redirect:
+        """Decides on the answer to one request.
+
+        Args:
+            environ: WSGI environment.
+
+        Returns:
+            The answer.
+        """
+        raise NotImplementedError
+
+
+def _send(start_response: typing.Any, response: Response) -> list[bytes]:
     """Sends a response.
 
     Args:
@@ -38,20 +85,17 @@
     return [body]
 
 
-def redirect(
-    start_response: typing.Any, address: str, path: str
-) -> list[bytes]:
-    """Sends a caller to another process, with the same method and body.
+def _redirect(start_response: typing.Any, target: Redirect) -> list[bytes]:
+    """Sends a caller to another process.
 
     Args:
         start_response: WSGI callable for the head.
-        address: The other process.
-        path: The path there.
+        target: Where to.
 
     Returns:
         The empty body, as WSGI takes it.
     """
-    location = f"http://{address}{path}"
+    location = f"http://{target.address}{target.path}"
     logs.log_event("redirected", location=location)
     start_response(
         _render_status(http.client.TEMPORARY_REDIRECT),
@@ -79,7 +123,7 @@
 
 
 def read_body(
-    environ: dict[str, typing.Any], max_bytes: int, timeout_ms: int
+    environ: Environ, max_bytes: int, timeout_ms: int
 ) -> bytes | Response:
     """Reads a request's body.
 
--- a/bambookeel/node/process.py
+++ b/bambookeel/node/process.py
@@ -7,6 +7,7 @@
 from bambookeel.control import events
 from bambookeel.core import ids
 from bambookeel.core import messages
+from bambookeel.jobs import advice
 from bambookeel.jobs import calls
 from bambookeel.jobs import instances
 from bambookeel.net import channels
@@ -58,26 +59,33 @@
         cls,
         settings: node_settings.NodeSettings,
         provider: instances.Provider | None = None,
+        advisor: advice.Advisor | None = None,
     ) -> "Node":
         """Builds a node; opens its disk and no socket.
 
         Args:
             settings: Its settings.
             provider: Who moves instances; None where nobody does.
+            advisor: Who approves workers; None where nobody does.
 
         Returns:
             The node.
         """
         node = cls(settings)
         if settings.data_folder:
-            node.open_disk(provider)
+            node.open_disk(provider, advisor)
         return node
 
-    def open_disk(self, provider: instances.Provider | None) -> None:
+    def open_disk(
+        self,
+        provider: instances.Provider | None,
+        advisor: advice.Advisor | None,
+    ) -> None:
         """Opens the data folder; ends the process when it is damaged.
 
         Args:
             provider: Who moves instances; None where nobody does.
+            advisor: Who approves workers; None where nobody does.
         """
         opened = folder.open_folder(self.settings.data_folder).bind(
             lambda locked: replica_store.open_store(
@@ -98,7 +106,9 @@
             secrets.randbits(62),
         )
         if provider is not None:
-            self._replica.connect_provider(provider, self.settings.name)
+            self._replica.outside.connect_provider(provider, self.settings.name)
+        if advisor is not None:
+            self._replica.outside.connect_advisor(advisor)
 
     def _deliver(self, peer: ids.ProcessId, message: messages.Message) -> None:
         """Hands a message to the task that it is for.
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -22,9 +22,10 @@
 from bambookeel.core import messages
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
-from bambookeel.jobs import instances
 from bambookeel.jobs import scheduler as job_scheduler
+from bambookeel.node import advisor_task
 from bambookeel.node import book_machine
+from bambookeel.node import outside
 from bambookeel.node import provider_task
 from bambookeel.node import settings as node_settings
 from bambookeel.runtime import clock
@@ -74,28 +75,12 @@
         self._scheduler: job_scheduler.Scheduler | None = None
         self._calls: list[tuple[calls.Call, Reply]] = []
         self._plan_due = False
-        self._provider_news: list[
-            provider_task.OrderEnded | provider_task.Listed
-        ] = []
+        self.outside = outside.Outside(self.mailbox, self._holds_lease)
         # Answers that wait for the entry at an index to be committed.
         self._in_flight: tuple[int, list[_Waiting]] | None = None
         # Answers that wait for the lease alone.
         self._unconfirmed: list[_Waiting] = []
         self._stop_wanted = False
-        self._provider: provider_task.ProviderTask | None = None
-
-    def connect_provider(
-        self, provider: instances.Provider, holder: str
-    ) -> None:
-        """Gives the replica the provider of instances.
-
-        Args:
-            provider: The provider.
-            holder: Name under which orders are given.
-        """
-        self._provider = provider_task.ProviderTask(
-            provider, holder, self.mailbox
-        )
 
     def run(self) -> None:
         """Handles messages until the task is killed.
@@ -136,8 +121,12 @@
                 self._tick()
             case events.FromPeer(peer, message):
                 self._take_message(peer, message)
-            case provider_task.OrderEnded() | provider_task.Listed():
-                self._provider_news.append(event)
+            case (
+                provider_task.OrderEnded()
+                | provider_task.Listed()
+                | advisor_task.Advised()
+            ):
+                self.outside.note(event)
                 self._plan_due = True
             case events.StopReplica():
                 self._stop_wanted = True
@@ -267,16 +256,18 @@
         waiting: list[_Waiting] = []
         taken = self._calls
         self._calls = []
-        self._take_provider_news(scheduler, now)
+        term = int(self._runner.core.term)
+        self.outside.take_news(scheduler, term, now)
         if self._plan_due:
             scheduler.tick(now)
         for call, reply in taken:
             waiting.append((scheduler.handle(call, now), reply, now.steady_ms))
         scheduler.plan(now)
         self._plan_due = False
-        self._use_provider(scheduler, now, waiting)
+        for send in self.outside.ask(scheduler, term, now):
+            waiting.append((calls.Done, send, now.steady_ms))
         for event, fields in scheduler.take_notes():
-            logs.log_event(event, term=self._runner.core.term, **fields)
+            logs.log_event(event, term=term, **fields)
             metrics.count_decision(event)
         batch = scheduler.take_batch()
         if not batch:
@@ -294,26 +285,6 @@
             self._give_up(refusal)
         self._take_outputs()
 
-    def _take_provider_news(
-        self, scheduler: job_scheduler.Scheduler, now: job_scheduler.Now
-    ) -> None:
-        """Takes what came from the provider; decisions may follow from it.
-
-        Args:
-            scheduler: The scheduler.
-            now: The time.
-        """
-        news = self._provider_news
-        self._provider_news = []
-        for each in news:
-            if each.term != self._runner.core.term:
-                continue
-            match each:
-                case provider_task.OrderEnded(order, outcome):
-                    scheduler.take_outcome(order, outcome, now)
-                case provider_task.Listed(listed, asked_ms):
-                    scheduler.take_list(listed, asked_ms)
-
     def _give_up(self, refusal: str) -> None:
         """Drops a batch that was not appended, and lets another one lead.
 
@@ -329,49 +300,6 @@
             reply(calls.NotLeading("", False))
         self._runner.run_step(core_events.HandOverAsked())
 
-    def _use_provider(
-        self,
-        scheduler: job_scheduler.Scheduler,
-        now: job_scheduler.Now,
-        waiting: list[_Waiting],
-    ) -> None:
-        """Lets orders wait for the batch, and reads the list when it is due.
-
-        Args:
-            scheduler: The scheduler.
-            now: The time.
-            waiting: What waits for the batch to be committed.
-        """
-        provider = self._provider
-        if provider is None:
-            return
-        term = self._runner.core.term
-        for order in scheduler.take_orders():
-            send = functools.partial(
-                self._send_order, provider, order, int(term)
-            )
-            waiting.append((calls.Done, send, now.steady_ms))
-        if scheduler.is_list_due(now.steady_ms):
-            provider.list_instances(int(term))
-
-    def _send_order(
-        self,
-        provider: provider_task.ProviderTask,
-        order: instances.Order,
-        term: int,
-        answer: calls.Answer,
-    ) -> None:
-        """Sends an order unless its batch was not committed.
-
-        Args:
-            provider: The provider.
-            order: The order.
-            term: The term in which it was decided on.
-            answer: Whether the batch was committed.
-        """
-        if isinstance(answer, calls.Done):
-            provider.carry_out(order, term, self._holds_lease)
-
     def _answer_confirmed(self) -> None:
         if not self._unconfirmed:
             return
--- a/features/fakes/jobs_runs.py
+++ b/features/fakes/jobs_runs.py
@@ -2,6 +2,7 @@
 
 from bambookeel.jobs import calls
 from bambookeel.jobs import specs
+from features.fakes import jobs_advisor
 from features.fakes import jobs_world
 
 
@@ -31,9 +32,13 @@
     return specs.JobSpec("body", tuple(steps))
 
 
-def play(seed, cap_milli=0, span_ms=20_000):
+def play(seed, cap_milli=0, span_ms=20_000, has_advisor=False):
     """Plays a random run and gives what was broken."""
-    world = jobs_world.World(seed, cap_milli=cap_milli)
+    workers = 8 if has_advisor else 4
+    world = jobs_world.World(seed, workers, cap_milli)
+    if has_advisor:
+        world.advisor = jobs_advisor.FakeAdvisor(world, share=0.7)
+        world.put_document(world.build_document(version=2))
     world.fail_share = world.random.choice([0.0, 0.02])
     jobs = {}
     cancelled = set()
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -51,6 +51,20 @@
         share = (now_ms - run.begun_ms) / (run.ends_ms - run.begun_ms)
         return 1 if self.hangs else min(99, int(100 * share))
 
+    def refuse(self, order):
+        """Lists the end of a run that was not started."""
+        self.highest[order.task] = order.run
+        self.last_end += 1
+        self.finished.append(
+            calls.ListedEnd(
+                self.last_end,
+                order.task,
+                order.run,
+                specs.RunEnd.REFUSED,
+                "",
+            )
+        )
+
     def make_report(self, now_ms):
         """Makes the next report."""
         self.number += 1
--- a/features/fakes/jobs_world.py
+++ b/features/fakes/jobs_world.py
@@ -44,6 +44,7 @@
         self.term = 0
         self.workers = {}
         self.noted = set()
+        self.advisor = None
         self.done = set()
         self.starts = []
         self.broken = []
@@ -75,6 +76,19 @@
                     1.6,
                     0,
                     max_attempts,
+                    ticket_ms=self.advisor.valid_ms if self.advisor else 0,
+                ),
+                # Nothing here ever needs advice.
+                configuration.Queue(
+                    "free",
+                    HOST,
+                    "/free/",
+                    "pack",
+                    3_000,
+                    3_600.0,
+                    1.6,
+                    0,
+                    max_attempts,
                 ),
             ),
             (configuration.Service("pack"),),
@@ -104,6 +118,8 @@
     def lead(self):
         """Lets a new leader start from what is committed."""
         self.term += 1
+        if self.advisor is not None:
+            self.advisor.drop_waiting()
         book = book_snapshot.decode_book(self.committed)
         self.scheduler = job_scheduler.Scheduler(
             book, SETTINGS, self.term, self.read_now()
@@ -189,6 +205,8 @@
         self.deliveries = [d for d in self.deliveries if d[0] > self.now_ms]
         for _, report in late:
             self.call(report)
+        if self.advisor is not None:
+            self.advisor.step()
         self.scheduler.tick(self.read_now())
         self.scheduler.plan(self.read_now())
         self.commit()
@@ -354,8 +372,13 @@
             return
         if order.run <= worker.highest.get(task, 0):
             return
-        spec = self.specs[task.job]
-        step = spec.steps[task.step]
+        step = self.specs[task.job].steps[task.step]
+        job = self.scheduler.book.jobs[task.job]
+        if self.advisor is not None and job.queue == "orders":
+            life = specs.WorkerLife(worker.name, worker.born)
+            if not self.advisor.accepts(order.ticket, task[:3], life):
+                worker.refuse(order)
+                return
         jobs_checks.check_start(self, worker, task, step)
         length_ms = self.duration_ms or self.random.randrange(200, 2_000)
         how = specs.RunEnd.DONE
--- /dev/null
+++ b/features/fakes/platform_advisor.py
@@ -0,0 +1,55 @@
+"""An advisor that speaks the platform's protocol over a real socket."""
+
+import http.server
+import json
+import threading
+
+
+class StandInAdvisor:
+    """Approves some workers for every step, with a ticket for each."""
+
+    def __init__(self, address, approved):
+        self.approved = approved
+        self.tickets = {}
+        self.calls = []
+        advisor = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            """Answers one call."""
+
+            def do_POST(self):  # pylint: disable=invalid-name
+                """Answers a question."""
+                size = int(self.headers["Content-Length"])
+                question = json.loads(self.rfile.read(size))
+                body = json.dumps(advisor.decide(self.path, question)).encode()
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *arguments):
+                """Stays quiet."""
+
+        self._server = http.server.ThreadingHTTPServer(address, Handler)
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def decide(self, path, question):
+        """Answers one question."""
+        self.calls.append((path, question))
+        rows = []
+        for worker in question["workers"]:
+            if worker in self.approved:
+                ticket = f"ticket-{len(self.tickets)}"
+                self.tickets[ticket] = (question["step"], worker)
+                rows.append([worker, ticket])
+        return {"approved": rows}
+
+    def accepts(self, ticket, task, worker):
+        """Tells whether a ticket lets a worker start a task."""
+        step = task.rpartition(".")[0]
+        return self.tickets.get(ticket) == (step, worker)
+
+    def end(self):
+        """Closes the socket."""
+        self._server.shutdown()
+        self._server.server_close()
--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -17,6 +17,8 @@
 import geventhttpclient
 from geventhttpclient import response as http_response
 
+from features.fakes import platform_advisor
+
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _FRONT, _READY, _CONTROL, _PEER = range(4)
 HOST = "jobs.example"
@@ -82,6 +84,7 @@
             "fault_tolerance": {"machines": 1},
             "bounds": {"hold_max_ms": 6000, "status_s": 120, "grace_s": 6},
             "cloud_api": {"address": ""},
+            "advisor": self._site.advisor_address,
         }
         path = self._folder / "settings.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
@@ -205,9 +208,12 @@
         for task, run in orders.get("stop_tasks", ()):
             if task in self.running and self.running[task][0] == run:
                 self._end(task, run, "stopped")
-        for task, run, _spec, _saved in orders.get("start_tasks", ()):
+        for task, run, _spec, _saved, *ticket in orders.get("start_tasks", ()):
             if task in self.running or run <= self._highest.get(task, 0):
                 continue
+            if not self._site.is_allowed(ticket, task, self.name):
+                self._site.refused.append((task, run, self.name))
+                continue
             self._site.note_start(task, run, self.name)
             self.running[task] = (run, time.monotonic() + self._run_s)
 
@@ -224,6 +230,23 @@
         self.starts = []
         self.ends = []
         self.broken = []
+        self.refused = []
+        self.advisor = None
+        self.advisor_address = ""
+
+    def use_advisor(self, approved):
+        """Lets an advisor approve workers; before the nodes start."""
+        address = f"127.0.{self.net}.200", self.base_port
+        self.advisor = platform_advisor.StandInAdvisor(address, approved)
+        self.advisor_address = f"{address[0]}:{address[1]}"
+
+    def is_allowed(self, ticket, task, worker):
+        """Whether a worker takes a start with a ticket, or without one."""
+        if self.advisor is None:
+            return not ticket
+        return len(ticket) == 1 and self.advisor.accepts(
+            ticket[0], task, worker
+        )
 
     def start(self):
         """Starts all nodes and waits until they are ready."""
@@ -291,10 +314,13 @@
         """Ends every process."""
         for node in self.nodes:
             node.end()
+        if self.advisor is not None:
+            self.advisor.end()
 
 
-def build_document(version=1):
+def build_document(version=1, has_advisor=False):
     """Builds a configuration with one queue."""
+    timings = {"decision_ms": 50, "period_ms": 2, "validity_ms": 6000}
     return {
         "version": version,
         "routes": [
@@ -310,6 +336,7 @@
                 "max_attempts": 3,
                 "slack_factor": 1.6,
                 "public": False,
+                **({"advisor": timings} if has_advisor else {}),
             }
         ],
         "services": [
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -61,3 +61,12 @@
     And every node is stopped in turn and starts again
     Then every job is completed in the end
     And no task ran twice
+
+  Scenario: Steps of a queue with an advisor run where it allows
+    Given a site of four nodes with an advisor that allows only "9000,9002"
+    And a configuration with one queue
+    When 2 jobs of 2 steps are handed in at all nodes
+    Then every job is completed in the end
+    And only "9000,9002" have started tasks
+    And the advisor was asked about each step, at the path of the protocol
+    And no task ran twice
--- /dev/null
+++ b/features/steps/advice_steps.py
@@ -0,0 +1,83 @@
+"""Steps for queues whose workers an advisor approves."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from bambookeel.jobs import specs
+from features.fakes import jobs_advisor
+from features.steps import job_steps
+
+
+def _use_advisor(context, **policy):
+    world = context.world
+    world.advisor = jobs_advisor.FakeAdvisor(world, **policy)
+    world.put_document(world.build_document(version=2))
+
+
+@given("an advisor that allows half of the workers")
+def use_advisor(context):
+    _use_advisor(context)
+
+
+@given("an advisor whose tickets hold for {ms:d} ms")
+def use_short_tickets(context, ms):
+    _use_advisor(context, valid_ms=ms)
+
+
+@given('an advisor that allows only "{names}"')
+def use_narrow_advisor(context, names):
+    _use_advisor(context, most=frozenset(names.split(",")))
+
+
+@given("the advisor is silent")
+def silence_advisor(context):
+    context.world.advisor.is_silent = True
+
+
+@when("the advisor answers again")
+def let_advisor_answer(context):
+    context.world.advisor.is_silent = False
+
+
+@given("a second queue needs no advice")
+def check_free_queue(context):
+    queues = context.world.scheduler.book.view.document.queues
+    assert [queue.name for queue in queues if not queue.ticket_ms] == ["free"]
+
+
+@given("{count:d} more workers")
+def add_workers(context, count):
+    for i in range(count):
+        context.world.add_worker(f"w{8 + i}", "pack")
+
+
+@when('job "{job}" of {count:d} tasks apart from each other is handed in')
+def hand_in_apart(context, job, count):
+    step = specs.StepSpec(
+        count, specs.Resources(1_000, 100, 0), 500, max_per_instance=1
+    )
+    job_steps.hand_in_spec(context, job, specs.JobSpec("body", (step,)))
+
+
+@then("each step was asked about once")
+def check_asked_once(context):
+    asked = [question.step for question in context.world.advisor.asked]
+    assert asked and len(asked) == len(set(asked)), asked
+
+
+@then("the advisor was asked about {count:d} steps")
+def check_asked_steps(context, count):
+    asked = {question.step for question in context.world.advisor.asked}
+    assert len(asked) == count, asked
+
+
+@then("no question named more than {count:d} workers")
+def check_named(context, count):
+    named = [len(q.workers) for q in context.world.advisor.asked]
+    assert max(named) <= count, named
+
+
+@then("no worker has refused a start")
+def check_refused(context):
+    assert context.world.advisor.refused_starts == 0
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -33,7 +33,7 @@
     context.world.fail_share = 1.0
 
 
-def _hand_in(context, job, spec, key="key-coach", path="/o/"):
+def hand_in_spec(context, job, spec, key="key-coach", path="/o/"):
     context.world.specs.setdefault(_name(job), spec)
     context.answer = context.world.call(
         calls.SubmitJob(
@@ -61,14 +61,14 @@
 @when('job "{job}" of {steps:d} steps of {count:d} tasks is handed in')
 @when('job "{job}" of {steps:d} step of {count:d} task is handed in')
 def hand_in(context, job, steps, count):
-    _hand_in(context, job, _build_spec(steps, count))
+    hand_in_spec(context, job, _build_spec(steps, count))
 
 
 @when('job "{job}" of 1 step of {count:d} tasks of {ms:d} ms is handed in')
 @when('job "{job}" of 1 step of {count:d} task of {ms:d} ms is handed in')
 def hand_in_long(context, job, count, ms):
     context.world.duration_ms = ms
-    _hand_in(context, job, _build_spec(1, count))
+    hand_in_spec(context, job, _build_spec(1, count))
 
 
 @when('job "{job}" of 1 task that allows copies is handed in for {ms:d} ms')
@@ -77,7 +77,7 @@
     step = specs.StepSpec(
         1, specs.Resources(1_000, 100, 0), ms, allows_copies=True
     )
-    _hand_in(context, job, specs.JobSpec("body", (step,)))
+    hand_in_spec(context, job, specs.JobSpec("body", (step,)))
 
 
 @given("the provider's first answer to each order is lost")
@@ -87,12 +87,12 @@
 
 @when('job "{job}" is handed in with key "{key}"')
 def hand_in_with_key(context, job, key):
-    _hand_in(context, job, _build_spec(1, 1), key=key)
+    hand_in_spec(context, job, _build_spec(1, 1), key=key)
 
 
 @when('job "{job}" is handed in at "{path}"')
 def hand_in_at(context, job, path):
-    _hand_in(context, job, _build_spec(1, 1), path=path)
+    hand_in_spec(context, job, _build_spec(1, 1), path=path)
 
 
 @when('job "{job}" is cancelled')
@@ -236,7 +236,7 @@
         is_standing=True,
         max_missing=missing,
     )
-    _hand_in(context, "s", specs.JobSpec("body", (step,)))
+    hand_in_spec(context, "s", specs.JobSpec("body", (step,)))
     context.world.pass_time(2_000)
 
 
@@ -346,6 +346,18 @@
             context.broken[seed] = broken
 
 
+@when(
+    "random runs of jobs with an advisor and the seeds {first:d} to {last:d}"
+    " are played"
+)
+def play_advised_seeds(context, first, last):
+    context.broken = {}
+    for seed in range(first, last + 1):
+        broken = jobs_runs.play(seed, has_advisor=True)
+        if broken:
+            context.broken[seed] = broken
+
+
 @then("no run has broken a promise")
 def check_runs(context):
     assert not context.broken, context.broken
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -15,20 +15,32 @@
 _BASE_PORT = 28_000
 
 
-@given("a site of four nodes, three with a disk")
-def start_site(context):
+def _start(context, approved=None):
     # pylint: disable-next=consider-using-with
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.site = platform_site.Site(folder.name, _BASE_PORT, _NET)
     context.add_cleanup(context.site.end)
+    if approved is not None:
+        context.site.use_advisor(approved)
     context.site.start()
     context.site.wait_until(context.site.are_ready, "all nodes are ready")
     context.jobs = {}
 
 
+@given("a site of four nodes, three with a disk")
+def start_site(context):
+    _start(context)
+
+
+@given('a site of four nodes with an advisor that allows only "{names}"')
+def start_advised_site(context, names):
+    _start(context, frozenset(names.split(",")))
+
+
 def _put(context, version):
-    document = platform_site.build_document(version)
+    has_advisor = context.site.advisor is not None
+    document = platform_site.build_document(version, has_advisor)
     for number in range(20):
         node = number % len(context.site.nodes)
         context.answer = context.site.call_control(
@@ -223,3 +235,21 @@
 def check_log(context):
     logs = "".join(node.read_log() for node in context.site.nodes)
     assert "event=heartbeat_malformed worker=w1" in logs
+
+
+@then('only "{names}" have started tasks')
+def check_starters(context, names):
+    starters = {worker for _, _, worker in context.site.starts}
+    assert starters and starters <= set(names.split(",")), starters
+    assert not context.site.refused, context.site.refused
+
+
+@then("the advisor was asked about each step, at the path of the protocol")
+def check_questions(context):
+    asked = context.site.advisor.calls
+    assert {path for path, _ in asked} == {"/v1/advise"}
+    steps = {question["step"] for _, question in asked}
+    wanted = {
+        f"{job:016x}.0.{step}" for job in context.jobs for step in range(2)
+    }
+    assert steps == wanted, (steps, wanted)
