Count workers that a new leader has not heard yet

Ruled out: to wait a lease's time before any move, since the turn of demand that a change of leader falls into is then over. Change: until the earlier leader's leases have run out, instances that the provider lists in a pool as up or on their way count as its members.

--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -63,7 +63,7 @@
         return calls.BadRequest("the id is that of another job")
     if call.spec is None:
         return calls.BadRequest(call.fault)
-    retry_ms = _find_retry_ms(term, queue, call.spec)
+    retry_ms = _find_retry_ms(term, queue, call.spec, now.steady_ms)
     if retry_ms is not None:
         reason = f"{queue.service} cannot end it in time"
         term.note(
@@ -93,7 +93,10 @@
 
 
 def _find_retry_ms(
-    term: term_state.Term, queue: configuration.Queue, spec: specs.JobSpec
+    term: term_state.Term,
+    queue: configuration.Queue,
+    spec: specs.JobSpec,
+    now_ms: int,
 ) -> int | None:
     if any(step.is_standing for step in spec.steps) or spec.is_timed:
         return None
@@ -101,7 +104,7 @@
     limit_ms = objectives.LATE_FACTOR * objectives.compute_objective_ms(
         queue, spec
     )
-    load = term.measure_load(queue.service)
+    load = term.measure_load(queue.service, now_ms)
     return admission.compute_retry_ms(load, work, limit_ms)
 
 
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -46,20 +46,21 @@
 
 
 def _measure_members(
-    term: term_state.Term, service: str
+    term: term_state.Term, service: str, now_ms: int
 ) -> tuple[int, int, tuple[str, ...]]:
     """Measures the instances of a pool.
 
     Args:
         term: The leader's term.
         service: The pool's service.
+        now_ms: The time.
 
     Returns:
         How many there are, with those that are on their way; the processor
         time of one; and those that run nothing.
     """
     fleet = term.steering.fleet
-    members = 0
+    members = term.count_unheard(service, now_ms)
     each_milli = 0
     empty = []
     for worker in term.workers.by_id.values():
@@ -127,7 +128,7 @@
     Returns:
         Its state.
     """
-    members, each_milli, empty = _measure_members(term, service)
+    members, each_milli, empty = _measure_members(term, service, now_ms)
     ready_work, standing_milli, needed = _measure_work(term, service)
     base = term.book.instances.base_sizes.get(service, 0)
     kept = _KEPT_PARTS * base // _ALL_PARTS
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -176,11 +176,37 @@
                     count += 1
         return count
 
-    def measure_load(self, service: str) -> admission.ServiceLoad:
+    def count_unheard(self, service: str, now_ms: int) -> int:
+        """Counts instances whose workers this leader has yet to hear.
+
+        Until an earlier leader's leases have run out, silence says nothing.
+
+        Args:
+            service: The service.
+            now_ms: The time.
+
+        Returns:
+            Instances that the provider lists for the service as up or on
+            their way, without a worker or a goal.
+        """
+        if now_ms >= self.inherited_until_ms:
+            return 0
+        fleet = self.steering.fleet
+        awaited = (instances.InstancePhase.UP, instances.InstancePhase.MOVING)
+        return sum(
+            known.pool == service
+            and known.phase in awaited
+            and name not in fleet.goals
+            and self.workers.find_by_instance(name) is None
+            for name, known in fleet.known.items()
+        )
+
+    def measure_load(self, service: str, now_ms: int) -> admission.ServiceLoad:
         """Measures what a service can do and has to do.
 
         Args:
             service: The service.
+            now_ms: The time.
 
         Returns:
             Its load.
@@ -195,7 +221,9 @@
             if worker.is_silent:
                 continue
             capacity += room_milli
-        capacity += self._count_in_reach(service) * each_milli
+        absent = self.count_unheard(service, now_ms)
+        absent += self._count_in_reach(service)
+        capacity += absent * each_milli
         open_work = 0.0
         for job in self.list_open_jobs(service):
             if job.spec.is_timed:
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -138,6 +138,16 @@
     When 12 jobs of 8 tasks of 20000 ms are handed in at once
     Then none of them was turned away
 
+  Scenario: A new leader counts workers that it has not heard yet
+    # Without them a pool looks too small for what it has to do, and jobs are
+    # turned away.
+    Given a calm world of 6 workers
+    And 9 instances are in the spare pool
+    When 3 jobs of 8 tasks of 1500 ms are handed in at once
+    And another scheduler takes over and hears only one worker
+    And 600 ms pass for the jobs
+    Then no instance is on its way to another pool
+
   Scenario: An order that got no answer is given again
     Given the provider's first answer to each order is lost
     When a wave of all instances with 1 at once is asked for
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -265,6 +265,10 @@
         field: getattr(document, field) for field in document.__struct_fields__
     }
     world.put_document(type(document)(**{**values, "services": services}))
+    _list_with_spare(world, count)
+
+
+def _list_with_spare(world, count):
     up = instances.InstancePhase.UP
     listed = [
         instances.Instance(f"s{i}", "spare", up, "dc") for i in range(count)
@@ -287,6 +291,20 @@
     ]
 
 
+@when("another scheduler takes over and hears only one worker")
+def change_leader_unheard(context):
+    change_leader(context)
+    _list_with_spare(context.world, 9)
+    for worker in list(context.world.workers.values())[1:]:
+        worker.is_cut = True
+
+
+@then("no instance is on its way to another pool")
+def check_no_goals(context):
+    goals = context.world.scheduler.term.steering.fleet.goals
+    assert not goals, goals
+
+
 @then("some of them were turned away with a time to come back")
 def check_turned_away(context):
     refused = [a for a in context.answers if isinstance(a, calls.NotStored)]
