Soak nodes of the users' platform with faults from outside

Faults come in series and overlap: kills, stops, freezes, exchanged seeds, cuts in one or both directions, delays, resets, silent connections, steps of the clock, full disks, emptied disks, all nodes at once, workers that restart under their id. The promises are read from what callers, workers and the operator see. A node may listen behind a forwarder (BAMBOOKEEL_LISTEN); a limit on a file's size counts as a full disk.

--- a/bambookeel/control/replica_disk.py
+++ b/bambookeel/control/replica_disk.py
@@ -25,7 +25,7 @@
 from bambookeel.storage import snapshot_format
 from bambookeel.storage import store as replica_store
 
-_NO_ROOM = (errno.ENOSPC, errno.EDQUOT)
+_NO_ROOM = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 _RETRY_PUT_S = 0.01
 
 
--- a/bambookeel/node/process.py
+++ b/bambookeel/node/process.py
@@ -40,7 +40,7 @@
             ids.LinkNumber(0),
         )
         link_settings = links.LinkSettings(
-            settings.address,
+            settings.listen,
             {},
             settings.channel_heartbeat_ms,
             settings.channel_timeout_ms,
@@ -170,7 +170,7 @@
             self._supervisor.start_task("log-syncs", disk.run_syncs)
         self._channels.listen()
         self._supervisor.start_task("gateway", self.gateway.run)
-        logs.log_event("started", listen=self.settings.address)
+        logs.log_event("started", listen=self.settings.listen)
 
     def begin_stop(self) -> None:
         """Says that the node is not ready and hands leadership over."""
--- a/bambookeel/node/settings.py
+++ b/bambookeel/node/settings.py
@@ -15,6 +15,7 @@
         name: Its name, for logs.
         data_centre: Where it is.
         address: Where other nodes reach it, `ip:port`; also its process id.
+        listen: Its own socket; differs from `address` behind a forwarder.
         seeds: Addresses of other nodes, as `address`.
         is_first_start: Whether the deployment starts with empty disks.
         data_folder: Its disk; empty for a node that keeps no state.
@@ -27,6 +28,7 @@
     name: str
     data_centre: ids.DataCentre
     address: ids.ProcessId
+    listen: str
     seeds: tuple[ids.ProcessId, ...]
     is_first_start: bool
     data_folder: str
--- a/dev/relay.py
+++ b/dev/relay.py
@@ -3,10 +3,11 @@
 Stands between a dialling process and its target. A cut holds bytes back rather
 than closing, as a lost network does: after the cut has healed, held bytes
 arrive late. `silence_existing` makes the connections of this moment silent for
-good while new ones work.
+good while new ones work; `reset_existing` ends them without a farewell.
 """
 
 import enum
+import struct
 import typing
 
 import gevent
@@ -18,6 +19,8 @@
 
 _CHUNK_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 2.0
+# A lingering time of zero makes a close a reset.
+_RESET = struct.pack("ii", 1, 0)
 
 
 class Direction(enum.Enum):
@@ -69,6 +72,22 @@
         for event in self._open.values():
             event.set()
 
+    def set_delay(self, delay_ms: float) -> None:
+        """Sets how long bytes take.
+
+        Args:
+            delay_ms: The delay of each piece.
+        """
+        self._delay_s = delay_ms / 1000.0
+
+    def reset_existing(self) -> None:
+        """Resets the connections of this moment."""
+        for sock in list(self._sockets):
+            sock.setsockopt(
+                gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, _RESET
+            )
+            sock.close()
+
     def silence_existing(self) -> None:
         """Makes the connections of this moment silent for good."""
         self._silenced |= self._sockets
--- /dev/null
+++ b/dev/run_node_soak.py
@@ -0,0 +1,278 @@
+"""`make node-soak`: random faults on nodes of the users' platform.
+
+Nodes are separate processes behind relays. Faults are drawn from a seed, come
+in series and overlap; then everything heals, and the promises are checked from
+what callers, workers and the operator saw. Several seeds run one after another;
+a seed that finds a breach keeps its logs.
+"""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+# pylint: disable=wrong-import-position
+from collections.abc import Callable  # noqa: E402
+import os  # noqa: E402
+import pathlib  # noqa: E402
+import random  # noqa: E402
+import shutil  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+from absl import app  # noqa: E402
+from absl import flags  # noqa: E402
+import gevent  # noqa: E402
+
+from dev import node_soak_load  # noqa: E402
+from dev import node_soak_site  # noqa: E402
+from dev import relay  # noqa: E402
+
+_SEED = flags.DEFINE_integer("seed", 1, "First seed of faults and load.")
+_RUNS = flags.DEFINE_integer("runs", 1, "How many seeds to run.")
+_SECONDS = flags.DEFINE_float("seconds", 20.0, "Length of the faults, each.")
+_BASE_PORT = flags.DEFINE_integer("base_port", 27_000, "First port.")
+_NODES = flags.DEFINE_integer("nodes", 5, "Nodes, of which three have a disk.")
+_WORKERS = flags.DEFINE_integer("workers", 5, "Workers.")
+_FOLDER = flags.DEFINE_string("folder", "run-output", "Settings and logs.")
+
+# Time after the last fault in which everything accepted must end.
+_SETTLE_S = 60.0
+# Time between two emptied disks, so that the first one has its vote again.
+_WIPE_EVERY_S = 8.0
+
+_Node = node_soak_site.SoakNode
+_Fault = Callable[[_Node, random.Random], None]
+
+
+def _kill(node: _Node, generator: random.Random) -> None:
+    node.kill()
+    gevent.sleep(generator.uniform(0.1, 2.5))
+    node.start()
+
+
+def _stop(node: _Node, generator: random.Random) -> None:
+    node.signal(signal.SIGTERM)
+    node.process.wait()
+    gevent.sleep(generator.uniform(0.0, 1.0))
+    node.start()
+
+
+def _freeze(node: _Node, generator: random.Random) -> None:
+    node.signal(signal.SIGSTOP)
+    gevent.sleep(generator.uniform(0.2, 4.0))
+    node.signal(signal.SIGCONT)
+
+
+def _exchange_seeds(node: _Node, generator: random.Random) -> None:
+    node.seeds_from = generator.randrange(_NODES.value)
+    node.write_settings()
+    if generator.random() < 0.7:
+        node.signal(signal.SIGHUP)
+
+
+def _cut(node: _Node, generator: random.Random) -> None:
+    ways = generator.choice(
+        (
+            tuple(relay.Direction),
+            (relay.Direction.TO_TARGET,),
+            (relay.Direction.FROM_TARGET,),
+        )
+    )
+    for each in node.relays.values():
+        each.cut(ways)
+    gevent.sleep(generator.uniform(0.3, 4.0))
+    node.heal()
+
+
+def _delay(node: _Node, generator: random.Random) -> None:
+    for each in node.relays.values():
+        each.set_delay(generator.uniform(5, 250))
+    gevent.sleep(generator.uniform(0.5, 4.0))
+    node.heal()
+
+
+def _reset(node: _Node, generator: random.Random) -> None:
+    generator.choice(list(node.relays.values())).reset_existing()
+
+
+def _silence(node: _Node, generator: random.Random) -> None:
+    generator.choice(list(node.relays.values())).silence_existing()
+
+
+def _step_clock(node: _Node, generator: random.Random) -> None:
+    node.set_clock(generator.choice((-6_000, -2_000, 2_000, 6_000)))
+    gevent.sleep(generator.uniform(0.5, 4.0))
+    node.set_clock(0)
+
+
+def _fill_disk(node: _Node, generator: random.Random) -> None:
+    if not node.has_disk:
+        return
+    node.fill_disk()
+    gevent.sleep(generator.uniform(0.5, 3.0))
+    node.free_disk()
+
+
+_FAULTS: tuple[tuple[str, _Fault], ...] = (
+    ("kill", _kill),
+    ("stop", _stop),
+    ("freeze", _freeze),
+    ("exchange seeds", _exchange_seeds),
+    ("cut", _cut),
+    ("delay", _delay),
+    ("reset", _reset),
+    ("silence", _silence),
+    ("step clock", _step_clock),
+    ("fill disk", _fill_disk),
+)
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self._seed = seed
+        self._generator = random.Random(seed)
+        folder.mkdir(parents=True)
+        # Runs beside each other take networks of their own.
+        network = os.getpid() % 250 + 1
+        self._site = node_soak_site.SoakSite(
+            folder, _BASE_PORT.value, network, _NODES.value, _WORKERS.value
+        )
+        self._load = node_soak_load.Load(self._site, seed)
+        self._busy: dict[int, str] = {}
+        self._wiped_s = time.monotonic()
+
+    def run(self) -> list[str]:
+        """Runs the seed.
+
+        Returns:
+            The promises that were broken.
+        """
+        site = self._site
+        try:
+            site.start()
+            self._wait_until(site.are_ready, 30)
+            self._load.start()
+            self._inject_faults()
+            self._load.stop_asking()
+            self._wait_until(self._load.are_done, _SETTLE_S)
+            found = self._load.find_breaches()
+            for node in site.nodes:
+                if node.has_ended():
+                    found.append(f"node {node.number} has ended by itself")
+            return found
+        finally:
+            self._load.end()
+            site.end()
+
+    def describe(self) -> str:
+        """Tells what was done, on one line."""
+        counts = sorted(self._load.counts.items())
+        return " ".join(f"{what.replace(' ', '-')}={n}" for what, n in counts)
+
+    def _wait_until(self, holds: Callable[[], bool], limit_s: float) -> None:
+        ends_s = time.monotonic() + limit_s
+        while time.monotonic() < ends_s and not holds():
+            gevent.sleep(0.1)
+
+    def _inject_faults(self) -> None:
+        started_s = time.monotonic()
+        tasks = []
+        while time.monotonic() - started_s < _SECONDS.value:
+            at_s = time.monotonic() - started_s
+            tasks.append(gevent.spawn(self._strike(at_s)))
+            gevent.sleep(self._generator.uniform(0.1, 2.0))
+        gevent.joinall(tasks)
+
+    def _strike(self, at_s: float) -> Callable[[], None]:
+        """Draws the next fault.
+
+        Args:
+            at_s: Time since the start.
+
+        Returns:
+            Carries it out and heals it.
+        """
+        generator = self._generator
+        chance = generator.random()
+        if chance < 0.08:
+            worker = generator.choice(self._site.workers)
+            _tell(at_s, "worker restarts", worker.name)
+            return worker.restart
+        idle = [n for n in self._site.nodes if n.number not in self._busy]
+        if not idle:
+            return lambda: None
+        node = generator.choice(idle)
+        if chance < 0.11:
+            # All at once, with their disks.
+            _tell(at_s, "kill all", "all")
+            return lambda: self._kill_all(idle)
+        # Two disks that are lost, or one beside a node that is down, would be
+        # more than the deployment has to bear.
+        is_calm = not self._busy and self._site.are_ready()
+        is_due = time.monotonic() - self._wiped_s > _WIPE_EVERY_S
+        if chance < 0.2 and node.has_disk and is_calm and is_due:
+            self._wiped_s = time.monotonic()
+            _tell(at_s, "wipe", str(node.number))
+            return lambda: self._carry_out(node, "wipe", _wipe)
+        name, fault = generator.choice(_FAULTS)
+        _tell(at_s, name, str(node.number))
+        return lambda: self._carry_out(node, name, fault)
+
+    def _carry_out(self, node: _Node, name: str, fault: _Fault) -> None:
+        self._busy[node.number] = name
+        fault(node, random.Random(self._generator.random()))
+        del self._busy[node.number]
+
+    def _kill_all(self, nodes: list[_Node]) -> None:
+        for node in nodes:
+            self._busy[node.number] = "kill all"
+            node.kill()
+        gevent.sleep(0.3)
+        for node in nodes:
+            node.start()
+            del self._busy[node.number]
+
+
+def _wipe(node: _Node, generator: random.Random) -> None:
+    node.wipe()
+    gevent.sleep(generator.uniform(0.1, 1.5))
+    node.start()
+    # Until it has its vote again no other disk may be lost.
+    gevent.sleep(_WIPE_EVERY_S / 2)
+
+
+def _tell(at_s: float, fault: str, of: str) -> None:
+    print(f"at_s={at_s:.1f} fault={fault!r} of={of}", flush=True)
+
+
+def run_soak(_arguments: list[str]) -> None:
+    """Runs the seeds and exits 1 on a breach."""
+    failed = 0
+    for seed in range(_SEED.value, _SEED.value + _RUNS.value):
+        stamp = time.strftime("%Y%m%d-%H%M%S")
+        folder = pathlib.Path(_FOLDER.value) / f"node-soak-{seed}-{stamp}"
+        soak = Soak(seed, folder)
+        found = soak.run()
+        print(f"seed={seed} breaches={len(found)} {soak.describe()}")
+        for each in found[:20]:
+            print(f"seed={seed} breach={each!r}")
+        if found:
+            failed += 1
+            print(f"kept={folder}", flush=True)
+            continue
+        shutil.rmtree(folder)
+    passed = _RUNS.value - failed
+    print(f"{passed} passed, {failed} failed, 0 skipped", flush=True)
+    sys.exit(1 if failed else 0)
+
+
+def main() -> None:
+    """Starts the soak."""
+    app.run(run_soak)
+
+
+if __name__ == "__main__":
+    main()
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -42,6 +42,7 @@
             name=self.address,
             data_centre=ids.DataCentre("dc"),
             address=self.address,
+            listen=self.address,
             seeds=tuple(self.group.members),
             is_first_start=self._starts == 1,
             data_folder="memory",
