--- a/features/steps/channel_steps.py
+++ b/features/steps/channel_steps.py
@@ -1,5 +1,6 @@
 """Steps for channels, with dials and pauses in simulated time."""
 
+import types
 from unittest import mock
 
 from behave import then
@@ -34,7 +35,7 @@
 
     def run(self):
         """Dials until a few pauses are noted."""
-        outgoing = channels._Outgoing(sent_ms=self.now_ms)
+        outgoing = types.SimpleNamespace(sent_ms=self.now_ms)
         with (
             mock.patch.object(channels.gevent, "sleep", self.pause),
             mock.patch.object(
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -285,3 +285,28 @@
         f"{job:016x}.0.{step}" for job in context.jobs for step in range(2)
     }
     assert steps == wanted, (steps, wanted)
+
+
+@when("the node soak runs with seed {seed:d} for {seconds:d} seconds")
+def run_soak(context, seed, seconds):
+    # pylint: disable-next=consider-using-with
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.soak = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "dev.run_node_soak",
+            f"--seed={seed}",
+            f"--seconds={seconds}",
+            f"--folder={folder.name}",
+        ],
+        capture_output=True,
+        check=False,
+        text=True,
+    )
+
+
+@then("it has found no breach")
+def check_soak(context):
+    assert context.soak.returncode == 0, context.soak.stdout[-3000:]
