Wait in the node soak for jobs whose key was withdrawn

It now waits for their tasks, and counts ends that a crashed worker may have told as ended but free to run again.

--- a/dev/node_soak_load.py
+++ b/dev/node_soak_load.py
@@ -265,9 +265,14 @@
             Whether all have.
         """
         generator = random.Random(self._seed)
+        ended = self._list_ended()
         for job in self.jobs:
+            if not job.is_accepted:
+                continue
+            if not job.cancel_sent and _list_tasks(job) - ended:
+                return False
             # A withdrawn key cannot ask; its job is checked by its tasks.
-            if not job.is_accepted or job.key != _KEYS[0]:
+            if job.key != _KEYS[0]:
                 continue
             if job.state in ("queued", "active"):
                 self._ask(job, generator)
@@ -275,6 +280,9 @@
                 return False
         return True
 
+    def _list_ended(self) -> set[str]:
+        return {task for task, _, how in self.site.ends if how == "done"}
+
     def find_breaches(self) -> list[str]:
         """Finds the promises that were broken.
 
@@ -283,7 +291,7 @@
         """
         found = [*self.breaches, *self.site.broken]
         by_name = {job.name: job for job in self.jobs}
-        ended = {task for task, _, how in self.site.ends if how == "done"}
+        ended = self._list_ended()
         for task, _, _, at_s in self.site.starts:
             name = task.partition(".")[0]
             job = by_name.get(name)
@@ -299,18 +307,20 @@
                 found.append(f"{job.name} is {job.state} without a cause")
             if job.key == _KEYS[0] and job.state != "completed":
                 found.append(f"{job.name} was accepted and is {job.state}")
-            steps = enumerate(job.body["phases"])
-            missing = [
-                f"{job.name}.0.{number}.{place}"
-                for number, step in steps
-                for place in range(step["count"])
-                if f"{job.name}.0.{number}.{place}" not in ended
-            ]
+            missing = _list_tasks(job) - ended
             if missing:
                 found.append(f"{missing} never ended, but were accepted")
         return found
 
 
+def _list_tasks(job: Job) -> set[str]:
+    return {
+        f"{job.name}.0.{number}.{place}"
+        for number, step in enumerate(job.body["phases"])
+        for place in range(step["count"])
+    }
+
+
 def _build_body(generator: random.Random) -> dict[str, typing.Any]:
     steps: list[dict[str, typing.Any]] = []
     for number in range(generator.randrange(1, 4)):
--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -166,9 +166,10 @@
 
     def restart(self):
         """Crashes and starts again under the same id, with nothing held."""
-        # Ends that nobody has taken note of are lost; their tasks run again.
-        lost = {(task, run) for _, task, run, _, _ in self._finished}
-        self._site.ends = [e for e in self._site.ends if e[:2] not in lost]
+        # Ends that nobody may have taken note of are lost with it, so that their
+        # tasks may run again.
+        for _, task, run, _, _ in self._finished:
+            self._site.lost_ends.add((task, run))
         self._born = max(self._born + 1, int(time.time() * 1000))
         self._number = 0
         self.running = {}
@@ -265,6 +266,7 @@
         ]
         self.starts = []
         self.ends = []
+        self.lost_ends = set()
         self.broken = []
         self.refused = []
         self.advisor = None
@@ -294,7 +296,8 @@
         for other in self.workers:
             if other.holds(task):
                 self.broken.append(f"{task} runs on {other.name} and {worker}")
-        if any(end[0] == task and end[2] == "done" for end in self.ends):
+        done = {end[:2] for end in self.ends if end[2] == "done"}
+        if any(end[0] == task for end in done - self.lost_ends):
             self.broken.append(f"{task} starts again after its end")
         self.starts.append((task, run, worker, time.monotonic()))
 
