Let pools look at the room that their tasks need

Cause: in the log of the larger Hollybrook site a pool of long tasks held 94 to 98 instances of which 46 to 58 ran nothing, and had fetched 40 of them: running tasks of 5 s counted as work that takes too long, which more instances cannot change, and the same figure kept the empty ones from going back. Ruled out: caps of teams (the largest team had 12 of 33 jobs and all its ready tasks ran); placing (what waited were later steps, whose earlier ones ran). Change: a pool grows only if the tasks that run or could run, or what arrives, take more than it has; it gives an empty instance back while they take at most 0.8 of what is left.

--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -84,6 +84,7 @@
             needed=state.needed,
             empty=len(state.empty),
             capacity_cores=state.capacity_milli // 1_000,
+            ready_cores=state.ready_milli // 1_000,
             ready_core_s=int(state.ready_work / 1_000_000),
             arriving_cores=int(state.arriving_milli / 1_000),
         )
--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -142,6 +142,23 @@
     return total
 
 
+def count_ready_milli(job: book_records.Job) -> int:
+    """Counts the processor time of a job's tasks that run or could run now.
+
+    Args:
+        job: The job.
+
+    Returns:
+        Thousandths of a core.
+    """
+    total = 0
+    for step in job.steps.values():
+        if step.spec.is_standing or step.spec.is_filler or step.unfinished:
+            continue
+        total += (len(step.tasks) - step.done) * step.spec.needs.cpu_milli
+    return total
+
+
 def count_open_work(job: book_records.Job, times: RunTimes) -> float:
     """Estimates the processor time that a job still needs.
 
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -84,7 +84,7 @@
 
 def _measure_work(
     term: term_state.Term, service: str
-) -> tuple[float, int, int]:
+) -> tuple[float, int, int, int]:
     """Measures what a service has to do.
 
     Args:
@@ -92,15 +92,17 @@
         service: The service.
 
     Returns:
-        Work that could go on now, processor time of standing tasks, and the
-        instances that these need.
+        Work that could go on now, processor time of its tasks, processor time
+        of standing tasks, and the instances that these need.
     """
     ready_work = 0.0
+    ready_milli = 0
     standing_milli = 0
     needed = 0
     for job in term.list_open_jobs(service):
         if not job.spec.is_timed:
             ready_work += objectives.count_ready_work(job, term.times)
+            ready_milli += objectives.count_ready_milli(job)
         for step in job.spec.steps:
             if not step.is_standing or step.is_filler:
                 continue
@@ -108,7 +110,7 @@
             most = step.max_per_instance
             if most:
                 needed = max(needed, -(-step.count // most))
-    return ready_work, standing_milli, needed
+    return ready_work, ready_milli, standing_milli, needed
 
 
 def measure_pool(
@@ -129,7 +131,9 @@
         Its state.
     """
     members, each_milli, empty = _measure_members(term, service, now_ms)
-    ready_work, standing_milli, needed = _measure_work(term, service)
+    ready_work, ready_milli, standing_milli, needed = _measure_work(
+        term, service
+    )
     base = term.book.instances.base_sizes.get(service, 0)
     kept = _KEPT_PARTS * base // _ALL_PARTS
     if _has_upkeep(term, service):
@@ -138,6 +142,7 @@
     return pools.PoolState(
         pool=service,
         ready_work=ready_work,
+        ready_milli=ready_milli,
         arriving_milli=term.read_arriving(service, now_ms),
         capacity_milli=members * each_milli - standing_milli,
         each_milli=each_milli,
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -16,8 +16,9 @@
 GROW_TO_MS = 1_500
 # How far ahead arrivals are foreseen: most of a turn of the demand.
 FORESEEN_MS = 4_000
-# A pool whose ready work takes less than this may give an instance up.
-SHRINK_AT_MS = 500
+# A pool gives an instance up while the tasks that run or could run take at most
+# this share of what would be left: later steps need room as well.
+SHRINK_PARTS = 0.8
 # Work that arrives faster than this share of what would be left keeps a pool
 # from giving an instance up.
 ARRIVING_PARTS = 0.9
@@ -35,6 +36,7 @@
         pool: Its name.
         ready_work: Work that could go on now, in thousandths of a core times
             milliseconds.
+        ready_milli: Processor time of the tasks that run or could run now.
         arriving_milli: Processor time that newly arriving work asks for.
         capacity_milli: Processor time of its instances, with those that are
             on their way, less what standing tasks take.
@@ -48,6 +50,7 @@
 
     pool: str
     ready_work: float
+    ready_milli: int
     arriving_milli: float
     capacity_milli: int
     each_milli: int
@@ -71,7 +74,7 @@
         return False
     if state.arriving_milli > ARRIVING_PARTS * left:
         return False
-    return state.ready_work / left < SHRINK_AT_MS
+    return state.ready_milli <= SHRINK_PARTS * left
 
 
 def foresee_ms(state: PoolState, capacity_milli: int) -> float:
@@ -103,6 +106,10 @@
     capacity_milli = state.capacity_milli
     if not state.each_milli or foresee_ms(state, capacity_milli) < GROW_AT_MS:
         return 0
+    wanted_milli = max(state.ready_milli, state.arriving_milli)
+    if wanted_milli <= capacity_milli:
+        # Long tasks take their time wherever they run; none waits for room.
+        return 0
     count = 0
     while count < MAX_GROWTH:
         if foresee_ms(state, capacity_milli) <= GROW_TO_MS:
--- a/features/jobs/pools.feature
+++ b/features/jobs/pools.feature
@@ -47,3 +47,18 @@
       | clubs | 60      | 3       | 3      |       |         | 480      |
     And 9 spare instances
     Then just as many instances move to "clubs" as end its work in time
+
+  Scenario: Long tasks that all run are no reason to grow
+    # The larger Hollybrook site fetched 40 instances for steps of 5 s that all
+    # ran already; the instances stood empty.
+    Given pools
+      | pool      | ready_s | members | needed | empty | idle_ms | ready |
+      | packhouse | 9000    | 50      | 28     |       |         | 3000  |
+    And 29 spare instances
+    Then nothing moves
+
+  Scenario: Empty instances go back while long tasks run beside them
+    Given pools
+      | pool      | ready_s | members | needed | empty       | idle_ms | ready |
+      | packhouse | 4000    | 50      | 28     | p1,p2,p3,p4 | 2400    | 1600  |
+    Then 4 instances move to "spare"
