Tell the beginning of a turn by several arrivals in a short time

Ruled out: a shorter fade alone, since single large jobs would look like a turn. Change: five arrivals or more within half a second count by their own average. Test: jobs/pools, eight orders in 400 ms (failed before), and two large jobs.

--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -4,6 +4,7 @@
 off, so that what earlier tasks of the same queue took corrects them.
 """
 
+import collections
 import math
 
 from bambookeel.configuration import document as configuration
@@ -54,14 +55,23 @@
 
 
 class ArrivalRate:
-    """How much work arrives in a time, as an average that fades."""
+    """How much work arrives in a time.
+
+    An average that fades lags behind the beginning of a turn of demand. Several
+    arrivals within a short time tell of it earlier; a few large ones do not.
+    """
 
     # Time in which a past arrival fades; demand turns within a second or two.
     _FADE_MS = 1_200
+    # A short time and the arrivals in it that make its own average count; at
+    # the low point of demand so many come by chance less than once in an hour.
+    _RECENT_MS = 500
+    _RECENT_COUNT = 5
 
     def __init__(self) -> None:
         self._rate = 0.0
         self._at_ms = 0
+        self._recent: collections.deque[tuple[int, float]] = collections.deque()
 
     def add(self, work: float, now_ms: int) -> None:
         """Adds arriving work.
@@ -70,8 +80,18 @@
             work: Thousandths of a core times milliseconds.
             now_ms: The time.
         """
-        self._rate = self.read(now_ms) + work / self._FADE_MS
+        self._rate = self._read_faded(now_ms) + work / self._FADE_MS
         self._at_ms = now_ms
+        self._recent.append((now_ms, work))
+        self._drop_old(now_ms)
+
+    def _drop_old(self, now_ms: int) -> None:
+        while self._recent and now_ms - self._recent[0][0] > self._RECENT_MS:
+            self._recent.popleft()
+
+    def _read_faded(self, now_ms: int) -> float:
+        faded = math.exp(-(now_ms - self._at_ms) / self._FADE_MS)
+        return self._rate * faded
 
     def read(self, now_ms: int) -> float:
         """Reads the rate.
@@ -82,8 +102,12 @@
         Returns:
             Thousandths of a core that the arriving work asks for.
         """
-        faded = math.exp(-(now_ms - self._at_ms) / self._FADE_MS)
-        return self._rate * faded
+        self._drop_old(now_ms)
+        rate = self._read_faded(now_ms)
+        if len(self._recent) < self._RECENT_COUNT:
+            return rate
+        recent = sum(work for _, work in self._recent) / self._RECENT_MS
+        return max(rate, recent)
 
 
 def measure_chain_ms(spec: specs.JobSpec) -> float:
--- a/features/jobs/pools.feature
+++ b/features/jobs/pools.feature
@@ -62,3 +62,15 @@
       | pool      | ready_s | members | needed | empty       | idle_ms | ready |
       | packhouse | 4000    | 50      | 28     | p1,p2,p3,p4 | 2400    | 1600  |
     Then 4 instances move to "spare"
+
+  Scenario: Several arrivals in a short time tell of a turn at once
+    # Eight orders of 60 core seconds in 400 ms: 1200 cores, where an average
+    # that fades over 1200 ms has seen 400 of them.
+    When 8 jobs of 60 core seconds arrive, one every 50 ms
+    Then at least 900 cores are said to be asked for
+    When 3000 ms pass without arrivals
+    Then at most 50 cores are said to be asked for
+
+  Scenario: A few large arrivals tell of no turn
+    When 2 jobs of 240 core seconds arrive, one every 50 ms
+    Then at most 410 cores are said to be asked for
--- a/features/steps/job_pool_steps.py
+++ b/features/steps/job_pool_steps.py
@@ -2,7 +2,9 @@
 
 from behave import given
 from behave import then
+from behave import when
 
+from bambookeel.jobs import objectives
 from bambookeel.jobs import pools
 
 _CORES_MILLI = 64_000
@@ -62,3 +64,29 @@
     assert pools.foresee_ms(state, grown) <= pools.GROW_TO_MS
     one_less = grown - _CORES_MILLI
     assert pools.foresee_ms(state, one_less) > pools.GROW_TO_MS
+
+
+@when("{count:d} jobs of {work:d} core seconds arrive, one every {ms:d} ms")
+def let_arrive(context, count, work, ms):
+    context.rate = objectives.ArrivalRate()
+    context.now_ms = _NOW_MS
+    for _ in range(count):
+        context.now_ms += ms
+        context.rate.add(work * 1_000_000.0, context.now_ms)
+
+
+@when("{ms:d} ms pass without arrivals")
+def let_pass(context, ms):
+    context.now_ms += ms
+
+
+@then("at least {cores:d} cores are said to be asked for")
+def check_at_least(context, cores):
+    found = context.rate.read(context.now_ms) / 1_000
+    assert found >= cores, found
+
+
+@then("at most {cores:d} cores are said to be asked for")
+def check_at_most(context, cores):
+    found = context.rate.read(context.now_ms) / 1_000
+    assert found <= cores, found
