Divide a full service by the teams' weights

Change: while less room is free than waits, teams below their weighted share go first, then all by slack; standing tasks first and late ones last as before. What a team leaves of its share is free for the others. Caps and copies became modules of their own.

--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -1,24 +1,33 @@
 """Gives waiting tasks to workers, in the order of need, within teams' caps.
 
 Standing tasks come first, then steps by their jobs' slack, and those that are
-late already last. A task that may run twice gets a copy elsewhere when its
-worker falls silent or under suspicion.
+late already last; within these groups teams below their share of a full service
+go first.
 """
 
-from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
+import enum
+import itertools
 
 from bambookeel.jobs import book_records
+from bambookeel.jobs import caps
 from bambookeel.jobs import commands
+from bambookeel.jobs import copies
 from bambookeel.jobs import placing
+from bambookeel.jobs import shares as team_shares
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
-# A worker that has missed this much of its reports may be gone; its tasks that
-# allow copies do not wait for its lease.
-_COPY_AFTER_MS = 900
+
+class _Urgency(enum.IntEnum):
+    """Groups of steps; those of a later one get what the earlier ones leave."""
+
+    STANDING = 0
+    FILLING = 1
+    IN_TIME = 2
+    LATE = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +39,8 @@
         now: The time.
         given: What each team was given.
         chosen: Runs by worker.
+        shares: The teams' shares while there is less room than work.
+        placed: Tasks that it has given out.
     """
 
     rooms: list[placing.Room]
@@ -38,6 +49,8 @@
     chosen: dict[specs.WorkerLife, list[commands.Assignment]] = (
         dataclasses.field(default_factory=dict)
     )
+    shares: team_shares.Shares | None = None
+    placed: set[specs.TaskRef] = dataclasses.field(default_factory=set)
 
 
 def plan(term: term_state.Term, now: term_state.Now) -> None:
@@ -55,43 +68,15 @@
         due = [s for s in ready.values() if s.due_wall_ms <= now.wall_ms]
         by_service.setdefault(queue.service, []).extend(due)
     copied: dict[str, list[book_records.Task]] = {}
-    for task in _find_doubtful(term, now.steady_ms):
+    for task in copies.find_doubtful(term, now.steady_ms):
         queue = term.book.find_queue(term.book.jobs[task.ref.job].queue)
         if queue is not None:
             copied.setdefault(queue.service, []).append(task)
     for service in dict.fromkeys((*by_service, *copied)):
         steps = by_service.get(service, [])
-        copies = copied.get(service, [])
-        if steps or copies:
-            _plan_service(term, service, steps, copies, now)
-
-
-def _find_doubtful(
-    term: term_state.Term, now_ms: int
-) -> Iterator[book_records.Task]:
-    """Finds tasks that allow copies and whose only worker is in doubt.
-
-    Args:
-        term: The leader's term.
-        now_ms: The time.
-
-    Yields:
-        Each task.
-    """
-    for life, held in term.book.held.items():
-        worker = term.workers.by_id.get(life.worker)
-        if worker is None or worker.life != life:
-            continue
-        is_silent = now_ms - worker.heard_ms > _COPY_AFTER_MS
-        if not is_silent and not worker.is_suspect(now_ms):
-            continue
-        for run in held.values():
-            step = term.book.get_step(run.task)
-            if step is None or not step.spec.allows_copies:
-                continue
-            task = step.tasks[run.task.place]
-            if len(task.runs) == 1 and term.is_task_wanted(run.task):
-                yield task
+        doubtful = copied.get(service, [])
+        if steps or doubtful:
+            _plan_service(term, service, steps, doubtful, now)
 
 
 def list_usable(
@@ -123,32 +108,115 @@
     term: term_state.Term,
     service: str,
     steps: list[book_records.StepRun],
-    copies: list[book_records.Task],
+    doubtful: list[book_records.Task],
     now: term_state.Now,
 ) -> None:
     usable = list_usable(term, service, now.steady_ms)
     if not usable:
         return
     current = _Plan(placing.build_rooms(usable), now)
+    ranked = sorted(
+        ((rank_step(term, step, now), step) for step in steps),
+        key=lambda pair: pair[0],
+    )
+    current.shares = _find_shares(term, service, steps, current.rooms)
+    for _, group in itertools.groupby(ranked, key=lambda pair: pair[0][0]):
+        members = [step for _, step in group]
+        over = _place_steps(term, current, members, within_shares=True)
+        _place_steps(term, current, over, within_shares=False)
+    for task in doubtful:
+        copied = term.book.get_step(task.ref)
+        if copied is not None:
+            _place_task(term, current, copied, task)
+    _assign(term, current)
+
+
+def _find_shares(
+    term: term_state.Term,
+    service: str,
+    steps: list[book_records.StepRun],
+    rooms: list[placing.Room],
+) -> team_shares.Shares | None:
+    """Finds the teams' shares of a service that is full.
+
+    Args:
+        term: The leader's term.
+        service: The service.
+        steps: Its steps with waiting tasks.
+        rooms: What its workers have left.
+
+    Returns:
+        The shares; None while all that waits has room.
+    """
+    free_milli = sum(room.cpu_milli for room in rooms)
+    left_milli = free_milli
+    for step in steps:
+        left_milli -= len(step.waiting) * step.spec.reserved.cpu_milli
+        if left_milli < 0:
+            break
+    if left_milli >= 0:
+        return None
+    used: dict[str, int] = {}
+    for name, teams in term.book.queue_use.items():
+        queue = term.book.find_queue(name)
+        if queue is None or queue.service != service:
+            continue
+        for team, cpu_milli in teams.items():
+            used[team] = used.get(team, 0) + cpu_milli
+    waiting = {term.book.jobs[step.key[0]].team for step in steps}
+    known = term.book.view.teams
+    weights = {
+        team: known[team].weight if team in known else 1.0
+        for team in waiting | set(used)
+    }
+    capacity_milli = free_milli + sum(used.values())
+    return team_shares.Shares.from_weights(capacity_milli, weights, used)
+
+
+def _place_steps(
+    term: term_state.Term,
+    current: _Plan,
+    steps: list[book_records.StepRun],
+    within_shares: bool,
+) -> list[book_records.StepRun]:
+    """Places the waiting tasks of steps in their order.
+
+    Args:
+        term: The leader's term.
+        current: The plan.
+        steps: The steps.
+        within_shares: Whether to leave out teams that have their share.
+
+    Returns:
+        The steps that were left out for that.
+    """
+    left_out = []
+    shares = current.shares if within_shares else None
     largest = placing.find_largest(current.rooms)
-    steps.sort(key=lambda step: rank_step(term, step, now))
     for step in steps:
         # Most steps of a long queue find no room anywhere; that must not cost
         # a look at every worker.
         if not step.spec.reserved.fits_in(largest):
             continue
+        team = term.book.jobs[step.key[0]].team
         if step.spec.is_gang:
+            if shares is not None and not shares.is_below(team):
+                left_out.append(step)
+                continue
             _plan_gang(term, current, step)
             continue
-        for number in list(step.waiting):
-            if not _place_task(term, current, step, step.tasks[number]):
+        is_counted = shares is not None and not step.spec.is_standing
+        for number in step.waiting:
+            task = step.tasks[number]
+            if task.ref in current.placed:
+                continue
+            if is_counted and shares and not shares.is_below(team):
+                left_out.append(step)
+                break
+            if not _place_task(term, current, step, task):
                 break
         largest = placing.find_largest(current.rooms)
-    for task in copies:
-        copied = term.book.get_step(task.ref)
-        if copied is not None:
-            _place_task(term, current, copied, task)
-    _assign(term, current)
+    return left_out
 
 
 def _place_task(
@@ -168,7 +236,7 @@
     Returns:
         Whether there was room within the team's cap.
     """
-    if not _is_within_cap(term, step, 1, current.given):
+    if not caps.allows(term, step, 1, current.given):
         return False
     avoided = set(term.failed_on.get(task.ref, ()))
     avoided.update(life.worker for life in task.runs.values())
@@ -212,9 +280,12 @@
     task: book_records.Task,
     room: placing.Room,
 ) -> None:
+    current.placed.add(task.ref)
     job = term.book.jobs[step.key[0]]
     used = current.given.get(job.team, specs.Resources())
     current.given[job.team] = used + step.spec.needs
+    if current.shares is not None and not step.spec.is_standing:
+        current.shares.take(job.team, step.spec.needs.cpu_milli)
     run = task.last_run + 1
     if step.spec.is_gang:
         run = max(each.last_run for each in step.tasks) + 1
@@ -238,7 +309,7 @@
     """
     if len(step.waiting) < len(step.tasks):
         return
-    if not _is_within_cap(term, step, len(step.tasks), current.given):
+    if not caps.allows(term, step, len(step.tasks), current.given):
         return
     now_ms = current.now.steady_ms
     tickets = _list_tickets(term, step, now_ms)
@@ -290,46 +361,9 @@
     """
     job = term.book.jobs[step.key[0]]
     if step.spec.is_standing:
-        return (1 if step.spec.is_filler else 0, 0.0, job.admitted_wall_ms)
+        urgency = _Urgency.FILLING if step.spec.is_filler else _Urgency.STANDING
+        return (urgency, 0.0, job.admitted_wall_ms)
     slack_ms = term.find_due_wall_ms(job, step) - now.wall_ms
     is_late = slack_ms < step.spec.estimate_ms
-    return (3 if is_late else 2, slack_ms, job.admitted_wall_ms)
-
-
-def _is_within_cap(
-    term: term_state.Term,
-    step: book_records.StepRun,
-    count: int,
-    planned: dict[str, specs.Resources],
-) -> bool:
-    """Tells whether a team may have more of a step running.
-
-    Args:
-        term: The leader's term.
-        step: The step.
-        count: How many tasks more.
-        planned: What the teams were given in this plan.
-
-    Returns:
-        Whether it stays within its cap. A task larger than what is left
-        of a cap that is less than half used may run too.
-    """
-    job = term.book.jobs[step.key[0]]
-    team = term.book.view.teams.get(job.team)
-    if team is None:
-        return True
-    nothing = specs.Resources()
-    used = term.book.team_use.get(job.team, nothing)
-    used = used + planned.get(job.team, nothing)
-    needs = step.spec.needs
-    triples = (
-        (used.cpu_milli, needs.cpu_milli, team.cap.cpu_milli),
-        (used.memory_mb, needs.memory_mb, team.cap.memory_mb),
-        (used.gpus, needs.gpus, team.cap.gpus),
-    )
-    for has, need, cap in triples:
-        if not cap or not need:
-            continue
-        if has + count * need > cap and (count > 1 or 2 * has >= cap):
-            return False
-    return True
+    urgency = _Urgency.LATE if is_late else _Urgency.IN_TIME
+    return (urgency, slack_ms, job.admitted_wall_ms)
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -148,6 +148,18 @@
     And 600 ms pass for the jobs
     Then no instance is on its way to another pool
 
+  Scenario: A full service is divided by the teams' weights
+    # The team with the smaller weight comes first and would fill it alone.
+    When job "a" of 400 tasks is handed in with key "key-school"
+    And job "b" of 400 tasks is handed in with key "key-coach"
+    And 10000 ms pass for the jobs
+    Then the tasks of jobs "b" and "a" were started as 2 to 1, within 5%
+
+  Scenario: What a team leaves of its share goes to the others
+    When job "a" of 400 tasks is handed in with key "key-school"
+    And 5000 ms pass for the jobs
+    Then all workers are full
+
   Scenario: An order that got no answer is given again
     Given the provider's first answer to each order is lost
     When a wave of all instances with 1 at once is asked for
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -90,6 +90,35 @@
     hand_in_spec(context, job, _build_spec(1, 1), key=key)
 
 
+@when('job "{job}" of {count:d} tasks is handed in with key "{key}"')
+def hand_in_wide(context, job, count, key):
+    context.world.duration_ms = 1_000
+    hand_in_spec(context, job, _build_spec(1, count), key=key)
+
+
+@then(
+    'the tasks of jobs "{first}" and "{second}" were started as {more:d} to'
+    " {less:d}, within {percent:d}%"
+)
+def check_shares(context, first, second, more, less, percent):
+    # What was placed before the second job came is no question of shares.
+    since_ms = context.world.now_ms - 8_000
+    started = [
+        task.job
+        for at_ms, task, _, _ in context.world.starts
+        if at_ms > since_ms
+    ]
+    share = started.count(_name(first)) / len(started)
+    wanted = more / (more + less)
+    assert abs(share - wanted) <= percent / 100 * wanted, share
+
+
+@then("all workers are full")
+def check_full(context):
+    for worker in context.world.workers.values():
+        assert len(worker.running) == 16, worker
+
+
 @when('job "{job}" is handed in at "{path}"')
 def hand_in_at(context, job, path):
     hand_in_spec(context, job, _build_spec(1, 1), path=path)
