--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -166,10 +166,11 @@
 
     def restart(self):
         """Crashes and starts again under the same id, with nothing held."""
-        # Ends that nobody may have taken note of are lost with it, so that their
+        # Ends that nobody may have taken note of are lost with it; their
         # tasks may run again.
-        for _, task, run, _, _ in self._finished:
-            self._site.lost_ends.add((task, run))
+        self._site.lost_ends.update(
+            (task, run) for _, task, run, _, _ in self._finished
+        )
         self._born = max(self._born + 1, int(time.time() * 1000))
         self._number = 0
         self.running = {}
