--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -8,6 +8,7 @@
 from bambookeel.configuration import document as configuration
 from bambookeel.core import faults
 from bambookeel.jobs import book_records
+from bambookeel.jobs import book_use
 from bambookeel.jobs import commands
 from bambookeel.jobs import instance_records
 from bambookeel.jobs import specs
@@ -29,9 +30,7 @@
         self.held: dict[
             specs.WorkerLife, dict[specs.TaskRef, book_records.HeldRun]
         ] = {}
-        self.team_use: dict[str, specs.Resources] = {}
-        # Processor time of the teams' runs, without standing ones, by queue.
-        self.queue_use: dict[str, dict[str, int]] = {}
+        self.use = book_use.Use()
         # Jobs of each queue that have not begun.
         self.pending: dict[str, int] = {}
         # Open jobs of each queue, in the order of their admission.
@@ -215,7 +214,7 @@
         self.held.setdefault(life, {})[ref] = book_records.HeldRun(
             ref, assignment.run, heard, assignment.ticket
         )
-        self._count_use(job, step.spec, 1)
+        self.use.add(job, step.spec)
         self._set_active(job)
         self._refresh_ready(job, step)
 
@@ -245,32 +244,9 @@
         step = job.steps[ref.occurrence, ref.step]
         task = step.tasks[ref.place]
         del task.runs[run]
-        self._count_use(job, step.spec, -1)
+        self.use.remove(job, step.spec)
         return job, step, task
 
-    def _count_use(
-        self, job: book_records.Job, spec: specs.StepSpec, runs: int
-    ) -> None:
-        """Counts what runs take.
-
-        Args:
-            job: Their job.
-            spec: Their step.
-            runs: 1 for a run that begins, -1 for one that ends.
-        """
-        used = self.team_use.get(job.team, specs.Resources())
-        if runs > 0:
-            self.team_use[job.team] = used + spec.needs
-        else:
-            self.team_use[job.team] = used - spec.needs
-        if spec.is_standing:
-            return
-        teams = self.queue_use.setdefault(job.queue, {})
-        cpu_milli = teams.get(job.team, 0) + runs * spec.needs.cpu_milli
-        teams[job.team] = cpu_milli
-        if not cpu_milli:
-            del teams[job.team]
-
     def _end_run(
         self,
         life: specs.WorkerLife,
@@ -391,7 +367,7 @@
         step = job.steps[held.task.occurrence, held.task.step]
         step.tasks[held.task.place].runs[held.run] = life
         self.held.setdefault(life, {})[held.task] = held
-        self._count_use(job, step.spec, 1)
+        self.use.add(job, step.spec)
 
     def restore_progress(self, job: book_records.Job) -> None:
         """Derives what a job's tasks imply, once they are all restored.
