Turn away at once what a team's cap lets end too late

Cause: admission looked only at the service, so that a team at its cap had jobs taken in that could not end while they were of use, beside idle workers. Change: the team's open work over its cap counts like the service's over its capacity; the longer wait decides and gives the Retry-After. Test: jobs/scheduler, teams capped at 12 of 96 cores; nothing was turned away before.

--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -63,7 +63,7 @@
         return calls.BadRequest("the id is that of another job")
     if call.spec is None:
         return calls.BadRequest(call.fault)
-    retry_ms = _find_retry_ms(term, queue, call.spec, now.steady_ms)
+    retry_ms = _find_retry_ms(term, queue, team, call.spec, now.steady_ms)
     if retry_ms is not None:
         reason = f"{queue.service} cannot end it in time"
         term.note(
@@ -95,17 +95,34 @@
 def _find_retry_ms(
     term: term_state.Term,
     queue: configuration.Queue,
+    team: str,
     spec: specs.JobSpec,
     now_ms: int,
 ) -> int | None:
+    """Decides whether a job is turned away, by its service and its team's cap.
+
+    Args:
+        term: The leader's term.
+        queue: Its queue.
+        team: Its team.
+        spec: The job.
+        now_ms: The time.
+
+    Returns:
+        None when it is taken in; else when to come back.
+    """
     if any(step.is_standing for step in spec.steps) or spec.is_timed:
         return None
     work = term.count_work(queue, spec)
     limit_ms = objectives.LATE_FACTOR * objectives.compute_objective_ms(
         queue, spec
     )
-    load = term.measure_load(queue.service, now_ms)
-    return admission.compute_retry_ms(load, work, limit_ms)
+    loads = [term.measure_load(queue.service, now_ms)]
+    cap_load = term.measure_cap_load(team)
+    if cap_load is not None:
+        loads.append(cap_load)
+    waits = [admission.compute_retry_ms(load, work, limit_ms) for load in loads]
+    return max((wait for wait in waits if wait is not None), default=None)
 
 
 def _find_job(
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -234,6 +234,31 @@
                     capacity -= step.count * step.needs.cpu_milli
         return admission.ServiceLoad(capacity, open_work)
 
+    def measure_cap_load(self, team: str) -> admission.ServiceLoad | None:
+        """Measures what a team may have running and has to do.
+
+        Args:
+            team: The team.
+
+        Returns:
+            Its load, over all services; None for a team without a cap.
+        """
+        known = self.book.view.teams.get(team)
+        if known is None or not known.cap.cpu_milli:
+            return None
+        capacity = known.cap.cpu_milli
+        open_work = 0.0
+        for jobs in self.book.open_jobs.values():
+            for name in jobs:
+                job = self.book.jobs[name]
+                if job.team != team or job.spec.is_timed:
+                    continue
+                open_work += objectives.count_open_work(job, self.times)
+                for step in job.spec.steps:
+                    if step.is_standing:
+                        capacity -= step.count * step.needs.cpu_milli
+        return admission.ServiceLoad(capacity, open_work)
+
     def forget_jobs(self) -> None:
         """Forgets what was learnt of jobs that are no longer on record."""
         jobs = self.book.jobs
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -160,6 +160,12 @@
     And 5000 ms pass for the jobs
     Then all workers are full
 
+  Scenario: What a team's cap lets end too late is turned away at once
+    # Half of the workers stay idle; the team may not use them.
+    Given a calm world of 6 workers in which teams are capped at 12 cores
+    When 12 jobs of 8 tasks of 3000 ms are handed in at once
+    Then some of them were turned away with a time to come back
+
   Scenario: An order that got no answer is given again
     Given the provider's first answer to each order is lost
     When a wave of all instances with 1 at once is asked for
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -17,7 +17,7 @@
 _CAP_MILLI = 30_000
 
 
-def _name(job):
+def name_job(job):
     return f"{ord(job):016x}"
 
 
@@ -34,15 +34,15 @@
 
 
 def hand_in_spec(context, job, spec, key="key-coach", path="/o/"):
-    context.world.specs.setdefault(_name(job), spec)
+    context.world.specs.setdefault(name_job(job), spec)
     context.answer = context.world.call(
         calls.SubmitJob(
-            jobs_world.HOST, f"{path}{_name(job)}", key, _name(job), spec
+            jobs_world.HOST, f"{path}{name_job(job)}", key, name_job(job), spec
         )
     )
 
 
-def _build_spec(steps, count):
+def build_spec(steps, count):
     return specs.JobSpec(
         "body",
         tuple(
@@ -61,14 +61,14 @@
 @when('job "{job}" of {steps:d} steps of {count:d} tasks is handed in')
 @when('job "{job}" of {steps:d} step of {count:d} task is handed in')
 def hand_in(context, job, steps, count):
-    hand_in_spec(context, job, _build_spec(steps, count))
+    hand_in_spec(context, job, build_spec(steps, count))
 
 
 @when('job "{job}" of 1 step of {count:d} tasks of {ms:d} ms is handed in')
 @when('job "{job}" of 1 step of {count:d} task of {ms:d} ms is handed in')
 def hand_in_long(context, job, count, ms):
     context.world.duration_ms = ms
-    hand_in_spec(context, job, _build_spec(1, count))
+    hand_in_spec(context, job, build_spec(1, count))
 
 
 @when('job "{job}" of 1 task that allows copies is handed in for {ms:d} ms')
@@ -87,46 +87,17 @@
 
 @when('job "{job}" is handed in with key "{key}"')
 def hand_in_with_key(context, job, key):
-    hand_in_spec(context, job, _build_spec(1, 1), key=key)
-
-
-@when('job "{job}" of {count:d} tasks is handed in with key "{key}"')
-def hand_in_wide(context, job, count, key):
-    context.world.duration_ms = 1_000
-    hand_in_spec(context, job, _build_spec(1, count), key=key)
-
-
-@then(
-    'the tasks of jobs "{first}" and "{second}" were started as {more:d} to'
-    " {less:d}, within {percent:d}%"
-)
-def check_shares(context, first, second, more, less, percent):
-    # What was placed before the second job came is no question of shares.
-    since_ms = context.world.now_ms - 8_000
-    started = [
-        task.job
-        for at_ms, task, _, _ in context.world.starts
-        if at_ms > since_ms
-    ]
-    share = started.count(_name(first)) / len(started)
-    wanted = more / (more + less)
-    assert abs(share - wanted) <= percent / 100 * wanted, share
-
-
-@then("all workers are full")
-def check_full(context):
-    for worker in context.world.workers.values():
-        assert len(worker.running) == 16, worker
+    hand_in_spec(context, job, build_spec(1, 1), key=key)
 
 
 @when('job "{job}" is handed in at "{path}"')
 def hand_in_at(context, job, path):
-    hand_in_spec(context, job, _build_spec(1, 1), path=path)
+    hand_in_spec(context, job, build_spec(1, 1), path=path)
 
 
 @when('job "{job}" is cancelled')
 def cancel(context, job):
-    context.answer = context.world.cancel(_name(job))
+    context.answer = context.world.cancel(name_job(job))
 
 
 @when("{ms:d} ms pass for the jobs")
@@ -229,13 +200,13 @@
 
 @then('job "{job}" is "{state}"')
 def check_state(context, job, state):
-    answer = context.world.ask(_name(job))
+    answer = context.world.ask(name_job(job))
     assert answer == calls.JobIs(specs.JobState(state)), answer
 
 
 @then('the book says that job "{job}" is "{state}"')
 def check_book_state(context, job, state):
-    found = context.world.scheduler.book.jobs[_name(job)].state
+    found = context.world.scheduler.book.jobs[name_job(job)].state
     assert found is specs.JobState(state), found
 
 
--- /dev/null
+++ b/features/steps/share_steps.py
@@ -0,0 +1,51 @@
+"""Steps for teams' shares and caps."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.fakes import jobs_provider
+from features.fakes import jobs_world
+from features.steps import job_steps
+
+
+@given(
+    "a calm world of {count:d} workers in which teams are capped at {cores:d}"
+    " cores"
+)
+def create_capped_world(context, count, cores):
+    context.world = jobs_world.World(
+        1, workers=count, cap_milli=cores * 1_000, faults=False
+    )
+    context.provider = jobs_provider.FakeProvider(context.world)
+
+
+@when('job "{job}" of {count:d} tasks is handed in with key "{key}"')
+def hand_in_wide(context, job, count, key):
+    context.world.duration_ms = 1_000
+    job_steps.hand_in_spec(
+        context, job, job_steps.build_spec(1, count), key=key
+    )
+
+
+@then(
+    'the tasks of jobs "{first}" and "{second}" were started as {more:d} to'
+    " {less:d}, within {percent:d}%"
+)
+def check_shares(context, first, second, more, less, percent):
+    # What was placed before the second job came is no question of shares.
+    since_ms = context.world.now_ms - 8_000
+    started = [
+        task.job
+        for at_ms, task, _, _ in context.world.starts
+        if at_ms > since_ms
+    ]
+    share = started.count(job_steps.name_job(first)) / len(started)
+    wanted = more / (more + less)
+    assert abs(share - wanted) <= percent / 100 * wanted, share
+
+
+@then("all workers are full")
+def check_full(context):
+    for worker in context.world.workers.values():
+        assert len(worker.running) == 16, worker
