--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import math
 
 from bambookeel.configuration import document as configuration
@@ -144,17 +145,19 @@
     return chain_ms * queue.stretch + queue.objective_ms
 
 
-def count_ready_work(job: book_records.Job, times: RunTimes) -> float:
-    """Estimates the processor time of a job's tasks that could run now.
+def count_ready(job: book_records.Job, times: RunTimes) -> tuple[float, int]:
+    """Counts a job's tasks that run or could run now.
 
     Args:
         job: The job.
         times: What is known of run times.
 
     Returns:
-        Thousandths of a core times milliseconds; running tasks count half.
+        Their work in thousandths of a core times milliseconds, where running
+        tasks count half, and their processor time in thousandths of a core.
     """
-    total = 0.0
+    work = 0.0
+    cpu_milli = 0
     for step in job.steps.values():
         if step.spec.is_standing or step.spec.is_filler or step.unfinished:
             continue
@@ -162,25 +165,9 @@
         running = left - len(step.waiting)
         each_ms = times.estimate_ms(job.queue, step.spec)
         tasks = len(step.waiting) + running / 2
-        total += tasks * each_ms * step.spec.needs.cpu_milli
-    return total
-
-
-def count_ready_milli(job: book_records.Job) -> int:
-    """Counts the processor time of a job's tasks that run or could run now.
-
-    Args:
-        job: The job.
-
-    Returns:
-        Thousandths of a core.
-    """
-    total = 0
-    for step in job.steps.values():
-        if step.spec.is_standing or step.spec.is_filler or step.unfinished:
-            continue
-        total += (len(step.tasks) - step.done) * step.spec.needs.cpu_milli
-    return total
+        work += tasks * each_ms * step.spec.needs.cpu_milli
+        cpu_milli += left * step.spec.needs.cpu_milli
+    return work, cpu_milli
 
 
 def count_open_work(job: book_records.Job, times: RunTimes) -> float:
@@ -201,3 +188,29 @@
         each_ms = times.estimate_ms(job.queue, step.spec)
         total += left * each_ms * step.spec.needs.cpu_milli
     return total
+
+
+def sum_open(
+    jobs: Iterable[book_records.Job], times: RunTimes, counts_fillers: bool
+) -> tuple[float, int]:
+    """Sums what open jobs have to do, without those that are timed.
+
+    Args:
+        jobs: The jobs.
+        times: What is known of run times.
+        counts_fillers: Whether filling tasks count as standing ones.
+
+    Returns:
+        Their open work in thousandths of a core times milliseconds, and the
+        processor time of their standing tasks.
+    """
+    open_work = 0.0
+    standing_milli = 0
+    for job in jobs:
+        if job.spec.is_timed:
+            continue
+        open_work += count_open_work(job, times)
+        for step in job.spec.steps:
+            if step.is_standing and (counts_fillers or not step.is_filler):
+                standing_milli += step.count * step.needs.cpu_milli
+    return open_work, standing_milli
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -205,12 +205,12 @@
                 continue
             _plan_gang(term, current, step)
             continue
-        is_counted = shares is not None and not step.spec.is_standing
+        counted = None if step.spec.is_standing else shares
         for number in step.waiting:
             task = step.tasks[number]
             if task.ref in current.placed:
                 continue
-            if is_counted and shares and not shares.is_below(team):
+            if counted is not None and not counted.is_below(team):
                 left_out.append(step)
                 break
             if not _place_task(term, current, step, task):
@@ -250,7 +250,7 @@
     if room.worker.life in task.runs.values():
         return True
     room.take(step.key, step.spec.reserved)
-    _choose(term, current, step, task, room)
+    _choose(term, current, step, task, room, tickets)
     return True
 
 
@@ -279,6 +279,7 @@
     step: book_records.StepRun,
     task: book_records.Task,
     room: placing.Room,
+    tickets: Mapping[specs.WorkerLife, str] | None,
 ) -> None:
     current.placed.add(task.ref)
     job = term.book.jobs[step.key[0]]
@@ -290,7 +291,6 @@
     if step.spec.is_gang:
         run = max(each.last_run for each in step.tasks) + 1
     life = room.worker.life
-    tickets = _list_tickets(term, step, current.now.steady_ms)
     ticket = tickets[life] if tickets is not None else ""
     current.chosen.setdefault(life, []).append(
         commands.Assignment(task.ref, run, ticket)
@@ -317,7 +317,7 @@
     if places is None:
         return
     for task, room in zip(step.tasks, places):
-        _choose(term, current, step, task, room)
+        _choose(term, current, step, task, room, tickets)
 
 
 def _assign(term: term_state.Term, current: _Plan) -> None:
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -101,8 +101,9 @@
     needed = 0
     for job in term.list_open_jobs(service):
         if not job.spec.is_timed:
-            ready_work += objectives.count_ready_work(job, term.times)
-            ready_milli += objectives.count_ready_milli(job)
+            work, cpu_milli = objectives.count_ready(job, term.times)
+            ready_work += work
+            ready_milli += cpu_milli
         for step in job.spec.steps:
             if not step.is_standing or step.is_filler:
                 continue
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -224,15 +224,12 @@
         absent = self.count_unheard(service, now_ms)
         absent += self._count_in_reach(service)
         capacity += absent * each_milli
-        open_work = 0.0
-        for job in self.list_open_jobs(service):
-            if job.spec.is_timed:
-                continue
-            open_work += objectives.count_open_work(job, self.times)
-            for step in job.spec.steps:
-                if step.is_standing and not step.is_filler:
-                    capacity -= step.count * step.needs.cpu_milli
-        return admission.ServiceLoad(capacity, open_work)
+        jobs = self.list_open_jobs(service)
+        # Fillers take only what the others leave.
+        open_work, standing_milli = objectives.sum_open(
+            jobs, self.times, counts_fillers=False
+        )
+        return admission.ServiceLoad(capacity - standing_milli, open_work)
 
     def measure_cap_load(self, team: str) -> admission.ServiceLoad | None:
         """Measures what a team may have running and has to do.
@@ -246,17 +243,17 @@
         known = self.book.view.teams.get(team)
         if known is None or not known.cap.cpu_milli:
             return None
-        capacity = known.cap.cpu_milli
-        open_work = 0.0
-        for jobs in self.book.open_jobs.values():
-            for name in jobs:
-                job = self.book.jobs[name]
-                if job.team != team or job.spec.is_timed:
-                    continue
-                open_work += objectives.count_open_work(job, self.times)
-                for step in job.spec.steps:
-                    if step.is_standing:
-                        capacity -= step.count * step.needs.cpu_milli
+        jobs = (
+            self.book.jobs[name]
+            for names in self.book.open_jobs.values()
+            for name in names
+            if self.book.jobs[name].team == team
+        )
+        # A cap counts what was asked for, also for fillers.
+        open_work, standing_milli = objectives.sum_open(
+            jobs, self.times, counts_fillers=True
+        )
+        capacity = known.cap.cpu_milli - standing_milli
         return admission.ServiceLoad(capacity, open_work)
 
     def forget_jobs(self) -> None:
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -36,7 +36,6 @@
 from bambookeel.storage import store as replica_store
 
 _TICK_MS = 25
-_IDENTITY_PERIOD_MS = 200
 # Calls that are handled together; more wait for the next log entry.
 _MAX_CALLS = 200
 # How long an answer may wait for the lease to be confirmed.
