Give a connection time where the pool has room for it

The known red test, traced: beside 14 busy processes the scenario ended with an error in 4 of 12 runs, each time as hypothesis' FlakyFailure around a truthful 'cannot connect: no time is left': each take of a connection had 5 ms, which a busy machine may need for the connection itself. Ruled out: the pool (it passed no allowance and lost no count in any run). Change: the take has 5 ms only where the pool is full and the time must run out; elsewhere a minute. The assertions are the same. Also tried: that a full pool always refuses; it may hand out a kept connection, so that this is not what it promises.

--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -261,7 +261,10 @@
                 context.backend.address, ids.Incarnation(1), allowance
             )
             busy = len(used)
-            taken = pool.take(target, False, clock.read_now_ms() + 5)
+            # Only a full pool may let the time run out, however slowly the
+            # machine connects.
+            wait_ms = 5 if busy >= max(1, allowance) else 60_000
+            taken = pool.take(target, False, clock.read_now_ms() + wait_ms)
             if isinstance(taken, outcomes.NotRun):
                 assert busy >= max(1, allowance), (taken, busy, allowance)
                 continue
