Show that a replaced disk gets its vote after the next loss

A deployment that bears one lost machine is left with nobody to lead when a voter is replaced at another address and a further voter is lost catch_up_s after the newcomer's start. The silent voter is given up after 8,000 ms, which no setting bounds, so the newcomer is not even a learner by then.

The scenarios run cores with the settings that the adapter derives, under a command every 20 ms: 3 voters and 5, the first loss a follower or the leader, the newcomer 1,000 or 200 ms later, the second loss the leader, a follower or the core that gave the newcomer its vote, killed, wiped or frozen.

--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -21,7 +21,9 @@
 class World:
     """Replicas, their network and the clock."""
 
-    def __init__(self, seed, size, snapshot_every=40, max_voters=0):
+    def __init__(
+        self, seed, size, snapshot_every=40, max_voters=0, settings=None
+    ):
         self.rng = random.Random(seed)
         self.now_ms = 1_000
         self.steps = 0
@@ -29,12 +31,14 @@
         self.messages = 0
         self.snapshots_installed = 0
         self.snapshot_every = snapshot_every
-        self.settings = records.CoreSettings(
+        self.settings = settings or records.CoreSettings(
             retained_entries=10, max_voters=max_voters, lost_voter_ms=2_000
         )
         self.loss = 0.0
         self.duplicates = 0.0
         self.delay_ms = (1, 5)
+        # Delays of the links of single processes, in place of `delay_ms`.
+        self.link_delays_ms = {}
         self.sync_ms = (1, 4)
         self.failing_syncs = 0.0
         self.cuts = set()
@@ -42,6 +46,7 @@
         self.leaders = {}
         self.committed = {}
         self.max_committed = 0
+        self.membership_changes = 0
         self.reads = {}
         self.handed_over = 0
         self._read_ids = itertools.count(1)
@@ -73,6 +78,19 @@
         item = (due, next(self._order), action, arguments)
         heapq.heappush(self._heap, item)
 
+    def call_in(self, delay_ms, action):
+        """Calls an action once, after a time."""
+        self._push(delay_ms, action)
+
+    def call_every(self, period_ms, action):
+        """Calls an action regularly."""
+
+        def call():
+            self._push(period_ms, call)
+            action()
+
+        self._push(period_ms, call)
+
     def run_one(self):
         """Runs the next thing that is due."""
         due, _, action, arguments = heapq.heappop(self._heap)
@@ -112,9 +130,17 @@
             copies = 2
         process = membership.get_process(to)
         for _ in range(copies):
-            delay_ms = self.rng.randint(*self.delay_ms)
+            delay_ms = self.rng.randint(
+                *self._get_delays(node.process, process)
+            )
             self._push(delay_ms, self._deliver, node.process, process, message)
 
+    def _get_delays(self, source, process):
+        for end in (source, process):
+            if end in self.link_delays_ms:
+                return self.link_delays_ms[end]
+        return self.delay_ms
+
     def _deliver(self, source, process, message):
         node = self.nodes[process]
         if (source, process) in self.cuts or not node.is_up:
@@ -158,6 +184,8 @@
 
     def note_commit(self, node, entry, digest):
         value = (entry.term, entry.payload, digest)
+        if entry.is_membership and entry.index not in self.committed:
+            self.membership_changes += 1
         known = self.committed.setdefault(entry.index, value)
         assert known == value, f"index {entry.index}: two committed entries"
         self.max_committed = max(self.max_committed, entry.index)
