Derive from the settings when a lost voter's vote moves on

Cause: a leader gave a silent voter's vote to its successor after 8,000 ms, a constant that no setting bounded. The platform counts the successor as whole catch_up_s (4 s) after its start, and the next loss then left one of three voters. Class: a time constant in a repair that is longer than the bound which the settings give for the repair.

Now the silence is a share of that time (0.4), at least the longest election timeout, so that the rest is left for the start, catching up and two changes.

--- a/bambookeel/core/settings.py
+++ b/bambookeel/core/settings.py
@@ -19,6 +19,9 @@
 HeartbeatMs = Annotated[int, msgspec.Meta(ge=20, le=10_000)]
 LeaseMs = Annotated[int, msgspec.Meta(ge=200, le=60_000)]
 Sha256Hex = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+# Part of the time in which a new replica must get its vote; the rest is left for
+# its start, for catching up and for two committed changes of the membership.
+_SILENCE_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,6 +106,21 @@
     lost_voter_ms: resources.PositiveInt = 8_000
 
 
+def compute_lost_voter_ms(catch_up_ms: int, election_max_ms: int) -> int:
+    """Derives the silence after which a voter's vote may move on.
+
+    Args:
+        catch_up_ms: Time from a new replica's start until it must have its
+            vote.
+        election_max_ms: Longest silence before an election; a shorter silence
+            says nothing.
+
+    Returns:
+        Milliseconds, which leave the rest of the time for catching up.
+    """
+    return max(election_max_ms, int(catch_up_ms * _SILENCE_SHARE))
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EntryLimits:
     """Bounds that protect an entry.
