Count a lost leader as silent from its last message on

What callers saw: nothing yet; with a shorter time to catch up (2.5 s) a leader that is replaced at another address, followed by another loss, leaves nobody to lead.

Cause: a new leader counted the silence of each voter from its own first message, so that each election put the move of the old leader's vote off.

Now a follower remembers which leader it heard last, and when; as the next leader it starts from that. The old leader's first answer ends the silence.

--- a/bambookeel/consensus/records.py
+++ b/bambookeel/consensus/records.py
@@ -66,8 +66,8 @@
     Attributes:
         match_index: Last index known to be synced there.
         next_index: Next index to send.
-        heard_ms: When it last answered in this term; 0 for never.
-        answered_round: Highest round that it answered.
+        heard_ms: When it was last heard.
+        answered_round: Highest round that it answered in this term.
         snapshot_index: The snapshot being sent; 0 for none.
         snapshot_offset: Offset of the part being sent.
         part_sent_ms: When that part was sent.
@@ -124,7 +124,8 @@
         membership_index: Its index.
         election_due_ms: When to start an election.
         heartbeat_due_ms: When a leader sends the next heartbeat.
-        heard_leader_ms: When a leader was last heard.
+        heard_leader: The leader that was last heard; empty after leading.
+        heard_leader_ms: When it was heard.
         votes: Members that granted their vote or pre-vote.
         progress: The leader's view of the other members.
         round_number: The leader's newest round.
@@ -160,6 +161,7 @@
     membership_index: int = 0
     election_due_ms: int = 0
     heartbeat_due_ms: int = 0
+    heard_leader: ids.MemberId = NO_MEMBER
     heard_leader_ms: int = 0
     votes: frozenset[ids.MemberId] = frozenset()
     progress: Mapping[ids.MemberId, Progress] = dataclasses.field(
--- /dev/null
+++ b/features/consensus/moving_votes.feature
@@ -0,0 +1,8 @@
+Feature: A bounded number of votes moves between cores
+
+  Scenario: A lost leader counts as silent from its last message on
+    Given voters that bear 1 loss, with 2.5 s to catch up
+    When cores are replaced elsewhere and others are lost once those had their time
+      | first  | after_ms | second   | fault  | seeds             |
+      | leader | 200      | follower | killed | 4 6 7 10 12 14 16 |
+    Then each run commits again within 3 election timeouts and loses nothing
