Let a successor catch up before its voter is given up

What it costs callers: the newcomer began to catch up only once the silent voter's time had run out, so that a large book or a slow disk came on top of that time, within the same bound.

Now a waiting disk becomes a learner once any voter has been silent for the shortest election timeout. Whether the vote moves is decided later, by one change, and a voter that answers again keeps it.

Evidence: consensus/moving_votes, "A core catches up while it is open whether a voter is lost", failed before (no learner).

--- a/bambookeel/consensus/changes.py
+++ b/bambookeel/consensus/changes.py
@@ -82,7 +82,7 @@
     """
     state = step.state
     most = state.settings.max_voters
-    lost = _find_lost_voter(step)
+    lost = _find_silent_voter(step, state.settings.lost_voter_ms)
     if most and len(state.membership.voters) > most:
         # An even number of voters is without a leader when it is split in half.
         return membership.Demote(lost or _find_rearmost_voter(state))
@@ -95,23 +95,26 @@
         has_caught_up = progress.match_index >= state.commit_index
         if progress.answered_round and has_caught_up:
             return membership.Promote(learner)
+    # A successor catches up while it is still open whether a voter is lost.
+    silent = _find_silent_voter(step, state.settings.election_min_ms)
     for stranger in state.strangers:
-        if may_vote or _has_other_disk(state, stranger):
+        if may_vote or silent or _has_other_disk(state, stranger):
             return membership.AddLearner(stranger)
     return None
 
 
-def _find_lost_voter(step: records.Step) -> ids.MemberId:
+def _find_silent_voter(step: records.Step, silence_ms: int) -> ids.MemberId:
     """Finds the voter that has been silent for longest, if for too long.
 
     Args:
         step: The step of a leader.
+        silence_ms: Shortest silence that counts.
 
     Returns:
         The voter; empty for none.
     """
     state = step.state
-    oldest_ms = step.now_ms - state.settings.lost_voter_ms
+    oldest_ms = step.now_ms - silence_ms
     lost = records.NO_MEMBER
     for voter in state.membership.voters:
         progress = state.progress.get(voter)
--- a/features/consensus/moving_votes.feature
+++ b/features/consensus/moving_votes.feature
@@ -12,3 +12,11 @@
     And a stable leader
     When a follower is cut off until a further core gets its vote
     Then the membership has 3 voters
+
+  Scenario: A core catches up while it is open whether a voter is lost
+    Given a world of 3 cores of which 3 vote, seed 32
+    And a stable leader
+    When a follower is cut off for 1500 ms while a further core waits
+    Then the further core was a learner by then
+    And the follower still has its vote
+    And the membership has 3 voters
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -77,6 +77,33 @@
     world.run_for(4_000)
 
 
+@when("a follower is cut off for {duration:d} ms while a further core waits")
+def cut_while_core_waits(context, duration):
+    world = context.world
+    context.follower = _pick_follower(context)
+    context.newcomer = world.add_node(f"p{len(world.nodes)}")
+    context.newcomer.start()
+    for other in world.nodes:
+        pair = (context.follower.process, other)
+        world.cuts |= {pair, pair[::-1]}
+    world.run_for(duration)
+    context.membership = world.find_leader().core.membership
+    world.cuts.clear()
+    world.run_for(4_000)
+
+
+@then("the further core was a learner by then")
+def check_was_learner(context):
+    learners = context.membership.learners
+    assert context.newcomer.member in learners, learners
+
+
+@then("the follower still has its vote")
+def check_still_votes(context):
+    voters = context.world.find_leader().core.membership.voters
+    assert context.follower.member in voters, voters
+
+
 @when("a follower is gone for {duration:d} ms")
 def lose_follower(context, duration):
     context.follower = _pick_follower(context)
