Show the late vote with spares, planned stops and changes of leader

A replaced machine also leaves nobody to lead after the next loss when a spare core waits, when all voters are replaced in turn, when leadership moves on or the leader is restarted in between, and when the successor starts before the old voter gets its planned stop. The cause is the same: the vote of a silent voter moves only after 8,000 ms.

--- a/features/consensus/replacement.feature
+++ b/features/consensus/replacement.feature
@@ -73,3 +73,102 @@
       | leader   | 1000     | promoter | killed | 5 6   |
       | leader   | 1000     | follower | wiped  | 7 8   |
     Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A spare that waits stands in for a replaced voter
+    Given voters that bear 1 loss, with 4 s to catch up
+    When cores are replaced elsewhere and others are lost once those had their time
+      | first    | after_ms | second   | fault  | spare | seeds |
+      | follower | 1000     | leader   | killed | yes   | 1 2   |
+      | follower | 1000     | follower | frozen | yes   | 3 4   |
+      | leader   | 200      | promoter | killed | yes   | 5 6   |
+      | leader   | 1000     | leader   | wiped  | yes   | 7 8   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: Each of three is replaced in turn
+    Given voters that bear 1 loss, with 4 s to catch up
+    When each voter is replaced in turn and the leader is killed at last
+      | seeds   |
+      | 1 2 3 4 |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: Leadership moves on before the newcomer of three has its vote
+    Given voters that bear 1 loss, with 4 s to catch up
+    When leadership moves on between a replacement and the next loss
+      | first    | moved_ms | second   | seeds |
+      | follower | 500      | leader   | 1 2   |
+      | follower | 1500     | leader   | 3 4   |
+      | follower | 2500     | leader   | 5 6   |
+      | leader   | 500      | follower | 1 2   |
+      | leader   | 1500     | follower | 3 4   |
+      | leader   | 2500     | follower | 5 6   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: Leadership moves on before the newcomers of five have their votes
+    Given voters that bear 2 losses, with 4 s to catch up
+    When leadership moves on between a replacement and the next loss
+      | first             | moved_ms | second            | seeds |
+      | follower,follower | 500      | leader,follower   | 1 2   |
+      | leader,follower   | 1500     | follower,follower | 3 4   |
+      | follower,follower | 2500     | leader,follower   | 5 6   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: The leader of three is restarted before the newcomer has its vote
+    Given voters that bear 1 loss, with 4 s to catch up
+    When the leader is stopped and started between a replacement and the next loss
+      | first    | stopped_ms | second   | seeds |
+      | follower | 500        | leader   | 1 2   |
+      | follower | 2000       | follower | 3 4   |
+      | leader   | 500        | follower | 5 6   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: The leader of five is restarted before the newcomer has its vote
+    Given voters that bear 2 losses, with 4 s to catch up
+    When the leader is stopped and started between a replacement and the next loss
+      | first    | stopped_ms | second   | seeds |
+      | follower | 500        | leader   | 1 2   |
+      | follower | 2000       | follower | 3 4   |
+      | leader   | 500        | follower | 5 6   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A planned stop after the successor's start, for three
+    Given voters that bear 1 loss, with 4 s to catch up
+    When a core starts, a voter is stopped as planned, and another is lost
+      | first    | second   | fault  | seeds |
+      | follower | leader   | killed | 1 2 3 |
+      | follower | follower | killed | 4 5   |
+      | follower | promoter | killed | 6 7   |
+      | leader   | leader   | killed | 1 2 3 |
+      | leader   | follower | killed | 4 5   |
+      | leader   | follower | wiped  | 6 7   |
+      | follower | leader   | frozen | 8 9   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: Two planned stops after the successors' start, for five
+    Given voters that bear 2 losses, with 4 s to catch up
+    When a core starts, a voter is stopped as planned, and another is lost
+      | first             | second            | fault  | seeds |
+      | follower,follower | leader,follower   | killed | 1 2   |
+      | leader,follower   | follower,follower | killed | 3 4   |
+      | leader,follower   | leader,follower   | wiped  | 5 6   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A wiped disk of three comes back before the next is wiped
+    Given voters that bear 1 loss, with 4 s to catch up
+    When disks are wiped, and others while the rest loses power
+      | first    | second   | seeds |
+      | follower | leader   | 1 2 3 |
+      | follower | follower | 4 5 6 |
+      | follower | newcomer | 7 8   |
+      | leader   | leader   | 1 2 3 |
+      | leader   | follower | 4 5 6 |
+      | leader   | newcomer | 7 8   |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: Two wiped disks of five come back before the next are wiped
+    Given voters that bear 2 losses, with 4 s to catch up
+    When disks are wiped, and others while the rest loses power
+      | first             | second            | seeds |
+      | follower,follower | leader,follower   | 1 2   |
+      | follower,follower | follower,follower | 3 4   |
+      | leader,follower   | leader,newcomer   | 5 6   |
+    Then each run commits again within 3 election timeouts and loses nothing
--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -46,7 +46,8 @@
         self.leaders = {}
         self.committed = {}
         self.max_committed = 0
-        self.membership_changes = 0
+        # Committed changes of membership by index.
+        self.memberships = {}
         self.reads = {}
         self.handed_over = 0
         self._read_ids = itertools.count(1)
@@ -184,8 +185,9 @@
 
     def note_commit(self, node, entry, digest):
         value = (entry.term, entry.payload, digest)
-        if entry.is_membership and entry.index not in self.committed:
-            self.membership_changes += 1
+        if entry.is_membership:
+            decoded = membership.decode_membership(entry.payload)
+            self.memberships[entry.index] = decoded
         known = self.committed.setdefault(entry.index, value)
         assert known == value, f"index {entry.index}: two committed entries"
         self.max_committed = max(self.max_committed, entry.index)
--- a/features/fakes/replacement_run.py
+++ b/features/fakes/replacement_run.py
@@ -15,6 +15,9 @@
 # The newest command that must be committed is at most this old.
 _FRESH_MS = 500
 _ELECTIONS = 3
+# A stop is announced this long before the process ends.
+_NOTICE_MS = 1_500
+_SLOW_LINK_MS = (40, 60)
 
 
 class ReplacementRun:
@@ -67,6 +70,8 @@
             picked.append(self.promoter or leader)
         if "leader" in wanted:
             picked.append(leader)
+        if "newcomer" in wanted:
+            picked.append(self.newcomers[0])
         followers = [
             node
             for node in self.world.nodes.values()
@@ -88,22 +93,76 @@
         node.start()
         return node
 
-    def replace(self, first, after_ms):
+    def _start_newcomers(self, count, is_slow=False):
+        self.started_ms = self.world.now_ms
+        self.newcomers = [self.add_core() for _ in range(count)]
+        for node in self.newcomers:
+            if is_slow:
+                self.world.link_delays_ms[node.process] = _SLOW_LINK_MS
+
+    def replace(self, first, after_ms, is_slow=False):
         """Loses cores for good and starts as many others after a time."""
         lost = self.pick(first)
         for node in lost:
             node.stop()
         self.world.run_for(after_ms)
+        self._start_newcomers(len(lost), is_slow)
+
+    def replace_as_planned(self, first, after_ms):
+        """Starts other cores first, and stops the old ones after a time."""
+        self._start_newcomers(len(first.split(",")))
+        self.world.run_for(after_ms)
+        self._stop_as_planned(self.pick(first))
+
+    def wipe(self, first):
+        """Takes the disks of cores, which start again after an outage."""
+        lost = self.pick(first)
+        for node in lost:
+            node.stop()
+            node.wipe()
+        self.world.run_for(_OUTAGE_MS)
         self.started_ms = self.world.now_ms
-        self.newcomers = [self.add_core() for _ in lost]
+        for node in lost:
+            node.start()
+        self.newcomers = lost
+
+    def _stop_as_planned(self, nodes):
+        ends_ms = self.world.now_ms + _NOTICE_MS
+        while self.world.now_ms < ends_ms:
+            for node in nodes:
+                node.run(events.HandOverAsked())
+            self.world.run_for(_WATCH_MS)
+        for node in nodes:
+            node.stop()
+
+    def change_leader(self, at_ms):
+        """Moves leadership on, some time after the newcomers' start."""
+        self.world.run_for(self.started_ms + at_ms - self.world.now_ms)
+        self.world.run_until(self.world.has_stable_leader)
+        self.world.find_leader().run(events.HandOverAsked())
+
+    def restart_leader(self, at_ms):
+        """Stops the leader as planned, some time after the newcomers' start.
+
+        Returns:
+            When it was started again.
+        """
+        self.world.run_for(self.started_ms + at_ms - self.world.now_ms)
+        self.world.run_until(self.world.has_stable_leader)
+        leader = self.world.find_leader()
+        self._stop_as_planned([leader])
+        self.world.run_for(_OUTAGE_MS)
+        leader.start()
+        return self.world.now_ms
 
     def hand_over_once_promoted(self):
         """Moves leadership on as soon as a newcomer has its vote."""
         self._hands_over_then = True
 
-    def wait_for_next_loss(self):
+    def wait_for_next_loss(self, since_ms=None):
         """Runs until the newcomers must have their votes."""
-        due_ms = self.started_ms + self.catch_up_ms
+        since_ms = self.started_ms if since_ms is None else since_ms
+        due_ms = since_ms + self.catch_up_ms
         self.world.run_for(due_ms - self.world.now_ms)
 
     def lose(self, second, fault):
@@ -119,8 +178,54 @@
                 case "frozen":
                     node.is_frozen = True
 
+    def lose_power(self, second):
+        """Stops all cores for an outage in which some lose their disks."""
+        wiped = self.pick(second)
+        stopped = [n for n in self.world.nodes.values() if n.is_up]
+        for node in stopped:
+            node.stop()
+        for node in wiped:
+            node.wipe()
+        self.world.run_for(_OUTAGE_MS)
+        for node in stopped:
+            node.start()
+
+    def disturb(self, node, fault, duration_ms):
+        """Freezes a core or cuts it off for a time."""
+        if fault == "frozen":
+            node.is_frozen = True
+        else:
+            for other in self.world.nodes:
+                self.world.cuts |= {
+                    (node.process, other),
+                    (other, node.process),
+                }
+        self.world.run_for(duration_ms)
+        self.world.cuts.clear()
+        if node.is_frozen:
+            self.world.thaw(node)
+
     # --- What must hold ---
 
+    def check_votes(self):
+        """Checks that the newcomers vote."""
+        leader = self.world.find_leader()
+        assert leader is not None, "nobody leads"
+        voters = leader.core.membership.voters
+        missing = [n for n in self.newcomers if n.member not in voters]
+        assert not missing, f"no vote: {self._describe()}"
+
+    def count_changes(self):
+        """Counts the committed changes of membership after the first entry."""
+        return len(self.world.memberships) - 1
+
+    def check_same_voters(self):
+        """Checks that no vote has moved since the first entry."""
+        found = {
+            tuple(sorted(m.voters)) for m in self.world.memberships.values()
+        }
+        assert len(found) == 1, f"votes moved: {self._describe()}"
+
     def check_service(self):
         """Checks that a leader commits soon, goes on, and has lost nothing."""
         world = self.world
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -14,10 +14,13 @@
         cells = row.as_dict()
         for seed in cells.pop("seeds").split():
             context.played += 1
-            run = replacement_run.ReplacementRun(
-                context.losses, context.catch_up_s, int(seed)
-            )
             try:
+                run = replacement_run.ReplacementRun(
+                    context.losses,
+                    context.catch_up_s,
+                    int(seed),
+                    context.gap_ms,
+                )
                 play(run, cells)
             # Whatever broke, the row and the seed are what helps.
             except Exception as error:  # pylint: disable=broad-exception-caught
@@ -29,6 +32,7 @@
 @given("voters that bear {losses:d} losses, with {catch_up_s:g} s to catch up")
 def plan_runs(context, losses, catch_up_s):
     context.losses, context.catch_up_s = losses, catch_up_s
+    context.gap_ms = 20
 
 
 @when(
@@ -36,6 +40,8 @@
 )
 def replace_then_lose(context):
     def play(run, cells):
+        if cells.get("spare") == "yes":
+            run.add_core()
         if "promoter" in cells["second"]:
             run.hand_over_once_promoted()
         run.replace(cells["first"], int(cells["after_ms"]))
@@ -46,6 +52,69 @@
     _run_rows(context, play)
 
 
+@when("leadership moves on between a replacement and the next loss")
+def replace_with_new_leader(context):
+    def play(run, cells):
+        run.replace(cells["first"], 1_000)
+        run.change_leader(int(cells["moved_ms"]))
+        run.wait_for_next_loss()
+        run.lose(cells["second"], "killed")
+        run.check_service()
+
+    _run_rows(context, play)
+
+
+@when(
+    "the leader is stopped and started between a replacement and the next loss"
+)
+def replace_with_restart(context):
+    def play(run, cells):
+        run.replace(cells["first"], 1_000)
+        back_ms = run.restart_leader(int(cells["stopped_ms"]))
+        # Until then the restarted voter and the replaced one count as lost.
+        run.wait_for_next_loss(back_ms if context.losses == 1 else None)
+        run.lose(cells["second"], "killed")
+        run.check_service()
+
+    _run_rows(context, play)
+
+
+@when("a core starts, a voter is stopped as planned, and another is lost")
+def replace_as_planned(context):
+    def play(run, cells):
+        if "promoter" in cells["second"]:
+            run.hand_over_once_promoted()
+        run.replace_as_planned(cells["first"], 1_000)
+        run.wait_for_next_loss()
+        run.lose(cells["second"], cells["fault"])
+        run.check_service()
+
+    _run_rows(context, play)
+
+
+@when("disks are wiped, and others while the rest loses power")
+def wipe_twice(context):
+    def play(run, cells):
+        run.wipe(cells["first"])
+        run.wait_for_next_loss()
+        run.lose_power(cells["second"])
+        run.check_service()
+
+    _run_rows(context, play)
+
+
+@when("each voter is replaced in turn and the leader is killed at last")
+def replace_all(context):
+    def play(run, _cells):
+        for first in ("follower", "leader", "follower"):
+            run.replace(first, 1_000)
+            run.wait_for_next_loss()
+        run.lose("leader", "killed")
+        run.check_service()
+
+    _run_rows(context, play)
+
+
 @then("each run commits again within 3 election timeouts and loses nothing")
 def check_runs(context):
     assert context.played, "no run"
