Show that a farther newcomer never gets its vote under load

A newcomer whose link takes 40 to 60 ms stays a learner for as long as commands are committed every 10 ms (the others answer within 1 to 5 ms), so the next loss leaves nobody to lead however much time there was. plan_change asks that the learner's match_index has reached the leader's commit_index at a tick; its answers are always several commits old.

--- a/features/consensus/replacement.feature
+++ b/features/consensus/replacement.feature
@@ -172,3 +172,13 @@
       | follower,follower | follower,follower | 3 4   |
       | leader,follower   | leader,newcomer   | 5 6   |
     Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A newcomer whose answers come late gets its vote
+    Given voters that bear 1 loss, with 4 s to catch up
+    And a command every 10 ms
+    When a voter is replaced by a core with a slower link
+      | first    | after_ms | second   | seeds |
+      | follower | 1000     | leader   | 1 2   |
+      | follower | 20000    | follower | 3 4   |
+      | leader   | 20000    | leader   | 5 6   |
+    Then each run commits again within 3 election timeouts and loses nothing
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -35,6 +35,11 @@
     context.gap_ms = 20
 
 
+@given("a command every {gap:d} ms")
+def set_gap(context, gap):
+    context.gap_ms = gap
+
+
 @when(
     "cores are replaced elsewhere and others are lost once those had their time"
 )
@@ -115,6 +120,18 @@
     _run_rows(context, play)
 
 
+@when("a voter is replaced by a core with a slower link")
+def replace_by_slow(context):
+    def play(run, cells):
+        run.replace(cells["first"], int(cells["after_ms"]), is_slow=True)
+        run.wait_for_next_loss()
+        run.check_votes()
+        run.lose(cells["second"], "killed")
+        run.check_service()
+
+    _run_rows(context, play)
+
+
 @then("each run commits again within 3 election timeouts and loses nothing")
 def check_runs(context):
     assert context.played, "no run"
