Guard the votes of voters that only freeze or are cut off

An earlier loss of votes must not harm a voter that was only silent: for 1 s it keeps its vote, and after 6 s its return neither raises the term nor moves leadership, and at most 3 changes of membership come of it, with and without a spare core that waits. Frozen every 5 s for 30 s, no cycle gives more than 3.

--- a/features/consensus/replacement.feature
+++ b/features/consensus/replacement.feature
@@ -182,3 +182,57 @@
       | follower | 20000    | follower | 3 4   |
       | leader   | 20000    | leader   | 5 6   |
     Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A short freeze moves no vote
+    Given voters that bear 1 loss, with 4 s to catch up
+    When a voter is frozen for 1000 ms
+      | who      | spare | seeds |
+      | follower | no    | 1 2 3 |
+      | leader   | no    | 4 5 6 |
+      | follower | yes   | 1 2 3 |
+      | leader   | yes   | 4 5 6 |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A short cut moves no vote
+    Given voters that bear 1 loss, with 4 s to catch up
+    When a voter is cut off for 1000 ms
+      | who      | spare | seeds |
+      | follower | no    | 1 2 3 |
+      | leader   | no    | 4 5 6 |
+      | follower | yes   | 1 2 3 |
+      | leader   | yes   | 4 5 6 |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A long freeze does no harm
+    Given voters that bear 1 loss, with 4 s to catch up
+    When a voter is frozen for 6000 ms
+      | who      | spare | seeds |
+      | follower | no    | 1 2 3 |
+      | leader   | no    | 4 5 6 |
+      | follower | yes   | 1 2 3 |
+      | leader   | yes   | 4 5 6 |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A long cut does no harm
+    Given voters that bear 1 loss, with 4 s to catch up
+    When a voter is cut off for 6000 ms
+      | who      | spare | seeds |
+      | follower | no    | 1 2 3 |
+      | leader   | no    | 4 5 6 |
+      | follower | yes   | 1 2 3 |
+      | leader   | yes   | 4 5 6 |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: Freezes of one voter again and again do not move votes in a loop
+    Given voters that bear 1 loss, with 4 s to catch up
+    When the same voter freezes every 5 s for 30 s
+      | who      | frozen_ms | spare | seeds |
+      | follower | 1000      | no    | 1     |
+      | follower | 3000      | no    | 2     |
+      | leader   | 3000      | no    | 3     |
+      | follower | 4500      | no    | 4     |
+      | follower | 1000      | yes   | 1     |
+      | follower | 3000      | yes   | 2     |
+      | leader   | 3000      | yes   | 3     |
+      | follower | 4500      | yes   | 4     |
+    Then each run commits again within 3 election timeouts and loses nothing
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -6,6 +6,12 @@
 
 from features.fakes import replacement_run
 
+# A voter that is silent for no longer than this keeps its vote.
+_SHORT_MS = 1_000
+# Changes of membership for one freeze: a spare is let in, votes, and the silent
+# voter gives up its vote.
+_MOST_CHANGES = 3
+
 
 def _run_rows(context, play):
     """Plays each row with each of its seeds and keeps what failed."""
@@ -132,6 +138,50 @@
     _run_rows(context, play)
 
 
+@when("a voter is {fault} for {duration:d} ms")
+def disturb_voter(context, fault, duration):
+    def play(run, cells):
+        if cells["spare"] == "yes":
+            run.add_core()
+            run.world.run_for(run.catch_up_ms)
+        run.disturb(*run.pick(cells["who"]), fault, duration)
+        leader = run.world.find_leader()
+        term = leader.core.term if leader else 0
+        run.world.run_for(run.catch_up_ms)
+        if duration <= _SHORT_MS:
+            run.check_same_voters()
+        else:
+            assert leader is run.world.find_leader(), "another core leads"
+            assert term == leader.core.term, "the term was raised"
+        changes = run.count_changes()
+        assert changes <= _MOST_CHANGES, f"{changes} changes of membership"
+        run.lose("leader", "killed")
+        run.check_service()
+
+    _run_rows(context, play)
+
+
+@when("the same voter freezes every 5 s for 30 s")
+def freeze_again(context):
+    def play(run, cells):
+        if cells["spare"] == "yes":
+            run.add_core()
+            run.world.run_for(run.catch_up_ms)
+        frozen_ms = int(cells["frozen_ms"])
+        node = run.pick(cells["who"])[0]
+        for _ in range(6):
+            before = run.count_changes()
+            run.disturb(node, "frozen", frozen_ms)
+            run.world.run_for(5_000 - frozen_ms)
+            changes = run.count_changes() - before
+            assert changes <= _MOST_CHANGES, f"{changes} changes of membership"
+        if frozen_ms <= _SHORT_MS:
+            run.check_same_voters()
+        run.check_service()
+
+    _run_rows(context, play)
+
+
 @then("each run commits again within 3 election timeouts and loses nothing")
 def check_runs(context):
     assert context.played, "no run"
