Measure catching up in rounds rather than by the newest commit

What callers saw: a replaced disk on a longer way (40 to 60 ms, the others 1 to 5 ms) stayed without a vote for as long as commands were committed every 10 ms, so that the next loss left nobody to lead.

Cause: a learner got its vote when its last synced index had reached the leader's commit index at a timer event. Its answers are always some commits old.

Now the leader notes the log's end at one moment and how long the learner takes to reach it; a round within the shortest election timeout makes it fit to vote. What it then still lacks is on its way, and no commit counts it before it has it.

--- a/bambookeel/consensus/changes.py
+++ b/bambookeel/consensus/changes.py
@@ -88,12 +88,7 @@
         return membership.Demote(lost or _find_rearmost_voter(state))
     may_vote = not most or len(state.membership.voters) < most or bool(lost)
     for learner in state.membership.learners:
-        progress = state.progress[learner]
-        silent_ms = step.now_ms - progress.heard_ms
-        if silent_ms >= state.settings.election_min_ms or not may_vote:
-            continue
-        has_caught_up = progress.match_index >= state.commit_index
-        if progress.answered_round and has_caught_up:
+        if may_vote and _is_fit_to_vote(step, state.progress[learner]):
             return membership.Promote(learner)
     # A successor catches up while it is still open whether a voter is lost.
     silent = _find_silent_voter(step, state.settings.election_min_ms)
@@ -103,6 +98,13 @@
     return None
 
 
+def _is_fit_to_vote(step: records.Step, progress: records.Progress) -> bool:
+    limit_ms = step.state.settings.election_min_ms
+    is_heard = step.now_ms - progress.heard_ms < limit_ms
+    is_current = step.now_ms - progress.goal_ms < limit_ms
+    return is_heard and is_current and progress.has_caught_up
+
+
 def _find_silent_voter(step: records.Step, silence_ms: int) -> ids.MemberId:
     """Finds the voter that has been silent for longest, if for too long.
 
--- a/bambookeel/consensus/records.py
+++ b/bambookeel/consensus/records.py
@@ -68,6 +68,11 @@
         next_index: Next index to send.
         heard_ms: When it was last heard.
         answered_round: Highest round that it answered in this term.
+        goal_index: End of the log when `goal_ms` was; reaching it ends one
+            round of catching up.
+        goal_ms: When that round began.
+        has_caught_up: Whether the last round took less than the shortest
+            election timeout.
         snapshot_index: The snapshot being sent; 0 for none.
         snapshot_offset: Offset of the part being sent.
         part_sent_ms: When that part was sent.
@@ -77,6 +82,9 @@
     next_index: int
     heard_ms: int
     answered_round: int = 0
+    goal_index: int = 0
+    goal_ms: int = 0
+    has_caught_up: bool = False
     snapshot_index: int = 0
     snapshot_offset: int = 0
     part_sent_ms: int = 0
--- a/bambookeel/consensus/replication.py
+++ b/bambookeel/consensus/replication.py
@@ -250,6 +250,7 @@
         _step_back(step, member, progress, reply.match_index)
         return
     match = max(progress.match_index, reply.match_index)
+    progress = _note_catching_up(step, progress, match)
     faults.check_invariant(
         match <= state.log.last_index,
         f"{member} matches {match} of {state.log.last_index} entries",
@@ -269,6 +270,34 @@
         send_append(step, member)
 
 
+def _note_catching_up(
+    step: records.Step, progress: records.Progress, match: int
+) -> records.Progress:
+    """Measures how long a member takes for what the log held at one time.
+
+    Under load the log's end moves on before any answer comes, so that the
+    newest entry is no measure.
+
+    Args:
+        step: The step of a leader.
+        progress: What is known of the member.
+        match: Last index known to be synced there.
+
+    Returns:
+        The progress, with the next round begun if this one has ended.
+    """
+    state = step.state
+    if match < progress.goal_index:
+        return progress
+    round_ms = step.now_ms - progress.goal_ms
+    return dataclasses.replace(
+        progress,
+        goal_index=state.log.last_index,
+        goal_ms=step.now_ms,
+        has_caught_up=round_ms <= state.settings.election_min_ms,
+    )
+
+
 def _step_back(
     step: records.Step,
     member: ids.MemberId,
