--- a/bambookeel/core/settings.py
+++ b/bambookeel/core/settings.py
@@ -19,8 +19,8 @@
 HeartbeatMs = Annotated[int, msgspec.Meta(ge=20, le=10_000)]
 LeaseMs = Annotated[int, msgspec.Meta(ge=200, le=60_000)]
 Sha256Hex = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
-# Part of the time in which a new replica must get its vote; the rest is left for
-# its start, for catching up and for two committed changes of the membership.
+# Part of the time in which a new replica must get its vote; the rest is left
+# for its start, for catching up and for two committed changes of membership.
 _SILENCE_SHARE = 0.4
 
 
