Show the late vote on node processes

No job is accepted any more (503 and 504 to the end); the newcomer is in no membership yet.

The stand-in site now names catch_up_s among its bounds, so that what the adapter derives from it is used.

--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -24,6 +25,8 @@
 _FRONT, _READY, _CONTROL, _PEER = range(4)
 # Longest wait for something that must happen; far above what it takes.
 WAIT_S = 60.0
+# Time that a new or wiped machine counts as lost after its start.
+CATCH_UP_S = 4
 
 
 def request(address, method, path, body=None, headers=None, timeout_s=5.0):
@@ -83,7 +86,12 @@
             "bootstrap": self._starts == 0,
             "data_dir": str(self.folder / "data") if self._has_disk else None,
             "fault_tolerance": {"machines": 1},
-            "bounds": {"hold_max_ms": 6000, "status_s": 120, "grace_s": 6},
+            "bounds": {
+                "hold_max_ms": 6000,
+                "status_s": 120,
+                "grace_s": 6,
+                "catch_up_s": CATCH_UP_S,
+            },
             "cloud_api": {"address": ""},
             "advisor": self._site.advisor_address,
         }
@@ -123,6 +131,14 @@
         """Whether its process has ended."""
         return self.process.poll() is not None
 
+    def wipe(self):
+        """Empties its disk; it must not run."""
+        shutil.rmtree(self.folder / "data")
+
+    def join_later(self):
+        """Lets its first start be one into a site that runs already."""
+        self._starts = 1
+
     def end(self):
         """Kills it if it still runs."""
         if self.process is not None and self.process.poll() is None:
@@ -302,9 +318,17 @@
             self.broken.append(f"{task} starts again after its end")
         self.starts.append((task, run, worker, time.monotonic()))
 
-    def wait_until(self, holds, what):
+    def add_node(self):
+        """Starts a node with an empty disk at an address of its own."""
+        node = self.node_class(self, len(self.nodes), has_disk=True)
+        node.join_later()
+        self.nodes.append(node)
+        node.start()
+        return node
+
+    def wait_until(self, holds, what, limit_s=WAIT_S):
         """Lets the workers go on until something holds."""
-        ends = time.monotonic() + WAIT_S
+        ends = time.monotonic() + limit_s
         while time.monotonic() < ends:
             for worker in self.workers:
                 worker.step()
