Tell how many further losses the voters bear

The leader now measures, at each tick, the voters that it heard within election_min_ms against the quorum, writes event=loss_margin when the number changes, and shows it as three metrics; elsewhere they are NaN. A fall is told at once, a rise once it has lasted election_max_ms, so that a voter that comes and goes gives few lines. Control processes tell the same.

All of it is new, so that the scenarios had no step to run before. They count what worlds with a fake clock bear and then take just as many voters, or one more.

--- a/bambookeel/control/replica_task.py
+++ b/bambookeel/control/replica_task.py
@@ -16,6 +16,7 @@
 from bambookeel.control import formation
 from bambookeel.control import joining
 from bambookeel.control import leader_requests
+from bambookeel.control import margin_watch
 from bambookeel.control import replica_disk
 from bambookeel.control import replica_view
 from bambookeel.control import replicated_state
@@ -57,6 +58,7 @@
         self._requests = leader_requests.LeaderRequests(
             self._runner, self._state, timings.election_max_ms, seed
         )
+        self.margin = margin_watch.MarginWatch(self._runner)
         self._told_leading = False
         self._stop_wanted = False
         self._handed_over = gevent.event.Event()
@@ -176,6 +178,7 @@
         if self._stop_wanted:
             self._runner.run_step(core_events.HandOverAsked())
         self._joining.try_to_join(now_ms)
+        self.margin.check(now_ms)
         self._requests.retry_parked(now_ms, self.find_unready_reason())
 
     def _build_view(self) -> replica_view.ReplicaView:
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -17,6 +17,7 @@
 from bambookeel.control import core_runner
 from bambookeel.control import events
 from bambookeel.control import joining
+from bambookeel.control import margin_watch
 from bambookeel.control import replica_disk
 from bambookeel.core import ids
 from bambookeel.core import messages
@@ -71,6 +72,7 @@
             settings.seeds,
             settings.is_first_start,
         )
+        self.margin = margin_watch.MarginWatch(self._runner)
         self._scheduler: job_scheduler.Scheduler | None = None
         self._calls: list[tuple[calls.Call, Reply]] = []
         self._plan_due = False
@@ -180,7 +182,9 @@
         self._plan_due = True
         if self._stop_wanted:
             self._runner.run_step(core_events.HandOverAsked())
-        self._joining.try_to_join(clock.read_now_ms())
+        now_ms = clock.read_now_ms()
+        self._joining.try_to_join(now_ms)
+        self.margin.check(now_ms)
 
     # --- Leading ---
 
--- a/features/platform/replicas.feature
+++ b/features/platform/replicas.feature
@@ -30,3 +30,14 @@
     When every replica gets a call that cannot be decoded
     And configuration 2 is put there
     Then configuration 2 is read back
+
+  Scenario: The leader tells that the next loss would stop service
+    Given three replicas of the book
+    And configuration 1 is in force there
+    And the lines on the loss margin are kept
+    When a replica that follows loses power
+    Then the leader shows 0 losses borne of 1, and that for 0.2 s or longer
+    And the other follower shows nothing
+    When that replica starts again
+    Then the leader shows 1 losses borne of 1
+    And the kept lines tell of a fall to 0 and a rise to 1
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -1,13 +1,19 @@
 """Steps for replicas of the job book."""
 
+import math
+
 from behave import given
 from behave import then
 from behave import when
+import eliot
 import gevent
 
 from bambookeel.jobs import calls
 from features.fakes import node_group
 
+# Longest wait for a change of the margin, far above what it takes.
+_MARGIN_S = 20.0
+
 
 @given("three replicas of the book")
 def start_group(context):
@@ -91,3 +97,102 @@
         member.kill()
         gevent.sleep(0.05)
         member.start()
+
+
+@given("the lines on the loss margin are kept")
+def keep_lines(context):
+    context.lines = lines = []
+
+    def keep(event):
+        if event.get("message_type") == "loss_margin":
+            lines.append(event)
+
+    eliot.add_destinations(keep)
+    context.add_cleanup(eliot.remove_destination, keep)
+    _wait_for_margin(context, 1.0, 0.0)
+    lines.clear()
+
+
+def _wait_for_margin(context, borne, below_s):
+    """Waits until one replica alone shows a margin, and just this one."""
+
+    def shows():
+        shown = []
+        for member in context.group.members.values():
+            if member.replica is None:
+                continue
+            margin = member.replica.margin
+            if not math.isnan(margin.read_borne()):
+                shown.append(margin)
+        if len(shown) != 1 or shown[0].read_borne() != borne:
+            return False
+        found_s = shown[0].read_below_s()
+        return found_s >= below_s if below_s else found_s == 0.0
+
+    with gevent.Timeout(_MARGIN_S, AssertionError(f"no margin of {borne}")):
+        while not shows():
+            gevent.sleep(0.02)
+
+
+def _pick_follower(context):
+    return next(
+        member
+        for member in context.group.members.values()
+        if math.isnan(member.replica.margin.read_borne())
+    )
+
+
+@when("a replica that follows loses power")
+def kill_follower(context):
+    context.follower = _pick_follower(context)
+    context.follower.kill()
+
+
+@then(
+    "the leader shows {borne:d} losses borne of {promised:d}, and that for"
+    " {below:g} s or longer"
+)
+def check_below(context, borne, promised, below):
+    _wait_for_margin(context, borne, below)
+    for member in context.group.members.values():
+        if member.replica is None:
+            continue
+        found = member.replica.margin.read_promised()
+        assert math.isnan(found) or found == promised, found
+
+
+@then("the other follower shows nothing")
+def check_follower(context):
+    running = [
+        member.replica.margin
+        for member in context.group.members.values()
+        if member.replica is not None
+    ]
+    shown = [margin for margin in running if margin.read_below_s() >= 0.0]
+    assert len(running) == 2 and len(shown) == 1, shown
+
+
+@when("that replica starts again")
+def restart_follower(context):
+    context.follower.start()
+
+
+@then("the leader shows {borne:d} losses borne of {promised:d}")
+def check_whole(context, borne, promised):
+    check_below(context, borne, promised, 0.0)
+
+
+@then("the kept lines tell of a fall to {low:d} and a rise to {high:d}")
+def check_lines(context, low, high):
+    # A stall of the machine may add a line or a term of its own.
+    falls = [
+        line
+        for line in context.lines
+        if line["margin"] == low
+        and line["silent"].startswith(f"{context.follower.address}/")
+    ]
+    assert falls, context.lines
+    rise = context.lines[-1]
+    assert rise["margin"] == high and rise["silent"] == "none", rise
+    if rise["term"] == falls[0]["term"]:
+        assert rise["below_ms"] >= 200, rise
--- /dev/null
+++ b/features/steps/tolerance_steps.py
@@ -0,0 +1,287 @@
+"""Steps for how many further losses the voters bear."""
+
+import math
+
+from behave import given
+from behave import then
+from behave import when
+import eliot
+
+from bambookeel.consensus import events
+from bambookeel.consensus import records
+from bambookeel.consensus import tolerance
+from bambookeel.control import margin_watch
+from features.fakes import consensus_world
+
+_LINE = "loss_margin"
+# Longer than any election and repair of these worlds.
+_LONG_MS = 12_000
+
+
+def measure(node):
+    """Measures what a core's voters bear, by its own clock."""
+    return tolerance.measure_tolerance(node.core, node.read_clock())
+
+
+def _pick_follower(context):
+    return next(
+        node
+        for node in context.world.nodes.values()
+        if node is not context.world.find_leader() and node.is_up
+    )
+
+
+@then("the leader counts {borne:d} borne of {promised:d} promised losses")
+def check_counts(context, borne, promised):
+    context.world.run_until(lambda: _counts(context.world))
+    found = measure(context.world.find_leader())
+    assert (found.borne, found.promised) == (borne, promised), found
+
+
+@then("that follower alone is called silent")
+def check_silent(context):
+    found = measure(context.world.find_leader())
+    assert found.silent == (context.follower.member,), found
+
+
+@when("that follower is back for {duration:d} ms")
+def restart_follower(context, duration):
+    context.follower.start()
+    context.world.run_for(duration)
+
+
+@when("a further core starts in its place")
+def start_newcomer(context):
+    context.world.add_node("p9").start()
+
+
+@then("the margin stays 0 until the lost voter has no vote")
+def check_until_replaced(context):
+    def is_replaced():
+        core = context.world.find_leader().core
+        assert core.role is records.Role.LEADER
+        if context.follower.member in core.membership.voters:
+            assert measure(context.world.find_leader()).borne == 0
+            return False
+        return core.membership_index <= core.commit_index
+
+    context.world.run_until(is_replaced)
+    context.world.run_until(
+        lambda: len(context.world.find_leader().core.membership.voters) == 3
+    )
+    context.world.run_for(100)
+
+
+@when("a follower loses its disk for good and a new one starts without a vote")
+def replace_disk(context):
+    node = _pick_follower(context)
+    node.stop()
+    node.wipe()
+    context.world.run_for(600)
+    node.start()
+
+
+@then("a core that catches up was counted before the margin rose")
+def check_catching_up(context):
+    counted = []
+
+    def has_risen():
+        found = measure(context.world.find_leader())
+        if found.catching_up:
+            counted.append(found.borne)
+        return found.borne == 1
+
+    context.world.run_until(has_risen)
+    assert counted and set(counted) == {0}, counted
+
+
+@then("no follower counts")
+def check_followers(context):
+    for node in context.world.nodes.values():
+        if node is not context.world.find_leader():
+            assert measure(node) is None
+
+
+@when("the leader hands over")
+def hand_over(context):
+    context.leader.run(events.HandOverAsked())
+
+
+@then("the next leader never counts fewer than {borne:d} borne losses")
+def check_new_leader(context, borne):
+    world = context.world
+    counted = []
+    ends_ms = world.now_ms + 3_000
+    while world.now_ms < ends_ms:
+        world.run_one()
+        leader = world.find_leader()
+        if leader is None or leader is context.leader:
+            continue
+        found = measure(leader)
+        if found is not None:
+            counted.append(found.borne)
+    assert counted and min(counted) >= borne, counted[:20]
+
+
+def _commits(world):
+    """Whether a leader commits a new command within a long time."""
+    ends_ms = world.now_ms + _LONG_MS
+    before = world.max_committed
+    while world.now_ms < ends_ms:
+        leader = world.find_leader()
+        if leader is not None and world.has_stable_leader():
+            leader.run(events.ProposalsMade((b"after the losses",)))
+            if world.max_committed > before + 1:
+                return True
+        world.run_for(100)
+    return False
+
+
+def _check_world(seed):
+    """Breaks a world, counts, and takes just so many voters or one more."""
+    size = (3, 5)[seed % 2]
+    bound = (0, size)[seed // 2 % 2]
+    world = consensus_world.World(seed, size, max_voters=bound)
+    world.run_until(world.has_stable_leader)
+    for _ in range(world.rng.randint(0, size // 2)):
+        up = [node for node in world.nodes.values() if node.is_up]
+        world.rng.choice(up).stop()
+    world.run_for(1_000)
+    if seed % 3 == 0:
+        world.add_node("p9").start()
+        # Anywhere on its way from a stranger to a voter.
+        world.run_for(world.rng.randint(1_500, 4_000))
+    world.run_until(lambda: _counts(world))
+    leader = world.find_leader()
+    found = measure(leader)
+    voters = [
+        node
+        for node in world.nodes.values()
+        if node.is_up and node.member in leader.core.membership.voters
+    ]
+    losses = found.borne + seed // 4 % 2
+    for node in world.rng.sample(voters, losses):
+        node.stop()
+    assert _commits(world) == (losses == found.borne), (seed, found, losses)
+    return losses == found.borne
+
+
+def _counts(world):
+    leader = world.find_leader()
+    if leader is None or not world.has_stable_leader():
+        return False
+    return measure(leader) is not None
+
+
+@then("in {count:d} worlds the voters bear just the losses that were counted")
+def check_worlds(context, count):
+    borne = [_check_world(seed) for seed in range(count)]
+    assert 0 < sum(borne) < count, borne
+
+
+# --- Lines and metrics ---
+
+
+@given("its margin is watched")
+def watch_margin(context):
+    context.world.run_for(1_000)
+    context.watched_ms = context.world.now_ms
+    context.lines = lines = []
+
+    def keep(event):
+        if event.get("message_type") == _LINE:
+            lines.append(event)
+
+    eliot.add_destinations(keep)
+    context.add_cleanup(eliot.remove_destination, keep)
+    # A core of a world stands where a runner's core would.
+    context.watch = margin_watch.MarginWatch(context.leader)
+    _run_watched(context, 500)
+
+
+def _run_watched(context, duration):
+    for _ in range(0, duration, 25):
+        context.world.run_for(25)
+        if not context.leader.is_frozen:
+            context.watch.check(context.leader.read_clock())
+
+
+@when("the margin is watched for {duration:d} ms")
+def pass_time(context, duration):
+    _run_watched(context, duration)
+
+
+@when(
+    "{times:d} times a follower is cut off for {cut:d} ms and reached for"
+    " {reached:d} ms"
+)
+def flap(context, times, cut, reached):
+    follower = _pick_follower(context)
+    for _ in range(times):
+        _cut_off(context, follower, cut)
+        _run_watched(context, reached)
+
+
+def _cut_off(context, follower, duration):
+    pair = (follower.process, context.leader.process)
+    context.world.cuts.add(pair)
+    _run_watched(context, duration)
+    context.world.cuts.discard(pair)
+
+
+@then("cuts of any lengths give at most two lines for each longest timeout")
+def check_line_rate(context):
+    for seed in range(10):
+        context.world = consensus_world.World(seed, 3)
+        context.world.run_until(context.world.has_stable_leader)
+        context.leader = context.world.find_leader()
+        watch_margin(context)
+        follower = _pick_follower(context)
+        for _ in range(60):
+            _cut_off(context, follower, context.world.rng.randint(100, 1_800))
+            _run_watched(context, context.world.rng.randint(100, 1_800))
+        lasted_ms = context.world.now_ms - context.watched_ms
+        most = 2 * lasted_ms / context.world.settings.election_max_ms
+        assert 4 < len(context.lines) <= most, (seed, len(context.lines), most)
+
+
+@then('the lines tell of the margins "{margins}"')
+def check_lines(context, margins):
+    found = " ".join(str(line["margin"]) for line in context.lines)
+    assert found == margins, context.lines
+
+
+@then("the last line tells for how long the margin was too small")
+def check_below(context):
+    # From the first silence to the end of the last cut, and the settling.
+    assert 20_000 <= context.lines[-1]["below_ms"] <= 22_000, context.lines
+
+
+@when("the leader is frozen for {duration:d} ms and meets a timer first")
+def freeze_leader(context, duration):
+    context.leader.is_frozen = True
+    _run_watched(context, duration)
+    context.leader.is_frozen = False
+    inbox, context.leader.inbox = context.leader.inbox, []
+    context.leader.run(events.TimerDue())
+    found = measure(context.leader)
+    assert found is not None and found.borne == 0, found
+    context.watch.check(context.leader.read_clock())
+    context.leader.inbox = inbox
+    context.world.thaw(context.leader)
+
+
+@then(
+    "the watched replica shows {borne:d} borne of {promised:d} promised losses"
+)
+def check_shown(context, borne, promised):
+    shown = (context.watch.read_borne(), context.watch.read_promised())
+    assert shown == (borne, promised), shown
+    assert context.watch.read_below_s() == 0.0
+
+
+@then("the watched replica shows no margin")
+def check_nothing_shown(context):
+    watch = context.watch
+    for read in (watch.read_borne, watch.read_promised, watch.read_below_s):
+        assert math.isnan(read()), read
