Measure how long a replaced voter's newcomer waits for its vote

The margin is back when the voters bear the promised losses again, which comes after the vote, once the lost voter's own vote is gone.

--- /dev/null
+++ b/bench/bench_votes.py
@@ -0,0 +1,193 @@
+"""A replaced voter: time from a newcomer's start to its vote.
+
+A voter is lost, and a machine with an empty disk starts at another address, as
+the platform replaces it, while commands keep coming. The settings are those
+that the adapter makes of a site's file. The clock is fake, so that the times
+are exact; they leave out what a real newcomer needs to reach the leader.
+"""
+
+import json
+import pathlib
+import statistics
+import sys
+
+from bambookeel.consensus import events
+from bambookeel.consensus import records
+from bambookeel.consensus import tolerance
+from bambookeel.control import core_runner
+from bench import lines
+from features.fakes import consensus_world
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+# The folder shadows a module of the standard library; it goes to the end.
+sys.path.append(str(_ROOT / "platform"))
+
+# pylint: disable=wrong-import-position,import-error
+import adapter_settings  # noqa: E402
+
+_WORLDS = 50
+_SIZES = (3, 5)
+# As the users' pages bound it.
+_CATCH_UP_S = 4
+_COMMAND_EVERY_MS = 20
+_NEWCOMER_AFTER_MS = 1_000
+# Long enough for any election and change of voters.
+_LIMIT_MS = 30_000
+_NEWCOMER = "newcomer"
+_MS_PER_S = 1_000
+
+
+class NotInTimeError(Exception):
+    """A newcomer did not get its vote at all."""
+
+
+def _read_timings(size):
+    """Reads the timings that a site with so many voters runs with.
+
+    Args:
+        size: Voters.
+
+    Returns:
+        The timings.
+    """
+    settings = {
+        "node_name": "bench",
+        "ip": "127.0.0.1",
+        "zone": "bench",
+        "bind_addrs": {"control_plane": "127.0.0.1:1"},
+        "port_range": [1, 2],
+        "seed_nodes": [],
+        "fault_tolerance": {"machines": size // 2},
+        "bounds": {"catch_up_s": _CATCH_UP_S},
+    }
+    converted = adapter_settings.convert_settings(json.dumps(settings).encode())
+    return converted.node.consensus
+
+
+def _run_with_commands(world, duration_ms, is_done):
+    """Runs a world under commands until something holds.
+
+    Args:
+        world: The world.
+        duration_ms: How long at most.
+        is_done: Tells whether it holds.
+
+    Returns:
+        Whether it held in time.
+    """
+    ends_ms = world.now_ms + duration_ms
+    while world.now_ms < ends_ms:
+        leader = world.find_leader()
+        if leader is not None:
+            leader.run(events.ProposalsMade((b"x" * 200,)))
+        next_ms = min(world.now_ms + _COMMAND_EVERY_MS, ends_ms)
+        while world.now_ms < next_ms:
+            world.run_one()
+            if is_done():
+                return True
+    return False
+
+
+def _has_vote(world, member):
+    leader = world.find_leader()
+    if leader is None:
+        return False
+    core = leader.core
+    committed = records.get_membership_at(core, core.commit_index)
+    return member in committed.voters
+
+
+def _bears_promised(world):
+    leader = world.find_leader()
+    if leader is None:
+        return False
+    found = tolerance.measure_tolerance(leader.core, leader.read_clock())
+    return found is not None and found.borne >= found.promised
+
+
+def measure_replacement(seed, size, is_leader_lost):
+    """Replaces one voter of one world.
+
+    Args:
+        seed: The world's seed.
+        size: Voters.
+        is_leader_lost: Whether the lost voter is the leader.
+
+    Returns:
+        Milliseconds from the newcomer's start to its committed vote, and to
+        the time from which the voters bear the promised losses again.
+
+    Raises:
+        NotInTimeError: If that did not come about.
+    """
+    timings = _read_timings(size)
+    world = consensus_world.World(
+        seed,
+        size,
+        snapshot_every=timings.snapshot_every,
+        settings=core_runner.build_core_settings(timings),
+    )
+    world.run_until(world.has_stable_leader)
+    # The newcomer then needs a snapshot.
+    world.find_leader().run(
+        events.ProposalsMade((b"x" * 200,) * timings.snapshot_every)
+    )
+    world.run_until(world.has_converged)
+    _run_with_commands(world, world.rng.randint(500, 1_500), lambda: False)
+    leader = world.find_leader()
+    lost = leader
+    if not is_leader_lost:
+        others = [node for node in world.nodes.values() if node is not leader]
+        lost = world.rng.choice(others)
+    lost.stop()
+    _run_with_commands(world, _NEWCOMER_AFTER_MS, lambda: False)
+    newcomer = world.add_node(_NEWCOMER)
+    newcomer.start()
+    began_ms = world.now_ms
+    member = newcomer.member
+    if not _run_with_commands(
+        world, _LIMIT_MS, lambda: _has_vote(world, member)
+    ):
+        raise NotInTimeError(f"seed {seed}: no vote")
+    vote_ms = world.now_ms - began_ms
+    if not _run_with_commands(world, _LIMIT_MS, lambda: _bears_promised(world)):
+        raise NotInTimeError(f"seed {seed}: the promised losses are not borne")
+    return vote_ms, world.now_ms - began_ms
+
+
+def _measure_case(size, is_leader_lost):
+    found = [
+        measure_replacement(seed, size, is_leader_lost)
+        for seed in range(1, _WORLDS + 1)
+    ]
+    more = {
+        "voters": size,
+        "lost": "leader" if is_leader_lost else "follower",
+        "runs": _WORLDS,
+    }
+    bound_ms = _CATCH_UP_S * _MS_PER_S
+    result = []
+    for name, times in zip(("vote", "margin_back"), zip(*found)):
+        for part, value in (
+            ("median", statistics.median(times)),
+            ("max", max(times)),
+        ):
+            result.append(
+                lines.render_line(
+                    "votes", f"{name}_{part}_ms", value, bound_ms, **more
+                )
+            )
+    return result
+
+
+def measure():
+    """Measures the replacement of voters.
+
+    Returns:
+        Result lines.
+    """
+    result = []
+    for size in _SIZES:
+        for is_leader_lost in (False, True):
+            result += _measure_case(size, is_leader_lost)
+    return result
--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -21,7 +21,9 @@
 class World:
     """Replicas, their network and the clock."""
 
-    def __init__(self, seed, size, snapshot_every=40, max_voters=0):
+    def __init__(
+        self, seed, size, snapshot_every=40, max_voters=0, settings=None
+    ):
         self.rng = random.Random(seed)
         self.now_ms = 1_000
         self.steps = 0
@@ -29,7 +31,7 @@
         self.messages = 0
         self.snapshots_installed = 0
         self.snapshot_every = snapshot_every
-        self.settings = records.CoreSettings(
+        self.settings = settings or records.CoreSettings(
             retained_entries=10, max_voters=max_voters, lost_voter_ms=2_000
         )
         self.loss = 0.0
