Show in the time line when the next loss would have stopped service

A leader's line tells of its own term only. The time line and explain-job now join the lines over all leaders to spans with fewer losses borne than promised: one sentence each after the lines, and a band in the drawing. New, so that nothing failed before.

--- a/bambookeel/tools/explain_job.py
+++ b/bambookeel/tools/explain_job.py
@@ -1,13 +1,15 @@
 """`bambookeel explain-job JOB FILE...`: what became of a job, and why.
 
 Reads the logs of all processes, takes the lines that name the job, and tells in
-order what was decided, with a last line on where its time went.
+order what was decided, with a last line on where its time went. Lines on the
+voters stand before it where they bore fewer losses than promised meanwhile.
 """
 
 import dataclasses
 import sys
 
 from bambookeel.tools import log_lines
+from bambookeel.tools import loss_spans
 
 EXIT_OK = 0
 EXIT_UNKNOWN = 1
@@ -21,10 +23,12 @@
     Attributes:
         events: The lines that name it, in order.
         verdict: One sentence.
+        spans: Times in its life with fewer losses borne than promised.
     """
 
     events: list[log_lines.LogEvent]
     verdict: str
+    spans: list[loss_spans.LossSpan]
 
 
 def _names_job(event: log_lines.LogEvent, job: str) -> bool:
@@ -44,7 +48,14 @@
         Its story.
     """
     own = [event for event in events if _names_job(event, job)]
-    return JobStory(own, _judge(own))
+    spans = []
+    if own:
+        spans = loss_spans.clip_spans(
+            loss_spans.find_spans(events),
+            own[0].stamp.wall_ms,
+            own[-1].stamp.wall_ms,
+        )
+    return JobStory(own, _judge(own), spans)
 
 
 def _judge(own: list[log_lines.LogEvent]) -> str:
@@ -128,5 +139,7 @@
         pairs = " ".join(f"{k}={v}" for k, v in event.fields.items())
         after_ms = event.stamp.wall_ms - begun_ms
         print(f"+{after_ms:6d} ms {event.process} {event.name} {pairs}")
+    for span in story.spans:
+        print(loss_spans.describe_span(span, begun_ms))
     print(f"job {job}: {story.verdict}")
     return EXIT_OK if story.events else EXIT_UNKNOWN
--- a/bambookeel/tools/timeline.py
+++ b/bambookeel/tools/timeline.py
@@ -10,6 +10,7 @@
 from absl import flags
 
 from bambookeel.tools import log_lines
+from bambookeel.tools import loss_spans
 from bambookeel.tools import timeline_page
 
 EXIT_OK = 0
@@ -66,22 +67,33 @@
         _FROM_MS.value,
         _TO_MS.value,
     )
-    kept = log_lines.filter_events(log_lines.merge_events(files), wanted)
-    _write(kept)
+    merged = log_lines.merge_events(files)
+    kept = log_lines.filter_events(merged, wanted)
+    spans = []
+    if kept:
+        spans = loss_spans.clip_spans(
+            loss_spans.find_spans(merged),
+            kept[0].stamp.wall_ms,
+            kept[-1].stamp.wall_ms,
+        )
+    _write(kept, spans)
     return status
 
 
-def _write(events: list[log_lines.LogEvent]) -> None:
+def _write(
+    events: list[log_lines.LogEvent], spans: list[loss_spans.LossSpan]
+) -> None:
     """Prints the time line, or writes the drawing.
 
     Args:
         events: Events in order.
+        spans: Times with fewer losses borne than promised.
     """
     if not _DRAW.value:
-        for line in timeline_page.render_text(events):
+        for line in timeline_page.render_text(events, spans):
             print(line)
         return
     draw = timeline_page.render_page
     if _DRAW.value.endswith(".svg"):
         draw = timeline_page.render_svg
-    pathlib.Path(_DRAW.value).write_text(draw(events), encoding="utf-8")
+    pathlib.Path(_DRAW.value).write_text(draw(events, spans), encoding="utf-8")
--- a/bambookeel/tools/timeline_page.py
+++ b/bambookeel/tools/timeline_page.py
@@ -1,18 +1,24 @@
 """Draws a time line as text or as one self-contained HTML page.
 
 Takes events in order. The page has one lane for each process, a mark for each
-event with its fields as a tooltip, and the list of events below.
+event with its fields as a tooltip, bands where the voters bore fewer losses
+than promised, and the list of events below.
 """
 
+from collections.abc import Sequence
 import html
 
 from bambookeel.tools import log_lines
+from bambookeel.tools import loss_spans
 
 _WIDTH = 1_200
 _LABEL_WIDTH = 160
 _LANE_HEIGHT = 26
 _TOP = 30
 _TICKS = 8
+# Bands for a margin of 0, where the next loss stops service, and above.
+_STOPPING_COLOUR = "#e8b0a8"
+_BELOW_COLOUR = "#f3e2b3"
 _COLOURS = (
     "#1b6ca8",
     "#b5442e",
@@ -25,14 +31,19 @@
 )
 
 
-def render_text(events: list[log_lines.LogEvent]) -> list[str]:
+def render_text(
+    events: list[log_lines.LogEvent],
+    spans: Sequence[loss_spans.LossSpan] = (),
+) -> list[str]:
     """Renders events as lines.
 
     Args:
         events: Events in order.
+        spans: Times with fewer losses borne than promised.
 
     Returns:
-        One line an event: time since the first, process, name, pairs.
+        One line an event: time since the first, process, name, pairs. Then one
+        a span.
     """
     if not events:
         return ["no events"]
@@ -45,6 +56,7 @@
             f"{since_ms / 1000.0:10.3f}s {event.process:<14}"
             f" {event.name:<22} {pairs}".rstrip()
         )
+    lines += [loss_spans.describe_span(span, start_ms) for span in spans]
     return lines
 
 
@@ -78,11 +90,40 @@
     return parts
 
 
-def render_svg(events: list[log_lines.LogEvent]) -> str:
+def _render_bands(
+    spans: Sequence[loss_spans.LossSpan],
+    start_ms: int,
+    span_ms: int,
+    height: int,
+) -> list[str]:
+    parts = []
+    for span in spans:
+        ends_ms = start_ms + span_ms
+        if span.to_ms is not None:
+            ends_ms = min(span.to_ms, ends_ms)
+        begins_ms = max(span.from_ms, start_ms)
+        scale = (_WIDTH - _LABEL_WIDTH - 40) / span_ms
+        x = _LABEL_WIDTH + (begins_ms - start_ms) * scale
+        width = max(1.0, (ends_ms - begins_ms) * scale)
+        colour = _BELOW_COLOUR if span.lowest else _STOPPING_COLOUR
+        title = html.escape(loss_spans.describe_span(span, start_ms))
+        parts.append(
+            f'<rect x="{x:.1f}" y="{_TOP}" width="{width:.1f}"'
+            f' height="{height - _TOP}" fill="{colour}">'
+            f"<title>{title}</title></rect>"
+        )
+    return parts
+
+
+def render_svg(
+    events: list[log_lines.LogEvent],
+    spans: Sequence[loss_spans.LossSpan] = (),
+) -> str:
     """Renders events as an SVG drawing with a lane for each process.
 
     Args:
         events: Events in order.
+        spans: Times with fewer losses borne than promised.
 
     Returns:
         The SVG element.
@@ -95,6 +136,7 @@
         f'<svg xmlns="http://www.w3.org/2000/svg" width="{_WIDTH}"'
         f' height="{height}" font-family="sans-serif" font-size="12">'
     ]
+    parts.extend(_render_bands(spans, start_ms, span_ms, height))
     parts.extend(_render_ticks(span_ms))
     parts.extend(_render_lanes(processes, height))
     lanes = {process: i for i, process in enumerate(processes)}
@@ -113,18 +155,22 @@
     return "\n".join(parts)
 
 
-def render_page(events: list[log_lines.LogEvent]) -> str:
+def render_page(
+    events: list[log_lines.LogEvent],
+    spans: Sequence[loss_spans.LossSpan] = (),
+) -> str:
     """Renders events as a page with the drawing and the list.
 
     Args:
         events: Events in order.
+        spans: Times with fewer losses borne than promised.
 
     Returns:
         A whole HTML document without references to other files.
     """
-    lines = html.escape("\n".join(render_text(events)))
+    lines = html.escape("\n".join(render_text(events, spans)))
     return (
         "<!DOCTYPE html>\n<html><head><meta charset='utf-8'>"
         "<title>Time line</title></head><body>\n"
-        f"{render_svg(events)}\n<pre>{lines}</pre>\n</body></html>\n"
+        f"{render_svg(events, spans)}\n<pre>{lines}</pre>\n</body></html>\n"
     )
--- a/features/steps/explain_job_steps.py
+++ b/features/steps/explain_job_steps.py
@@ -5,6 +5,7 @@
 
 from bambookeel.tools import explain_job
 from bambookeel.tools import log_lines
+from bambookeel.tools import loss_spans
 
 
 @given("these lines of a log")
@@ -19,3 +20,11 @@
 def check_verdict(context, job, verdict):
     story = explain_job.tell_story(context.events, job)
     assert story.verdict == verdict, story.verdict
+
+
+@then('of the voters job "{job}" is told "{text}"')
+def check_spans(context, job, text):
+    story = explain_job.tell_story(context.events, job)
+    begun_ms = story.events[0].stamp.wall_ms
+    told = [loss_spans.describe_span(s, begun_ms) for s in story.spans]
+    assert told == [text], told
--- a/features/steps/timeline_steps.py
+++ b/features/steps/timeline_steps.py
@@ -1,5 +1,10 @@
 """Steps for the time line."""
 
+import pathlib
+import subprocess
+import sys
+import tempfile
+
 from behave import given
 from behave import then
 from behave import when
@@ -8,6 +13,7 @@
 
 from bambookeel.runtime import logs
 from bambookeel.tools import log_lines
+from bambookeel.tools import loss_spans
 from bambookeel.tools import timeline_page
 
 
@@ -16,6 +22,7 @@
     if not hasattr(context, "files"):
         context.files = []
         context.line_faults = []
+    context.log_text = context.text
     events, found = log_lines.parse_lines(context.text.splitlines(), process)
     context.files.append(events)
     context.line_faults.extend(found)
@@ -64,3 +71,42 @@
         assert parsed.fields == {k: str(v) for k, v in fields.items()}, parsed
 
     check()
+
+
+@when("the time line is drawn")
+def draw_line(context):
+    events = log_lines.merge_events(context.files)
+    spans = loss_spans.find_spans(events)
+    context.lines = timeline_page.render_text(events, spans)[len(events) :]
+    context.page = timeline_page.render_page(events, spans)
+
+
+@then("it closes with these sentences")
+def check_sentences(context):
+    assert context.lines == context.text.splitlines(), context.lines
+
+
+@then("the drawing has {count:d} bands")
+def check_bands(context, count):
+    assert context.page.count("<rect ") == count, context.page
+
+
+@when('the time line of job "{job}" is printed by the command')
+def print_line(context, job):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "node.log"
+        path.write_text(context.log_text, encoding="utf-8")
+        code = "from bambookeel.tools import cli; cli.main()"
+        done = subprocess.run(
+            [sys.executable, "-c", code, "timeline", f"--match={job}", path],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+    context.printed = done.stdout.splitlines()
+
+
+@then('the command\'s last line is "{line}"')
+def check_last_line(context, line):
+    assert context.printed[-1] == line, context.printed
+    assert len(context.printed) == 3, context.printed
