Tell for how long a better loss margin has held already

A rise is told once it has lasted election_max_ms, so that a span that ends with its line was up to 1.5 s too long: a replaced voter on real nodes left the margin at 0 until 11.245 s, and the line of 12.794 s said below_ms=8699. The line now counts up to the begin of the better time and gives its age as held_ms, which the time line takes off. The scenario's figure was widened by the settling before; it is counted without it now.

--- a/bambookeel/consensus/tolerance.py
+++ b/bambookeel/consensus/tolerance.py
@@ -38,7 +38,8 @@
 
     Attributes:
         told: The last state that was told.
-        told_ms: When.
+        from_ms: Since when at least so much was borne, or, after a loss, when
+            that was seen.
         below_from_ms: Since when fewer losses are borne than promised; None
             while that is not so.
         better: The worst state since all were better than what was told; None
@@ -47,7 +48,7 @@
     """
 
     told: Tolerance
-    told_ms: int
+    from_ms: int
     below_from_ms: int | None = None
     better: Tolerance | None = None
     better_from_ms: int = 0
@@ -142,7 +143,7 @@
     if _is_worse(seen, better):
         better = seen
     if now_ms - account.better_from_ms >= settle_ms:
-        return _tell(account, better, now_ms)
+        return _tell(account, better, account.better_from_ms)
     return dataclasses.replace(account, better=better)
 
 
@@ -155,10 +156,10 @@
     return any(ours < theirs for ours, theirs in pairs)
 
 
-def _tell(account: Account | None, told: Tolerance, now_ms: int) -> Account:
+def _tell(account: Account | None, told: Tolerance, from_ms: int) -> Account:
     if told.borne >= told.promised:
-        return Account(told, now_ms)
-    below_from_ms = now_ms
+        return Account(told, from_ms)
+    below_from_ms = from_ms
     if account is not None and account.below_from_ms is not None:
         below_from_ms = account.below_from_ms
-    return Account(told, now_ms, below_from_ms)
+    return Account(told, from_ms, below_from_ms)
--- a/bambookeel/control/margin_watch.py
+++ b/bambookeel/control/margin_watch.py
@@ -50,10 +50,13 @@
         )
         self._account = account
         if before is None or before.told != account.told:
-            self._log_change(before, account)
+            self._log_change(before, account, now_ms)
 
     def _log_change(
-        self, before: tolerance.Account | None, account: tolerance.Account
+        self,
+        before: tolerance.Account | None,
+        account: tolerance.Account,
+        now_ms: int,
     ) -> None:
         told = account.told
         below_from_ms = account.below_from_ms
@@ -61,7 +64,7 @@
             below_from_ms = before.below_from_ms
         below_ms = 0
         if below_from_ms is not None:
-            below_ms = account.told_ms - below_from_ms
+            below_ms = account.from_ms - below_from_ms
         logs.log_event(
             "loss_margin",
             term=self._term,
@@ -71,6 +74,7 @@
             silent=",".join(told.silent) or "none",
             catching_up=told.catching_up,
             below_ms=below_ms,
+            held_ms=now_ms - account.from_ms,
         )
 
     def _get_account(self) -> tolerance.Account | None:
--- a/bambookeel/tools/loss_spans.py
+++ b/bambookeel/tools/loss_spans.py
@@ -47,11 +47,13 @@
         term = int(fields["term"])
         borne = int(fields["margin"])
         promised = int(fields["promised"])
+        held_ms = int(fields.get("held_ms", "0"))
     except (KeyError, ValueError):
         return None
     silent = fields.get("silent", "none")
     names = () if silent == "none" else tuple(silent.split(","))
-    return _Margin(event.stamp.wall_ms, term, borne, promised, names)
+    at_ms = event.stamp.wall_ms - held_ms
+    return _Margin(at_ms, term, borne, promised, names)
 
 
 def find_spans(events: Iterable[log_lines.LogEvent]) -> list[LossSpan]:
--- a/features/timeline/explain_job.feature
+++ b/features/timeline/explain_job.feature
@@ -46,12 +46,12 @@
   Scenario: A job in whose time the next loss would have stopped service
     Given these lines of a log
       """
-      at=500.00000 event=loss_margin term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=0 process=n1 data_centre=d
+      at=500.00000 event=loss_margin term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=0 held_ms=0 process=n1 data_centre=d
       at=1000.00000 event=job_admitted job=ff queue=q team=t tasks=2 process=n1 data_centre=d
-      at=1600.00000 event=loss_margin term=1 margin=0 promised=1 voters=3 silent=n2/a catching_up=0 below_ms=0 process=n1 data_centre=d
-      at=4600.00000 event=loss_margin term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=3000 process=n1 data_centre=d
+      at=1600.00000 event=loss_margin term=1 margin=0 promised=1 voters=3 silent=n2/a catching_up=0 below_ms=0 held_ms=0 process=n1 data_centre=d
+      at=6100.00000 event=loss_margin term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=3000 held_ms=1500 process=n1 data_centre=d
       at=9000.00000 event=job_ended job=ff state=completed took_ms=8000 process=n1 data_centre=d
-      at=9600.00000 event=loss_margin term=1 margin=0 promised=1 voters=3 silent=n2/a catching_up=0 below_ms=0 process=n1 data_centre=d
+      at=9600.00000 event=loss_margin term=1 margin=0 promised=1 voters=3 silent=n2/a catching_up=0 below_ms=0 held_ms=0 process=n1 data_centre=d
       """
     Then job "ff" is explained as "admitted after 0 refusals; no worker was given any of its tasks; completed after 8000 ms"
     And of the voters job "ff" is told "from 0.600s for 3.000s the voters bore 0 of 1 promised losses at the least; silent: n2/a"
--- a/features/timeline/timeline.feature
+++ b/features/timeline/timeline.feature
@@ -33,16 +33,16 @@
     Given log lines of "node-0"
       """
       at=10000.00000 event=role process=node-0 term=1 is_leader=true
-      at=10100.00000 event=loss_margin process=node-0 term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=0
-      at=12000.00000 event=loss_margin process=node-0 term=1 margin=0 promised=1 voters=3 silent=node-2/a catching_up=0 below_ms=0
-      at=14000.00000 event=loss_margin process=node-0 term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=2000
+      at=10100.00000 event=loss_margin process=node-0 term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=0 held_ms=0
+      at=12000.00000 event=loss_margin process=node-0 term=1 margin=0 promised=1 voters=3 silent=node-2/a catching_up=0 below_ms=0 held_ms=0
+      at=15500.00000 event=loss_margin process=node-0 term=1 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=2000 held_ms=1500
       """
     And log lines of "node-1"
       """
       at=13000.00000 event=role process=node-1 term=2 is_leader=true
-      at=13900.00000 event=loss_margin process=node-1 term=2 margin=0 promised=1 voters=3 silent=node-0/b catching_up=1 below_ms=0
-      at=19500.00000 event=loss_margin process=node-1 term=2 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=5600
-      at=25000.00000 event=loss_margin process=node-1 term=2 margin=0 promised=1 voters=3 silent=node-2/a catching_up=0 below_ms=0
+      at=13900.00000 event=loss_margin process=node-1 term=2 margin=0 promised=1 voters=3 silent=node-0/b catching_up=1 below_ms=0 held_ms=0
+      at=21000.00000 event=loss_margin process=node-1 term=2 margin=1 promised=1 voters=3 silent=none catching_up=0 below_ms=5600 held_ms=1500
+      at=25000.00000 event=loss_margin process=node-1 term=2 margin=0 promised=1 voters=3 silent=node-2/a catching_up=0 below_ms=0 held_ms=0
       at=26000.00000 event=leader_known process=node-1 leader=none term=2
       """
     When the time line is drawn
@@ -56,11 +56,11 @@
   Scenario: A margin's span is told where only another part of the line is kept
     Given log lines of "node-0"
       """
-      at=1000.00000 event=loss_margin process=node-0 term=1 margin=1 promised=2 voters=5 silent=node-2/a catching_up=0 below_ms=0
+      at=1000.00000 event=loss_margin process=node-0 term=1 margin=1 promised=2 voters=5 silent=node-2/a catching_up=0 below_ms=0 held_ms=0
       at=2000.00000 event=job_admitted process=node-0 job=aa
       at=3000.00000 event=job_ended process=node-0 job=aa
-      at=4000.00000 event=loss_margin process=node-0 term=1 margin=2 promised=2 voters=5 silent=none catching_up=0 below_ms=3000
-      at=5000.00000 event=loss_margin process=node-0 term=1 margin=1 promised=2 voters=5 silent=node-3/a catching_up=0 below_ms=0
+      at=5500.00000 event=loss_margin process=node-0 term=1 margin=2 promised=2 voters=5 silent=none catching_up=0 below_ms=3000 held_ms=1500
+      at=8000.00000 event=loss_margin process=node-0 term=1 margin=1 promised=2 voters=5 silent=node-3/a catching_up=0 below_ms=0 held_ms=0
       """
     When the time line of job "aa" is printed by the command
     Then the command's last line is "from -1.000s for 3.000s the voters bore 1 of 2 promised losses at the least; silent: node-2/a"
