--- a/bambookeel/consensus/core.py
+++ b/bambookeel/consensus/core.py
@@ -124,6 +124,14 @@
             following.install_snapshot(current, index, term, members)
         case events.SnapshotRejected():
             current.state.received = None
+        case events.ReadAsked(read_id, asker):
+            _ask_read(current, read_id, asker)
+        case _:
+            _handle_members_event(current, event)
+
+
+def _handle_members_event(current: records.Step, event: events.Event) -> None:
+    match event:
         case events.MembershipAsked(change):
             changes.change_membership(current, change)
         case events.StrangerSeen(member):
@@ -133,8 +141,6 @@
         case events.StopAsked():
             changes.start_hand_over(current)
             changes.tell_leaving(current)
-        case events.ReadAsked(read_id, asker):
-            _ask_read(current, read_id, asker)
 
 
 def _handle_timer(current: records.Step) -> None:
