--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -232,7 +232,7 @@
     def is_whole(self):
         """Whether each process has a vote and no change is under way."""
         if self.settings.max_voters:
-            return self.is_bounded_whole()
+            return self._is_bounded_whole()
         leader = self.find_leader()
         if leader is None or not self.has_stable_leader():
             return False
@@ -247,7 +247,7 @@
             self.nodes
         )
 
-    def is_bounded_whole(self):
+    def _is_bounded_whole(self):
         """Whether all are up, as many vote as may, and nothing changes."""
         if not self.has_stable_leader():
             return False
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -29,7 +29,8 @@
         _wait_for_commit(world, world.find_leader().core.log.last_index)
 
 
-def _pick_follower(context):
+def pick_follower(context):
+    """Finds a core that is up and does not lead."""
     followers = [
         node
         for node in context.world.nodes.values()
@@ -60,67 +61,9 @@
     context.world.run_for(4_000)
 
 
-@when("a follower is cut off until a further core gets its vote")
-def cut_until_replaced(context):
-    world = context.world
-    follower = _pick_follower(context)
-    voters = len(world.find_leader().core.membership.voters)
-    for other in world.nodes:
-        pair = (follower.process, other)
-        world.cuts |= {pair, pair[::-1]}
-    node = world.add_node(f"p{len(world.nodes)}")
-    node.start()
-    world.run_until(
-        lambda: len(world.find_leader().core.membership.voters) > voters
-    )
-    world.cuts.clear()
-    world.run_for(4_000)
-
-
-@when("a follower is cut off for {duration:d} ms while a further core waits")
-def cut_while_core_waits(context, duration):
-    world = context.world
-    context.follower = _pick_follower(context)
-    context.newcomer = world.add_node(f"p{len(world.nodes)}")
-    context.newcomer.start()
-    for other in world.nodes:
-        pair = (context.follower.process, other)
-        world.cuts |= {pair, pair[::-1]}
-    world.run_for(duration)
-    context.membership = world.find_leader().core.membership
-    world.cuts.clear()
-    world.run_for(4_000)
-
-
-@then("the further core was a learner by then")
-def check_was_learner(context):
-    learners = context.membership.learners
-    assert context.newcomer.member in learners, learners
-
-
-@then("the follower still has its vote")
-def check_still_votes(context):
-    voters = context.world.find_leader().core.membership.voters
-    assert context.follower.member in voters, voters
-
-
-@when("a follower tells of its stop for {duration:d} ms and is started again")
-def restart_as_planned(context, duration):
-    world = context.world
-    context.follower = _pick_follower(context)
-    ends_ms = world.now_ms + duration
-    while world.now_ms < ends_ms:
-        context.follower.run(events.StopAsked())
-        world.run_for(25)
-    context.follower.stop()
-    world.run_for(1_000)
-    context.follower.start()
-    world.run_for(4_000)
-
-
 @when("a follower is gone for {duration:d} ms")
 def lose_follower(context, duration):
-    context.follower = _pick_follower(context)
+    context.follower = pick_follower(context)
     context.follower.stop()
     context.world.run_for(duration)
 
@@ -166,20 +109,6 @@
     context.chaos.run(steps)
 
 
-@given("{count:d} further cores that wait to be let in")
-def add_strangers(context, count):
-    for _ in range(count):
-        context.world.add_node(f"p{len(context.world.nodes)}").start()
-
-
-@when("it runs {steps:d} steps of random faults and planned stops")
-def run_chaos_with_stops(context, steps):
-    context.chaos = consensus_chaos.Chaos(
-        context.world, ("stop", "stop", "stop")
-    )
-    context.chaos.run(steps)
-
-
 @then("every core holds the same commits and at least {count:d} of them")
 def check_converged(context, count):
     assert context.world.has_converged()
@@ -234,7 +163,7 @@
 @when("a follower is cut off for {duration:d} ms and comes back")
 def cut_follower(context, duration):
     world = context.world
-    process = _pick_follower(context).process
+    process = pick_follower(context).process
     for other in world.nodes:
         world.cuts |= {(process, other), (other, process)}
     world.run_for(duration)
@@ -276,7 +205,7 @@
 
 @when("a follower is down while {count:d} commands are committed")
 def commit_without_follower(context, count):
-    context.follower = _pick_follower(context)
+    context.follower = pick_follower(context)
     context.follower.stop()
     _commit(context.world, count)
 
@@ -304,7 +233,7 @@
 
 @when("a follower loses its disk")
 def lose_disk(context):
-    context.follower = _pick_follower(context)
+    context.follower = pick_follower(context)
     context.old_member = context.follower.member
     _lose_disk(context.follower)
 
@@ -376,7 +305,7 @@
 
 @when("a follower loses its disk and has its vote again")
 def lose_and_repair(context):
-    _lose_disk(_pick_follower(context))
+    _lose_disk(pick_follower(context))
     context.world.run_until(context.world.is_whole)
 
 
