Derive the scheduler's times from the bounds in one place

The adapter mixed the platform's bounds with times of the product, each by a formula of its own. Bounds now arrive as one record with the product's names, and jobs/settings.py derives the times; no value changes.

--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -17,6 +17,7 @@
 from bambookeel.jobs import operators
 from bambookeel.jobs import planning
 from bambookeel.jobs import reports
+from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import term as term_state
 
 # A plan follows every decision; without one, workers may have become fresh or
@@ -25,7 +26,7 @@
 
 Answer = term_state.Answer
 Now = term_state.Now
-SchedulerSettings = term_state.SchedulerSettings
+SchedulerSettings = job_settings.SchedulerSettings
 
 
 class Scheduler:
--- /dev/null
+++ b/bambookeel/jobs/settings.py
@@ -0,0 +1,71 @@
+"""Bounds of the deployment, and the scheduler's times that follow from them."""
+
+import dataclasses
+import math
+
+# Workers are told to report so often; a leader gets the reports of all.
+_REPORT_MS = 200
+# A worker that missed several reports in a row gets nothing new.
+_FRESH_MS = 1_200
+# Lease of a run: outlasts an election that is split once.
+_LEASE_MS = 4_000
+# Beyond the holder's lease, for an order that is on its way when it ends.
+_HOLDER_MARGIN_MS = 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the deployment promises or allows; may hold fractions.
+
+    Attributes:
+        longest_lease_ms: Longest lease that workers honour.
+        keep_ended_ms: How long ended jobs must be known.
+        holder_lease_ms: Shortest time between two holders' orders for one
+            instance.
+    """
+
+    longest_lease_ms: float
+    keep_ended_ms: float
+    holder_lease_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SchedulerSettings:
+    """Times that the scheduler keeps to.
+
+    Attributes:
+        lease_ms: How long runs go on without a report.
+        max_lease_ms: Longest lease that any leader may have given.
+        report_ms: Time between the reports of a worker.
+        keep_ended_ms: How long ended jobs are remembered.
+        fresh_ms: A worker that is silent for longer gets no new runs.
+        holder_ms: How long an earlier leader's orders to the provider may
+            still arrive.
+    """
+
+    lease_ms: int
+    max_lease_ms: int
+    report_ms: int
+    keep_ended_ms: int
+    fresh_ms: int
+    holder_ms: int
+
+    @classmethod
+    def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
+        """Derives the times from a deployment's bounds.
+
+        Args:
+            bounds: The bounds.
+
+        Returns:
+            The settings.
+        """
+        lease_ms = min(_LEASE_MS, math.floor(bounds.longest_lease_ms))
+        return cls(
+            lease_ms=lease_ms,
+            max_lease_ms=lease_ms,
+            report_ms=_REPORT_MS,
+            keep_ended_ms=math.ceil(bounds.keep_ended_ms),
+            fresh_ms=_FRESH_MS,
+            holder_ms=math.ceil(bounds.holder_lease_ms) + _HOLDER_MARGIN_MS,
+        )
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -19,6 +19,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
+from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 from bambookeel.jobs import steering
 from bambookeel.jobs import workers as worker_table
@@ -39,35 +40,13 @@
     wall_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SchedulerSettings:
-    """Bounds of the deployment.
-
-    Attributes:
-        lease_ms: How long runs go on without a report.
-        max_lease_ms: Longest lease that any leader may have given.
-        report_ms: Time between the reports of a worker.
-        keep_ended_ms: How long ended jobs are remembered.
-        fresh_ms: A worker that is silent for longer gets no new runs.
-        holder_ms: How long an earlier leader's orders to the provider may
-            still arrive.
-    """
-
-    lease_ms: int
-    max_lease_ms: int
-    report_ms: int
-    keep_ended_ms: int
-    fresh_ms: int
-    holder_ms: int
-
-
 class Term:
     """What one leader holds while it leads."""
 
     def __init__(
         self,
         book: job_book.Book,
-        settings: SchedulerSettings,
+        settings: job_settings.SchedulerSettings,
         fencing_token: int,
         now: Now,
     ) -> None:
