--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -52,3 +52,11 @@
       | {"node_name":"n"}        | missing required field    |
       | {"node_name":4}          | $.node_name               |
       | not JSON                 | JSON is malformed         |
+
+  Scenario: Bounds may hold fractions
+    When the settings with these bounds are converted
+      | bound       | value  |
+      | hold_max_ms | 2500.5 |
+      | lease_ms    | 2999.5 |
+    Then a run's lease is 2500 ms
+    And a new leader leaves an earlier one's orders 3300 ms
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -24,6 +24,7 @@
 # pylint: disable=wrong-import-position,import-error
 import adapter_jobs  # noqa: E402
 import adapter_operators  # noqa: E402
+import adapter_settings  # noqa: E402
 import adapter_workers  # noqa: E402
 
 _SCALARS = strategies.one_of(
@@ -247,3 +248,32 @@
 def check_ended(context, status, fault):
     assert context.ended.returncode == status, context.ended
     assert fault in context.ended.stderr, context.ended.stderr
+
+
+@when("the settings with these bounds are converted")
+def convert_settings(context):
+    bounds = {row["bound"]: json.loads(row["value"]) for row in context.table}
+    document = {
+        "node_name": "n",
+        "ip": "127.0.0.1",
+        "zone": "north",
+        "bind_addrs": {},
+        "port_range": [7_000, 7_015],
+        "seed_nodes": [],
+        "bounds": bounds,
+    }
+    context.converted = adapter_settings.convert_settings(
+        json.dumps(document).encode()
+    )
+
+
+@then("a run's lease is {lease_ms:d} ms")
+def check_lease(context, lease_ms):
+    found = context.converted.node.scheduling
+    assert found.lease_ms == found.max_lease_ms == lease_ms, found
+
+
+@then("a new leader leaves an earlier one's orders {ms:d} ms")
+def check_holder(context, ms):
+    found = context.converted.node.scheduling
+    assert found.holder_ms == ms, found
