Let the holder's time say when an order on record is old

A new leader took an order on record for one of long ago after 9 s by its own clock: 3 s between two holders' orders, 5 s for clocks that differ and 1 s on the way. Only the 3 s were a bound, and it stood there as a number. Where the bound is 6 s and the new leader's clock is 4.5 s ahead, an instance that the leader before had ordered 5 s ago got a second holder's order at once; holders would take turns within the bound.

The age now follows from the bound; at 3 s it is 9 s as before. The scenario ordered m-w0 by two leaders within 6 s before and waits now.

--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -11,6 +11,10 @@
 _LEASE_MS = 4_000
 # Beyond the holder's lease, for an order that is on its way when it ends.
 _HOLDER_MARGIN_MS = 300
+# By how much two nodes may differ in the time of day, one of them after a jump.
+_CLOCK_STEP_MS = 5_000
+# Longest way of an order to the provider once it is on record.
+_ORDER_WAY_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +45,8 @@
         fresh_ms: A worker that is silent for longer gets no new runs.
         holder_ms: How long an earlier leader's orders to the provider may
             still arrive.
+        order_old_ms: An order on record that is older, by any node's clock,
+            was carried out long enough ago for another holder's.
     """
 
     lease_ms: int
@@ -49,6 +55,7 @@
     keep_ended_ms: int
     fresh_ms: int
     holder_ms: int
+    order_old_ms: int
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -61,11 +68,13 @@
             The settings.
         """
         lease_ms = min(_LEASE_MS, math.floor(bounds.longest_lease_ms))
+        holder_ms = math.ceil(bounds.holder_lease_ms)
         return cls(
             lease_ms=lease_ms,
             max_lease_ms=lease_ms,
             report_ms=_REPORT_MS,
             keep_ended_ms=math.ceil(bounds.keep_ended_ms),
             fresh_ms=_FRESH_MS,
-            holder_ms=math.ceil(bounds.holder_lease_ms) + _HOLDER_MARGIN_MS,
+            holder_ms=holder_ms + _HOLDER_MARGIN_MS,
+            order_old_ms=holder_ms + _CLOCK_STEP_MS + _ORDER_WAY_MS,
         )
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -16,34 +16,23 @@
 # How often the list is read while goals or waves need it, and otherwise.
 _BUSY_LIST_MS = 1_000
 _CALM_LIST_MS = 8_000
-# An order on record that is older has reached the provider long since, even by
-# clocks that differ by several seconds.
-_LONG_AGO_MS = 9_000
 # Pause before an order that was refused is tried again.
 _RETRY_MS = 600
 
 
-def _is_long_ago(ordered_wall_ms: int | None, wall_ms: int) -> bool:
-    """Tells whether an earlier leader's order is surely out of the way.
-
-    Args:
-        ordered_wall_ms: When the order was put on record; None for never.
-        wall_ms: Unix time, maybe by another node's clock.
-
-    Returns:
-        Whether it is.
-    """
-    if ordered_wall_ms is None:
-        return True
-    return wall_ms - ordered_wall_ms >= _LONG_AGO_MS
-
-
 class Steering:
     """Goals of a leader's term."""
 
-    def __init__(self, orders_from_ms: int) -> None:
+    def __init__(self, orders_from_ms: int, order_old_ms: int) -> None:
+        """Starts without goals.
+
+        Args:
+            orders_from_ms: From when on earlier leaders' orders count no more.
+            order_old_ms: Age from which an order on record counts no more.
+        """
         self.fleet = fleet_view.Fleet()
         self._orders_from_ms = orders_from_ms
+        self._order_old_ms = order_old_ms
         # When this leader first saw each wave; an older list says nothing
         # about its instances.
         self._waves_seen_ms: dict[int, int] = {}
@@ -75,6 +64,24 @@
         fleet.is_listing = True
         return True
 
+    def _is_long_ago(
+        self, book: job_book.Book, name: str, wall_ms: int
+    ) -> bool:
+        """Tells whether an earlier leader's order is surely out of the way.
+
+        Args:
+            book: The book.
+            name: The instance.
+            wall_ms: Unix time, maybe by another node's clock.
+
+        Returns:
+            Whether it is.
+        """
+        ordered_wall_ms = book.instances.ordered_wall_ms.get(name)
+        if ordered_wall_ms is None:
+            return True
+        return wall_ms - ordered_wall_ms >= self._order_old_ms
+
     def aim(self, order: instances.Order, now_ms: int) -> None:
         """Sets a goal for an instance that has none.
 
@@ -155,9 +162,8 @@
         for name, goal in self.fleet.goals.items():
             if goal.phase is not fleet_view.GoalPhase.DRAINING:
                 continue
-            if now_ms < self._orders_from_ms and not _is_long_ago(
-                book.instances.ordered_wall_ms.get(name), wall_ms
-            ):
+            is_early = now_ms < self._orders_from_ms
+            if is_early and not self._is_long_ago(book, name, wall_ms):
                 continue
             worker = table.find_by_instance(name)
             is_off = goal.from_pool == book.view.find_spare_pool()
@@ -195,10 +201,7 @@
             ordered |= frozenset(
                 other.life
                 for other in table.by_id.values()
-                if not _is_long_ago(
-                    book.instances.ordered_wall_ms.get(other.report.instance),
-                    wall_ms,
-                )
+                if not self._is_long_ago(book, other.report.instance, wall_ms)
             )
         match goal.order:
             case instances.Upkeep(_, number):
--- a/bench/bench_jobs.py
+++ b/bench/bench_jobs.py
@@ -4,20 +4,29 @@
 2,000 jobs. Bound: 0.2 ms of processor time a start.
 """
 
+import dataclasses
 import time
 
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import book as job_book
 from bambookeel.jobs import calls
 from bambookeel.jobs import scheduler as job_scheduler
+from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 from bench import lines
 
 _BOUND_MS = 0.2
 _WORKERS = 200
 _CORES_MILLI = 64_000
-_SETTINGS = job_scheduler.SchedulerSettings(
-    4_000, 4_000, 200, 120_000, 10**9, 3_300
+_SETTINGS = dataclasses.replace(
+    job_settings.SchedulerSettings.from_bounds(
+        job_settings.Bounds(
+            longest_lease_ms=6_000,
+            keep_ended_ms=120_000,
+            holder_lease_ms=3_000,
+        )
+    ),
+    fresh_ms=10**9,
 )
 
 
--- /dev/null
+++ b/features/fakes/jobs_bounds.py
@@ -0,0 +1,10 @@
+"""Bounds of the simulated deployment around the scheduler."""
+
+from bambookeel.jobs import settings as job_settings
+
+BOUNDS = job_settings.Bounds(
+    longest_lease_ms=6_000,
+    keep_ended_ms=600_000,
+    holder_lease_ms=3_000,
+)
+SETTINGS = job_settings.SchedulerSettings.from_bounds(BOUNDS)
--- a/features/fakes/jobs_world.py
+++ b/features/fakes/jobs_world.py
@@ -14,20 +14,13 @@
 from bambookeel.jobs import instances
 from bambookeel.jobs import scheduler as job_scheduler
 from bambookeel.jobs import specs
+from features.fakes import jobs_bounds
 from features.fakes import jobs_checks
 from features.fakes import jobs_worker
 
 STEP_MS = 25
 # A response that takes longer is dropped by the worker.
 RESPONSE_MS = 1_000
-SETTINGS = job_scheduler.SchedulerSettings(
-    lease_ms=4_000,
-    max_lease_ms=4_000,
-    report_ms=200,
-    keep_ended_ms=600_000,
-    fresh_ms=1_200,
-    holder_ms=3_300,
-)
 WALL_START_MS = 1_700_000_000_000
 HOST = "jobs.example"
 
@@ -35,9 +28,13 @@
 class World:  # pylint: disable=too-many-public-methods
     """Everything, with the checks."""
 
+    settings = jobs_bounds.SETTINGS
+
     def __init__(self, seed, workers=4, cap_milli=0, faults=True):
         self.random = random.Random(seed)
         self.now_ms = 1_000_000
+        # How far the leader's time of day is ahead.
+        self.wall_ahead_ms = 0
         self.faults = faults
         self.duration_ms = None
         self.fail_share = 0.0
@@ -113,7 +110,8 @@
 
     def read_now(self):
         """Gives the time on both clocks."""
-        return job_scheduler.Now(self.now_ms, WALL_START_MS + self.now_ms)
+        wall_ms = WALL_START_MS + self.now_ms + self.wall_ahead_ms
+        return job_scheduler.Now(self.now_ms, wall_ms)
 
     def lead(self):
         """Lets a new leader start from what is committed."""
@@ -122,7 +120,7 @@
             self.advisor.drop_waiting()
         book = book_snapshot.decode_book(self.committed)
         self.scheduler = job_scheduler.Scheduler(
-            book, SETTINGS, self.term, self.read_now()
+            book, self.settings, self.term, self.read_now()
         )
         self.scheduler.take_list(
             tuple(
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -16,7 +16,7 @@
 from bambookeel.runtime import supervisor
 from bambookeel.runtime import timers
 from bambookeel.storage import store
-from features.fakes import jobs_world
+from features.fakes import jobs_bounds
 from features.fakes import memory_folder
 
 _LIMIT_S = 30.0
@@ -47,7 +47,7 @@
             is_first_start=self._starts == 1,
             data_folder="memory",
             consensus=self.group.timings,
-            scheduling=jobs_world.SETTINGS,
+            scheduling=jobs_bounds.SETTINGS,
             channel_heartbeat_ms=100,
             channel_timeout_ms=500,
         )
--- /dev/null
+++ b/features/jobs/bounds.feature
@@ -0,0 +1,14 @@
+Feature: Deployments with other bounds
+
+  Scenario: A new leader whose clock is ahead orders nothing within a longer holder's time
+    # It took an order on record for one that had reached the provider long ago.
+    Given a calm world of 3 workers with these bounds
+      | bound           | ms   |
+      | holder_lease_ms | 6000 |
+    When wave 1 of instance "m-w0" is asked for
+    And 5000 ms pass for the jobs with a provider
+    And another scheduler whose clock is 4500 ms ahead takes over
+    And wave 2 of instance "m-w0" is asked for
+    And 40000 ms pass for the jobs with a provider
+    Then the wave is complete
+    And no instance was ordered by two leaders within 6000 ms
--- /dev/null
+++ b/features/steps/bounds_steps.py
@@ -0,0 +1,29 @@
+"""Steps for deployments with other bounds, around the pure scheduler."""
+
+import dataclasses
+
+from behave import given
+from behave import when
+
+from bambookeel.jobs import settings as job_settings
+from features.fakes import jobs_bounds
+from features.fakes import jobs_provider
+from features.fakes import jobs_world
+
+
+@given("a calm world of {count:d} workers with these bounds")
+def create_world(context, count):
+    values = {row["bound"]: float(row["ms"]) for row in context.table}
+    bounds = dataclasses.replace(jobs_bounds.BOUNDS, **values)
+    context.world = jobs_world.World(1, workers=count, faults=False)
+    context.world.settings = job_settings.SchedulerSettings.from_bounds(bounds)
+    context.world.lead()
+    context.provider = jobs_provider.FakeProvider(context.world)
+    context.answer = None
+
+
+@when("another scheduler whose clock is {ms:d} ms ahead takes over")
+def change_leader(context, ms):
+    context.world.wall_ahead_ms = ms
+    context.world.lead()
+    context.provider.reset()
