Keep ended jobs for as long as the bound by any leader's clock

A job's end carries the time of day of the leader of then, and the leader of now drops it after the bound by its own. Where that clock is seconds ahead, after a change of leader or a jump, callers who asked for a job within the bound were told that there is no such job.

Ended jobs are now kept for the difference that clocks may have as well. The scenario (bound 10 s, job ended 6 s ago, clock 4.5 s ahead) was told 'no such job' before.

--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -73,7 +73,7 @@
             lease_ms=lease_ms,
             max_lease_ms=lease_ms,
             report_ms=_REPORT_MS,
-            keep_ended_ms=math.ceil(bounds.keep_ended_ms),
+            keep_ended_ms=math.ceil(bounds.keep_ended_ms) + _CLOCK_STEP_MS,
             fresh_ms=_FRESH_MS,
             holder_ms=holder_ms + _HOLDER_MARGIN_MS,
             order_old_ms=holder_ms + _CLOCK_STEP_MS + _ORDER_WAY_MS,
--- a/features/jobs/bounds.feature
+++ b/features/jobs/bounds.feature
@@ -12,3 +12,15 @@
     And 40000 ms pass for the jobs with a provider
     Then the wave is complete
     And no instance was ordered by two leaders within 6000 ms
+
+  Scenario: A new leader whose clock is ahead still knows the jobs that ended
+    Given a calm world of 3 workers with these bounds
+      | bound         | ms    |
+      | keep_ended_ms | 10000 |
+    When job "a" of 1 step of 1 task is handed in
+    And 3000 ms pass for the jobs
+    And another scheduler whose clock is 4500 ms ahead takes over
+    And 6000 ms pass for the jobs
+    Then job "a" is "completed"
+    When 10000 ms pass for the jobs
+    Then job "a" is not known
--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -3,12 +3,15 @@
 import dataclasses
 
 from behave import given
+from behave import then
 from behave import when
 
+from bambookeel.jobs import calls
 from bambookeel.jobs import settings as job_settings
 from features.fakes import jobs_bounds
 from features.fakes import jobs_provider
 from features.fakes import jobs_world
+from features.steps import job_steps
 
 
 @given("a calm world of {count:d} workers with these bounds")
@@ -27,3 +30,9 @@
     context.world.wall_ahead_ms = ms
     context.world.lead()
     context.provider.reset()
+
+
+@then('job "{job}" is not known')
+def check_unknown(context, job):
+    answer = context.world.ask(job_steps.name_job(job))
+    assert isinstance(answer, calls.NoSuchJob), answer
