Count silent workers' tasks as away within the bound

A planned act counted a standing task as at work until its worker had been silent for 1.5 s, whatever the bound after which the task counts as away. An order is on its way for up to a second more. Where the bound is half of the known sites' (2.25 s), an upkeep could end a task while as many others were away as the step may miss.

The silence now follows from the bound, less an order's way; at 4.5 s it is 1.5 s as before. In the scenario the second worker was ordered away 1.2 s after the first fell silent; now the wave waits until its task is at work elsewhere.

--- a/bambookeel/jobs/availability.py
+++ b/bambookeel/jobs/availability.py
@@ -10,15 +10,13 @@
 from bambookeel.jobs import workers as worker_table
 
 _AT_WORK_PERCENT = 100
-# A worker that was not heard for so long may not be running its tasks.
-_HEARD_MS = 1_500
 
 
 def is_at_work(
     table: worker_table.WorkerTable,
     task: book_records.Task,
     ordered: frozenset[specs.WorkerLife],
-    now_ms: int,
+    heard_from_ms: int,
 ) -> bool:
     """Tells whether a standing task is at work.
 
@@ -26,7 +24,8 @@
         table: The workers.
         task: The task.
         ordered: Workers whose instances have been ordered away.
-        now_ms: The time.
+        heard_from_ms: A worker that was last heard before may not be running
+            its tasks.
 
     Returns:
         Whether its worker has lately said so.
@@ -38,7 +37,7 @@
         listed = worker.running.get(task.ref)
         if listed is None or listed.run != run:
             continue
-        if now_ms - worker.heard_ms > _HEARD_MS:
+        if worker.heard_ms < heard_from_ms:
             continue
         if listed.percent >= _AT_WORK_PERCENT:
             return True
@@ -50,7 +49,7 @@
     table: worker_table.WorkerTable,
     life: specs.WorkerLife,
     ordered: frozenset[specs.WorkerLife],
-    now_ms: int,
+    heard_from_ms: int,
 ) -> bool:
     """Tells whether everything on a worker may be ended.
 
@@ -59,7 +58,8 @@
         table: The workers.
         life: The worker.
         ordered: Workers whose instances have been ordered away.
-        now_ms: The time.
+        heard_from_ms: A worker that was last heard before may not be running
+            its tasks.
 
     Returns:
         Whether every standing step stays within what it may miss.
@@ -74,7 +74,7 @@
         away = 0
         for task in step.tasks:
             on_worker = life in task.runs.values()
-            if on_worker or not is_at_work(table, task, ordered, now_ms):
+            if on_worker or not is_at_work(table, task, ordered, heard_from_ms):
                 away += 1
         if away > max(1, step.spec.max_missing):
             return False
--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -15,6 +15,9 @@
 _CLOCK_STEP_MS = 5_000
 # Longest way of an order to the provider once it is on record.
 _ORDER_WAY_MS = 1_000
+# Silence of a worker after which its tasks count as away, where that is not
+# bounded more tightly; several missed reports.
+_HEARD_MS = 1_500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,11 +29,14 @@
         keep_ended_ms: How long ended jobs must be known.
         holder_lease_ms: Shortest time between two holders' orders for one
             instance.
+        away_ms: How long a standing task is away before planned acts must
+            count it.
     """
 
     longest_lease_ms: float
     keep_ended_ms: float
     holder_lease_ms: float
+    away_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +53,8 @@
             still arrive.
         order_old_ms: An order on record that is older, by any node's clock,
             was carried out long enough ago for another holder's.
+        heard_ms: A worker that is silent for longer may not be running its
+            tasks.
     """
 
     lease_ms: int
@@ -56,6 +64,7 @@
     fresh_ms: int
     holder_ms: int
     order_old_ms: int
+    heard_ms: int
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -69,6 +78,8 @@
         """
         lease_ms = min(_LEASE_MS, math.floor(bounds.longest_lease_ms))
         holder_ms = math.ceil(bounds.holder_lease_ms)
+        # What is decided now is carried out up to an order's way later.
+        heard_ms = math.floor(bounds.away_ms) - _ORDER_WAY_MS - _REPORT_MS
         return cls(
             lease_ms=lease_ms,
             max_lease_ms=lease_ms,
@@ -77,4 +88,5 @@
             fresh_ms=_FRESH_MS,
             holder_ms=holder_ms + _HOLDER_MARGIN_MS,
             order_old_ms=holder_ms + _CLOCK_STEP_MS + _ORDER_WAY_MS,
+            heard_ms=min(_HEARD_MS, max(heard_ms, 2 * _REPORT_MS)),
         )
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -9,6 +9,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
+from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 from bambookeel.jobs import upkeep
 from bambookeel.jobs import workers as worker_table
@@ -23,16 +24,18 @@
 class Steering:
     """Goals of a leader's term."""
 
-    def __init__(self, orders_from_ms: int, order_old_ms: int) -> None:
+    def __init__(
+        self, settings: job_settings.SchedulerSettings, now_ms: int
+    ) -> None:
         """Starts without goals.
 
         Args:
-            orders_from_ms: From when on earlier leaders' orders count no more.
-            order_old_ms: Age from which an order on record counts no more.
+            settings: Times to keep to.
+            now_ms: When the term began.
         """
         self.fleet = fleet_view.Fleet()
-        self._orders_from_ms = orders_from_ms
-        self._order_old_ms = order_old_ms
+        self._settings = settings
+        self._orders_from_ms = now_ms + settings.holder_ms
         # When this leader first saw each wave; an older list says nothing
         # about its instances.
         self._waves_seen_ms: dict[int, int] = {}
@@ -80,7 +83,7 @@
         ordered_wall_ms = book.instances.ordered_wall_ms.get(name)
         if ordered_wall_ms is None:
             return True
-        return wall_ms - ordered_wall_ms >= self._order_old_ms
+        return wall_ms - ordered_wall_ms >= self._settings.order_old_ms
 
     def aim(self, order: instances.Order, now_ms: int) -> None:
         """Sets a goal for an instance that has none.
@@ -203,6 +206,7 @@
                 for other in table.by_id.values()
                 if not self._is_long_ago(book, other.report.instance, wall_ms)
             )
+        heard_from_ms = now_ms - self._settings.heard_ms
         match goal.order:
             case instances.Upkeep(_, number):
                 wave = book.instances.waves[number]
@@ -213,13 +217,19 @@
                 left_ms = (ends_ms - wall_ms) // rounds
                 waited_ms = now_ms - goal.since_ms
                 return upkeep.may_begin(
-                    book, table, life, ordered, waited_ms, left_ms, now_ms
+                    book,
+                    table,
+                    life,
+                    ordered,
+                    waited_ms,
+                    left_ms,
+                    heard_from_ms,
                 )
             case instances.Move():
                 if book.held.get(life):
                     return False
                 return availability.may_interrupt(
-                    book, table, life, ordered, now_ms
+                    book, table, life, ordered, heard_from_ms
                 )
         return False
 
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -55,9 +55,7 @@
         self.fencing_token = fencing_token
         self.workers = worker_table.WorkerTable()
         self.times = objectives.RunTimes()
-        self.steering = steering.Steering(
-            now.steady_ms + settings.holder_ms, settings.order_old_ms
-        )
+        self.steering = steering.Steering(settings, now.steady_ms)
         # Commands, orders and log lines that nobody has taken yet.
         self.batch: list[commands.Command] = []
         self.orders: list[instances.Order] = []
--- a/bambookeel/jobs/upkeep.py
+++ b/bambookeel/jobs/upkeep.py
@@ -88,7 +88,7 @@
     ordered: frozenset[specs.WorkerLife],
     waited_ms: int,
     left_ms: int,
-    now_ms: int,
+    heard_from_ms: int,
 ) -> bool:
     """Tells whether a drained instance may be taken down now.
 
@@ -99,12 +99,15 @@
         ordered: Workers whose instances have been ordered away.
         waited_ms: How long it has been drained.
         left_ms: Time that the wave has for each round to come.
-        now_ms: The time.
+        heard_from_ms: A worker that was last heard before may not be running
+            its tasks.
 
     Returns:
         Whether nothing runs there that is worth waiting for.
     """
-    if not availability.may_interrupt(book, table, life, ordered, now_ms):
+    if not availability.may_interrupt(
+        book, table, life, ordered, heard_from_ms
+    ):
         return False
     if waited_ms >= _DRAIN_MS or left_ms < _ROUND_MS:
         return True
--- a/bench/bench_jobs.py
+++ b/bench/bench_jobs.py
@@ -24,6 +24,7 @@
             longest_lease_ms=6_000,
             keep_ended_ms=120_000,
             holder_lease_ms=3_000,
+            away_ms=4_500,
         )
     ),
     fresh_ms=10**9,
--- a/features/fakes/jobs_bounds.py
+++ b/features/fakes/jobs_bounds.py
@@ -6,5 +6,6 @@
     longest_lease_ms=6_000,
     keep_ended_ms=600_000,
     holder_lease_ms=3_000,
+    away_ms=4_500,
 )
 SETTINGS = job_settings.SchedulerSettings.from_bounds(BOUNDS)
--- a/features/jobs/bounds.feature
+++ b/features/jobs/bounds.feature
@@ -24,3 +24,16 @@
     Then job "a" is "completed"
     When 10000 ms pass for the jobs
     Then job "a" is not known
+
+  Scenario: A task whose worker is silent counts as away before a shorter bound
+    # An order is on its way for up to a second; the task was counted as at work
+    # until 1.5 s after its worker's last report.
+    Given a calm world of 3 workers with these bounds
+      | bound   | ms   |
+      | away_ms | 2250 |
+    And a standing job of 3 tasks that may miss 1
+    When the worker that runs it falls silent
+    And 1150 ms pass for the jobs with a provider
+    And wave 1 of instance "m-w1" is asked for
+    And 1000 ms pass for the jobs with a provider
+    Then no instance was ordered
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -60,3 +60,13 @@
       | lease_ms    | 2999.5 |
     Then a run's lease is 2500 ms
     And a new leader leaves an earlier one's orders 3300 ms
+
+  Scenario: Each bound reaches the times that it gives
+    When the settings with these bounds are converted
+      | bound     | value |
+      | lease_ms  | 6000  |
+      | notice_ms | 2250  |
+    Then the scheduler keeps to these times
+      | time         | ms    |
+      | order_old_ms | 12000 |
+      | heard_ms     | 1050  |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -277,3 +277,10 @@
 def check_holder(context, ms):
     found = context.converted.node.scheduling
     assert found.holder_ms == ms, found
+
+
+@then("the scheduler keeps to these times")
+def check_times(context):
+    found = context.converted.node.scheduling
+    for row in context.table:
+        assert getattr(found, row["time"]) == int(row["ms"]), (row, found)
--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -36,3 +36,8 @@
 def check_unknown(context, job):
     answer = context.world.ask(job_steps.name_job(job))
     assert isinstance(answer, calls.NoSuchJob), answer
+
+
+@then("no instance was ordered")
+def check_no_order(context):
+    assert not context.provider.orders, context.provider.orders
