Stop fillers in time for a shorter bound on the harm they do

A tail over its target halves the pace of what fills beside it every half second, so that it stands after 1.5 s, and the tail shows it half a second later. Nothing tied this to the bound on how long a serving task may be over its target; where that is half of the known sites' (2 s), the fillers still worked at the end of it.

What fills now stops altogether once a tail has been over its target for the bound less a second. At 4 s that is never reached before the steps are through, so that nothing changes there. In the scenario the pace stood at 12 percent after 1.3 s before and is 0 now.

--- a/bambookeel/jobs/pacing.py
+++ b/bambookeel/jobs/pacing.py
@@ -2,7 +2,8 @@
 
 A serving task reports the tail of its response times. When that nears its
 target, everything that fills on the same worker is slowed down at once; the
-pace is given back in small steps while the tail stays well below.
+pace is given back in small steps while the tail stays well below. A tail that
+stays over its target for too long stops everything that fills.
 """
 
 import dataclasses
@@ -28,28 +29,42 @@
     Attributes:
         percent: Share of their full speed.
         changed_ms: When it last changed.
+        over_since_ms: Since when a tail has been over its target; -1 if none
+            is.
     """
 
     percent: int = FULL_PERCENT
     changed_ms: int = 0
+    over_since_ms: int = -1
 
 
-def adjust(pace: Pace, tails: list[tuple[int, int]], now_ms: int) -> bool:
+def adjust(
+    pace: Pace, tails: list[tuple[int, int]], over_ms: int, now_ms: int
+) -> bool:
     """Adjusts the pace to the tails of a new report.
 
     Args:
         pace: The pace, which is changed.
         tails: Tail and target of each serving task, in milliseconds.
+        over_ms: How long a tail may be over its target before everything that
+            fills stops.
         now_ms: The time.
 
     Returns:
         Whether it has changed.
     """
-    if now_ms - pace.changed_ms < STEP_MS:
-        return False
     worst = max((tail / target for tail, target in tails), default=0.0)
+    if worst <= 1.0:
+        pace.over_since_ms = -1
+    elif pace.over_since_ms < 0:
+        pace.over_since_ms = now_ms
+    is_long_over = worst > 1.0 and now_ms - pace.over_since_ms >= over_ms
+    if not is_long_over and now_ms - pace.changed_ms < STEP_MS:
+        return False
     percent = pace.percent
-    if worst >= SLOW_AT:
+    if is_long_over:
+        percent = 0
+    elif worst >= SLOW_AT:
         percent = int(percent * _SLOW_FACTOR)
         if percent < _MIN_PERCENT:
             percent = 0
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -198,7 +198,7 @@
         step = term.book.get_step(run.task)
         if step is not None and step.spec.target_ms:
             tails.append((run.tail_ms, step.spec.target_ms))
-    if pacing.adjust(worker.pace, tails, now_ms):
+    if pacing.adjust(worker.pace, tails, term.settings.over_ms, now_ms):
         term.note(
             "pace_changed",
             worker=worker.life.worker,
--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -18,6 +18,9 @@
 # Silence of a worker after which its tasks count as away, where that is not
 # bounded more tightly; several missed reports.
 _HEARD_MS = 1_500
+# From a tail that is over its target to a pace that shows in it: a report each
+# way, the span of half a second that a tail is measured over, and a rest.
+_PACE_WAY_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,12 +34,14 @@
             instance.
         away_ms: How long a standing task is away before planned acts must
             count it.
+        harm_ms: How long filling tasks may keep a serving one over its target.
     """
 
     longest_lease_ms: float
     keep_ended_ms: float
     holder_lease_ms: float
     away_ms: float
+    harm_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,6 +60,8 @@
             was carried out long enough ago for another holder's.
         heard_ms: A worker that is silent for longer may not be running its
             tasks.
+        over_ms: How long a serving task may be over its target before what
+            fills beside it stops.
     """
 
     lease_ms: int
@@ -65,6 +72,7 @@
     holder_ms: int
     order_old_ms: int
     heard_ms: int
+    over_ms: int
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -89,4 +97,5 @@
             holder_ms=holder_ms + _HOLDER_MARGIN_MS,
             order_old_ms=holder_ms + _CLOCK_STEP_MS + _ORDER_WAY_MS,
             heard_ms=min(_HEARD_MS, max(heard_ms, 2 * _REPORT_MS)),
+            over_ms=max(0, math.floor(bounds.harm_ms) - _PACE_WAY_MS),
         )
--- a/bench/bench_jobs.py
+++ b/bench/bench_jobs.py
@@ -25,6 +25,7 @@
             keep_ended_ms=120_000,
             holder_lease_ms=3_000,
             away_ms=4_500,
+            harm_ms=4_000,
         )
     ),
     fresh_ms=10**9,
--- a/features/fakes/jobs_bounds.py
+++ b/features/fakes/jobs_bounds.py
@@ -7,5 +7,6 @@
     keep_ended_ms=600_000,
     holder_lease_ms=3_000,
     away_ms=4_500,
+    harm_ms=4_000,
 )
 SETTINGS = job_settings.SchedulerSettings.from_bounds(BOUNDS)
--- a/features/jobs/bounds.feature
+++ b/features/jobs/bounds.feature
@@ -37,3 +37,12 @@
     And wave 1 of instance "m-w1" is asked for
     And 1000 ms pass for the jobs with a provider
     Then no instance was ordered
+
+  Scenario: A serving task is relieved within a shorter bound
+    # Three halvings of the pace and the tail's own span took longer.
+    Given a calm world of 1 workers with these bounds
+      | bound   | ms   |
+      | harm_ms | 2000 |
+    And a job of 1 serving and 2 filling tasks
+    When the serving task's tail is 120 ms of its 100 ms for 1300 ms
+    Then the worker was told to stop both filling tasks
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -66,7 +66,9 @@
       | bound     | value |
       | lease_ms  | 6000  |
       | notice_ms | 2250  |
+      | impact_ms | 2000  |
     Then the scheduler keeps to these times
       | time         | ms    |
       | order_old_ms | 12000 |
       | heard_ms     | 1050  |
+      | over_ms      | 1000  |
--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -41,3 +41,9 @@
 @then("no instance was ordered")
 def check_no_order(context):
     assert not context.provider.orders, context.provider.orders
+
+
+@then("the worker was told to stop both filling tasks")
+def check_stopped(context):
+    paces = context.world.workers["w0"].paces
+    assert list(paces.values()) == [0, 0], paces
--- a/features/steps/pacing_steps.py
+++ b/features/steps/pacing_steps.py
@@ -6,6 +6,7 @@
 
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
+from features.fakes import jobs_bounds
 
 
 @given("a worker whose filling tasks run at full pace")
@@ -18,7 +19,12 @@
 def report_tails(context, a, b, c):
     for tail in (a, b, c):
         context.now_ms += pacing.STEP_MS
-        pacing.adjust(context.pace, [(tail, 100)], context.now_ms)
+        pacing.adjust(
+            context.pace,
+            [(tail, 100)],
+            jobs_bounds.SETTINGS.over_ms,
+            context.now_ms,
+        )
 
 
 @then("the filling tasks run at {percent:d} percent")
