Give a run time for a longer restore before it stands still

A run that made no progress for 0.9 s, or 1.8 s from its start, was taken away and its worker got nothing new for 5 s. A run that goes on from its checkpoint makes none until it is restored. Where the bound on that is twice the known sites' (1.2 s) and the run lists its checkpoint's percentage meanwhile, each run was taken away before it went on: the job never ended and its workers stood under suspicion in turn.

Both times now follow from the bound; at 0.6 s they are as before. In the scenario the run was taken away and the job not complete after 4 s; now its first run ends.

--- a/bambookeel/jobs/health.py
+++ b/bambookeel/jobs/health.py
@@ -7,13 +7,9 @@
 
 import dataclasses
 
+from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 
-# A run without progress for so long stands still; ordinary ones gain some
-# percent between two reports.
-STALL_MS = 900
-# One that has not begun may be restoring its checkpoint.
-STALL_AT_START_MS = 1_800
 # How long a worker gets nothing new after one failure, or after more.
 FIRST_SUSPICION_MS = 1_500
 SUSPICION_MS = 5_000
@@ -79,6 +75,7 @@
 def find_stalled(
     record: Record,
     listed: list[tuple[specs.TaskRef, int, int]],
+    settings: job_settings.SchedulerSettings,
     now_ms: int,
 ) -> list[tuple[specs.TaskRef, int]]:
     """Finds runs that stand still, from a new report.
@@ -86,6 +83,7 @@
     Args:
         record: The worker's record, which is brought up to date.
         listed: Task, run and percent of each run that should make progress.
+        settings: How long a run may take to make some.
         now_ms: The time.
 
     Returns:
@@ -98,7 +96,9 @@
         if known is None or known.percent != percent:
             known = Progress(percent, now_ms)
         seen[task, run] = known
-        limit_ms = STALL_MS if percent else STALL_AT_START_MS
+        limit_ms = settings.stall_at_start_ms
+        if percent:
+            limit_ms = settings.stall_ms
         if now_ms - known.changed_ms >= limit_ms:
             stalled.append((task, run))
     record.progress = seen
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -170,7 +170,9 @@
             # A filler may get no time at all from the tasks beside it.
             continue
         listed.append((run.task, run.run, run.percent))
-    for key in health.find_stalled(worker.health, listed, now.steady_ms):
+    for key in health.find_stalled(
+        worker.health, listed, term.settings, now.steady_ms
+    ):
         if key in term.withdrawn:
             continue
         term.withdrawn.add(key)
--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -21,6 +21,13 @@
 # From a tail that is over its target to a pace that shows in it: a report each
 # way, the span of half a second that a tail is measured over, and a rest.
 _PACE_WAY_MS = 1_000
+# A run without progress for so long stands still; ordinary ones gain some
+# percent between two reports.
+_STALL_MS = 900
+# One that has not begun may be held up by more than its checkpoint.
+_STALL_AT_START_MS = 1_800
+# From the end of a restore to the first report that tells of progress.
+_RESTORED_MS = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +42,7 @@
         away_ms: How long a standing task is away before planned acts must
             count it.
         harm_ms: How long filling tasks may keep a serving one over its target.
+        restore_ms: How long a run takes to go on from its checkpoint.
     """
 
     longest_lease_ms: float
@@ -42,6 +50,7 @@
     holder_lease_ms: float
     away_ms: float
     harm_ms: float
+    restore_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +71,8 @@
             tasks.
         over_ms: How long a serving task may be over its target before what
             fills beside it stops.
+        stall_ms: A run without progress for so long stands still.
+        stall_at_start_ms: The same for one that has made none yet.
     """
 
     lease_ms: int
@@ -73,6 +84,8 @@
     order_old_ms: int
     heard_ms: int
     over_ms: int
+    stall_ms: int
+    stall_at_start_ms: int
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -88,6 +101,7 @@
         holder_ms = math.ceil(bounds.holder_lease_ms)
         # What is decided now is carried out up to an order's way later.
         heard_ms = math.floor(bounds.away_ms) - _ORDER_WAY_MS - _REPORT_MS
+        restored_ms = math.ceil(bounds.restore_ms) + _RESTORED_MS
         return cls(
             lease_ms=lease_ms,
             max_lease_ms=lease_ms,
@@ -98,4 +112,8 @@
             order_old_ms=holder_ms + _CLOCK_STEP_MS + _ORDER_WAY_MS,
             heard_ms=min(_HEARD_MS, max(heard_ms, 2 * _REPORT_MS)),
             over_ms=max(0, math.floor(bounds.harm_ms) - _PACE_WAY_MS),
+            # The run may list the percentage of its checkpoint meanwhile.
+            stall_ms=max(_STALL_MS, restored_ms),
+            # A slow worker takes longer to restore as well.
+            stall_at_start_ms=max(_STALL_AT_START_MS, 2 * restored_ms),
         )
--- a/bench/bench_jobs.py
+++ b/bench/bench_jobs.py
@@ -26,6 +26,7 @@
             holder_lease_ms=3_000,
             away_ms=4_500,
             harm_ms=4_000,
+            restore_ms=600,
         )
     ),
     fresh_ms=10**9,
--- a/features/fakes/jobs_bounds.py
+++ b/features/fakes/jobs_bounds.py
@@ -8,5 +8,6 @@
     holder_lease_ms=3_000,
     away_ms=4_500,
     harm_ms=4_000,
+    restore_ms=600,
 )
 SETTINGS = job_settings.SchedulerSettings.from_bounds(BOUNDS)
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -32,6 +32,8 @@
     is_up: bool = True
     is_cut: bool = False
     hangs: bool = False
+    # How long each run restores its checkpoint and lists that one's percentage.
+    restoring_ms: int = 0
     tail_ms: int = 0
     paces: dict = dataclasses.field(default_factory=dict)
     fails: bool = False
@@ -48,6 +50,8 @@
         """Gives the percentage that a run reports."""
         if run.ends_ms - run.begun_ms > 10**8:
             return 100
+        if now_ms - run.begun_ms < self.restoring_ms:
+            return 40
         share = (now_ms - run.begun_ms) / (run.ends_ms - run.begun_ms)
         return 1 if self.hangs else min(99, int(100 * share))
 
--- a/features/jobs/bounds.feature
+++ b/features/jobs/bounds.feature
@@ -46,3 +46,14 @@
     And a job of 1 serving and 2 filling tasks
     When the serving task's tail is 120 ms of its 100 ms for 1300 ms
     Then the worker was told to stop both filling tasks
+
+  Scenario: A run that restores its checkpoint for a longer bound does not stand still
+    # It was taken away before it went on, and so was each run after it.
+    Given a calm world of 3 workers with these bounds
+      | bound      | ms   |
+      | restore_ms | 1200 |
+    And each run restores its checkpoint for 1200 ms
+    When job "a" of 1 step of 1 task of 3000 ms is handed in
+    And 4000 ms pass for the jobs
+    Then job "a" is "completed"
+    And 1 run has started
--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -25,6 +25,12 @@
     context.answer = None
 
 
+@given("each run restores its checkpoint for {ms:d} ms")
+def restore_long(context, ms):
+    for worker in context.world.workers.values():
+        worker.restoring_ms = ms
+
+
 @when("another scheduler whose clock is {ms:d} ms ahead takes over")
 def change_leader(context, ms):
     context.world.wall_ahead_ms = ms
