Let the upkeep's own time say when a wave must not wait

A wave stopped waiting for tasks once it had less than 4 s left for each round to come, about twice the known upkeep of 2 s. Where an upkeep takes 4 s, it went on draining for up to 2.5 s a round while that made it late.

The time for a round is now the bound on an upkeep and 2 s; at 2 s it is 4 s as before. In the scenario (3 rounds of 4 s within 16 s, long tasks everywhere) the wave was late before and is complete now.

--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -28,6 +28,9 @@
 _STALL_AT_START_MS = 1_800
 # From the end of a restore to the first report that tells of progress.
 _RESTORED_MS = 300
+# What a round of a wave takes beside the upkeep itself: the order, the list or
+# report that shows the instance again, and a rest.
+_ROUND_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +46,7 @@
             count it.
         harm_ms: How long filling tasks may keep a serving one over its target.
         restore_ms: How long a run takes to go on from its checkpoint.
+        upkeep_ms: How long an instance is away for its upkeep.
     """
 
     longest_lease_ms: float
@@ -51,6 +55,7 @@
     away_ms: float
     harm_ms: float
     restore_ms: float
+    upkeep_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +78,8 @@
             fills beside it stops.
         stall_ms: A run without progress for so long stands still.
         stall_at_start_ms: The same for one that has made none yet.
+        round_ms: A wave with less time than this for each round to come waits
+            for nothing.
     """
 
     lease_ms: int
@@ -86,6 +93,7 @@
     over_ms: int
     stall_ms: int
     stall_at_start_ms: int
+    round_ms: int
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -116,4 +124,5 @@
             stall_ms=max(_STALL_MS, restored_ms),
             # A slow worker takes longer to restore as well.
             stall_at_start_ms=max(_STALL_AT_START_MS, 2 * restored_ms),
+            round_ms=math.ceil(bounds.upkeep_ms) + _ROUND_MS,
         )
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -214,7 +214,8 @@
                 ends_ms = request.at_wall_ms + request.duration_ms
                 waiting = len(wave.waiting)
                 rounds = -(-waiting // request.max_at_once) or 1
-                left_ms = (ends_ms - wall_ms) // rounds
+                spare_ms = (ends_ms - wall_ms) // rounds
+                spare_ms -= self._settings.round_ms
                 waited_ms = now_ms - goal.since_ms
                 return upkeep.may_begin(
                     book,
@@ -222,7 +223,7 @@
                     life,
                     ordered,
                     waited_ms,
-                    left_ms,
+                    spare_ms,
                     heard_from_ms,
                 )
             case instances.Move():
--- a/bambookeel/jobs/upkeep.py
+++ b/bambookeel/jobs/upkeep.py
@@ -15,9 +15,6 @@
 # An instance that is not empty after so long is taken down as it is; about the
 # length of a long task.
 _DRAIN_MS = 2_500
-# Once a wave has less than this left for each round to come, nothing is
-# waited for; an upkeep takes about as long.
-_ROUND_MS = 4_000
 
 
 def choose_next(
@@ -87,7 +84,7 @@
     life: specs.WorkerLife,
     ordered: frozenset[specs.WorkerLife],
     waited_ms: int,
-    left_ms: int,
+    spare_ms: int,
     heard_from_ms: int,
 ) -> bool:
     """Tells whether a drained instance may be taken down now.
@@ -98,7 +95,8 @@
         life: The worker on it.
         ordered: Workers whose instances have been ordered away.
         waited_ms: How long it has been drained.
-        left_ms: Time that the wave has for each round to come.
+        spare_ms: Time that the wave has for each round to come, beyond what
+            the round itself takes.
         heard_from_ms: A worker that was last heard before may not be running
             its tasks.
 
@@ -109,7 +107,7 @@
         book, table, life, ordered, heard_from_ms
     ):
         return False
-    if waited_ms >= _DRAIN_MS or left_ms < _ROUND_MS:
+    if waited_ms >= _DRAIN_MS or spare_ms < 0:
         return True
     for ref in book.held.get(life, {}):
         step = book.get_step(ref)
--- a/bench/bench_jobs.py
+++ b/bench/bench_jobs.py
@@ -27,6 +27,7 @@
             away_ms=4_500,
             harm_ms=4_000,
             restore_ms=600,
+            upkeep_ms=2_000,
         )
     ),
     fresh_ms=10**9,
--- a/features/fakes/jobs_bounds.py
+++ b/features/fakes/jobs_bounds.py
@@ -9,5 +9,6 @@
     away_ms=4_500,
     harm_ms=4_000,
     restore_ms=600,
+    upkeep_ms=2_000,
 )
 SETTINGS = job_settings.SchedulerSettings.from_bounds(BOUNDS)
--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -6,7 +6,6 @@
 
 from bambookeel.jobs import instances
 
-_UPKEEP_MS = 2_000
 _ANSWER_MS = 25
 
 
@@ -16,6 +15,7 @@
     def __init__(self, world):
         self._world = world
         self._down = {}
+        self.upkeep_ms = 2_000
         # Whether the first answer to each order is lost.
         self.loses_first = False
         self._lost = set()
@@ -74,7 +74,7 @@
         worker = world.workers[order.instance.removeprefix("m-")]
         if not worker.is_up:
             return
-        self._down[order.instance] = world.now_ms + _UPKEEP_MS
+        self._down[order.instance] = world.now_ms + self.upkeep_ms
         world.crash(worker)
         self.most_down = max(self.most_down, len(self._down))
         standing = sum(
--- a/features/jobs/bounds.feature
+++ b/features/jobs/bounds.feature
@@ -57,3 +57,14 @@
     And 4000 ms pass for the jobs
     Then job "a" is "completed"
     And 1 run has started
+
+  Scenario: A wave whose upkeeps take longer does not wait for tasks until it is late
+    Given a calm world of 3 workers with these bounds
+      | bound     | ms   |
+      | upkeep_ms | 4000 |
+    And upkeeps take 4000 ms
+    When job "a" of 1 step of 48 tasks of 20000 ms is handed in
+    And 500 ms pass for the jobs with a provider
+    And a wave of all instances one by one within 16000 ms is asked for
+    And 16000 ms pass for the jobs with a provider
+    Then the wave is complete
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -63,14 +63,16 @@
 
   Scenario: Each bound reaches the times that it gives
     When the settings with these bounds are converted
-      | bound      | value |
-      | lease_ms   | 6000  |
-      | notice_ms  | 2250  |
-      | impact_ms  | 2000  |
-      | restore_ms | 1200  |
+      | bound         | value |
+      | lease_ms      | 6000  |
+      | notice_ms     | 2250  |
+      | impact_ms     | 2000  |
+      | restore_ms    | 1200  |
+      | maintenance_s | 4     |
     Then the scheduler keeps to these times
       | time         | ms    |
       | order_old_ms | 12000 |
       | heard_ms     | 1050  |
       | over_ms      | 1000  |
       | stall_ms     | 1500  |
+      | round_ms     | 6000  |
--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -31,6 +31,17 @@
         worker.restoring_ms = ms
 
 
+@given("upkeeps take {ms:d} ms")
+def take_long(context, ms):
+    context.provider.upkeep_ms = ms
+
+
+@when("a wave of all instances one by one within {ms:d} ms is asked for")
+def ask_for_wave(context, ms):
+    names = tuple(f"m-{name}" for name in context.world.workers)
+    context.answer = context.world.call(calls.StartWave(1, names, ms, 1))
+
+
 @when("another scheduler whose clock is {ms:d} ms ahead takes over")
 def change_leader(context, ms):
     context.world.wall_ahead_ms = ms
