Dial a process again that is heard while the dial to it hangs

A machine that comes back after a loss of power was reached by others only when the dial that hung since then had timed out, up to a second later; what was sent to it meanwhile was dropped (messages wait 0.8 s). A replaced or wiped disk gets its entries and its vote by such a channel, against a bound.

When a process connects here, a dial to it that is under way for longer than 30 ms is given up and made anew, and finds the messages still waiting. Also tried: 300 ms for any dial in place of a second; it mends the same case, but on a link where packets wait for long no dial would ever succeed.

--- a/bambookeel/net/channels.py
+++ b/bambookeel/net/channels.py
@@ -43,12 +43,16 @@
 
     Attributes:
         link: The connection in use, if any.
+        dial: The dial under way, if any.
+        dialled_ms: When that began.
         pending: Messages that wait for a connection, with their times.
         sent_ms: When a message was last wanted there.
         wake: Set when a message waits.
     """
 
     link: links.Link | None = None
+    dial: gevent.Greenlet | None = None
+    dialled_ms: int = 0
     pending: deque[tuple[int, messages.Message]] = dataclasses.field(
         default_factory=lambda: deque(maxlen=_MAX_PENDING)
     )
@@ -130,15 +134,11 @@
             peer: The process.
             outgoing: What is on its way there.
         """
-        try:
-            sock = gevent.socket.create_connection(
-                addresses.parse_address(peer),
-                timeout=self._settings.timeout_ms / 1000.0,
-            )
-            sock.setsockopt(
-                plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
-            )
-        except OSError:
+        outgoing.dialled_ms = clock.read_now_ms()
+        outgoing.dial = gevent.spawn(self._connect, peer)
+        sock = outgoing.dial.get()
+        outgoing.dial = None
+        if not isinstance(sock, gevent.socket.socket):
             self._drop_old(outgoing)
             return
         link = links.Link(sock, self._settings)
@@ -161,6 +161,35 @@
             writer.join()
             logs.log_event("channel_down", peer=peer)
 
+    def _connect(self, peer: ids.ProcessId) -> gevent.socket.socket | None:
+        try:
+            sock = gevent.socket.create_connection(
+                addresses.parse_address(peer),
+                timeout=self._settings.timeout_ms / 1000.0,
+            )
+            sock.setsockopt(
+                plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
+            )
+        except OSError:
+            return None
+        return sock
+
+    def _dial_again(self, peer: ids.ProcessId) -> None:
+        """Gives up a dial that hangs, to a process that is heard again.
+
+        Its first packet was lost while the machine was down; it would be sent
+        again later than the messages for the process may wait.
+
+        Args:
+            peer: The process, which has just connected here.
+        """
+        outgoing = self._outgoing.get(peer)
+        if outgoing is None or outgoing.dial is None:
+            return
+        # Two processes that start together dial each other, which goes well.
+        if clock.read_now_ms() - outgoing.dialled_ms > _FIRST_REDIAL_MS:
+            outgoing.dial.kill(block=False)
+
     def _drop_old(self, outgoing: _Outgoing) -> None:
         oldest_ms = clock.read_now_ms() - _MAX_PENDING_MS
         while outgoing.pending and outgoing.pending[0][0] < oldest_ms:
@@ -186,6 +215,7 @@
         peer = hello.process_id
         life = max(hello.incarnation, self._lives.get(peer, 0))
         self._lives[peer] = ids.Incarnation(life)
+        self._dial_again(peer)
         deliver = functools.partial(self._deliver, peer)
         for message in stream:
             if self._lives[peer] != hello.incarnation:
--- a/features/messages/channels.feature
+++ b/features/messages/channels.feature
@@ -7,3 +7,9 @@
   Scenario: A process is dialled again at once after a connection that held
     When each connection to a process holds for 2000 ms
     Then the pauses between 8 dials are 30 ms
+
+  Scenario: A message outlives a dial that hangs while its process comes back
+    # The dial was given up after longer than a message may wait.
+    Given a process whose machine answers no dial
+    When a message is sent to it and it is back and connects 250 ms later
+    Then the message reaches it
--- a/features/steps/channel_steps.py
+++ b/features/steps/channel_steps.py
@@ -1,12 +1,20 @@
 """Steps for channels, with dials and pauses in simulated time."""
 
+import socket as plain_socket
 import types
 from unittest import mock
 
+from behave import given
 from behave import then
 from behave import when
+import gevent
+import gevent.socket
 
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.net import addresses
 from bambookeel.net import channels
+from bambookeel.net import links
 
 _PEER = "127.0.0.1:1"
 
@@ -70,3 +78,77 @@
 @then("the pauses between {count:d} dials are {ms:d} ms")
 def check_pauses(context, count, ms):
     assert context.pauses == [ms] * count, context.pauses
+
+
+@given("a process whose machine answers no dial")
+def create_silent(context):
+    # Dials are not answered while the queue of accepted ones is full.
+    listener = gevent.socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    address = listener.getsockname()
+    context.silent = listener
+    context.fillers = []
+    for _ in range(4):
+        filler = plain_socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(address)
+        context.fillers.append(filler)
+    context.address = f"{address[0]}:{address[1]}"
+
+
+def _build_hello(process):
+    return messages.Hello(
+        ids.ProcessId(process),
+        messages.ProcessRole.CONTROL,
+        ids.DataCentre("north"),
+        ids.Incarnation(1),
+        ids.LinkNumber(0),
+    )
+
+
+@when("a message is sent to it and it is back and connects {ms:d} ms later")
+def send_and_wake(context, ms):
+    own_address = _find_free_address()
+    settings = links.LinkSettings(own_address, {}, 250, 1_000)
+    context.received = []
+    own = channels.Channels(
+        settings, _build_hello(own_address), lambda peer, message: None
+    )
+    own.listen()
+    own.send(ids.ProcessId(context.address), messages.LeaderQuestion(7))
+    gevent.sleep(ms / 1000)
+    for filler in context.fillers:
+        filler.close()
+
+    def take(sock):
+        for message in links.Link(sock, settings).read_messages():
+            context.received.append(message)
+
+    def accept():
+        while True:
+            sock, _ = context.silent.accept()
+            gevent.spawn(take, sock)
+
+    accepting = gevent.spawn(accept)
+    gevent.sleep(0.05)
+    sock = gevent.socket.create_connection(addresses.parse_address(own_address))
+    link = links.Link(sock, settings)
+    link.enqueue(_build_hello(context.address))
+    writing = gevent.spawn(link.write_frames)
+    gevent.sleep(2)
+    link.close()
+    gevent.killall([accepting, writing])
+    own.close()
+    context.silent.close()
+
+
+def _find_free_address():
+    with plain_socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@then("the message reaches it")
+def check_received(context):
+    assert messages.LeaderQuestion(7) in context.received, context.received
