Let only the list end an upkeep of an instance nobody was heard from

Where a leader had not heard the worker of an instance before it ordered the upkeep, any report from there ended it. A worker that was cut off may still be heard late, from before the order: the wave then counted the instance as back and took the next one down, more than the wave allows at once.

Such an upkeep now ends by the provider's list; such a move, which may be heard before the list is read, by a report from its new pool.

--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -288,7 +288,13 @@
             known.pool = worker.report.service
         if goal is None or goal.phase is not fleet_view.GoalPhase.AWAY:
             return False
-        return goal.life is None or worker.life != goal.life
+        if goal.life is not None:
+            return worker.life != goal.life
+        # What is heard may be a late word of before the order.
+        match goal.order:
+            case instances.Move(_, pool):
+                return worker.report.service == pool
+        return False
 
     def end_goal(self, name: str) -> list[commands.Command]:
         """Ends a goal that has been reached.
--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -29,6 +29,10 @@
         """Forgets answers to a leader that is gone."""
         self._answers = []
 
+    def list_down(self):
+        """Lists the instances that are down now."""
+        return list(self._down)
+
     def _list(self):
         listed = []
         for worker in self._world.workers.values():
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -190,3 +190,14 @@
     And 60000 ms pass for the jobs with a provider
     Then the wave is complete
     And never more than 1 standing task was interrupted at a time
+
+  Scenario: A late report of an earlier worker does not end its instance's upkeep
+    # The next upkeep began while the first instance was still down.
+    When worker "w0" falls silent with a report on its way
+    And another scheduler takes over
+    And a wave of all instances with 1 at once is asked for
+    And 4000 ms pass for the jobs with a provider
+    And the late report arrives
+    And 60000 ms pass for the jobs with a provider
+    Then the wave is complete
+    And never more than 1 instance was down at a time
--- /dev/null
+++ b/features/steps/late_report_steps.py
@@ -0,0 +1,18 @@
+"""Steps for reports that arrive after their worker has gone."""
+
+from behave import when
+
+
+@when('worker "{name}" falls silent with a report on its way')
+def silence_worker(context, name):
+    context.world.pass_time(500)
+    worker = context.world.workers[name]
+    context.late_report = worker.make_report(context.world.now_ms)
+    worker.is_cut = True
+
+
+@when("the late report arrives")
+def take_late_report(context):
+    down = context.provider.list_down()
+    assert context.late_report.instance in down, down
+    context.world.call(context.late_report)
