Keep a worker that is back when its instance's order is given again

An order whose answer was lost, or that an earlier leader gave, is given again, and the provider says yes also where it was carried out long ago. The leader then took the worker that it had last heard there for ended. Where that was already the new one it gave its runs up, although they might go on, and refused its reports for the rest of the term: a worker lost to its pool, and runs that could be started twice.

Only the answer to an order that surely was not carried out before ends a worker now; otherwise its runs wait for its lease or for a newer worker of the instance. The stand-in carries the same order out once, as the platform does.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -29,6 +29,8 @@
         phase: How far it has come.
         life: The worker that ran there when the order was carried out.
         from_pool: The pool that the instance is in.
+        is_again: Whether the order may have been carried out before; the
+            instance may then be back, with another worker than it ended.
     """
 
     order: instances.Order
@@ -36,6 +38,7 @@
     from_pool: str
     phase: GoalPhase = GoalPhase.DRAINING
     life: specs.WorkerLife | None = None
+    is_again: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -120,6 +120,7 @@
                 if name in self.fleet.goals or name not in self.fleet.known:
                     continue
                 self.aim(instances.Upkeep(name, number), now_ms)
+                self.fleet.goals[name].is_again = True
 
     def find_gone(
         self, book: job_book.Book, now_ms: int
@@ -248,7 +249,7 @@
             now_ms: The time.
 
         Returns:
-            The worker that the order has ended, if any.
+            The worker that the order has surely ended, if any.
         """
         goal = self.fleet.goals.get(order.instance)
         if goal is None or goal.order != order:
@@ -258,12 +259,13 @@
             case instances.OrderOutcome.DONE:
                 goal.phase = fleet_view.GoalPhase.AWAY
                 goal.since_ms = now_ms
-                return goal.life
+                return None if goal.is_again else goal.life
             case instances.OrderOutcome.IMPOSSIBLE:
                 del self.fleet.goals[order.instance]
             case instances.OrderOutcome.UNKNOWN:
                 # It may be under way; the same order again does no harm.
                 goal.phase = fleet_view.GoalPhase.DRAINING
+                goal.is_again = True
             case _:
                 goal.phase = fleet_view.GoalPhase.DRAINING
                 if isinstance(order, instances.Move):
--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -19,6 +19,7 @@
         # Whether the first answer to each order is lost.
         self.loses_first = False
         self._lost = set()
+        self._carried_out = set()
         self._answers = []
         self.most_down = 0
         # Time, leader's term and instance of each order.
@@ -76,8 +77,10 @@
         self.orders.append((world.now_ms, world.term, order.instance))
         self._answers.append((world.now_ms + _ANSWER_MS, order))
         worker = world.workers[order.instance.removeprefix("m-")]
-        if not worker.is_up:
+        # The same order again does nothing more, also once it is through.
+        if not worker.is_up or order in self._carried_out:
             return
+        self._carried_out.add(order)
         self._down[order.instance] = world.now_ms + self.upkeep_ms
         world.crash(worker)
         self.most_down = max(self.most_down, len(self._down))
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -201,3 +201,19 @@
     And 60000 ms pass for the jobs with a provider
     Then the wave is complete
     And never more than 1 instance was down at a time
+
+  Scenario: A worker that is back when its upkeep is ordered again stays in use
+    # A new leader took it for ended, and refused its reports from then on.
+    When a wave of all instances with 1 at once is asked for
+    And 1000 ms pass for the jobs with a provider
+    And another scheduler takes over
+    And 60000 ms pass for the jobs with a provider
+    Then the wave is complete
+    And every worker is known
+
+  Scenario: A worker that is back when an order without an answer is given again stays in use
+    Given the provider's first answer to each order is lost
+    When a wave of all instances with 1 at once is asked for
+    And 60000 ms pass for the jobs with a provider
+    Then the wave is complete
+    And every worker is known
--- a/features/steps/late_report_steps.py
+++ b/features/steps/late_report_steps.py
@@ -1,5 +1,6 @@
 """Steps for reports that arrive after their worker has gone."""
 
+from behave import then
 from behave import when
 
 
@@ -16,3 +17,11 @@
     down = context.provider.list_down()
     assert context.late_report.instance in down, down
     context.world.call(context.late_report)
+
+
+@then("every worker is known")
+def check_known(context):
+    table = context.world.scheduler.term.workers
+    for name in context.world.workers:
+        found = table.by_id.get(name)
+        assert found is not None and not found.is_silent, (name, found)
