--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -170,7 +170,9 @@
             # A filler may get no time at all from the tasks beside it.
             continue
         listed.append((run.task, run.run, run.percent))
-    for key in health.find_stalled(worker.health, listed, now.steady_ms):
+    for key in health.find_stalled(
+        worker.health, listed, term.settings, now.steady_ms
+    ):
         if key in term.withdrawn:
             continue
         term.withdrawn.add(key)
@@ -198,7 +200,7 @@
         step = term.book.get_step(run.task)
         if step is not None and step.spec.target_ms:
             tails.append((run.tail_ms, step.spec.target_ms))
-    if pacing.adjust(worker.pace, tails, now_ms):
+    if pacing.adjust(worker.pace, tails, term.settings.over_ms, now_ms):
         term.note(
             "pace_changed",
             worker=worker.life.worker,
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -9,6 +9,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
+from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 from bambookeel.jobs import upkeep
 from bambookeel.jobs import workers as worker_table
@@ -16,34 +17,25 @@
 # How often the list is read while goals or waves need it, and otherwise.
 _BUSY_LIST_MS = 1_000
 _CALM_LIST_MS = 8_000
-# An order on record that is older has reached the provider long since, even by
-# clocks that differ by several seconds.
-_LONG_AGO_MS = 9_000
 # Pause before an order that was refused is tried again.
 _RETRY_MS = 600
 
 
-def _is_long_ago(ordered_wall_ms: int | None, wall_ms: int) -> bool:
-    """Tells whether an earlier leader's order is surely out of the way.
-
-    Args:
-        ordered_wall_ms: When the order was put on record; None for never.
-        wall_ms: Unix time, maybe by another node's clock.
-
-    Returns:
-        Whether it is.
-    """
-    if ordered_wall_ms is None:
-        return True
-    return wall_ms - ordered_wall_ms >= _LONG_AGO_MS
-
-
 class Steering:
     """Goals of a leader's term."""
 
-    def __init__(self, orders_from_ms: int) -> None:
+    def __init__(
+        self, settings: job_settings.SchedulerSettings, now_ms: int
+    ) -> None:
+        """Starts without goals.
+
+        Args:
+            settings: Times to keep to.
+            now_ms: When the term began.
+        """
         self.fleet = fleet_view.Fleet()
-        self._orders_from_ms = orders_from_ms
+        self._settings = settings
+        self._orders_from_ms = now_ms + settings.holder_ms
         # When this leader first saw each wave; an older list says nothing
         # about its instances.
         self._waves_seen_ms: dict[int, int] = {}
@@ -75,6 +67,24 @@
         fleet.is_listing = True
         return True
 
+    def _is_long_ago(
+        self, book: job_book.Book, name: str, wall_ms: int
+    ) -> bool:
+        """Tells whether an earlier leader's order is surely out of the way.
+
+        Args:
+            book: The book.
+            name: The instance.
+            wall_ms: Unix time, maybe by another node's clock.
+
+        Returns:
+            Whether it is.
+        """
+        ordered_wall_ms = book.instances.ordered_wall_ms.get(name)
+        if ordered_wall_ms is None:
+            return True
+        return wall_ms - ordered_wall_ms >= self._settings.order_old_ms
+
     def aim(self, order: instances.Order, now_ms: int) -> None:
         """Sets a goal for an instance that has none.
 
@@ -110,6 +120,7 @@
                 if name in self.fleet.goals or name not in self.fleet.known:
                     continue
                 self.aim(instances.Upkeep(name, number), now_ms)
+                self.fleet.goals[name].is_again = True
 
     def find_gone(
         self, book: job_book.Book, now_ms: int
@@ -155,9 +166,8 @@
         for name, goal in self.fleet.goals.items():
             if goal.phase is not fleet_view.GoalPhase.DRAINING:
                 continue
-            if now_ms < self._orders_from_ms and not _is_long_ago(
-                book.instances.ordered_wall_ms.get(name), wall_ms
-            ):
+            is_early = now_ms < self._orders_from_ms
+            if is_early and not self._is_long_ago(book, name, wall_ms):
                 continue
             worker = table.find_by_instance(name)
             is_off = goal.from_pool == book.view.find_spare_pool()
@@ -195,11 +205,9 @@
             ordered |= frozenset(
                 other.life
                 for other in table.by_id.values()
-                if not _is_long_ago(
-                    book.instances.ordered_wall_ms.get(other.report.instance),
-                    wall_ms,
-                )
+                if not self._is_long_ago(book, other.report.instance, wall_ms)
             )
+        heard_from_ms = now_ms - self._settings.heard_ms
         match goal.order:
             case instances.Upkeep(_, number):
                 wave = book.instances.waves[number]
@@ -207,16 +215,23 @@
                 ends_ms = request.at_wall_ms + request.duration_ms
                 waiting = len(wave.waiting)
                 rounds = -(-waiting // request.max_at_once) or 1
-                left_ms = (ends_ms - wall_ms) // rounds
+                spare_ms = (ends_ms - wall_ms) // rounds
+                spare_ms -= self._settings.round_ms
                 waited_ms = now_ms - goal.since_ms
                 return upkeep.may_begin(
-                    book, table, life, ordered, waited_ms, left_ms, now_ms
+                    book,
+                    table,
+                    life,
+                    ordered,
+                    waited_ms,
+                    spare_ms,
+                    heard_from_ms,
                 )
             case instances.Move():
                 if book.held.get(life):
                     return False
                 return availability.may_interrupt(
-                    book, table, life, ordered, now_ms
+                    book, table, life, ordered, heard_from_ms
                 )
         return False
 
@@ -234,7 +249,7 @@
             now_ms: The time.
 
         Returns:
-            The worker that the order has ended, if any.
+            The worker that the order has surely ended, if any.
         """
         goal = self.fleet.goals.get(order.instance)
         if goal is None or goal.order != order:
@@ -244,12 +259,13 @@
             case instances.OrderOutcome.DONE:
                 goal.phase = fleet_view.GoalPhase.AWAY
                 goal.since_ms = now_ms
-                return goal.life
+                return None if goal.is_again else goal.life
             case instances.OrderOutcome.IMPOSSIBLE:
                 del self.fleet.goals[order.instance]
             case instances.OrderOutcome.UNKNOWN:
                 # It may be under way; the same order again does no harm.
                 goal.phase = fleet_view.GoalPhase.DRAINING
+                goal.is_again = True
             case _:
                 goal.phase = fleet_view.GoalPhase.DRAINING
                 if isinstance(order, instances.Move):
@@ -274,7 +290,13 @@
             known.pool = worker.report.service
         if goal is None or goal.phase is not fleet_view.GoalPhase.AWAY:
             return False
-        return goal.life is None or worker.life != goal.life
+        if goal.life is not None:
+            return worker.life != goal.life
+        # What is heard may be a late word of before the order.
+        match goal.order:
+            case instances.Move(_, pool):
+                return worker.report.service == pool
+        return False
 
     def end_goal(self, name: str) -> list[commands.Command]:
         """Ends a goal that has been reached.
--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -6,7 +6,6 @@
 
 from bambookeel.jobs import instances
 
-_UPKEEP_MS = 2_000
 _ANSWER_MS = 25
 
 
@@ -16,9 +15,11 @@
     def __init__(self, world):
         self._world = world
         self._down = {}
+        self.upkeep_ms = 2_000
         # Whether the first answer to each order is lost.
         self.loses_first = False
         self._lost = set()
+        self._carried_out = set()
         self._answers = []
         self.most_down = 0
         # Time, leader's term and instance of each order.
@@ -29,6 +30,10 @@
         """Forgets answers to a leader that is gone."""
         self._answers = []
 
+    def list_down(self):
+        """Lists the instances that are down now."""
+        return list(self._down)
+
     def _list(self):
         listed = []
         for worker in self._world.workers.values():
@@ -72,9 +77,11 @@
         self.orders.append((world.now_ms, world.term, order.instance))
         self._answers.append((world.now_ms + _ANSWER_MS, order))
         worker = world.workers[order.instance.removeprefix("m-")]
-        if not worker.is_up:
+        # The same order again does nothing more, also once it is through.
+        if not worker.is_up or order in self._carried_out:
             return
-        self._down[order.instance] = world.now_ms + _UPKEEP_MS
+        self._carried_out.add(order)
+        self._down[order.instance] = world.now_ms + self.upkeep_ms
         world.crash(worker)
         self.most_down = max(self.most_down, len(self._down))
         standing = sum(
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -52,3 +52,27 @@
       | {"node_name":"n"}        | missing required field    |
       | {"node_name":4}          | $.node_name               |
       | not JSON                 | JSON is malformed         |
+
+  Scenario: Bounds may hold fractions
+    When the settings with these bounds are converted
+      | bound       | value  |
+      | hold_max_ms | 2500.5 |
+      | lease_ms    | 2999.5 |
+    Then a run's lease is 2500 ms
+    And a new leader leaves an earlier one's orders 3300 ms
+
+  Scenario: Each bound reaches the times that it gives
+    When the settings with these bounds are converted
+      | bound         | value |
+      | lease_ms      | 6000  |
+      | notice_ms     | 2250  |
+      | impact_ms     | 2000  |
+      | restore_ms    | 1200  |
+      | maintenance_s | 4     |
+    Then the scheduler keeps to these times
+      | time         | ms    |
+      | order_old_ms | 12000 |
+      | heard_ms     | 1050  |
+      | over_ms      | 1000  |
+      | stall_ms     | 1500  |
+      | round_ms     | 6000  |
--- /dev/null
+++ b/features/steps/bounds_steps.py
@@ -0,0 +1,66 @@
+"""Steps for deployments with other bounds, around the pure scheduler."""
+
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import when
+
+from bambookeel.jobs import calls
+from bambookeel.jobs import settings as job_settings
+from features.fakes import jobs_bounds
+from features.fakes import jobs_provider
+from features.fakes import jobs_world
+from features.steps import job_steps
+
+
+@given("a calm world of {count:d} workers with these bounds")
+def create_world(context, count):
+    values = {row["bound"]: float(row["ms"]) for row in context.table}
+    bounds = dataclasses.replace(jobs_bounds.BOUNDS, **values)
+    context.world = jobs_world.World(1, workers=count, faults=False)
+    context.world.settings = job_settings.SchedulerSettings.from_bounds(bounds)
+    context.world.lead()
+    context.provider = jobs_provider.FakeProvider(context.world)
+    context.answer = None
+
+
+@given("each run restores its checkpoint for {ms:d} ms")
+def restore_long(context, ms):
+    for worker in context.world.workers.values():
+        worker.restoring_ms = ms
+
+
+@given("upkeeps take {ms:d} ms")
+def take_long(context, ms):
+    context.provider.upkeep_ms = ms
+
+
+@when("a wave of all instances one by one within {ms:d} ms is asked for")
+def ask_for_wave(context, ms):
+    names = tuple(f"m-{name}" for name in context.world.workers)
+    context.answer = context.world.call(calls.StartWave(1, names, ms, 1))
+
+
+@when("another scheduler whose clock is {ms:d} ms ahead takes over")
+def change_leader(context, ms):
+    context.world.wall_ahead_ms = ms
+    context.world.lead()
+    context.provider.reset()
+
+
+@then('job "{job}" is not known')
+def check_unknown(context, job):
+    answer = context.world.ask(job_steps.name_job(job))
+    assert isinstance(answer, calls.NoSuchJob), answer
+
+
+@then("no instance was ordered")
+def check_no_order(context):
+    assert not context.provider.orders, context.provider.orders
+
+
+@then("the worker was told to stop both filling tasks")
+def check_stopped(context):
+    paces = context.world.workers["w0"].paces
+    assert list(paces.values()) == [0, 0], paces
