--- a/bambookeel/consensus/core.py
+++ b/bambookeel/consensus/core.py
@@ -124,14 +124,23 @@
             following.install_snapshot(current, index, term, members)
         case events.SnapshotRejected():
             current.state.received = None
+        case events.ReadAsked(read_id, asker):
+            _ask_read(current, read_id, asker)
+        case _:
+            _handle_members_event(current, event)
+
+
+def _handle_members_event(current: records.Step, event: events.Event) -> None:
+    match event:
         case events.MembershipAsked(change):
             changes.change_membership(current, change)
         case events.StrangerSeen(member):
             changes.note_stranger(current, member)
         case events.HandOverAsked():
             changes.start_hand_over(current)
-        case events.ReadAsked(read_id, asker):
-            _ask_read(current, read_id, asker)
+        case events.StopAsked():
+            changes.start_hand_over(current)
+            changes.tell_leaving(current)
 
 
 def _handle_timer(current: records.Step) -> None:
@@ -165,6 +174,8 @@
             following.handle_snapshot_part(current, message)
         case messages.TimeoutNow():
             election.handle_timeout_now(current, message)
+        case messages.ReplicaLeaving(member):
+            changes.note_leaving(current, member)
         case messages.AppendReply() | messages.SnapshotPartReply():
             _handle_answer(current, message)
 
--- a/bambookeel/consensus/records.py
+++ b/bambookeel/consensus/records.py
@@ -45,7 +45,9 @@
         max_unanswered: Entries sent ahead of a follower's answers.
         max_voters: Most members with a vote; 0 for all.
         lost_voter_ms: Silence after which a voter's vote may go to another
-            member, where their number is bounded.
+            member, where their number is bounded; at least `election_max_ms`,
+            so that a leader that was suspended steps down before it blames
+            others.
     """
 
     heartbeat_ms: int = 100
@@ -66,8 +68,14 @@
     Attributes:
         match_index: Last index known to be synced there.
         next_index: Next index to send.
-        heard_ms: When it last answered in this term; 0 for never.
-        answered_round: Highest round that it answered.
+        heard_ms: When it was last heard.
+        answered_round: Highest round that it answered in this term.
+        goal_index: End of the log when `goal_ms` was; reaching it ends one
+            round of catching up.
+        goal_ms: When that round began.
+        has_caught_up: Whether the last round took less than the shortest
+            election timeout.
+        leaving_ms: When it last told that its process is being stopped.
         snapshot_index: The snapshot being sent; 0 for none.
         snapshot_offset: Offset of the part being sent.
         part_sent_ms: When that part was sent.
@@ -77,6 +85,10 @@
     next_index: int
     heard_ms: int
     answered_round: int = 0
+    goal_index: int = 0
+    goal_ms: int = 0
+    has_caught_up: bool = False
+    leaving_ms: int | None = None
     snapshot_index: int = 0
     snapshot_offset: int = 0
     part_sent_ms: int = 0
@@ -124,7 +136,8 @@
         membership_index: Its index.
         election_due_ms: When to start an election.
         heartbeat_due_ms: When a leader sends the next heartbeat.
-        heard_leader_ms: When a leader was last heard.
+        heard_leader: The leader that was last heard; empty after leading.
+        heard_leader_ms: When it was heard.
         votes: Members that granted their vote or pre-vote.
         progress: The leader's view of the other members.
         round_number: The leader's newest round.
@@ -160,6 +173,7 @@
     membership_index: int = 0
     election_due_ms: int = 0
     heartbeat_due_ms: int = 0
+    heard_leader: ids.MemberId = NO_MEMBER
     heard_leader_ms: int = 0
     votes: frozenset[ids.MemberId] = frozenset()
     progress: Mapping[ids.MemberId, Progress] = dataclasses.field(
