Test replicas whose disks are slow

docs/PROOF.md had no test of slow disks on the path of the job book. Disks in memory can now take a stated time a sync or answer nothing, and a group of replicas can run at the pace of machines (elections after 900 to 1,500 ms).

--- a/features/fakes/memory_folder.py
+++ b/features/fakes/memory_folder.py
@@ -1,9 +1,14 @@
-"""A data folder in memory whose disk can fail, fill up and tear files."""
+"""A data folder in memory whose disk can fail, fill up, tear and stall."""
 
 import errno
+import threading
+import time
 
 from bambookeel.storage import log_format
 
+# No test lets a disk stall for longer.
+_LONGEST_STALL_S = 60
+
 
 class MemoryFile:
     """A file that remembers how much of it is synced."""
@@ -19,6 +24,7 @@
         return len(self.data)
 
     def append(self, data):
+        self._folder.wait_for_disk()
         self._folder.take_space(len(data))
         self.data += data
 
@@ -44,6 +50,29 @@
         self.fail_syncs = False
         self.space = None
         self.syncs = 0
+        # How long each sync takes.
+        self.sync_ms = 0
+        # Writes and syncs that would have held the whole process up.
+        self.waits_in_loop = 0
+        self._answers = threading.Event()
+        self._answers.set()
+
+    def stall(self):
+        """Lets writes and syncs wait from now on."""
+        self._answers.clear()
+
+    def go_on(self):
+        """Ends a stall."""
+        self._answers.set()
+
+    def wait_for_disk(self):
+        """Waits while the disk stalls, but for the thread of all tasks."""
+        if self._answers.is_set():
+            return
+        if threading.current_thread() is threading.main_thread():
+            self.waits_in_loop += 1
+            return
+        self._answers.wait(_LONGEST_STALL_S)
 
     def take_space(self, size):
         if self.space is None:
@@ -54,6 +83,9 @@
 
     def check_sync(self):
         self.syncs += 1
+        self.wait_for_disk()
+        if self.sync_ms:
+            time.sleep(self.sync_ms / 1000.0)
         if self.fail_syncs:
             raise OSError(errno.EIO, "sync failed")
 
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -21,6 +21,23 @@
 
 _LIMIT_S = 30.0
 _TRY_S = 1.0
+_TIMINGS = core_settings.ConsensusTimings(
+    heartbeat_ms=20,
+    election_min_ms=200,
+    election_max_ms=400,
+    snapshot_every=30,
+)
+# Slower, as between machines, with room for pauses.
+SLOW_TIMINGS = core_settings.ConsensusTimings(
+    heartbeat_ms=150,
+    election_min_ms=900,
+    election_max_ms=1_500,
+    snapshot_every=300,
+)
+
+
+class NoAnswerError(AssertionError):
+    """No replica has answered in time."""
 
 
 class Member:
@@ -34,6 +51,8 @@
         self._supervisor = None
         self._waiting = {}
         self._starts = 0
+        # Whether the last call here got no answer.
+        self.is_silent = False
 
     def start(self):
         """Starts it from its folder."""
@@ -105,14 +124,9 @@
 class Group:
     """All nodes of a test."""
 
-    def __init__(self, size=3):
+    def __init__(self, size=3, timings=_TIMINGS):
         self.rng = random.Random(5)
-        self.timings = core_settings.ConsensusTimings(
-            heartbeat_ms=20,
-            election_min_ms=200,
-            election_max_ms=400,
-            snapshot_every=30,
-        )
+        self.timings = timings
         # Address of the member that reaches nobody; None for none.
         self.cut = None
         self.members = {}
@@ -122,14 +136,18 @@
         for member in self.members.values():
             member.start()
 
-    def call(self, call):
+    def call(self, call, limit_s=_LIMIT_S):
         """Makes one call at whoever leads, until it is answered."""
-        with gevent.Timeout(_LIMIT_S, AssertionError("no answer")):
+        with gevent.Timeout(limit_s, NoAnswerError("no answer")):
             while True:
-                for member in self.members.values():
+                # One that was silent is asked after the others.
+                for member in sorted(
+                    self.members.values(), key=lambda each: each.is_silent
+                ):
                     if member.replica is None or member.address == self.cut:
                         continue
                     answer = member.call(call)
+                    member.is_silent = answer is None
                     if answer is None or isinstance(answer, calls.NotLeading):
                         continue
                     return answer, member
@@ -146,9 +164,10 @@
             f'{{"version":{version}}}'.encode(),
         )
 
-    def put_document(self, version):
+    def put_document(self, version, limit_s=_LIMIT_S):
         """Puts a configuration in force."""
-        return self.call(calls.PutDocument(self.build_document(version)))
+        document = self.build_document(version)
+        return self.call(calls.PutDocument(document), limit_s)
 
     def read_version(self):
         """Reads which configuration is in force."""
@@ -158,5 +177,6 @@
     def stop(self):
         """Ends everything."""
         for member in self.members.values():
+            member.folder.go_on()
             if member.replica is not None:
                 member.kill()
--- /dev/null
+++ b/features/platform/disks.feature
@@ -0,0 +1,22 @@
+Feature: Disks that are slow or answer nothing
+
+  Scenario: A leader whose disk takes 180 ms a sync holds no caller up
+    Given three replicas of the book at the pace of machines
+    And configuration 1 is in force there
+    When the leader's disk takes 180 ms a sync
+    And configurations are put for 5000 ms
+    Then each was in force within 3000 ms
+    When all disks answer again
+    Then the newest configuration is read back at every replica that leads in turn
+
+  Scenario: Without a majority of disks nothing is acknowledged
+    Given three replicas of the book at the pace of machines
+    And configuration 1 is in force there
+    When the leader's disk answers nothing
+    And a follower's disk answers nothing
+    And configurations are put for 3000 ms
+    Then no replica has acknowledged any
+    When all disks answer again
+    And configurations are put for 3000 ms
+    Then each was in force within 3000 ms
+    And the newest configuration is read back at every replica that leads in turn
--- /dev/null
+++ b/features/steps/disk_steps.py
@@ -0,0 +1,110 @@
+"""Steps for replicas whose disks are slow or answer nothing."""
+
+import time
+
+from behave import given
+from behave import then
+from behave import when
+import gevent
+
+from bambookeel.jobs import calls
+from features.fakes import node_group
+
+# Longest time that one configuration is tried for.
+_PATIENCE_MS = 5_000
+_PAUSE_S = 0.005
+
+
+@given("three replicas of the book at the pace of machines")
+def start_slow_group(context):
+    context.group = node_group.Group(timings=node_group.SLOW_TIMINGS)
+    context.add_cleanup(context.group.stop)
+
+
+@when("the leader's disk answers nothing")
+def stall_leader(context):
+    context.leader.folder.stall()
+
+
+def _get_follower(context):
+    for member in context.group.members.values():
+        if member is not context.leader:
+            return member
+    raise AssertionError("no follower")
+
+
+@when("a follower's disk answers nothing")
+def stall_follower(context):
+    _get_follower(context).folder.stall()
+
+
+@when("the leader's disk takes {ms:d} ms a sync")
+def slow_leader(context, ms):
+    context.leader.folder.sync_ms = ms
+
+
+@when("all disks answer again")
+def heal_disks(context):
+    for member in context.group.members.values():
+        member.folder.sync_ms = 0
+        member.folder.go_on()
+
+
+@when("configurations are put for {ms:d} ms")
+def put_for(context, ms):
+    """Puts one after the other and keeps how long each took."""
+    begun_s = time.monotonic()
+    context.took_ms = []
+    context.version = getattr(context, "version", 1)
+    while (time.monotonic() - begun_s) * 1000 < ms:
+        context.version += 1
+        sent_s = time.monotonic()
+        try:
+            answer, member = context.group.put_document(
+                context.version, _PATIENCE_MS / 1000.0
+            )
+        except node_group.NoAnswerError:
+            context.took_ms.append(_PATIENCE_MS)
+            continue
+        assert isinstance(answer, calls.Done), answer
+        context.after = member
+        context.took_ms.append(int((time.monotonic() - sent_s) * 1000))
+        gevent.sleep(_PAUSE_S)
+
+
+@then("each was in force within {ms:d} ms")
+def check_took(context, ms):
+    slowest = sorted(context.took_ms)[-5:]
+    assert slowest and slowest[-1] <= ms, (len(context.took_ms), slowest)
+
+
+@then("no replica has acknowledged any")
+def check_none(context):
+    assert not [t for t in context.took_ms if t < _PATIENCE_MS], context.took_ms
+
+
+@then("no disk has held up all tasks of a process")
+def check_loop(context):
+    for member in context.group.members.values():
+        assert not member.folder.waits_in_loop, (
+            member.address,
+            member.folder.waits_in_loop,
+        )
+
+
+@then("the leader is the same")
+def check_same_leader(context):
+    assert context.after is context.leader, context.after.address
+
+
+@then(
+    "the newest configuration is read back at every replica that leads in turn"
+)
+def check_newest_in_turn(context):
+    expected = f'{{"version":{context.version}}}'.encode()
+    for _ in range(2):
+        answer, member = context.group.call(calls.GetDocument())
+        assert answer.original == expected, (answer, member.address)
+        member.kill()
+        gevent.sleep(0.05)
+        member.start()
