Write the log without holding up the whole process

A write waits for a disk that answers nothing just as a sync does, and it ran in the thread of all tasks: a node whose disk stalled answered no caller, no worker and no question who leads until the disk went on, also as a follower.

The others elect a leader once its heartbeats stay away. An entry counts as synced no earlier than before, and a full disk is still told at once.

--- a/bambookeel/control/replica_disk.py
+++ b/bambookeel/control/replica_disk.py
@@ -1,8 +1,9 @@
 """Carries out a core's effects on disk without blocking the event loop.
 
-Log syncs run in a thread while further entries are written, so that one sync
-covers all entries that came meanwhile. A failed sync ends the process: what is
-on disk is then unknown. A full disk is told to the caller as `DiskFullError`.
+Writes and syncs run in threads. A log sync goes on while further entries are
+written, so that one sync covers all that came meanwhile. A failed sync ends the
+process: what is on disk is then unknown. A full disk is told to the caller as
+`DiskFullError`.
 """
 
 from collections.abc import Callable
@@ -129,12 +130,9 @@
                 self._reset_log(index, term)
 
     def _append(self, entries: tuple[typing.Any, ...]) -> None:
-        try:
-            self._store.append(entries)
-        except OSError as error:
-            if error.errno in _NO_ROOM:
-                raise DiskFullError(str(error)) from error
-            supervisor.end_process(f"the data folder failed: {error}")
+        # A write waits for a disk that stalls just as a sync does; the other
+        # tasks of the process must not wait with it.
+        self._run_in_thread(self._store.append, entries)
         self._written.set()
 
     def _reset_log(self, index: ids.LogIndex, term: ids.Term) -> None:
--- a/features/platform/disks.feature
+++ b/features/platform/disks.feature
@@ -1,5 +1,26 @@
 Feature: Disks that are slow or answer nothing
 
+  Scenario: A leader whose disk answers nothing holds no caller up for long
+    Given three replicas of the book at the pace of machines
+    And configuration 1 is in force there
+    When the leader's disk answers nothing
+    And configurations are put for 5000 ms
+    Then each was in force within 3000 ms
+    And no disk has held up all tasks of a process
+    When all disks answer again
+    Then the newest configuration is read back at every replica that leads in turn
+
+  Scenario: A follower whose disk answers nothing changes nothing for callers
+    Given three replicas of the book at the pace of machines
+    And configuration 1 is in force there
+    When a follower's disk answers nothing
+    And configurations are put for 4000 ms
+    Then each was in force within 300 ms
+    And no disk has held up all tasks of a process
+    And the leader is the same
+    When all disks answer again
+    Then the newest configuration is read back at every replica that leads in turn
+
   Scenario: A leader whose disk takes 180 ms a sync holds no caller up
     Given three replicas of the book at the pace of machines
     And configuration 1 is in force there
