--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -39,6 +39,8 @@
         self.failing_syncs = 0.0
         self.cuts = set()
         self.slow_disks = set()
+        # What a sync of a slow disk takes longer.
+        self.slower_ms = (100, 2_000)
         self.leaders = {}
         self.committed = {}
         self.max_committed = 0
@@ -134,7 +136,7 @@
     def schedule_sync(self, node, synced):
         delay_ms = self.rng.randint(*self.sync_ms)
         if node.process in self.slow_disks:
-            delay_ms += self.rng.randint(100, 2_000)
+            delay_ms += self.rng.randint(*self.slower_ms)
         self._push(
             delay_ms, self._end_sync, node, node.core.member, synced, node.store
         )
--- a/features/steps/disk_steps.py
+++ b/features/steps/disk_steps.py
@@ -108,3 +108,9 @@
         member.kill()
         gevent.sleep(0.05)
         member.start()
+
+
+@when("the follower's new disk takes {ms:d} ms longer a sync")
+def slow_new_disk(context, ms):
+    context.world.slower_ms = (ms, ms)
+    context.world.slow_disks.add(context.follower.process)
