Do not let orders without an answer hold the leader up

The bound of the pool blocked whoever added to it.

Orders now wait for room in tasks of their own, at most 2 s; then they count as not sent and are decided on again, so that the time on record still tells the next leader when an order was sent. Before it is sent, an order's term is compared too: after a wait the replica might lead again under a higher one.

--- a/bambookeel/node/outside.py
+++ b/bambookeel/node/outside.py
@@ -22,10 +22,11 @@
     """Provider and advisor, as far as a node has them."""
 
     def __init__(
-        self, target: mailbox.Mailbox, holds_lease: Callable[[], bool]
+        self, target: mailbox.Mailbox, leads: Callable[[int], bool]
     ) -> None:
         self._target = target
-        self._holds_lease = holds_lease
+        # Whether the leader of a term still leads.
+        self._leads = leads
         self._provider: provider_task.ProviderTask | None = None
         self._advisor: advisor_task.AdvisorTask | None = None
         self._news: list[News] = []
@@ -132,4 +133,4 @@
             answer: Whether the batch was committed.
         """
         if isinstance(answer, calls.Done):
-            provider.carry_out(order, term, self._holds_lease)
+            provider.carry_out(order, term, self._leads)
--- a/bambookeel/node/provider_task.py
+++ b/bambookeel/node/provider_task.py
@@ -1,14 +1,15 @@
 """Talks to the provider of instances for the leader, one call at a time each.
 
-Calls may take long or get lost; the replica's task never waits for them. An
-order is given up when the leader's lease has run out before it is sent.
+Calls may take long or get lost; the replica's task never waits for them, also
+while as many are under way as may be. An order is given up when its term is
+over or the leader's lease has run out before it is sent.
 """
 
 from collections.abc import Callable
 import dataclasses
 
 import gevent
-import gevent.pool
+import gevent.lock
 
 from bambookeel.jobs import instances
 from bambookeel.runtime import clock
@@ -16,6 +17,9 @@
 
 # Orders that may be under way at once.
 _MAX_CALLS = 16
+# Longest wait of an order for others to end. The next leader goes by when an
+# order was put on record, so that it must not be sent much later.
+_LONGEST_WAIT_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,34 +58,39 @@
         self._provider = provider
         self._holder = holder
         self._target = target
-        self._calls = gevent.pool.Pool(_MAX_CALLS)
+        self._slots = gevent.lock.BoundedSemaphore(_MAX_CALLS)
 
     def carry_out(
         self,
         order: instances.Order,
         term: int,
-        holds_lease: Callable[[], bool],
+        leads: Callable[[int], bool],
     ) -> None:
         """Carries an order out in the background.
 
         Args:
             order: The order.
             term: The leader's term, which is the fencing token.
-            holds_lease: Tells whether the leader still leads.
+            leads: Tells whether the leader of a term still leads.
         """
-        self._calls.start(
-            gevent.Greenlet(self._carry_out, order, term, holds_lease)
-        )
+        gevent.spawn(self._carry_out, order, term, leads)
 
     def _carry_out(
         self,
         order: instances.Order,
         term: int,
-        holds_lease: Callable[[], bool],
+        leads: Callable[[int], bool],
     ) -> None:
-        outcome = instances.OrderOutcome.BUSY
-        if holds_lease():
-            outcome = self._provider.carry_out(order, self._holder, term)
+        outcome = instances.OrderOutcome.OVERLOADED
+        if self._slots.acquire(timeout=_LONGEST_WAIT_MS / 1000.0):
+            try:
+                outcome = instances.OrderOutcome.BUSY
+                if leads(term):
+                    outcome = self._provider.carry_out(
+                        order, self._holder, term
+                    )
+            finally:
+                self._slots.release()
         self._target.put(OrderEnded(order, outcome, term))
 
     def list_instances(self, term: int) -> None:
@@ -90,7 +99,7 @@
         Args:
             term: The leader's term.
         """
-        self._calls.start(gevent.Greenlet(self._list, term))
+        gevent.spawn(self._list, term)
 
     def _list(self, term: int) -> None:
         asked_ms = clock.read_now_ms()
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -74,7 +74,7 @@
         self._scheduler: job_scheduler.Scheduler | None = None
         self._calls: list[tuple[calls.Call, Reply]] = []
         self._plan_due = False
-        self.outside = outside.Outside(self.mailbox, self._holds_lease)
+        self.outside = outside.Outside(self.mailbox, self._leads)
         # Answers that wait for the entry at an index to be committed.
         self._in_flight: tuple[int, list[_Waiting]] | None = None
         # Answers that wait for the lease alone.
@@ -173,6 +173,9 @@
         core = self._runner.core
         return clock.read_now_ms() < replication.compute_lease_until(core)
 
+    def _leads(self, term: int) -> bool:
+        return self._runner.core.term == term and self._holds_lease()
+
     # --- Membership ---
 
     def _tick(self) -> None:
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -74,6 +74,10 @@
         self.replica = node_replica.Replica(
             settings, *opened, self._send, self.group.rng.getrandbits(62)
         )
+        if self.group.provider is not None:
+            self.replica.outside.connect_provider(
+                self.group.provider, self.address
+            )
         service = timers.TimerService()
         self.replica.subscribe_timers(service)
         self._supervisor = supervisor.Supervisor("member")
@@ -124,8 +128,9 @@
 class Group:
     """All nodes of a test."""
 
-    def __init__(self, size=3, timings=_TIMINGS):
+    def __init__(self, size=3, timings=_TIMINGS, provider=None):
         self.rng = random.Random(5)
+        self.provider = provider
         self.timings = timings
         # Address of the member that reaches nobody; None for none.
         self.cut = None
@@ -169,6 +174,12 @@
         document = self.build_document(version)
         return self.call(calls.PutDocument(document), limit_s)
 
+    def wait_for(self, holds):
+        """Waits until something holds."""
+        with gevent.Timeout(_LIMIT_S, NoAnswerError("it did not happen")):
+            while not holds():
+                gevent.sleep(0.01)
+
     def read_version(self):
         """Reads which configuration is in force."""
         answer, _ = self.call(calls.GetDocument())
