Let an order that was given again end no later worker's runs

After an order without an answer the same order is given again, and the provider also answers 200 to what it has done already. The leader then took the worker of that moment for ended, though it had started after the upkeep: its reports were refused for the rest of the term, and runs that an earlier leader's successor had given it were started elsewhere while they ran.

A goal now knows whether an earlier order for it may have been carried out, by this leader or one before it, and which worker the first order met. Only that worker counts as ended; another one is lost like any worker, by its lease or by the next life on its instance. A first order ends its runs at once as before.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -29,6 +29,9 @@
         phase: How far it has come.
         life: The worker that ran there when the order was carried out.
         from_pool: The pool that the instance is in.
+        is_repeated: Whether an earlier order, maybe by another leader, may have
+            been carried out.
+        first_life: The worker that ran there at the first order.
     """
 
     order: instances.Order
@@ -36,6 +39,8 @@
     from_pool: str
     phase: GoalPhase = GoalPhase.DRAINING
     life: specs.WorkerLife | None = None
+    is_repeated: bool = False
+    first_life: specs.WorkerLife | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -110,6 +110,7 @@
                 if name in self.fleet.goals or name not in self.fleet.known:
                     continue
                 self.aim(instances.Upkeep(name, number), now_ms)
+                self.fleet.goals[name].is_repeated = True
 
     def find_gone(
         self, book: job_book.Book, now_ms: int
@@ -171,6 +172,8 @@
             goal.phase = fleet_view.GoalPhase.ORDERED
             goal.since_ms = now_ms
             goal.life = worker.life if worker is not None else None
+            if not goal.is_repeated:
+                goal.first_life = goal.life
             orders.append(goal.order)
         return orders
 
@@ -244,11 +247,15 @@
             case instances.OrderOutcome.DONE:
                 goal.phase = fleet_view.GoalPhase.AWAY
                 goal.since_ms = now_ms
+                if goal.is_repeated and goal.life != goal.first_life:
+                    # It may have been done before this worker started.
+                    return None
                 return goal.life
             case instances.OrderOutcome.IMPOSSIBLE:
                 del self.fleet.goals[order.instance]
             case instances.OrderOutcome.UNKNOWN:
                 # It may be under way; the same order again does no harm.
+                goal.is_repeated = True
                 goal.phase = fleet_view.GoalPhase.DRAINING
             case _:
                 goal.phase = fleet_view.GoalPhase.DRAINING
--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -1,13 +1,16 @@
 """A provider of instances around the simulated workers.
 
 Carries upkeeps out with a delay, ends what runs, and brings instances back with
-a new worker. Counts how many are away at a time.
+a new worker. Counts how many are away at a time. It may be busy, reset calls,
+fail to list, or carry an order out after its caller has given up.
 """
 
 from bambookeel.jobs import instances
 
 _UPKEEP_MS = 2_000
 _ANSWER_MS = 25
+# How long a call waits for an answer before it is given up.
+_PATIENCE_MS = 1_500
 
 
 class FakeProvider:
@@ -19,6 +22,17 @@
         # Whether the first answer to each order is lost.
         self.loses_first = False
         self._lost = set()
+        # What comes of orders while it is set, of which none is carried out.
+        self.refusal = None
+        # Whether orders are carried out without an answer.
+        self.is_mute = False
+        # Whether lists fail.
+        self.hides_list = False
+        # Time from the first order for an instance to its upkeep, where the
+        # order gets no answer.
+        self.late_ms = None
+        self._late = []
+        self._carried_out = set()
         self._answers = []
         self.most_down = 0
         # Time, leader's term and instance of each order.
@@ -48,14 +62,15 @@
     def _step(self):
         world = self._world
         scheduler = world.scheduler
-        for at_ms, order in list(self._answers):
+        for due in list(self._answers):
+            at_ms, order, outcome = due
             if at_ms <= world.now_ms:
-                self._answers.remove((at_ms, order))
-                outcome = instances.OrderOutcome.DONE
-                if self.loses_first and order not in self._lost:
-                    self._lost.add(order)
-                    outcome = instances.OrderOutcome.UNKNOWN
+                self._answers.remove(due)
                 scheduler.take_outcome(order, outcome, world.read_now())
+        for due in list(self._late):
+            if due[0] <= world.now_ms:
+                self._late.remove(due)
+                self._carry_out(due[1])
         for order in scheduler.take_orders():
             self._begin(order)
         for name, until_ms in list(self._down.items()):
@@ -64,16 +79,37 @@
                 world.restart(world.workers[name.removeprefix("m-")])
         now_ms = world.now_ms
         if scheduler.is_list_due(now_ms):
-            scheduler.take_list(self._list(), now_ms)
+            listed = None if self.hides_list else self._list()
+            scheduler.take_list(listed, now_ms)
         world.commit()
 
     def _begin(self, order):
         world = self._world
         self.orders.append((world.now_ms, world.term, order.instance))
-        self._answers.append((world.now_ms + _ANSWER_MS, order))
+        is_first = order not in self._lost
+        self._lost.add(order)
+        outcome = instances.OrderOutcome.DONE
+        answer_ms = _ANSWER_MS
+        if self.refusal is not None:
+            outcome = self.refusal
+        elif self.late_ms is not None and is_first:
+            outcome = instances.OrderOutcome.UNKNOWN
+            answer_ms = _PATIENCE_MS
+            self._late.append((world.now_ms + self.late_ms, order))
+        else:
+            if self.is_mute or (self.loses_first and is_first):
+                outcome = instances.OrderOutcome.UNKNOWN
+            self._carry_out(order)
+        self._answers.append((world.now_ms + answer_ms, order, outcome))
+
+    def _carry_out(self, order):
+        world = self._world
+        if order in self._carried_out:
+            return
         worker = world.workers[order.instance.removeprefix("m-")]
         if not worker.is_up:
             return
+        self._carried_out.add(order)
         self._down[order.instance] = world.now_ms + _UPKEEP_MS
         world.crash(worker)
         self.most_down = max(self.most_down, len(self._down))
--- a/features/steps/provider_steps.py
+++ b/features/steps/provider_steps.py
@@ -5,6 +5,8 @@
 from behave import when
 
 from bambookeel.jobs import calls
+from bambookeel.jobs import fleet as fleet_view
+from bambookeel.jobs import instances
 from features.fakes import node_group
 from features.fakes import silent_provider
 
@@ -49,3 +51,76 @@
         lambda: {order[2] for order in silent.orders} == names
     )
     assert len({order[:2] for order in silent.orders}) == 1, silent.orders
+
+
+@given('the provider answers each order with "{outcome}"')
+def refuse_orders(context, outcome):
+    context.provider.refusal = instances.OrderOutcome(outcome)
+
+
+@when("the provider carries orders out again")
+def accept_orders(context):
+    context.provider.refusal = None
+
+
+@given(
+    "the provider begins each upkeep {ms:d} ms after an order without an answer"
+)
+def begin_late(context, ms):
+    context.provider.late_ms = ms
+
+
+@given("the provider does not list its instances")
+def hide_list(context):
+    context.provider.hides_list = True
+
+
+@when("the provider lists its instances again")
+def show_list(context):
+    context.provider.hides_list = False
+
+
+@given("the provider carries orders out without an answer")
+def mute(context):
+    context.provider.is_mute = True
+
+
+@when("the provider answers again to what it has done")
+def unmute(context):
+    context.provider.is_mute = False
+
+
+@when("another scheduler takes over without a list")
+def change_leader_unlisted(context):
+    context.provider.hides_list = True
+    context.world.lead()
+    context.world.scheduler.term.steering.fleet = fleet_view.Fleet()
+    context.provider.reset()
+
+
+@when("{count:d} workers are added")
+def add_workers(context, count):
+    for number in range(count):
+        context.world.add_worker(f"added-{number}", "pack")
+
+
+def _group_orders(context):
+    by_instance = {}
+    for at_ms, _, instance in context.provider.orders:
+        by_instance.setdefault(instance, []).append(at_ms)
+    return by_instance
+
+
+@then("no instance was ordered twice within {ms:d} ms")
+def check_pauses(context, ms):
+    for instance, times in _group_orders(context).items():
+        for first, second in zip(times, times[1:]):
+            assert second - first >= ms, (instance, times)
+
+
+@then("each instance was ordered at least {count:d} times")
+def check_tries(context, count):
+    by_instance = _group_orders(context)
+    assert len(by_instance) == len(context.world.workers), by_instance
+    for instance, times in by_instance.items():
+        assert len(times) >= count, (instance, times)
