Pause before an order is given again, and count it as under way

An upkeep that the provider refused (429, busy) or left without an answer was ordered again every 100 ms for each instance (28 orders in 2.6 s in the new scenario), though 600 ms are meant; a provider that is at its limit stays there, and each order costs a commit and a call.

The pause alone let a second upkeep of a standing step begin while the first, given up after 1.5 s, was yet to be carried out (2 of 3 tasks missing where 1 may: seen in the scenario with 2.5 s of delay). An order without an answer therefore counts its worker as away until an answer comes.

The scenarios with refusals failed before (100 ms between orders, bound 500).

--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -156,6 +156,9 @@
         for name, goal in self.fleet.goals.items():
             if goal.phase is not fleet_view.GoalPhase.DRAINING:
                 continue
+            known = self.fleet.known.get(name)
+            if known is not None and now_ms < known.retry_ms:
+                continue
             if now_ms < self._orders_from_ms and not _is_long_ago(
                 book.instances.ordered_wall_ms.get(name), wall_ms
             ):
@@ -191,7 +194,10 @@
             other.life
             for other in self.fleet.goals.values()
             if other.life is not None
-            and other.phase is not fleet_view.GoalPhase.DRAINING
+            and (
+                other.is_repeated
+                or other.phase is not fleet_view.GoalPhase.DRAINING
+            )
         )
         if now_ms < self._orders_from_ms:
             # An earlier leader's order may have ended what was heard last.
--- a/features/jobs/provider.feature
+++ b/features/jobs/provider.feature
@@ -3,6 +3,22 @@
   Background:
     Given a calm world of 3 workers
 
+  Scenario Outline: A provider that does nothing is asked again after a pause
+    Given the provider answers each order with "<outcome>"
+    When a wave of all instances with 3 at once is asked for
+    And 6000 ms pass for the jobs with a provider
+    Then no instance was ordered twice within 500 ms
+    And each instance was ordered at least 5 times
+    When the provider carries orders out again
+    And 40000 ms pass for the jobs with a provider
+    Then the wave is complete
+
+    Examples:
+      | outcome    |
+      | overloaded |
+      | unknown    |
+      | busy       |
+
   Scenario: Jobs go on beside a provider that does nothing
     Given the provider answers each order with "unknown"
     When a wave of all instances with 1 at once is asked for
