End a move whose worker reports from its new pool

While the provider carries orders out but answers too late (over 1.5 s), a moved instance stayed set aside until an answer came: its new worker got no task, though its reports show that the move is done.

A move that may have been carried out now ends with the first report from the pool that it was to go to. An upkeep leaves no such mark and is ordered again.

--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -285,9 +285,17 @@
         known = self.fleet.known.get(name)
         if known is not None:
             known.pool = worker.report.service
-        if goal is None or goal.phase is not fleet_view.GoalPhase.AWAY:
+        if goal is None:
             return False
-        return goal.life is None or worker.life != goal.life
+        if goal.phase is fleet_view.GoalPhase.AWAY:
+            return goal.life is None or worker.life != goal.life
+        # The move was carried out, though its answer did not come.
+        return (
+            goal.phase is fleet_view.GoalPhase.DRAINING
+            and goal.is_repeated
+            and isinstance(goal.order, instances.Move)
+            and goal.order.pool == worker.report.service
+        )
 
     def end_goal(self, name: str) -> list[commands.Command]:
         """Ends a goal that has been reached.
--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -110,6 +110,8 @@
         if not worker.is_up:
             return
         self._carried_out.add(order)
+        if isinstance(order, instances.Move):
+            worker.service = order.pool
         self._down[order.instance] = world.now_ms + _UPKEEP_MS
         world.crash(worker)
         self.most_down = max(self.most_down, len(self._down))
--- a/features/jobs/provider.feature
+++ b/features/jobs/provider.feature
@@ -72,3 +72,11 @@
     Then the wave is complete
     And no promise was broken
     And 36 runs have started
+
+  Scenario: A move that was done without an answer is over once its worker reports
+    Given the provider carries orders out without an answer
+    When 200 ms pass for the jobs with a provider
+    And instance "m-w0" is to move to "other"
+    And 8000 ms pass for the jobs with a provider
+    Then the instance of "w0" serves "other"
+    And no instance is on its way to another pool
--- a/features/steps/provider_steps.py
+++ b/features/steps/provider_steps.py
@@ -104,6 +104,19 @@
         context.world.add_worker(f"added-{number}", "pack")
 
 
+@when('instance "{name}" is to move to "{pool}"')
+def aim_at_move(context, name, pool):
+    world = context.world
+    steering = world.scheduler.term.steering
+    steering.aim(instances.Move(name, pool), world.now_ms)
+
+
+@then('the instance of "{name}" serves "{pool}"')
+def check_service(context, name, pool):
+    worker = context.world.workers[name]
+    assert worker.is_up and worker.service == pool, worker
+
+
 def _group_orders(context):
     by_instance = {}
     for at_ms, _, instance in context.provider.orders:
