Let all members of a gang go on from one checkpoint

After a gang had broken, each member started again from its own last value. A member whose worker was cut off or had crashed carried an older one than the others, or none: a start that the gang's other members do not agree with.

The members now all carry the value that most of them have; any member's value is valid for the gang. The choice depends on the book alone, so that every order of a run and every leader makes the same.

--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -6,6 +6,7 @@
 
 from bambookeel.core import faults
 from bambookeel.jobs import calls
+from bambookeel.jobs import checkpoints
 from bambookeel.jobs import commands
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
@@ -278,11 +279,13 @@
             continue
         job = term.book.jobs[each.task.job]
         task = term.book.get_task(each.task)
+        step = term.book.get_step(each.task)
         faults.check_invariant(task is not None, f"no task {each.task}")
-        assert task is not None
+        assert task is not None and step is not None
+        saved = checkpoints.choose_saved(step, task)
         starts.append(
             calls.StartOrder(
-                each.task, each.run, job.spec.body, task.saved, each.ticket
+                each.task, each.run, job.spec.body, saved, each.ticket
             )
         )
     return calls.WorkerOrders(
--- a/features/fakes/jobs_checks.py
+++ b/features/fakes/jobs_checks.py
@@ -1,8 +1,10 @@
 """The promises of jobs, checked at each start of a run."""
 
 
-def check_start(world, worker, task, step):
+def check_start(world, worker, order, step):
     """Checks the promises at a start."""
+    task = order.task
+    check_saved(world, order, step)
     if task in world.noted:
         world.broken.append(f"{task} starts after its end was noted")
     for other in world.workers.values():
@@ -51,3 +53,20 @@
                 total += needs.cpu_milli
     if total > world.cap_milli + largest:
         world.broken.append(f"{team} has {total} of {world.cap_milli}")
+
+
+def check_saved(world, order, step):
+    """Checks that a start goes on from a value of its own task or gang."""
+    task = order.task
+    world.carried.append(order.saved)
+    owner = task[:3] if step.is_gang else task
+    own = ".".join(str(part) for part in owner) + "#"
+    if order.saved and not order.saved.startswith(own):
+        world.broken.append(f"{task} goes on from {order.saved}")
+    gang = (*task[:3], order.run)
+    for worker in world.workers.values():
+        for run in worker.running.values():
+            if run.gang == gang and run.carried != order.saved:
+                world.broken.append(
+                    f"{task} goes on from {order.saved}, beside {run.carried}"
+                )
--- a/features/fakes/jobs_runs.py
+++ b/features/fakes/jobs_runs.py
@@ -6,7 +6,7 @@
 from features.fakes import jobs_world
 
 
-def make_spec(random_source, is_standing=False):
+def make_spec(random_source, is_standing=False, has_copies=False):
     """Makes a job of one to three steps."""
     steps = []
     for i in range(1 if is_standing else random_source.randrange(1, 4)):
@@ -27,12 +27,17 @@
                 max_per_instance=random_source.choice([0, 0, 2]),
                 is_standing=is_standing,
                 is_gang=is_gang,
+                allows_copies=has_copies
+                and not (is_gang or is_standing)
+                and random_source.random() < 0.5,
             )
         )
     return specs.JobSpec("body", tuple(steps))
 
 
-def play(seed, cap_milli=0, span_ms=20_000, has_advisor=False):
+def play(
+    seed, cap_milli=0, span_ms=20_000, has_advisor=False, has_copies=False
+):
     """Plays a random run and gives what was broken."""
     workers = 8 if has_advisor else 4
     world = jobs_world.World(seed, workers, cap_milli)
@@ -45,7 +50,7 @@
     for number in range(20):
         job = f"{number:016x}"
         key = world.random.choice(["key-coach", "key-school"])
-        spec = make_spec(world.random, is_standing=number in (3, 7))
+        spec = make_spec(world.random, number in (3, 7), has_copies)
         answer = world.submit(job, spec, key)
         if isinstance(answer, calls.Done):
             jobs[job] = key
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -5,6 +5,9 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import specs
 
+# Work after which a run has a new value to go on from.
+_CHECKPOINT_MS = 300
+
 
 @dataclasses.dataclass
 class Run:
@@ -17,6 +20,17 @@
     saved: str
     begun_ms: float = 0
     gang: tuple | None = None
+    # What its start carried.
+    carried: str = ""
+    checkpoints: bool = False
+
+    def save(self, now_ms):
+        """Keeps a value from which its task, or its gang, can go on."""
+        number = int(now_ms - self.begun_ms) // _CHECKPOINT_MS
+        if self.checkpoints and number:
+            owner = self.task if self.gang is None else self.task[:3]
+            name = ".".join(str(part) for part in owner)
+            self.saved = f"{name}#{self.run}.{number}"
 
 
 @dataclasses.dataclass
@@ -68,6 +82,8 @@
     def make_report(self, now_ms):
         """Makes the next report."""
         self.number += 1
+        for run in self.running.values():
+            run.save(now_ms)
         return calls.WorkerReport(
             life=specs.WorkerLife(self.name, self.born),
             instance=f"m-{self.name}",
--- a/features/fakes/jobs_world.py
+++ b/features/fakes/jobs_world.py
@@ -47,6 +47,7 @@
         self.advisor = None
         self.done = set()
         self.starts = []
+        self.carried = []
         self.broken = []
         self.cap_milli = cap_milli
         self.specs = {}
@@ -130,8 +131,7 @@
                     f"m-{w.name}", w.service, instances.InstancePhase.UP, "dc"
                 )
                 for w in self.workers.values()
-            )
-            or (),
+            ),
             self.now_ms,
         )
 
@@ -265,9 +265,8 @@
                 continue
             if self.now_ms >= run.ends_ms and not worker.hangs:
                 self.end_run(worker, run, run.how)
-        if self.now_ms < worker.due_ms:
-            return
-        self.report(worker)
+        if self.now_ms >= worker.due_ms:
+            self.report(worker)
 
     def run_gang(self, run):
         """Lets the members of a gang wait, end and break together."""
@@ -328,9 +327,8 @@
         answer = self.call(report)
         if self.faults and self.random.random() < 0.02:
             return
-        if not isinstance(answer, calls.WorkerOrders):
-            return
-        self.obey(worker, answer, sent_ms)
+        if isinstance(answer, calls.WorkerOrders):
+            self.obey(worker, answer, sent_ms)
 
     def obey(self, worker, orders, sent_ms):
         """Carries orders out as a worker does."""
@@ -379,7 +377,7 @@
             if not self.advisor.accepts(order.ticket, task[:3], life):
                 worker.refuse(order)
                 return
-        jobs_checks.check_start(self, worker, task, step)
+        jobs_checks.check_start(self, worker, order, step)
         length_ms = self.duration_ms or self.random.randrange(200, 2_000)
         how = specs.RunEnd.DONE
         if worker.fails or self.random.random() < self.fail_share:
@@ -397,4 +395,6 @@
             (task.job, task.occurrence, task.step, order.run)
             if step.is_gang
             else None,
+            order.saved,
+            step.checkpoints,
         )
--- /dev/null
+++ b/features/steps/checkpoint_steps.py
@@ -0,0 +1,108 @@
+"""Steps for checkpoints and copies of tasks."""
+
+from behave import then
+from behave import when
+
+from bambookeel.jobs import specs
+from features.fakes import jobs_runs
+from features.steps import job_steps
+
+_NEEDS = specs.Resources(1_000, 100, 0)
+
+
+def _hand_in(context, job, ms, **fields):
+    context.world.duration_ms = ms
+    step = specs.StepSpec(needs=_NEEDS, estimate_ms=ms, **fields)
+    job_steps.hand_in_spec(context, job, specs.JobSpec("body", (step,)))
+
+
+@when('job "{job}" of 1 task with checkpoints is handed in for {ms:d} ms')
+def hand_in_saving(context, job, ms):
+    _hand_in(context, job, ms, count=1, checkpoints=True)
+
+
+@when(
+    'job "{job}" of a gang of {count:d} tasks with checkpoints is handed in for'
+    " {ms:d} ms"
+)
+def hand_in_gang(context, job, count, ms):
+    _hand_in(
+        context,
+        job,
+        ms,
+        count=count,
+        checkpoints=True,
+        is_gang=True,
+        max_per_instance=1,
+    )
+
+
+def _find_running(context):
+    for worker in context.world.workers.values():
+        if worker.running:
+            return worker
+    raise AssertionError("nothing runs")
+
+
+def _keep_heard(context, worker):
+    run = next(iter(worker.running.values()))
+    context.heard = run.saved
+
+
+@when("the worker that runs it starts again")
+def restart(context):
+    worker = _find_running(context)
+    _keep_heard(context, worker)
+    context.world.restart(worker)
+
+
+@when("the worker that runs it crashes")
+def crash(context):
+    worker = _find_running(context)
+    _keep_heard(context, worker)
+    context.world.crash(worker)
+
+
+@when("the worker that was cut off crashes")
+def crash_silent(context):
+    for worker in context.world.workers.values():
+        if worker.is_cut:
+            context.world.crash(worker)
+
+
+@when("the worker that was cut off is heard again")
+def hear_again(context):
+    for worker in context.world.workers.values():
+        worker.is_cut = False
+
+
+@then("the second went on from the last value that was heard")
+def check_carried(context):
+    carried = context.world.carried
+    assert context.heard and carried[1] == context.heard, (
+        carried,
+        context.heard,
+    )
+
+
+@then("every later run went on from a value")
+def check_later(context):
+    world = context.world
+    later = [
+        value
+        for value, (_, _, run, _) in zip(world.carried, world.starts)
+        if run > 1
+    ]
+    assert later and all(later), (world.carried, world.starts)
+
+
+@when(
+    "random runs of jobs with copies and the seeds {first:d} to {last:d} are"
+    " played"
+)
+def play_copied(context, first, last):
+    context.broken = {}
+    for seed in range(first, last + 1):
+        broken = jobs_runs.play(seed, has_copies=True)
+        if broken:
+            context.broken[seed] = broken
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -125,7 +125,9 @@
 
 @when("the worker that runs it falls silent")
 def silence_worker(context):
-    _find_running(context).is_cut = True
+    worker = _find_running(context)
+    context.heard = next(iter(worker.running.values())).saved
+    worker.is_cut = True
 
 
 @when("the worker that runs it repeats an old report")
