Test a loss of power of all shortly after a lost disk

docs/PROOF.md had no test of the final fault on the path of the job book. Three replicas at the pace of machines: a follower's disk is replaced at its address while configurations are put for 4,000 ms, then all lose power and one more disk is lost.

--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -124,6 +124,10 @@
         self.replica = None
         self.folder.crash(random.Random(1))
 
+    def lose_disk(self):
+        """Gives it an empty disk; it must not be running."""
+        self.folder = memory_folder.MemoryFolder()
+
 
 class Group:
     """All nodes of a test."""
--- a/features/platform/disks.feature
+++ b/features/platform/disks.feature
@@ -41,3 +41,20 @@
     And configurations are put for 3000 ms
     Then each was in force within 3000 ms
     And the newest configuration is read back at every replica that leads in turn
+
+  Scenario Outline: A disk lost shortly before the loss of power of all and of another disk
+    Given three replicas of the book at the pace of machines
+    And configuration 1 is in force there
+    When a follower's disk is lost and replaced at its address
+    And configurations are put for 4000 ms
+    And all replicas lose power, and <second> its disk
+    And all replicas start again
+    Then the newest configuration is read back within 5000 ms
+    When configurations are put for 2000 ms
+    Then each was in force within 3000 ms
+
+    Examples:
+      | second         |
+      | the leader     |
+      | the old voter  |
+      | the new member |
--- a/features/steps/disk_steps.py
+++ b/features/steps/disk_steps.py
@@ -13,6 +13,8 @@
 # Longest time that one configuration is tried for.
 _PATIENCE_MS = 5_000
 _PAUSE_S = 0.005
+# What a process takes to start again.
+_RESTART_S = 1.0
 
 
 @given("three replicas of the book at the pace of machines")
@@ -110,6 +112,49 @@
         member.start()
 
 
+@when("a follower's disk is lost and replaced at its address")
+def replace_disk(context):
+    context.replaced = _get_follower(context)
+    context.replaced.kill()
+    context.replaced.lose_disk()
+    gevent.sleep(_RESTART_S)
+    context.replaced.start()
+
+
+@when("all replicas lose power, and {second} its disk")
+def lose_power_and_disk(context, second):
+    leader = context.after
+    others = [
+        member
+        for member in context.group.members.values()
+        if member not in (leader, context.replaced)
+    ]
+    lost = {
+        "the leader": leader,
+        "the old voter": others[0],
+        "the new member": context.replaced,
+    }[second]
+    for member in context.group.members.values():
+        member.kill()
+    lost.lose_disk()
+
+
+@when("all replicas start again")
+def start_all(context):
+    for member in context.group.members.values():
+        member.start()
+
+
+@then("the newest configuration is read back within {ms:d} ms")
+def check_newest(context, ms):
+    begun_s = time.monotonic()
+    answer, _ = context.group.call(calls.GetDocument())
+    took_ms = int((time.monotonic() - begun_s) * 1000)
+    expected = f'{{"version":{context.version}}}'.encode()
+    assert answer.original == expected, answer
+    assert took_ms <= ms, took_ms
+
+
 @when("the follower's new disk takes {ms:d} ms longer a sync")
 def slow_new_disk(context, ms):
     context.world.slower_ms = (ms, ms)
