Show that a far new disk gets no vote, and what follows

On the path of the job book a second loss 4 s after the first, with a new disk of 180 ms a sync, left nobody to lead: no answer within 30 s.

--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -41,6 +41,8 @@
         self.slow_disks = set()
         # What a sync of a slow disk takes longer.
         self.slower_ms = (100, 2_000)
+        # What messages from and to a process take longer.
+        self.farther_ms = {}
         self.leaders = {}
         self.committed = {}
         self.max_committed = 0
@@ -115,6 +117,8 @@
         process = membership.get_process(to)
         for _ in range(copies):
             delay_ms = self.rng.randint(*self.delay_ms)
+            delay_ms += self.farther_ms.get(node.process, 0)
+            delay_ms += self.farther_ms.get(process, 0)
             self._push(delay_ms, self._deliver, node.process, process, message)
 
     def _deliver(self, source, process, message):
--- a/features/platform/disks.feature
+++ b/features/platform/disks.feature
@@ -58,3 +58,12 @@
       | the leader     |
       | the old voter  |
       | the new member |
+
+  Scenario: A new disk that takes 180 ms a sync has its vote in time for the next loss
+    Given three replicas of the book at the pace of machines
+    And configuration 1 is in force there
+    When a follower's disk is lost and replaced by one of 180 ms a sync
+    And configurations are put for 4000 ms
+    And all replicas lose power, and the old voter its disk
+    And all replicas start again
+    Then the newest configuration is read back within 5000 ms
--- a/features/steps/disk_steps.py
+++ b/features/steps/disk_steps.py
@@ -113,14 +113,20 @@
 
 
 @when("a follower's disk is lost and replaced at its address")
-def replace_disk(context):
+def replace_disk(context, sync_ms=0):
     context.replaced = _get_follower(context)
     context.replaced.kill()
     context.replaced.lose_disk()
+    context.replaced.folder.sync_ms = sync_ms
     gevent.sleep(_RESTART_S)
     context.replaced.start()
 
 
+@when("a follower's disk is lost and replaced by one of {ms:d} ms a sync")
+def replace_disk_slow(context, ms):
+    replace_disk(context, ms)
+
+
 @when("all replicas lose power, and {second} its disk")
 def lose_power_and_disk(context, second):
     leader = context.after
@@ -159,3 +165,8 @@
 def slow_new_disk(context, ms):
     context.world.slower_ms = (ms, ms)
     context.world.slow_disks.add(context.follower.process)
+
+
+@when("the follower's new disk is {ms:d} ms farther away")
+def move_new_disk(context, ms):
+    context.world.farther_ms[context.follower.process] = ms
