Test the provider's client with what a provider may send

Resets, closed connections, silence, garbage, torn heads and bodies, refusals: an order gets an outcome each time, unknown where it may have been carried out, and no list is made of less than a whole answer.

--- /dev/null
+++ b/features/fakes/raw_service.py
@@ -0,0 +1,50 @@
+"""A service on a real socket that answers each call with fixed bytes."""
+
+import socket
+import struct
+import threading
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class RawService:
+    """Answers with bytes, or resets each connection."""
+
+    def __init__(self, answer, stays_open=False):
+        # None resets the connection.
+        self._answer = answer
+        self._stays_open = stays_open
+        self._open = []
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        host, port = self._socket.getsockname()
+        self.address = f"{host}:{port}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            self._serve_one(connection)
+            if self._stays_open:
+                self._open.append(connection)
+                continue
+            connection.close()
+
+    def _serve_one(self, connection):
+        try:
+            connection.recv(65536)
+            if self._answer is None:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+                return
+            connection.sendall(self._answer)
+        except OSError:
+            return
+
+    def end(self):
+        """Closes all sockets."""
+        for connection in (self._socket, *self._open):
+            connection.close()
--- a/features/platform/provider.feature
+++ b/features/platform/provider.feature
@@ -11,3 +11,22 @@
     And at most 16 orders were under way at once
     When the provider answers again
     Then each instance is ordered by one leader only
+
+  Scenario Outline: Whatever the provider sends, an order has an outcome and no list is made up
+    When the provider's service <trouble>
+    Then an order to it is "<outcome>"
+    And it has no list
+
+    Examples:
+      | trouble                                    | outcome    |
+      | resets each connection                     | unknown    |
+      | closes each connection                     | unknown    |
+      | sends "garbage"                            | unknown    |
+      | sends "HTTP/1.1 200 OK~Content-Le"         | unknown    |
+      | sends "HTTP/1.1 200 OK~Content-Length: 9~~{" | unknown    |
+      | sends "HTTP/1.1 200 OK~Content-Length: x~~{" | unknown    |
+      | sends "HTTP/1.1 500 no~Content-Length: 0~~" | unknown    |
+      | sends "HTTP/1.1 429 no~Content-Length: 0~~" | overloaded |
+      | sends "HTTP/1.1 409 no~Content-Length: 1~~{" | busy       |
+      | sends "HTTP/1.1 400 no~Content-Length: 0~~" | impossible |
+      | sends nothing                              | unknown    |
--- a/features/steps/provider_steps.py
+++ b/features/steps/provider_steps.py
@@ -1,5 +1,8 @@
 """Steps for a provider of instances that does not answer."""
 
+import pathlib
+import sys
+
 from behave import given
 from behave import then
 from behave import when
@@ -8,8 +11,16 @@
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
 from features.fakes import node_group
+from features.fakes import raw_service
 from features.fakes import silent_provider
 
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+# The folder shadows a module of the standard library; it goes to the end.
+sys.path.append(str(_ROOT / "platform"))
+
+# pylint: disable=wrong-import-position,import-error
+import adapter_provider  # noqa: E402
+
 
 @given(
     "three replicas of the book and a silent provider of {count:d} instances"
@@ -137,3 +148,41 @@
     assert len(by_instance) == len(context.world.workers), by_instance
     for instance, times in by_instance.items():
         assert len(times) >= count, (instance, times)
+
+
+def _serve(context, answer, stays_open=False):
+    service = raw_service.RawService(answer, stays_open)
+    context.add_cleanup(service.end)
+    context.adapter = adapter_provider.HttpProvider(service.address)
+
+
+@when("the provider's service resets each connection")
+def serve_resets(context):
+    _serve(context, None)
+
+
+@when("the provider's service closes each connection")
+def serve_ends(context):
+    _serve(context, b"")
+
+
+@when("the provider's service sends nothing")
+def serve_silence(context):
+    _serve(context, b"", stays_open=True)
+
+
+@when('the provider\'s service sends "{text}"')
+def serve_text(context, text):
+    _serve(context, text.replace("~", "\r\n").encode())
+
+
+@then('an order to it is "{outcome}"')
+def check_outcome(context, outcome):
+    order = instances.Upkeep("m1", 1)
+    found = context.adapter.carry_out(order, "holder", 1)
+    assert found is instances.OrderOutcome(outcome), found
+
+
+@then("it has no list")
+def check_no_list(context):
+    assert context.adapter.list_instances() is None
