--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -29,8 +29,9 @@
         phase: How far it has come.
         life: The worker that ran there when the order was carried out.
         from_pool: The pool that the instance is in.
-        is_again: Whether the order may have been carried out before; the
-            instance may then be back, with another worker than it ended.
+        is_repeated: Whether an earlier order, maybe by another leader, may have
+            been carried out.
+        first_life: The worker that ran there at the first order.
     """
 
     order: instances.Order
@@ -38,7 +39,8 @@
     from_pool: str
     phase: GoalPhase = GoalPhase.DRAINING
     life: specs.WorkerLife | None = None
-    is_again: bool = False
+    is_repeated: bool = False
+    first_life: specs.WorkerLife | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -21,6 +21,26 @@
 _RETRY_MS = 600
 
 
+def _has_moved_unnoticed(
+    goal: fleet_view.Goal, worker: worker_table.Worker
+) -> bool:
+    """Tells whether a move was carried out though its answer did not come.
+
+    Args:
+        goal: A goal that is not reached.
+        worker: The worker that reports from the instance.
+
+    Returns:
+        Whether it reports from the pool that the instance was to move to.
+    """
+    if goal.phase is not fleet_view.GoalPhase.DRAINING or not goal.is_repeated:
+        return False
+    match goal.order:
+        case instances.Move(_, pool):
+            return worker.report.service == pool
+    return False
+
+
 class Steering:
     """Goals of a leader's term."""
 
@@ -120,7 +140,7 @@
                 if name in self.fleet.goals or name not in self.fleet.known:
                     continue
                 self.aim(instances.Upkeep(name, number), now_ms)
-                self.fleet.goals[name].is_again = True
+                self.fleet.goals[name].is_repeated = True
 
     def find_gone(
         self, book: job_book.Book, now_ms: int
@@ -166,6 +186,9 @@
         for name, goal in self.fleet.goals.items():
             if goal.phase is not fleet_view.GoalPhase.DRAINING:
                 continue
+            known = self.fleet.known.get(name)
+            if known is not None and now_ms < known.retry_ms:
+                continue
             is_early = now_ms < self._orders_from_ms
             if is_early and not self._is_long_ago(book, name, wall_ms):
                 continue
@@ -181,6 +204,8 @@
             goal.phase = fleet_view.GoalPhase.ORDERED
             goal.since_ms = now_ms
             goal.life = worker.life if worker is not None else None
+            if not goal.is_repeated:
+                goal.first_life = goal.life
             orders.append(goal.order)
         return orders
 
@@ -198,7 +223,10 @@
             other.life
             for other in self.fleet.goals.values()
             if other.life is not None
-            and other.phase is not fleet_view.GoalPhase.DRAINING
+            and (
+                other.is_repeated
+                or other.phase is not fleet_view.GoalPhase.DRAINING
+            )
         )
         if now_ms < self._orders_from_ms:
             # An earlier leader's order may have ended what was heard last.
@@ -259,13 +287,16 @@
             case instances.OrderOutcome.DONE:
                 goal.phase = fleet_view.GoalPhase.AWAY
                 goal.since_ms = now_ms
-                return None if goal.is_again else goal.life
+                if goal.is_repeated and goal.life != goal.first_life:
+                    # It may have been done before this worker started.
+                    return None
+                return goal.life
             case instances.OrderOutcome.IMPOSSIBLE:
                 del self.fleet.goals[order.instance]
             case instances.OrderOutcome.UNKNOWN:
                 # It may be under way; the same order again does no harm.
+                goal.is_repeated = True
                 goal.phase = fleet_view.GoalPhase.DRAINING
-                goal.is_again = True
             case _:
                 goal.phase = fleet_view.GoalPhase.DRAINING
                 if isinstance(order, instances.Move):
@@ -288,8 +319,10 @@
         known = self.fleet.known.get(name)
         if known is not None:
             known.pool = worker.report.service
-        if goal is None or goal.phase is not fleet_view.GoalPhase.AWAY:
+        if goal is None:
             return False
+        if goal.phase is not fleet_view.GoalPhase.AWAY:
+            return _has_moved_unnoticed(goal, worker)
         if goal.life is not None:
             return worker.life != goal.life
         # What is heard may be a late word of before the order.
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -21,6 +21,23 @@
 
 _LIMIT_S = 30.0
 _TRY_S = 1.0
+_TIMINGS = core_settings.ConsensusTimings(
+    heartbeat_ms=20,
+    election_min_ms=200,
+    election_max_ms=400,
+    snapshot_every=30,
+)
+# Slower, as between machines, with room for pauses.
+SLOW_TIMINGS = core_settings.ConsensusTimings(
+    heartbeat_ms=150,
+    election_min_ms=900,
+    election_max_ms=1_500,
+    snapshot_every=300,
+)
+
+
+class NoAnswerError(AssertionError):
+    """No replica has answered in time."""
 
 
 class Member:
@@ -34,6 +51,8 @@
         self._supervisor = None
         self._waiting = {}
         self._starts = 0
+        # Whether the last call here got no answer.
+        self.is_silent = False
 
     def start(self):
         """Starts it from its folder."""
@@ -55,6 +74,10 @@
         self.replica = node_replica.Replica(
             settings, *opened, self._send, self.group.rng.getrandbits(62)
         )
+        if self.group.provider is not None:
+            self.replica.outside.connect_provider(
+                self.group.provider, self.address
+            )
         service = timers.TimerService()
         self.replica.subscribe_timers(service)
         self._supervisor = supervisor.Supervisor("member")
@@ -101,18 +124,18 @@
         self.replica = None
         self.folder.crash(random.Random(1))
 
+    def lose_disk(self):
+        """Gives it an empty disk; it must not be running."""
+        self.folder = memory_folder.MemoryFolder()
+
 
 class Group:
     """All nodes of a test."""
 
-    def __init__(self, size=3):
+    def __init__(self, size=3, timings=_TIMINGS, provider=None):
         self.rng = random.Random(5)
-        self.timings = core_settings.ConsensusTimings(
-            heartbeat_ms=20,
-            election_min_ms=200,
-            election_max_ms=400,
-            snapshot_every=30,
-        )
+        self.provider = provider
+        self.timings = timings
         # Address of the member that reaches nobody; None for none.
         self.cut = None
         self.members = {}
@@ -122,14 +145,18 @@
         for member in self.members.values():
             member.start()
 
-    def call(self, call):
+    def call(self, call, limit_s=_LIMIT_S):
         """Makes one call at whoever leads, until it is answered."""
-        with gevent.Timeout(_LIMIT_S, AssertionError("no answer")):
+        with gevent.Timeout(limit_s, NoAnswerError("no answer")):
             while True:
-                for member in self.members.values():
+                # One that was silent is asked after the others.
+                for member in sorted(
+                    self.members.values(), key=lambda each: each.is_silent
+                ):
                     if member.replica is None or member.address == self.cut:
                         continue
                     answer = member.call(call)
+                    member.is_silent = answer is None
                     if answer is None or isinstance(answer, calls.NotLeading):
                         continue
                     return answer, member
@@ -146,9 +173,16 @@
             f'{{"version":{version}}}'.encode(),
         )
 
-    def put_document(self, version):
+    def put_document(self, version, limit_s=_LIMIT_S):
         """Puts a configuration in force."""
-        return self.call(calls.PutDocument(self.build_document(version)))
+        document = self.build_document(version)
+        return self.call(calls.PutDocument(document), limit_s)
+
+    def wait_for(self, holds):
+        """Waits until something holds."""
+        with gevent.Timeout(_LIMIT_S, NoAnswerError("it did not happen")):
+            while not holds():
+                gevent.sleep(0.01)
 
     def read_version(self):
         """Reads which configuration is in force."""
@@ -158,5 +192,6 @@
     def stop(self):
         """Ends everything."""
         for member in self.members.values():
+            member.folder.go_on()
             if member.replica is not None:
                 member.kill()
--- /dev/null
+++ b/features/steps/provider_steps.py
@@ -0,0 +1,188 @@
+"""Steps for a provider of instances that does not answer."""
+
+import pathlib
+import sys
+
+from behave import given
+from behave import then
+from behave import when
+
+from bambookeel.jobs import calls
+from bambookeel.jobs import fleet as fleet_view
+from bambookeel.jobs import instances
+from features.fakes import node_group
+from features.fakes import raw_service
+from features.fakes import silent_provider
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+# The folder shadows a module of the standard library; it goes to the end.
+sys.path.append(str(_ROOT / "platform"))
+
+# pylint: disable=wrong-import-position,import-error
+import adapter_provider  # noqa: E402
+
+
+@given(
+    "three replicas of the book and a silent provider of {count:d} instances"
+)
+def start_with_provider(context, count):
+    context.silent = silent_provider.SilentProvider(count)
+    context.group = node_group.Group(provider=context.silent)
+    context.add_cleanup(context.group.stop)
+
+
+@when("upkeep of all instances at once is asked for")
+def ask_for_upkeep(context):
+    names = tuple(each.name for each in context.silent.listed)
+    wave = calls.StartWave(1, names, 60_000, len(names))
+    answer, context.leader = context.group.call(wave)
+    assert isinstance(answer, calls.Done), answer
+
+
+@when("the provider has been given an order")
+def wait_for_order(context):
+    context.group.wait_for(lambda: context.silent.orders)
+
+
+@when("the provider answers again")
+def let_answer(context):
+    context.silent.answers.set()
+
+
+@then("at most {most:d} orders were under way at once")
+def check_under_way(context, most):
+    assert context.silent.most_under_way <= most, context.silent.most_under_way
+
+
+@then("each instance is ordered by one leader only")
+def check_one_leader(context):
+    silent = context.silent
+    names = {each.name for each in silent.listed}
+    context.group.wait_for(
+        lambda: {order[2] for order in silent.orders} == names
+    )
+    assert len({order[:2] for order in silent.orders}) == 1, silent.orders
+
+
+@given('the provider answers each order with "{outcome}"')
+def refuse_orders(context, outcome):
+    context.provider.refusal = instances.OrderOutcome(outcome)
+
+
+@when("the provider carries orders out again")
+def accept_orders(context):
+    context.provider.refusal = None
+
+
+@given(
+    "the provider begins each upkeep {ms:d} ms after an order without an answer"
+)
+def begin_late(context, ms):
+    context.provider.late_ms = ms
+
+
+@given("the provider does not list its instances")
+def hide_list(context):
+    context.provider.hides_list = True
+
+
+@when("the provider lists its instances again")
+def show_list(context):
+    context.provider.hides_list = False
+
+
+@given("the provider carries orders out without an answer")
+def mute(context):
+    context.provider.is_mute = True
+
+
+@when("the provider answers again to what it has done")
+def unmute(context):
+    context.provider.is_mute = False
+
+
+@when("another scheduler takes over without a list")
+def change_leader_unlisted(context):
+    context.provider.hides_list = True
+    context.world.lead()
+    context.world.scheduler.term.steering.fleet = fleet_view.Fleet()
+    context.provider.reset()
+
+
+@when("{count:d} workers are added")
+def add_workers(context, count):
+    for number in range(count):
+        context.world.add_worker(f"added-{number}", "pack")
+
+
+@when('instance "{name}" is to move to "{pool}"')
+def aim_at_move(context, name, pool):
+    world = context.world
+    steering = world.scheduler.term.steering
+    steering.aim(instances.Move(name, pool), world.now_ms)
+
+
+@then('the instance of "{name}" serves "{pool}"')
+def check_service(context, name, pool):
+    worker = context.world.workers[name]
+    assert worker.is_up and worker.service == pool, worker
+
+
+def _group_orders(context):
+    by_instance = {}
+    for at_ms, _, instance in context.provider.orders:
+        by_instance.setdefault(instance, []).append(at_ms)
+    return by_instance
+
+
+@then("no instance was ordered twice within {ms:d} ms")
+def check_pauses(context, ms):
+    for instance, times in _group_orders(context).items():
+        for first, second in zip(times, times[1:]):
+            assert second - first >= ms, (instance, times)
+
+
+@then("each instance was ordered at least {count:d} times")
+def check_tries(context, count):
+    by_instance = _group_orders(context)
+    assert len(by_instance) == len(context.world.workers), by_instance
+    for instance, times in by_instance.items():
+        assert len(times) >= count, (instance, times)
+
+
+def _serve(context, answer, stays_open=False):
+    service = raw_service.RawService(answer, stays_open)
+    context.add_cleanup(service.end)
+    context.adapter = adapter_provider.HttpProvider(service.address)
+
+
+@when("the provider's service resets each connection")
+def serve_resets(context):
+    _serve(context, None)
+
+
+@when("the provider's service closes each connection")
+def serve_ends(context):
+    _serve(context, b"")
+
+
+@when("the provider's service sends nothing")
+def serve_silence(context):
+    _serve(context, b"", stays_open=True)
+
+
+@when('the provider\'s service sends "{text}"')
+def serve_text(context, text):
+    _serve(context, text.replace("~", "\r\n").encode())
+
+
+@then('an order to it is "{outcome}"')
+def check_outcome(context, outcome):
+    order = instances.Upkeep("m1", 1)
+    found = context.adapter.carry_out(order, "holder", 1)
+    assert found is instances.OrderOutcome(outcome), found
+
+
+@then("it has no list")
+def check_no_list(context):
+    assert context.adapter.list_instances() is None
