Ask for the lease once more when the connection to the provider stands

Cause: the lease was checked before the connection was made. edge-tamworth-1 had been suspended since before; it woke at 9.51 (it stepped down at 9.516) with the connection made, and sent what it had decided as the leader of term 1.

Evidence: platform/provider, "A leader that loses its lease while it connects sends no order", failed before (the order was answered as done).

--- a/bambookeel/jobs/instances.py
+++ b/bambookeel/jobs/instances.py
@@ -1,5 +1,7 @@
 """Instances as their provider lists them, and orders to the provider."""
 
+from collections.abc import Callable
+import dataclasses
 import enum
 import typing
 
@@ -64,6 +66,21 @@
     UNKNOWN = "unknown"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """A leader that gives orders.
+
+    Attributes:
+        name: Its node's name.
+        token: Fencing token as text; a number that grows with each holder.
+        leads: Tells whether it still leads.
+    """
+
+    name: str
+    token: str
+    leads: Callable[[], bool]
+
+
 class Provider(typing.Protocol):
     """Whoever moves instances and takes them down."""
 
@@ -74,15 +91,12 @@
             The instances; None when there was no whole answer.
         """
 
-    def carry_out(
-        self, order: Order, holder: str, fencing_token: int
-    ) -> OrderOutcome:
+    def carry_out(self, order: Order, holder: Holder) -> OrderOutcome:
         """Carries an order out; the same order again does nothing more.
 
         Args:
             order: The order.
             holder: Who gives it.
-            fencing_token: Grows with each holder.
 
         Returns:
             What came of it.
--- a/bambookeel/net/json_client.py
+++ b/bambookeel/net/json_client.py
@@ -1,5 +1,6 @@
 """Calls to services that take and give JSON, one connection a call."""
 
+from collections.abc import Callable
 import socket as plain_socket
 import struct
 import typing
@@ -25,6 +26,10 @@
     )
 
 
+class _WithheldError(ConnectionError):
+    """A call that may not be sent any more."""
+
+
 class JsonClient:
     """Calls one service."""
 
@@ -39,6 +44,7 @@
         path: str,
         document: object = None,
         headers: dict[str, str] | None = None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> tuple[int, bytes] | None:
         """Makes one call.
 
@@ -47,6 +53,8 @@
             path: Path with query.
             document: Sent as JSON; None for no body.
             headers: More headers.
+            may_send: Asked once the connection stands, which may take long or
+                outlast a time in which the machine was suspended.
 
         Returns:
             Status and body; None when there was no whole answer.
@@ -59,12 +67,21 @@
             network_timeout=self._answer_s,
         )
         pool: typing.Any = client._connection_pool  # pylint: disable=protected-access
-        pool.after_connect = _drop_on_close
+
+        def check_connection(sock: typing.Any) -> None:
+            _drop_on_close(sock)
+            if not may_send():
+                raise _WithheldError(path)
+
+        pool.after_connect = check_connection
         try:
             answer = client.request(
                 method, path, body, {**_JSON, **(headers or {})}
             )
             return answer.status_code, bytes(answer.read())
+        except _WithheldError:
+            logs.log_event("call_withheld", path=path)
+            return None
         except (OSError, http_response.HTTPParseError) as error:
             logs.log_event("service_silent", path=path, error=repr(error))
             return None
--- a/bambookeel/node/provider_task.py
+++ b/bambookeel/node/provider_task.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 
 import gevent
 import gevent.lock
@@ -85,10 +86,11 @@
         if self._slots.acquire(timeout=_LONGEST_WAIT_MS / 1000.0):
             try:
                 outcome = instances.OrderOutcome.BUSY
-                if leads(term):
-                    outcome = self._provider.carry_out(
-                        order, self._holder, term
-                    )
+                holder = instances.Holder(
+                    self._holder, str(term), functools.partial(leads, term)
+                )
+                if holder.leads():
+                    outcome = self._provider.carry_out(order, holder)
             finally:
                 self._slots.release()
         self._target.put(OrderEnded(order, outcome, term))
--- a/features/fakes/raw_service.py
+++ b/features/fakes/raw_service.py
@@ -15,6 +15,8 @@
         self._answer = answer
         self._stays_open = stays_open
         self._open = []
+        # What was received on each connection.
+        self.received = []
         self._socket = socket.create_server(("127.0.0.1", 0))
         host, port = self._socket.getsockname()
         self.address = f"{host}:{port}"
@@ -34,7 +36,7 @@
 
     def _serve_one(self, connection):
         try:
-            connection.recv(65536)
+            self.received.append(connection.recv(65536))
             if self._answer is None:
                 connection.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
--- a/features/fakes/silent_provider.py
+++ b/features/fakes/silent_provider.py
@@ -27,9 +27,9 @@
         """Lists all instances."""
         return self.listed
 
-    def carry_out(self, order, holder, fencing_token):
+    def carry_out(self, order, holder):
         """Takes an order."""
-        self.orders.append((holder, fencing_token, order.instance))
+        self.orders.append((holder.name, int(holder.token), order.instance))
         self.under_way += 1
         self.most_under_way = max(self.most_under_way, self.under_way)
         answered = self.answers.wait(_PATIENCE_S)
--- a/features/platform/provider.feature
+++ b/features/platform/provider.feature
@@ -30,3 +30,8 @@
       | sends "HTTP/1.1 409 no~Content-Length: 1~~{" | busy       |
       | sends "HTTP/1.1 400 no~Content-Length: 0~~" | impossible |
       | sends nothing                              | unknown    |
+
+  Scenario: A leader that loses its lease while it connects sends no order
+    When the provider's service sends "HTTP/1.1 200 OK~Content-Length: 0~~"
+    And a leader whose lease ends as it connects gives an order
+    Then nothing was sent to the provider
--- a/features/steps/provider_steps.py
+++ b/features/steps/provider_steps.py
@@ -10,6 +10,8 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
+from bambookeel.node import provider_task
+from bambookeel.runtime import mailbox
 from features.fakes import node_group
 from features.fakes import raw_service
 from features.fakes import silent_provider
@@ -153,6 +155,7 @@
 def _serve(context, answer, stays_open=False):
     service = raw_service.RawService(answer, stays_open)
     context.add_cleanup(service.end)
+    context.service = service
     context.adapter = adapter_provider.HttpProvider(service.address)
 
 
@@ -179,10 +182,27 @@
 @then('an order to it is "{outcome}"')
 def check_outcome(context, outcome):
     order = instances.Upkeep("m1", 1)
-    found = context.adapter.carry_out(order, "holder", 1)
+    holder = instances.Holder("holder", "1", lambda: True)
+    found = context.adapter.carry_out(order, holder)
     assert found is instances.OrderOutcome(outcome), found
 
 
+@when("a leader whose lease ends as it connects gives an order")
+def order_without_lease(context):
+    checks = iter((True,))
+    ended = mailbox.Mailbox("ended")
+    task = provider_task.ProviderTask(context.adapter, "holder", ended)
+    order = instances.Upkeep("m1", 1)
+    task.carry_out(order, 1, lambda term: next(checks, False))
+    context.ended = ended.get()
+
+
+@then("nothing was sent to the provider")
+def check_not_sent(context):
+    assert context.ended.outcome is not instances.OrderOutcome.DONE
+    assert not any(context.service.received), context.service.received
+
+
 @then("it has no list")
 def check_no_list(context):
     assert context.adapter.list_instances() is None
