Show a new disk that is forgotten after a split

A replica with a new disk that starts on a leader's side of a split becomes a learner there by a change that is never committed. The next leader does not know it; it counts itself as a member and no longer tells anybody of its disk, also after a restart. When a voter is lost later, no successor takes its vote.

--- a/features/consensus/replacement.feature
+++ b/features/consensus/replacement.feature
@@ -236,3 +236,23 @@
       | leader   | 3000      | yes   | 3     |
       | follower | 4500      | yes   | 4     |
     Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A core that starts beside a leader of three in a split still gets a vote
+    Given voters that bear 1 loss, with 4 s to catch up
+    When a core starts beside the leader in a split, and others are lost
+      | first    | split_ms | second   | seeds |
+      | none     | 1000     | leader   | 1 2 3 |
+      | none     | 2000     | follower | 4 5 6 |
+      | none     | 5000     | leader   | 7 8 9 |
+      | follower | 2000     | leader   | 1 2 3 |
+    Then each run commits again within 3 election timeouts and loses nothing
+
+  Scenario: A core that starts beside a leader of five in a split still gets a vote
+    Given voters that bear 2 losses, with 4 s to catch up
+    When a core starts beside the leader in a split, and others are lost
+      | first    | split_ms | second            | seeds   |
+      | none     | 2000     | leader,follower   | 1 2     |
+      | none     | 5000     | follower,follower | 3 4     |
+      | follower | 2000     | leader,follower   | 5 6 7 8 |
+      | follower | 5000     | follower,follower | 1 2 3 4 |
+    Then each run commits again within 3 election timeouts and loses nothing
--- a/features/fakes/replacement_run.py
+++ b/features/fakes/replacement_run.py
@@ -205,6 +205,23 @@
         if node.is_frozen:
             self.world.thaw(node)
 
+    def split_beside_leader(self, first, duration_ms):
+        """Splits the leader and a newcomer from the rest for a time.
+
+        The newcomer starts in the split. Cores that are named are lost before,
+        and it takes their place; otherwise it waits.
+        """
+        for node in self.pick(first) if first else []:
+            node.stop()
+        self._start_newcomers(1)
+        leader = self.world.find_leader()
+        side = {leader.process, self.newcomers[0].process}
+        for one in side:
+            for other in self.world.nodes.keys() - side:
+                self.world.cuts |= {(one, other), (other, one)}
+        self.world.run_for(duration_ms)
+        self.world.cuts.clear()
+
     # --- What must hold ---
 
     def check_votes(self):
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -126,6 +126,24 @@
     _run_rows(context, play)
 
 
+@when("a core starts beside the leader in a split, and others are lost")
+def split_then_lose(context):
+    def play(run, cells):
+        waits = cells["first"] == "none"
+        run.split_beside_leader(
+            "" if waits else cells["first"], int(cells["split_ms"])
+        )
+        run.world.run_for(run.catch_up_ms)
+        if waits:
+            run.lose("follower", "killed")
+            run.world.run_for(run.catch_up_ms)
+        run.check_votes()
+        run.lose(cells["second"], "killed")
+        run.check_service()
+
+    _run_rows(context, play)
+
+
 @when("a voter is replaced by a core with a slower link")
 def replace_by_slow(context):
     def play(run, cells):
