Let a new disk ask on until its membership is committed

A new disk beside the leader on the losing side had become a learner there by a change that was never committed. No later leader knew it, and it told nobody of itself, also after a restart, since its own log lists it as a member. Its place was open, and nobody stood in for the voter that was lost.

Cause: a replica took itself for a member as soon as its log said so; only what is committed lasts beyond the leader.

Now it tells of its disk until the membership that lists it is committed by what it knows. A leader that knows it already ignores that. The world of the stand-ins decides by the same function.

--- a/bambookeel/consensus/records.py
+++ b/bambookeel/consensus/records.py
@@ -282,6 +282,24 @@
     return state.base_membership
 
 
+def is_let_in(state: CoreState) -> bool:
+    """Tells whether this replica is a member for good.
+
+    A change that is not committed may be lost with the leader that made it, and
+    nobody would tell this replica.
+
+    Args:
+        state: The state.
+
+    Returns:
+        Whether it is a member by what it knows to be committed.
+    """
+    found = state.membership
+    if state.membership_index > state.commit_index:
+        found = get_membership_at(state, state.commit_index)
+    return state.member in found.members
+
+
 def commit_up_to(step: Step, index: int) -> None:
     """Raises the commit index and hands out the entries.
 
--- a/bambookeel/control/joining.py
+++ b/bambookeel/control/joining.py
@@ -34,17 +34,14 @@
         self._is_first_start = is_first_start
         self._identity_due_ms = 0
 
-    def _is_member(self) -> bool:
-        core = self._runner.core
-        return core.member in core.membership.members
-
     def try_to_join(self, now_ms: int) -> None:
-        """Tells others of this disk while it is no member, at times.
+        """Tells others of this disk until it is let in, at times.
 
         Args:
             now_ms: The time.
         """
-        if self._is_member() or now_ms < self._identity_due_ms:
+        is_due = now_ms >= self._identity_due_ms
+        if not is_due or records.is_let_in(self._runner.core):
             return
         self._identity_due_ms = now_ms + _IDENTITY_PERIOD_MS
         own = membership.get_process(self.formation.member)
--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -114,7 +114,7 @@
         self._push(_TICK_MS, self._tick, node)
         if not node.is_up or node.is_frozen:
             return
-        if not node.core.membership.members:
+        if not records.is_let_in(node.core):
             for other in self.nodes.values():
                 if other.leads() and not other.is_frozen:
                     other.run(events.StrangerSeen(node.member))
