--- a/features/fakes/consensus_world.py
+++ b/features/fakes/consensus_world.py
@@ -269,6 +269,10 @@
         if not self.is_whole():
             return False
         leader = self.find_leader()
+        # Whoever is no member must be known, to stand in for a lost voter.
+        known = leader.core.membership.members + leader.core.strangers
+        if any(node.member not in known for node in self.nodes.values()):
+            return False
         wanted = leader.core.log.last_index
         return all(
             node.applied == wanted and node.digest == leader.digest
