--- a/bambookeel/tools/explain_job.py
+++ b/bambookeel/tools/explain_job.py
@@ -48,13 +48,7 @@
         Its story.
     """
     own = [event for event in events if _names_job(event, job)]
-    spans = []
-    if own:
-        spans = loss_spans.clip_spans(
-            loss_spans.find_spans(events),
-            own[0].stamp.wall_ms,
-            own[-1].stamp.wall_ms,
-        )
+    spans = loss_spans.find_spans_beside(events, own)
     return JobStory(own, _judge(own), spans)
 
 
--- a/bambookeel/tools/loss_spans.py
+++ b/bambookeel/tools/loss_spans.py
@@ -99,27 +99,29 @@
     )
 
 
-def clip_spans(
-    spans: list[LossSpan], from_ms: int, to_ms: int
+def find_spans_beside(
+    events: Iterable[log_lines.LogEvent], kept: list[log_lines.LogEvent]
 ) -> list[LossSpan]:
-    """Keeps the spans of a time.
+    """Finds the spans that overlap the time of some events.
 
     Args:
-        spans: The spans.
-        from_ms: Begin of the time.
-        to_ms: Its end.
+        events: Events of all processes, in order.
+        kept: The events whose time matters, in order.
 
     Returns:
-        Those that overlap it, as they are.
+        The spans, as they are.
     """
-    kept = []
-    for span in spans:
+    if not kept:
+        return []
+    from_ms, to_ms = kept[0].stamp.wall_ms, kept[-1].stamp.wall_ms
+    found = []
+    for span in find_spans(events):
         if span.from_ms > to_ms:
             continue
         if span.to_ms is not None and span.to_ms < from_ms:
             continue
-        kept.append(span)
-    return kept
+        found.append(span)
+    return found
 
 
 def describe_span(span: LossSpan, start_ms: int) -> str:
--- a/bambookeel/tools/timeline.py
+++ b/bambookeel/tools/timeline.py
@@ -69,14 +69,7 @@
     )
     merged = log_lines.merge_events(files)
     kept = log_lines.filter_events(merged, wanted)
-    spans = []
-    if kept:
-        spans = loss_spans.clip_spans(
-            loss_spans.find_spans(merged),
-            kept[0].stamp.wall_ms,
-            kept[-1].stamp.wall_ms,
-        )
-    _write(kept, spans)
+    _write(kept, loss_spans.find_spans_beside(merged, kept))
     return status
 
 
