Share loops, bounds and a check between steps and bench

The loop over seeds of random job runs stood three times, the check that a configuration is read back in turn twice, and the bounds of the simulated deployment twice.

--- a/bench/bench_jobs.py
+++ b/bench/bench_jobs.py
@@ -14,21 +14,14 @@
 from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 from bench import lines
+from features.fakes import jobs_bounds
 
 _BOUND_MS = 0.2
 _WORKERS = 200
 _CORES_MILLI = 64_000
 _SETTINGS = dataclasses.replace(
     job_settings.SchedulerSettings.from_bounds(
-        job_settings.Bounds(
-            longest_lease_ms=6_000,
-            keep_ended_ms=120_000,
-            holder_lease_ms=3_000,
-            away_ms=4_500,
-            harm_ms=4_000,
-            restore_ms=600,
-            upkeep_ms=2_000,
-        )
+        dataclasses.replace(jobs_bounds.BOUNDS, keep_ended_ms=120_000)
     ),
     fresh_ms=10**9,
 )
--- a/features/steps/checkpoint_steps.py
+++ b/features/steps/checkpoint_steps.py
@@ -1,5 +1,7 @@
 """Steps for checkpoints and copies of tasks."""
 
+import functools
+
 from behave import then
 from behave import when
 
@@ -101,8 +103,5 @@
     " played"
 )
 def play_copied(context, first, last):
-    context.broken = {}
-    for seed in range(first, last + 1):
-        broken = jobs_runs.play(seed, has_copies=True)
-        if broken:
-            context.broken[seed] = broken
+    play = functools.partial(jobs_runs.play, has_copies=True)
+    job_steps.play_each(context, first, last, play)
--- a/features/steps/disk_steps.py
+++ b/features/steps/disk_steps.py
@@ -9,6 +9,7 @@
 
 from bambookeel.jobs import calls
 from features.fakes import node_group
+from features.steps import node_steps
 
 # Longest time that one configuration is tried for.
 _PATIENCE_MS = 5_000
@@ -103,13 +104,7 @@
     "the newest configuration is read back at every replica that leads in turn"
 )
 def check_newest_in_turn(context):
-    expected = f'{{"version":{context.version}}}'.encode()
-    for _ in range(2):
-        answer, member = context.group.call(calls.GetDocument())
-        assert answer.original == expected, (answer, member.address)
-        member.kill()
-        gevent.sleep(0.05)
-        member.start()
+    node_steps.check_in_turn(context, context.version)
 
 
 @when("a follower's disk is lost and replaced at its address")
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -1,6 +1,7 @@
 """Steps for jobs of teams around the pure scheduler."""
 
 import dataclasses
+import functools
 
 from behave import given
 from behave import then
@@ -356,26 +357,30 @@
                 assert other_ms - at_ms >= ms, orders
 
 
-@when("random runs of jobs with the seeds {first:d} to {last:d} are played")
-def play_seeds(context, first, last):
+def play_each(context, first, last, play):
+    """Plays a run for each seed and keeps what broke."""
     context.broken = {}
     for seed in range(first, last + 1):
-        cap_milli = _CAP_MILLI if seed % 2 else 0
-        broken = jobs_runs.play(seed, cap_milli)
+        broken = play(seed)
         if broken:
             context.broken[seed] = broken
 
 
+@when("random runs of jobs with the seeds {first:d} to {last:d} are played")
+def play_seeds(context, first, last):
+    def play(seed):
+        return jobs_runs.play(seed, _CAP_MILLI if seed % 2 else 0)
+
+    play_each(context, first, last, play)
+
+
 @when(
     "random runs of jobs with an advisor and the seeds {first:d} to {last:d}"
     " are played"
 )
 def play_advised_seeds(context, first, last):
-    context.broken = {}
-    for seed in range(first, last + 1):
-        broken = jobs_runs.play(seed, has_advisor=True)
-        if broken:
-            context.broken[seed] = broken
+    play = functools.partial(jobs_runs.play, has_advisor=True)
+    play_each(context, first, last, play)
 
 
 @then("no run has broken a promise")
