Add hand-overs of instances between pools that are full

Spare instances went to the pool that lacked most, and no pool gave any to another one. Change: spare instances go one by one to the pool whose work takes longest; once none is left, pools hand over instances that are empty soon until their backlogs take about equally long. Work of jobs that are late anyway counts in part.

--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -5,6 +5,7 @@
 from bambookeel.jobs import instances
 from bambookeel.jobs import pool_demand
 from bambookeel.jobs import pools
+from bambookeel.jobs import rebalancing
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import upkeep
 
@@ -42,14 +43,15 @@
     term.instance_controller.resume_upkeeps(term.book, now_ms)
     for order in upkeep.choose_upkeeps(term.book, fleet, term.workers, now_ms):
         term.instance_controller.set_goal(order, now_ms)
-    _choose_moves(term, now_ms)
+    _choose_moves(term, now)
     for chosen in term.instance_controller.choose_orders(
         term.book, term.workers, now_ms, now.wall_ms
     ):
         _queue_order(term, chosen, now.wall_ms)
 
 
-def _choose_moves(term: term_state.Term, now_ms: int) -> None:
+def _choose_moves(term: term_state.Term, now: term_state.Now) -> None:
+    now_ms = now.steady_ms
     spare_pool = term.book.configuration.find_spare_pool()
     if not spare_pool:
         return
@@ -58,7 +60,7 @@
         if service == spare_pool:
             continue
         state = pool_demand.measure_pool(
-            term, service, term.idle_since_ms.get(service, -1), now_ms
+            term, service, term.idle_since_ms.get(service, -1), now
         )
         if not pools.is_idle(state):
             term.idle_since_ms[service] = -1
@@ -70,6 +72,8 @@
         term.instance_controller.fleet, spare_pool, now_ms
     )
     moves = pools.choose_moves(states, spare_pool, spare, now_ms)
+    if not moves and not spare:
+        moves = _choose_hand_overs(term, states)
     for name, pool in moves:
         term.instance_controller.set_goal(instances.Move(name, pool), now_ms)
         source = term.instance_controller.fleet.statuses[name].pool
@@ -77,6 +81,31 @@
         term.log_event("move_chosen", instance=name, pool=pool, source=source)
 
 
+def _choose_hand_overs(
+    term: term_state.Term, states: list[pools.PoolState]
+) -> list[tuple[str, str]]:
+    """Chooses instances that a pool hands over to one with a longer backlog.
+
+    Args:
+        term: State of the leader's term.
+        states: State of each pool other than the spare pool.
+
+    Returns:
+        Pairs of an instance and the pool to which it should move.
+    """
+    moves = []
+    drainable: dict[str, list[str]] = {}
+    for hand_over in rebalancing.choose_hand_overs(states):
+        source = hand_over.source
+        if source not in drainable:
+            drainable[source] = pool_demand.list_drainable_instances(
+                term, source
+            )
+        if drainable[source]:
+            moves.append((drainable[source].pop(0), hand_over.target))
+    return moves
+
+
 def _log_pools(
     term: term_state.Term, states: list[pools.PoolState], now_ms: int
 ) -> None:
@@ -93,6 +122,7 @@
             capacity_cores=state.capacity_milli // 1_000,
             ready_cores=state.ready_milli // 1_000,
             ready_core_s=int(state.ready_work / 1_000_000),
+            open_core_s=int(state.open_work / 1_000_000),
             arriving_cores=int(state.arriving_milli / 1_000),
         )
 
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -1,15 +1,25 @@
 """Measures the demand and capacity of each pool, to decide on its size."""
 
+import math
+
+from bambookeel.jobs import deferring
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
 from bambookeel.jobs import pools
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import workers as worker_table
 
 # A pool keeps two thirds of the instances that its operators gave it, as a
 # reserve for failures and for the beginning of a demand peak.
 _KEPT_NUMERATOR = 2
 _KEPT_DENOMINATOR = 3
+# An instance that is handed over stops working for the time that its tasks
+# still take; beyond this it is worth more where it is.
+_MAX_DRAIN_MS = 2_000
+# Weight of the work of jobs that can no longer meet their objective. They
+# should not keep instances from pools whose jobs still can.
+_LATE_WORK_WEIGHT = 0.2
 
 
 def list_spare_instances(
@@ -35,6 +45,64 @@
     )
 
 
+def _compute_drain_ms(
+    term: term_state.Term, worker: worker_table.Worker
+) -> float:
+    """Estimates when a worker would be empty if it got no new runs.
+
+    Args:
+        term: State of the leader's term.
+        worker: The worker.
+
+    Returns:
+        Milliseconds from now; infinite if it has a run without an end.
+    """
+    longest_ms = 0.0
+    refs = dict.fromkeys(term.book.assigned_runs.get(worker.incarnation, {}))
+    refs.update(dict.fromkeys(worker.running))
+    for ref in refs:
+        step = term.book.get_step(ref)
+        if step is None or step.spec.is_standing:
+            return math.inf
+        queue = term.book.jobs[ref.job].queue
+        left_ms = term.run_times.estimate_ms(queue, step.spec)
+        running = worker.running.get(ref)
+        if running is not None:
+            left_ms *= 1 - running.percent / 100
+        longest_ms = max(longest_ms, left_ms)
+    return longest_ms
+
+
+def list_drainable_instances(term: term_state.Term, service: str) -> list[str]:
+    """Lists the instances of a pool that would be empty soon.
+
+    Args:
+        term: State of the leader's term.
+        service: Service of the pool.
+
+    Returns:
+        Names of instances without a goal, those that are empty soonest
+        first.
+    """
+    fleet = term.instance_controller.fleet
+    ranked = []
+    for worker in term.workers.by_id.values():
+        report = worker.report
+        if (
+            report.service != service
+            or report.is_leaving
+            or worker.is_lease_expired
+        ):
+            continue
+        name = report.instance
+        if name in fleet.goals or name not in fleet.statuses:
+            continue
+        drain_ms = _compute_drain_ms(term, worker)
+        if drain_ms <= _MAX_DRAIN_MS:
+            ranked.append((drain_ms, name))
+    return [name for _, name in sorted(ranked)]
+
+
 def _has_upkeep(term: term_state.Term, service: str) -> bool:
     statuses = term.instance_controller.fleet.statuses
     return any(
@@ -124,11 +192,39 @@
     return ready_work, ready_milli, standing_milli, needed
 
 
+def _weigh_open_work(
+    term: term_state.Term, service: str, now: term_state.Now
+) -> float:
+    """Sums the work of the open jobs of a service, late ones in part.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        now: Current time.
+
+    Returns:
+        Remaining work in thousandths of a core times milliseconds.
+    """
+    total = 0.0
+    for job in term.list_open_jobs(service):
+        if job.spec.is_timed:
+            continue
+        work = objectives.estimate_open_work(job, term.run_times)
+        if not work:
+            continue
+        step = next(iter(job.steps.values()))
+        slack_ms = term.compute_objective_wall_ms(job, step) - now.wall_ms
+        if slack_ms < deferring.measure_chain_ms(term, job):
+            work *= _LATE_WORK_WEIGHT
+        total += work
+    return total
+
+
 def measure_pool(
     term: term_state.Term,
     service: str,
     idle_since_ms: int,
-    now_ms: int,
+    now: term_state.Now,
 ) -> pools.PoolState:
     """Measures the demand and capacity of one pool.
 
@@ -137,15 +233,17 @@
         service: Service of the pool.
         idle_since_ms: Since when the pool has been idle, according to the last
             measurement; -1 if it was not.
-        now_ms: Steady-clock time in milliseconds.
+        now: Current time.
 
     Returns:
         State of the pool.
     """
+    now_ms = now.steady_ms
     members, instance_milli, empty = _measure_members(term, service, now_ms)
     ready_work, ready_milli, standing_milli, needed = _measure_work(
         term, service
     )
+    open_work = _weigh_open_work(term, service, now)
     base = term.book.instances.base_sizes.get(service, 0)
     kept = _KEPT_NUMERATOR * base // _KEPT_DENOMINATOR
     if _has_upkeep(term, service):
@@ -154,6 +252,7 @@
     return pools.PoolState(
         pool=service,
         ready_work=ready_work,
+        open_work=open_work,
         ready_milli=ready_milli,
         arriving_milli=term.get_arrival_rate(service, now_ms),
         capacity_milli=members * instance_milli - standing_milli,
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -40,6 +40,9 @@
         pool: Name of the pool.
         ready_work: Work that runs or could run now, in thousandths of a core
             times milliseconds.
+        open_work: Remaining work of all open jobs, also that of steps which are
+            not ready yet, in the same unit; the work of late jobs counts in
+            part.
         ready_milli: Processor time of the tasks that run or could run now.
         arriving_milli: Processor time that newly arriving work requires.
         capacity_milli: Processor time of the pool's instances, including those
@@ -56,6 +59,7 @@
 
     pool: str
     ready_work: float
+    open_work: float
     ready_milli: int
     arriving_milli: float
     capacity_milli: int
@@ -83,6 +87,21 @@
     return state.ready_milli <= IDLE_LOAD_SHARE * left_milli
 
 
+def compute_duration_ms(work: float, capacity_milli: int) -> float:
+    """Computes how long work takes on a given capacity.
+
+    Args:
+        work: Work in thousandths of a core times milliseconds.
+        capacity_milli: Processor time in thousandths of a core.
+
+    Returns:
+        Duration in milliseconds; infinite if there is work and no capacity.
+    """
+    if capacity_milli <= 0:
+        return math.inf if work else 0.0
+    return work / capacity_milli
+
+
 def forecast_ms(state: PoolState, capacity_milli: int) -> float:
     """Forecasts how long a pool's work would take with a given capacity.
 
@@ -94,11 +113,11 @@
         Milliseconds for the work that is ready, and for the work that will
         arrive within the forecast time beyond what the capacity can handle.
     """
-    if capacity_milli <= 0:
-        return math.inf if state.ready_work else 0.0
-    excess_milli = max(0.0, state.arriving_milli - capacity_milli)
-    work = state.ready_work + excess_milli * FORECAST_MS
-    return work / capacity_milli
+    work = state.ready_work
+    if capacity_milli > 0:
+        excess_milli = max(0.0, state.arriving_milli - capacity_milli)
+        work += excess_milli * FORECAST_MS
+    return compute_duration_ms(work, capacity_milli)
 
 
 def _count_missing(state: PoolState) -> int:
@@ -152,6 +171,39 @@
     return released
 
 
+def _divide_supply(
+    growing: list[tuple[int, PoolState]], supply: list[str]
+) -> list[tuple[str, str]]:
+    """Divides instances between pools that are short of them.
+
+    Each instance goes to the pool whose work would take longest, so that two
+    demand peaks at a time share what is left.
+
+    Args:
+        growing: Number of instances that each pool is short of, and its state.
+        supply: Names of the instances, the best one last.
+
+    Returns:
+        Pairs of an instance and the pool to which it should move.
+    """
+    given = dict.fromkeys((state.pool for _, state in growing), 0)
+
+    def forecast_with_given_ms(state: PoolState) -> float:
+        capacity_milli = state.capacity_milli
+        capacity_milli += given[state.pool] * state.instance_milli
+        return forecast_ms(state, capacity_milli)
+
+    moves: list[tuple[str, str]] = []
+    for name in reversed(supply):
+        short = [state for count, state in growing if given[state.pool] < count]
+        if not short:
+            break
+        target = max(short, key=forecast_with_given_ms)
+        given[target.pool] += 1
+        moves.append((name, target.pool))
+    return moves
+
+
 def choose_moves(
     states: list[PoolState],
     spare_pool: str,
@@ -181,12 +233,7 @@
         count = _count_missing(state)
         if count:
             growing.append((count, state))
-    growing.sort(key=lambda pair: -pair[0])
-    moves: list[tuple[str, str]] = []
-    for count, state in growing:
-        for _ in range(count):
-            if supply:
-                moves.append((supply.pop(), state.pool))
+    moves = _divide_supply(growing, supply)
     moved = {name for name, _ in moves}
     for state in states:
         if not is_idle(state) or not state.empty:
--- a/features/steps/job_pool_steps.py
+++ b/features/steps/job_pool_steps.py
@@ -22,6 +22,7 @@
             pools.PoolState(
                 row["pool"],
                 float(row["ready_s"]) * 1_000_000,
+                float(row.get("open_s", row["ready_s"])) * 1_000_000,
                 int(float(row.get("ready", row["ready_s"])) * 1_000),
                 float(row.get("arriving", "0")) * 1_000,
                 members * _CORES_MILLI,
