Defer jobs that would miss their objective behind those with less slack

Change: jobs that cannot meet their objective in their turn are placed after the others; a job counts as late by its remaining chain of steps, not by one step.

--- /dev/null
+++ b/bambookeel/jobs/deferring.py
@@ -0,0 +1,110 @@
+"""Measures the open jobs of a full service, to decide which are deferred."""
+
+from bambookeel.jobs import book_records
+from bambookeel.jobs import deferral
+from bambookeel.jobs import instances
+from bambookeel.jobs import objectives
+from bambookeel.jobs import specs
+from bambookeel.jobs import term as term_state
+from bambookeel.jobs import workers as worker_table
+
+# Interval between two choices for a service; each looks at all its open jobs.
+_CHOICE_INTERVAL_MS = 200
+
+
+def measure_chain_ms(term: term_state.Term, job: book_records.Job) -> float:
+    """Estimates the remaining run time of a job's longest chain of steps.
+
+    Args:
+        term: State of the leader's term.
+        job: An open job.
+
+    Returns:
+        Run time in milliseconds; 0 for a job of standing tasks.
+    """
+    return max(
+        (
+            term.compute_chain_ms(job, number)
+            for (_, number), step in job.steps.items()
+            if not step.spec.is_standing
+            and not step.is_complete
+            and not step.unfinished_dependencies
+        ),
+        default=0.0,
+    )
+
+
+def _measure_candidate(
+    term: term_state.Term, job: book_records.Job, now: term_state.Now
+) -> deferral.Candidate | None:
+    if job.spec.is_timed:
+        return None
+    work = objectives.estimate_open_work(job, term.run_times)
+    if not work:
+        return None
+    step = next(iter(job.steps.values()))
+    slack_ms = term.compute_objective_wall_ms(job, step) - now.wall_ms
+    return deferral.Candidate(
+        job.job_id,
+        slack_ms,
+        work,
+        measure_chain_ms(term, job),
+        job.state is specs.JobState.ACTIVE,
+    )
+
+
+def _measure_capacity_milli(
+    term: term_state.Term, service: str, usable: list[worker_table.Worker]
+) -> int:
+    """Measures the processor time of a service without standing tasks.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        usable: Its workers that may get work.
+
+    Returns:
+        Thousandths of a core, with those of instances that are moving to it.
+    """
+    each_milli = max(worker.report.capacity.cpu_milli for worker in usable)
+    goals = term.instance_controller.fleet.goals.values()
+    incoming = sum(
+        isinstance(goal.order, instances.Move) and goal.order.pool == service
+        for goal in goals
+    )
+    total = sum(worker.report.capacity.cpu_milli for worker in usable)
+    _, standing_milli = objectives.sum_open_work(
+        term.list_open_jobs(service), term.run_times, counts_fillers=False
+    )
+    return total + incoming * each_milli - standing_milli
+
+
+def find_deferred(
+    term: term_state.Term,
+    service: str,
+    usable: list[worker_table.Worker],
+    now: term_state.Now,
+) -> frozenset[str]:
+    """Finds the jobs of a full service that are deferred.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        usable: Its workers that may get work; at least one.
+        now: Current time.
+
+    Returns:
+        Ids of the jobs; chosen again at intervals.
+    """
+    known = term.deferred.get(service)
+    if known is not None and now.steady_ms - known[0] < _CHOICE_INTERVAL_MS:
+        return known[1]
+    candidates = []
+    for job in term.list_open_jobs(service):
+        candidate = _measure_candidate(term, job, now)
+        if candidate is not None:
+            candidates.append(candidate)
+    capacity_milli = _measure_capacity_milli(term, service, usable)
+    chosen = deferral.choose_deferred(candidates, capacity_milli)
+    term.deferred[service] = (now.steady_ms, chosen)
+    return chosen
--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -55,7 +55,18 @@
         Returns:
             Run time of one task in milliseconds.
         """
-        return step.estimate_ms * self._factors.get(queue, 1.0)
+        return step.estimate_ms * self.get_factor(queue)
+
+    def get_factor(self, queue: str) -> float:
+        """Returns the ratio of real to declared run times.
+
+        Args:
+            queue: Name of the queue.
+
+        Returns:
+            The ratio; 1 before the first run of the queue has ended.
+        """
+        return self._factors.get(queue, 1.0)
 
 
 class ArrivalRate:
@@ -133,6 +144,23 @@
     return max(ends, default=0.0)
 
 
+def compute_chains_ms(spec: specs.JobSpec) -> tuple[float, ...]:
+    """Computes the longest chain of dependent steps that begins with each step.
+
+    Args:
+        spec: Specification of the job.
+
+    Returns:
+        Declared run time of the chain in milliseconds, by number of the step.
+    """
+    chains: list[float] = [float(step.estimate_ms) for step in spec.steps]
+    for number in reversed(range(len(spec.steps))):
+        for earlier in spec.steps[number].after:
+            begun_ms = spec.steps[earlier].estimate_ms + chains[number]
+            chains[earlier] = max(chains[earlier], begun_ms)
+    return tuple(chains)
+
+
 def compute_objective_ms(
     queue: configuration.Queue | None, spec: specs.JobSpec
 ) -> float:
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -1,7 +1,8 @@
 """Assigns waiting tasks to workers by urgency, within the teams' caps.
 
 Standing tasks come first, then standing fillers, then other steps by their
-jobs' slack; steps that will miss their objective come last. While a service is
+jobs' slack; steps of jobs that will miss their objective or are deferred come
+last. While a service is
 full, teams below their share come first within each group of steps that are
 not standing.
 """
@@ -15,6 +16,7 @@
 from bambookeel.jobs import caps
 from bambookeel.jobs import commands
 from bambookeel.jobs import copies
+from bambookeel.jobs import deferring
 from bambookeel.jobs import placing
 from bambookeel.jobs import shares as team_shares
 from bambookeel.jobs import specs
@@ -120,11 +122,14 @@
     if not usable:
         return
     current = _Plan(placing.measure_free(usable), now)
+    current.shares = _compute_shares(term, service, steps, current.capacities)
+    deferred: frozenset[str] = frozenset()
+    if current.shares is not None:
+        deferred = deferring.find_deferred(term, service, usable, now)
     ranked = sorted(
-        ((rank_step(term, step, now), step) for step in steps),
+        ((rank_step(term, step, now, deferred), step) for step in steps),
         key=lambda pair: pair[0],
     )
-    current.shares = _compute_shares(term, service, steps, current.capacities)
     for _, group in itertools.groupby(ranked, key=lambda pair: pair[0][0]):
         members = [step for _, step in group]
         skipped = _place_steps(term, current, members, within_shares=True)
@@ -354,7 +359,10 @@
 
 
 def rank_step(
-    term: term_state.Term, step: book_records.Step, now: term_state.Now
+    term: term_state.Term,
+    step: book_records.Step,
+    now: term_state.Now,
+    deferred: frozenset[str] = frozenset(),
 ) -> tuple[int, float, int]:
     """Ranks a step: first standing steps, then by slack, late steps last.
 
@@ -362,6 +370,7 @@
         term: State of the leader's term.
         step: A step with waiting tasks.
         now: Current time.
+        deferred: Jobs that come after those that can meet their objective.
 
     Returns:
         Sort key; steps with smaller keys are placed first.
@@ -371,6 +380,7 @@
         urgency = _Urgency.FILLING if step.spec.is_filler else _Urgency.STANDING
         return (urgency, 0.0, job.admitted_wall_ms)
     slack_ms = term.compute_objective_wall_ms(job, step) - now.wall_ms
-    is_late = slack_ms < step.spec.estimate_ms
-    urgency = _Urgency.LATE if is_late else _Urgency.IN_TIME
-    return (urgency, slack_ms, job.admitted_wall_ms)
+    is_late = slack_ms < term.compute_chain_ms(job, step.key[2])
+    if is_late or job.job_id in deferred:
+        return (_Urgency.LATE, slack_ms, job.admitted_wall_ms)
+    return (_Urgency.IN_TIME, slack_ms, job.admitted_wall_ms)
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -74,6 +74,11 @@
         # Time within which each open job should complete, from its admission or
         # its due time.
         self.objectives_ms: dict[str, float] = {}
+        # Longest chains of dependent steps of each open job, by its steps.
+        self.chains_ms: dict[str, tuple[float, ...]] = {}
+        # Jobs that wait until others have met their objectives, by service,
+        # and when they were chosen, on the steady clock.
+        self.deferred: dict[str, tuple[int, frozenset[str]]] = {}
         # Workers on which a task has failed.
         self.failed_on: dict[specs.TaskRef, set[str]] = {}
         # Stalled runs that their workers must stop.
@@ -268,6 +273,9 @@
             for job, at_ms in self.objectives_ms.items()
             if job in jobs
         }
+        self.chains_ms = {
+            job: chains for job, chains in self.chains_ms.items() if job in jobs
+        }
         self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
         self.advice.retain_jobs(jobs)
 
@@ -290,6 +298,22 @@
             self.objectives_ms[job.job_id] = objective_ms
         return (step.due_wall_ms or job.admitted_wall_ms) + objective_ms
 
+    def compute_chain_ms(self, job: book_records.Job, number: int) -> float:
+        """Estimates the run time of the longest chain that begins with a step.
+
+        Args:
+            job: The job.
+            number: Number of the step.
+
+        Returns:
+            Run time in milliseconds, corrected by observed run times.
+        """
+        chains = self.chains_ms.get(job.job_id)
+        if chains is None:
+            chains = objectives.compute_chains_ms(job.spec)
+            self.chains_ms[job.job_id] = chains
+        return chains[number] * self.run_times.get_factor(job.queue)
+
     def list_open_jobs(self, service: str) -> Iterator[book_records.Job]:
         """Lists the open jobs of a service.
 
