Count instances that other pools can hand over in admission

Cause: the packhouse's jobs were judged by the 9 instances that the pool held, although full pools now hand over instances; refused without need. Change: a job is rejected only if it would also be too late with what the pools that have more than they keep can hand over; loads get a module of their own.

--- a/bambookeel/jobs/admission.py
+++ b/bambookeel/jobs/admission.py
@@ -3,10 +3,15 @@
 A job is rejected when it could not complete while its result is still of use
 to its caller. The estimated time is the outstanding work, including that of
 the job, divided by the available processor time; it is compared with the time
-within which the job is of use.
+within which the job is of use. While several pools are full, the backlog of one
+is shortened by the instances that others hand over, so that a job is rejected
+only if it would also be too late with these.
 """
 
 import dataclasses
+import math
+
+from bambookeel.jobs import rebalancing
 
 # Bounds of the delay after which a rejected caller is told to retry.
 MIN_RETRY_MS = 500
@@ -28,13 +33,30 @@
     open_work: float
 
 
+def _compute_wait_ms(load: Load, job_work: float) -> float:
+    """Estimates when a job would be complete.
+
+    Args:
+        load: The load without the job.
+        job_work: Work of the job, in thousandths of a core times milliseconds.
+
+    Returns:
+        Time from now in milliseconds; infinite without capacity.
+    """
+    if load.capacity_milli <= 0:
+        return math.inf
+    return (load.open_work + job_work) / load.capacity_milli
+
+
 def compute_retry_ms(
-    load: Load, job_work: float, limit_ms: float
+    load: Load, shared_load: Load | None, job_work: float, limit_ms: float
 ) -> int | None:
     """Decides whether one job is admitted.
 
     Args:
         load: The load without the job.
+        shared_load: Load of all pools between which instances can be handed
+            over; None if that does not shorten the wait.
         job_work: Work of the job, in thousandths of a core times milliseconds.
         limit_ms: Time from now within which the job is of use.
 
@@ -46,7 +68,11 @@
         # Workers may still be starting, so that no time can be estimated; the
         # job waits in its queue.
         return None
-    wait_ms = (load.open_work + job_work) / load.capacity_milli
+    wait_ms = _compute_wait_ms(load, job_work)
+    if shared_load is not None:
+        shared_ms = _compute_wait_ms(shared_load, job_work)
+        shared_ms = rebalancing.MIN_RATIO * shared_ms
+        wait_ms = min(wait_ms, shared_ms + rebalancing.MIN_BACKLOG_MS)
     if wait_ms <= limit_ms:
         return None
     return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms - limit_ms)))
--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -5,6 +5,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import loads
 from bambookeel.jobs import objectives
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -123,14 +124,18 @@
     limit_ms = objectives.USEFUL_FACTOR * objectives.compute_objective_ms(
         queue, spec
     )
-    loads = [term.measure_load(queue.service, now_ms)]
-    cap_load = term.measure_cap_load(team)
-    if cap_load is not None:
-        loads.append(cap_load)
-    delays = [
-        admission.compute_retry_ms(load, work, limit_ms) for load in loads
-    ]
-    return max((delay for delay in delays if delay is not None), default=None)
+    delay_ms = admission.compute_retry_ms(
+        loads.measure_load(term, queue.service, now_ms),
+        loads.measure_shared_load(term, queue.service),
+        work,
+        limit_ms,
+    )
+    cap_load = loads.measure_cap_load(term, team)
+    if cap_load is None:
+        return delay_ms
+    cap_delay_ms = admission.compute_retry_ms(cap_load, None, work, limit_ms)
+    delays = [ms for ms in (delay_ms, cap_delay_ms) if ms is not None]
+    return max(delays, default=None)
 
 
 def _find_job(
--- a/bambookeel/jobs/calls.py
+++ b/bambookeel/jobs/calls.py
@@ -264,10 +264,12 @@
     Attributes:
         leader: Process id of the leader; empty if none is known.
         is_unknown: Whether the call may still take effect.
+        retry_after_ms: Delay in milliseconds before a retry.
     """
 
     leader: str
     is_unknown: bool
+    retry_after_ms: int = 0
 
 
 Answer = (
--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -128,3 +128,22 @@
     if status is None or status.phase is not instances.InstancePhase.UP:
         return False
     return status.listed_ms > goal.since_ms
+
+
+def has_moved_unconfirmed(goal: Goal, service: str) -> bool:
+    """Returns whether a move was carried out although no answer was received.
+
+    Args:
+        goal: Goal of the instance.
+        service: Service that the worker on the instance has reported.
+
+    Returns:
+        True if the move may have been carried out and the worker reports from
+        the pool that was the target of the move.
+    """
+    if goal.phase is not GoalPhase.DRAINING or not goal.has_earlier_order:
+        return False
+    match goal.order:
+        case instances.Move(_, pool):
+            return service == pool
+    return False
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -71,6 +71,7 @@
         elif state.idle_since_ms < 0:
             term.idle_since_ms[service] = now_ms
         states.append(state)
+    term.pool_states = {state.pool: state for state in states}
     _log_pools(term, states, now_ms)
     spare = pool_demand.list_spare_instances(
         term.instance_controller.fleet, spare_pool, now_ms
--- /dev/null
+++ b/bambookeel/jobs/loads.py
@@ -0,0 +1,147 @@
+"""Measures the load of services and teams, on which admission is based."""
+
+from bambookeel.jobs import admission
+from bambookeel.jobs import instances
+from bambookeel.jobs import objectives
+from bambookeel.jobs import term as term_state
+
+
+def _count_obtainable_instances(term: term_state.Term, service: str) -> int:
+    """Counts instances that a pool is getting or can still get.
+
+    Args:
+        term: State of the leader's term.
+        service: Service of the pool.
+
+    Returns:
+        Number of instances that move to the pool or are in the spare pool.
+    """
+    fleet = term.instance_controller.fleet
+    spare_pool = term.book.configuration.find_spare_pool()
+    count = 0
+    for name, status in fleet.statuses.items():
+        goal = fleet.goals.get(name)
+        if goal is None:
+            is_up = status.phase is instances.InstancePhase.UP
+            count += is_up and status.pool == spare_pool != service
+            continue
+        match goal.order:
+            case instances.Move(_, pool) if pool == service:
+                count += 1
+    return count
+
+
+def count_unreported_instances(
+    term: term_state.Term, service: str, now_ms: int
+) -> int:
+    """Counts instances whose workers have not reported in this term yet.
+
+    Until the leases granted by an earlier leader have expired, a missing
+    report does not mean that the worker is lost.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        Number of instances that the provider lists for the service as up or
+        moving and that have neither a worker nor a goal; 0 after that time.
+    """
+    if now_ms >= term.earlier_leases_until_ms:
+        return 0
+    fleet = term.instance_controller.fleet
+    expected_phases = (
+        instances.InstancePhase.UP,
+        instances.InstancePhase.MOVING,
+    )
+    return sum(
+        status.pool == service
+        and status.phase in expected_phases
+        and name not in fleet.goals
+        and term.workers.find_by_instance(name) is None
+        for name, status in fleet.statuses.items()
+    )
+
+
+def measure_load(
+    term: term_state.Term, service: str, now_ms: int
+) -> admission.Load:
+    """Measures the outstanding work and the capacity of a service.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        Load with the capacity of its workers and of the instances that it
+        can still get.
+    """
+    capacity = 0
+    each_milli = 0
+    for worker in term.workers.by_id.values():
+        worker_milli = worker.report.capacity.cpu_milli
+        each_milli = max(each_milli, worker_milli)
+        if worker.report.service != service or worker.report.is_leaving:
+            continue
+        if worker.is_lease_expired:
+            continue
+        capacity += worker_milli
+    absent = count_unreported_instances(term, service, now_ms)
+    absent += _count_obtainable_instances(term, service)
+    capacity += absent * each_milli
+    jobs = term.list_open_jobs(service)
+    # Fillers use only the processor time that the other tasks leave.
+    open_work, standing_milli = objectives.sum_open_work(
+        jobs, term.run_times, counts_fillers=False
+    )
+    return admission.Load(capacity - standing_milli, open_work)
+
+
+def measure_cap_load(term: term_state.Term, team: str) -> admission.Load | None:
+    """Measures the outstanding work of a team and the capacity of its cap.
+
+    Args:
+        term: State of the leader's term.
+        team: Name of the team.
+
+    Returns:
+        Load over all services; None for a team without a cap.
+    """
+    known = term.book.configuration.teams.get(team)
+    if known is None or not known.cap.cpu_milli:
+        return None
+    jobs = (
+        term.book.jobs[name]
+        for names in term.book.open_jobs.values()
+        for name in names
+        if term.book.jobs[name].team == team
+    )
+    # A cap counts requested resources, also those of fillers.
+    open_work, standing_milli = objectives.sum_open_work(
+        jobs, term.run_times, counts_fillers=True
+    )
+    capacity = known.cap.cpu_milli - standing_milli
+    return admission.Load(capacity, open_work)
+
+
+def measure_shared_load(term: term_state.Term, service: str) -> admission.Load:
+    """Measures a service together with the pools that can give it instances.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+
+    Returns:
+        Load of all pools, at their last check, that have more instances than
+        they keep.
+    """
+    capacity = 0
+    open_work = 0.0
+    for pool, state in term.pool_states.items():
+        if pool != service and state.members <= max(1, state.min_members):
+            continue
+        capacity += state.capacity_milli
+        open_work += state.open_work
+    return admission.Load(capacity, open_work)
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -5,6 +5,7 @@
 from bambookeel.jobs import deferring
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
+from bambookeel.jobs import loads
 from bambookeel.jobs import objectives
 from bambookeel.jobs import pools
 from bambookeel.jobs import term as term_state
@@ -129,7 +130,7 @@
         the instances that run nothing.
     """
     fleet = term.instance_controller.fleet
-    members = term.count_unreported_instances(service, now_ms)
+    members = loads.count_unreported_instances(term, service, now_ms)
     instance_milli = 0
     empty = []
     for worker in term.workers.by_id.values():
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -23,30 +23,6 @@
 _RETRY_MS = 600
 
 
-def _has_moved_unconfirmed(
-    goal: fleet_view.Goal, worker: worker_table.Worker
-) -> bool:
-    """Returns whether a move was carried out although no answer was received.
-
-    Args:
-        goal: Goal of the instance.
-        worker: The worker that reports from the instance.
-
-    Returns:
-        True if the move may have been carried out and the worker reports from
-        the pool that was the target of the move.
-    """
-    if (
-        goal.phase is not fleet_view.GoalPhase.DRAINING
-        or not goal.has_earlier_order
-    ):
-        return False
-    match goal.order:
-        case instances.Move(_, pool):
-            return worker.report.service == pool
-    return False
-
-
 class InstanceController:
     """Goals of instances in a leader's term, and the orders to reach them."""
 
@@ -378,7 +354,7 @@
         if goal is None:
             return False
         if goal.phase is not fleet_view.GoalPhase.AWAY:
-            return _has_moved_unconfirmed(goal, worker)
+            return fleet_view.has_moved_unconfirmed(goal, worker.report.service)
         if goal.incarnation is not None:
             return worker.incarnation != goal.incarnation
         # The report may have been sent before the order was carried out.
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -11,7 +11,6 @@
 import typing
 
 from bambookeel.configuration import document as configuration
-from bambookeel.jobs import admission
 from bambookeel.jobs import advice
 from bambookeel.jobs import book as job_book
 from bambookeel.jobs import book_records
@@ -19,6 +18,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
+from bambookeel.jobs import pools
 from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 from bambookeel.jobs import steering
@@ -88,6 +88,8 @@
         self.questions: list[advice.Question] = []
         # Rate of arriving work, by service.
         self.arrival_rates: dict[str, objectives.ArrivalRate] = {}
+        # State of each pool but the spare one at the last check.
+        self.pool_states: dict[str, pools.PoolState] = {}
         # Steady-clock time since which each service has been idle; -1 if it is
         # not.
         self.idle_since_ms: dict[str, int] = {}
@@ -147,114 +149,6 @@
         rate = self.arrival_rates.get(service)
         return rate.read(now_ms) if rate is not None else 0.0
 
-    def _count_obtainable_instances(self, service: str) -> int:
-        """Counts instances that a pool is getting or can still get.
-
-        Args:
-            service: Service of the pool.
-
-        Returns:
-            Number of instances that move to the pool or are in the spare pool.
-        """
-        fleet = self.instance_controller.fleet
-        spare_pool = self.book.configuration.find_spare_pool()
-        count = 0
-        for name, status in fleet.statuses.items():
-            goal = fleet.goals.get(name)
-            if goal is None:
-                is_up = status.phase is instances.InstancePhase.UP
-                count += is_up and status.pool == spare_pool != service
-                continue
-            match goal.order:
-                case instances.Move(_, pool) if pool == service:
-                    count += 1
-        return count
-
-    def count_unreported_instances(self, service: str, now_ms: int) -> int:
-        """Counts instances whose workers have not reported in this term yet.
-
-        Until the leases granted by an earlier leader have expired, a missing
-        report does not mean that the worker is lost.
-
-        Args:
-            service: Name of the service.
-            now_ms: Steady-clock time in milliseconds.
-
-        Returns:
-            Number of instances that the provider lists for the service as up or
-            moving and that have neither a worker nor a goal; 0 after that time.
-        """
-        if now_ms >= self.earlier_leases_until_ms:
-            return 0
-        fleet = self.instance_controller.fleet
-        expected_phases = (
-            instances.InstancePhase.UP,
-            instances.InstancePhase.MOVING,
-        )
-        return sum(
-            status.pool == service
-            and status.phase in expected_phases
-            and name not in fleet.goals
-            and self.workers.find_by_instance(name) is None
-            for name, status in fleet.statuses.items()
-        )
-
-    def measure_load(self, service: str, now_ms: int) -> admission.Load:
-        """Measures the outstanding work and the capacity of a service.
-
-        Args:
-            service: Name of the service.
-            now_ms: Steady-clock time in milliseconds.
-
-        Returns:
-            Load with the capacity of its workers and of the instances that it
-            can still get.
-        """
-        capacity = 0
-        each_milli = 0
-        for worker in self.workers.by_id.values():
-            worker_milli = worker.report.capacity.cpu_milli
-            each_milli = max(each_milli, worker_milli)
-            if worker.report.service != service or worker.report.is_leaving:
-                continue
-            if worker.is_lease_expired:
-                continue
-            capacity += worker_milli
-        absent = self.count_unreported_instances(service, now_ms)
-        absent += self._count_obtainable_instances(service)
-        capacity += absent * each_milli
-        jobs = self.list_open_jobs(service)
-        # Fillers use only the processor time that the other tasks leave.
-        open_work, standing_milli = objectives.sum_open_work(
-            jobs, self.run_times, counts_fillers=False
-        )
-        return admission.Load(capacity - standing_milli, open_work)
-
-    def measure_cap_load(self, team: str) -> admission.Load | None:
-        """Measures the outstanding work of a team and the capacity of its cap.
-
-        Args:
-            team: Name of the team.
-
-        Returns:
-            Load over all services; None for a team without a cap.
-        """
-        known = self.book.configuration.teams.get(team)
-        if known is None or not known.cap.cpu_milli:
-            return None
-        jobs = (
-            self.book.jobs[name]
-            for names in self.book.open_jobs.values()
-            for name in names
-            if self.book.jobs[name].team == team
-        )
-        # A cap counts requested resources, also those of fillers.
-        open_work, standing_milli = objectives.sum_open_work(
-            jobs, self.run_times, counts_fillers=True
-        )
-        capacity = known.cap.cpu_milli - standing_milli
-        return admission.Load(capacity, open_work)
-
     def discard_dropped_jobs(self) -> None:
         """Removes the data of jobs that are no longer in the book."""
         jobs = self.book.jobs
--- a/features/jobs/overload.feature
+++ b/features/jobs/overload.feature
@@ -74,3 +74,18 @@
       | packhouse | 3900    | 6       | 4      |       |         |
     And 12 spare instances
     Then "coaches" gets 6 of them and "packhouse" 6
+
+  Scenario: A job is admitted if other pools can hand over instances in time
+    # The packhouse's peak met 9 instances while the coaches' pool held 34.
+    Given a full service of 500 cores with 15000 core seconds of open work
+    When a job of 500 core seconds arrives that is of use for 27000 ms
+    Then it is rejected with a time to retry
+    Given pools that can hand over instances, of 2600 cores with 25000 core seconds of open work
+    When a job of 500 core seconds arrives that is of use for 27000 ms
+    Then it is admitted
+
+  Scenario: A job is rejected if no pool can hand over instances in time
+    Given a full service of 500 cores with 15000 core seconds of open work
+    And pools that can hand over instances, of 2600 cores with 50000 core seconds of open work
+    When a job of 500 core seconds arrives that is of use for 27000 ms
+    Then it is rejected with a time to retry
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -4,6 +4,7 @@
 from behave import then
 from behave import when
 
+from bambookeel.jobs import admission
 from bambookeel.jobs import deferral
 from bambookeel.jobs import objectives
 from bambookeel.jobs import pools
@@ -139,3 +140,38 @@
     targets = [pool for _, pool in moves]
     assert targets.count(one) == first, targets
     assert targets.count(other) == second, targets
+
+
+@given(
+    "a full service of {cores:d} cores with {work:d} core seconds of open work"
+)
+def set_load(context, cores, work):
+    context.load = admission.Load(cores * 1_000, work * 1_000_000.0)
+    context.shared_load = context.load
+
+
+@given(
+    "pools that can hand over instances, of {cores:d} cores with {work:d} core"
+    " seconds of open work"
+)
+def set_shared_load(context, cores, work):
+    context.shared_load = admission.Load(cores * 1_000, work * 1_000_000.0)
+
+
+@when(
+    "a job of {work:d} core seconds arrives that is of use for {limit_ms:d} ms"
+)
+def decide(context, work, limit_ms):
+    context.retry_ms = admission.compute_retry_ms(
+        context.load, context.shared_load, work * 1_000_000.0, limit_ms
+    )
+
+
+@then("it is rejected with a time to retry")
+def check_rejected(context):
+    assert context.retry_ms is not None
+
+
+@then("it is admitted")
+def check_admitted(context):
+    assert context.retry_ms is None, context.retry_ms
