Let callers outlast a longer outage of all leaders

Each refused caller was told to come back after 500 ms and had used its four retries before a leader was there. Change: in a long outage a call is refused at once instead of after 600 ms, and the delay until the next try grows with the outage, up to 2 s. Test: the new scenario; with 500 ms, callers of the first 1.6 s are lost.

--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -17,6 +17,7 @@
 from bambookeel.jobs import calls
 from bambookeel.net import channels
 from bambookeel.node import leader_finder
+from bambookeel.node import leaderless
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
 from bambookeel.runtime import metrics
@@ -50,7 +51,10 @@
         self._leader_answered = gevent.event.Event()
 
     def call(
-        self, call: calls.Call, timeout_ms: int, leaderless_ms: int
+        self,
+        call: calls.Call,
+        timeout_ms: int,
+        leaderless_ms: int | None = None,
     ) -> calls.Answer:
         """Makes one call and records its duration and answer as metrics.
 
@@ -58,12 +62,15 @@
             call: The call to make.
             timeout_ms: Time limit for the call, in milliseconds.
             leaderless_ms: Maximum wait in milliseconds while no leader is
-                known.
+                known; None if it depends on the duration of the outage.
 
         Returns:
             The answer; `NotLeading` if there was none in time.
         """
         start_ms = clock.read_now_ms()
+        if leaderless_ms is None:
+            outage_ms = self.leader_view.measure_outage_ms(start_ms)
+            leaderless_ms = leaderless.compute_wait_ms(outage_ms)
         answer = self._call(call, timeout_ms, leaderless_ms)
         metrics.observe_leader_call(
             type(call).__name__,
@@ -117,7 +124,9 @@
             may_have_effect = may_have_effect or answer.is_unknown
             leader_finder.mark_unconfirmed(self.leader_view, leader)
             gevent.sleep(_RETRY_DELAY_MS / 1000.0)
-        return calls.NotLeading("", may_have_effect)
+        outage_ms = self.leader_view.measure_outage_ms(clock.read_now_ms())
+        retry_ms = leaderless.compute_retry_ms(outage_ms)
+        return calls.NotLeading("", may_have_effect, retry_ms)
 
     def _send_once(
         self, leader: ids.ProcessId, payload: bytes, timeout_ms: int
--- a/bambookeel/node/leader_finder.py
+++ b/bambookeel/node/leader_finder.py
@@ -28,6 +28,8 @@
         confirmed_ms: When the leader last said itself that it leads.
         voters: Processes that may become the leader.
         asked_ms: When a question was last sent.
+        known_ms: When a leader was last confirmed, or the process started;
+            unlike `confirmed_ms` it stays when the leader stops answering.
     """
 
     own: ids.ProcessId
@@ -37,6 +39,18 @@
     confirmed_ms: int = -_CONFIRMED_FOR_MS
     voters: tuple[ids.ProcessId, ...] = ()
     asked_ms: int = 0
+    known_ms: int = 0
+
+    def measure_outage_ms(self, now_ms: int) -> int:
+        """Measures for how long no leader has been known to lead.
+
+        Args:
+            now_ms: Steady time in milliseconds.
+
+        Returns:
+            Milliseconds since the last confirmation.
+        """
+        return now_ms - self.known_ms
 
     def is_confirmed(self, now_ms: int) -> bool:
         """Returns whether the leader has recently said that it leads.
@@ -103,6 +117,7 @@
         view.leader = peer
         view.term = answer.term
         view.confirmed_ms = now_ms
+        view.known_ms = now_ms
     elif answer.leader and answer.term > view.term:
         view.leader = answer.leader
         view.term = answer.term
--- a/bambookeel/node/process.py
+++ b/bambookeel/node/process.py
@@ -48,7 +48,9 @@
         self._channels = channels.Channels(
             link_settings, identity, self._deliver
         )
-        view = leader_finder.LeaderView(settings.address, settings.seeds)
+        view = leader_finder.LeaderView(
+            settings.address, settings.seeds, known_ms=clock.read_now_ms()
+        )
         self.gateway = gateway.Gateway(
             view, self._channels, announces=bool(settings.data_folder)
         )
--- /dev/null
+++ b/features/steps/leaderless_steps.py
@@ -0,0 +1,67 @@
+"""Steps for calls while no leader is known."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from bambookeel.core import ids
+from bambookeel.core import messages
+from bambookeel.node import leader_finder
+from bambookeel.node import leaderless
+
+_LEADER = ids.ProcessId("10.0.0.1:7000")
+
+
+def _find_answer_ms(arrival_ms, outage_ms, retries):
+    at_ms = arrival_ms
+    for _ in range(retries + 1):
+        wait_ms = leaderless.compute_wait_ms(at_ms)
+        if at_ms + wait_ms >= outage_ms:
+            return max(at_ms, outage_ms)
+        refused_ms = at_ms + wait_ms
+        at_ms = refused_ms + leaderless.compute_retry_ms(refused_ms)
+    return None
+
+
+@when(
+    "callers with {retries:d} retries call every {ms:d} ms during an outage of"
+    " {outage_ms:d} ms"
+)
+def replay_outage(context, retries, ms, outage_ms):
+    context.answered_ms = {
+        arrival_ms: _find_answer_ms(arrival_ms, outage_ms, retries)
+        for arrival_ms in range(0, outage_ms, ms)
+    }
+
+
+@then("every caller is served after the outage")
+def check_served(context):
+    lost = [at for at, ms in context.answered_ms.items() if ms is None]
+    assert not lost, lost
+
+
+@then("a call waits for a leader if the outage has lasted {ms:d} ms")
+def check_waits(_, ms):
+    assert leaderless.compute_wait_ms(ms) > 0
+
+
+@then("a call is refused at once if the outage has lasted {ms:d} ms")
+def check_refused(_, ms):
+    assert leaderless.compute_wait_ms(ms) == 0
+
+
+@given("a leader that was confirmed at {ms:d} ms")
+def confirm_leader(context, ms):
+    context.view = leader_finder.LeaderView(ids.ProcessId("own"), ())
+    known = messages.LeaderKnown(0, _LEADER, ids.Term(1), True, ())
+    leader_finder.update_view(context.view, _LEADER, known, ms)
+
+
+@when("the leader does not answer a call")
+def lose_leader(context):
+    leader_finder.mark_unconfirmed(context.view, _LEADER)
+
+
+@then("at {now_ms:d} ms the outage has lasted {ms:d} ms")
+def check_outage(context, now_ms, ms):
+    assert context.view.measure_outage_ms(now_ms) == ms
