Open a log whose unsynced writes survived a loss of power out of order

Cause: after a loss of power each write since the last sync is present, missing or torn by itself. If an earlier one was missing and a later one present, the scan took the gap for damage of synced data and the process ended at every start.

--- a/bambookeel/storage/folder.py
+++ b/bambookeel/storage/folder.py
@@ -18,8 +18,15 @@
 class AppendFile:
     """An append-only file that can be truncated."""
 
-    def __init__(self, path: pathlib.Path) -> None:
-        self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+    def __init__(self, path: pathlib.Path, is_new: bool = False) -> None:
+        """Opens a file, and creates it if it does not exist.
+
+        Args:
+            path: Path of the file.
+            is_new: Whether to discard what an existing file contains.
+        """
+        flags = os.O_RDWR | os.O_CREAT | (os.O_TRUNC if is_new else 0)
+        self._descriptor = os.open(path, flags, 0o600)
         self.size = os.lseek(self._descriptor, 0, os.SEEK_END)
 
     def append(self, data: bytes) -> None:
@@ -65,6 +72,28 @@
         os.close(self._descriptor)
 
 
+def _read_exactly(descriptor: int, offset: int, size: int) -> bytes:
+    """Reads from an open file.
+
+    Args:
+        descriptor: Descriptor of the file.
+        offset: Byte offset of the first byte.
+        size: Maximum length in bytes.
+
+    Returns:
+        The bytes; fewer than `size` at the file's end.
+    """
+    parts = []
+    while size > 0:
+        part = os.pread(descriptor, size, offset)
+        if not part:
+            break
+        parts.append(part)
+        offset += len(part)
+        size -= len(part)
+    return b"".join(parts)
+
+
 class Folder:
     """A data folder that this process has locked."""
 
@@ -82,9 +111,14 @@
             Content of the file; None if it does not exist.
         """
         try:
-            return (self._path / name).read_bytes()
+            descriptor = os.open(self._path / name, os.O_RDONLY)
         except FileNotFoundError:
             return None
+        try:
+            size = os.lseek(descriptor, 0, os.SEEK_END)
+            return _read_exactly(descriptor, 0, size)
+        finally:
+            os.close(descriptor)
 
     def read_part(self, name: str, offset: int, size: int) -> bytes:
         """Reads a part of a file.
@@ -97,9 +131,11 @@
         Returns:
             The bytes; fewer than `size` at the file's end.
         """
-        with (self._path / name).open("rb") as file:
-            file.seek(offset)
-            return file.read(size)
+        descriptor = os.open(self._path / name, os.O_RDONLY)
+        try:
+            return _read_exactly(descriptor, offset, size)
+        finally:
+            os.close(descriptor)
 
     def replace(self, name: str, data: bytes) -> None:
         """Replaces a file atomically and syncs it.
@@ -114,8 +150,7 @@
             OSError: If the disk is full or a sync failed.
         """
         temporary = self._path / f"{name}.new"
-        temporary.write_bytes(b"")
-        file = AppendFile(temporary)
+        file = AppendFile(temporary, is_new=True)
         try:
             file.append(data)
             file.sync()
--- a/bambookeel/storage/store.py
+++ b/bambookeel/storage/store.py
@@ -59,6 +59,8 @@
         self._base_index = int(scanned.base_index)
         self._offsets = list(scanned.offsets)
         self._received = folder.open_append(_RECEIVED)
+        # Last index that a sync has certainly covered.
+        self._synced_index = self._base_index
         self.sync_count = 0
 
     @property
@@ -87,7 +89,10 @@
             f"entry {entries[0].index} does not follow the last entry"
             f" {self.last_index} of the log file",
         )
-        encoded = [log_format.encode_record(entry) for entry in entries]
+        encoded = [
+            log_format.encode_record(entry, self._synced_index)
+            for entry in entries
+        ]
         offset = self._log.size
         self._log.append(b"".join(encoded))
         for record in encoded:
@@ -96,7 +101,10 @@
 
     def sync_log(self) -> None:
         """Syncs the log; blocks, so it must not run on the event loop."""
+        # Entries may be appended during the sync.
+        index = self.last_index
         self._log.sync()
+        self._synced_index = max(self._synced_index, index)
         self.sync_count += 1
 
     def truncate_torn_end(self, valid_bytes: int) -> int:
@@ -115,6 +123,7 @@
         # Entries that were written but not synced before the crash count as
         # synced from now on.
         self._log.sync()
+        self._synced_index = self.last_index
         return torn_bytes
 
     def truncate(self, from_index: int) -> None:
@@ -129,6 +138,7 @@
         self._log.truncate(self._offsets[position])
         del self._offsets[position:]
         self._log.sync()
+        self._synced_index = self.last_index
 
     def drop_prefix(self, to_index: int, term: int) -> None:
         """Removes the entries up to an index by writing a new log file.
@@ -160,6 +170,7 @@
         self._replace_log(log_format.encode_header(index, term))
         self._offsets = []
         self._base_index = index
+        self._synced_index = index
 
     def _replace_log(self, data: bytes) -> None:
         self._folder.replace(_LOG, data)
