Drop late messages of replaced connections, and refuse calls that are malformed

Cause 1: a receiver read an old connection of the same process beside its newer one. A call delayed there (a frozen receiver reads both) was handled after a later attempt had been refused as not run, and could then be admitted and run. Change: connections are numbered; once a newer one has begun, what comes on an older one is dropped. Cause 2: a call that could not be decoded failed the leader's task, with all waiting calls, and 21 of them in a minute ended the process. Change: it is refused and logged; a malformed answer is logged, and its call is sent again. 'A failed turn leaves no partial decisions' used such a call to fail a turn; it now lets a turn that has decided something fail.

--- a/bambookeel/jobs/calls.py
+++ b/bambookeel/jobs/calls.py
@@ -5,7 +5,11 @@
 that the processes use among themselves.
 """
 
+import typing
+import zlib
+
 import msgspec
+from returns import result
 
 from bambookeel.configuration import document as configuration
 from bambookeel.core import packing
@@ -316,25 +320,34 @@
     return packing.compress(msgspec.msgpack.encode(answer))
 
 
-def decode_call(payload: bytes) -> Call:
+def _decode(
+    decoder: msgspec.msgpack.Decoder[typing.Any], payload: bytes
+) -> result.Result[typing.Any, str]:
+    try:
+        return result.Success(decoder.decode(packing.decompress(payload)))
+    except (msgspec.MsgspecError, zlib.error, ValueError) as error:
+        return result.Failure(str(error))
+
+
+def decode_call(payload: bytes) -> result.Result[Call, str]:
     """Decodes a call.
 
     Args:
         payload: Result of `encode_call`.
 
     Returns:
-        The decoded call.
+        The decoded call, or why it cannot be decoded.
     """
-    return _CALL_DECODER.decode(packing.decompress(payload))
+    return _decode(_CALL_DECODER, payload)
 
 
-def decode_answer(payload: bytes) -> Answer:
+def decode_answer(payload: bytes) -> result.Result[Answer, str]:
     """Decodes an answer.
 
     Args:
         payload: Result of `encode_answer`.
 
     Returns:
-        The decoded answer.
+        The decoded answer, or why it cannot be decoded.
     """
-    return _ANSWER_DECODER.decode(packing.decompress(payload))
+    return _decode(_ANSWER_DECODER, payload)
--- a/bambookeel/net/channels.py
+++ b/bambookeel/net/channels.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import dataclasses
 import functools
+import itertools
 import socket as plain_socket
 import typing
 
@@ -76,8 +77,12 @@
         self._identity = identity
         self._deliver = deliver
         self._outgoing: dict[ids.ProcessId, _Outgoing] = {}
-        # Newest incarnation of each peer; messages of earlier ones are dropped.
-        self._incarnations: dict[ids.ProcessId, int] = {}
+        # Numbers the connections that this process dials.
+        self._link_numbers = itertools.count(1)
+        # Incarnation and number of the newest connection from each peer.
+        # Messages of earlier ones are dropped, so that a delayed message does
+        # not arrive after a later one.
+        self._newest: dict[ids.ProcessId, tuple[int, int]] = {}
         self._server: gevent.server.StreamServer | None = None
         self._closed = False
 
@@ -146,7 +151,8 @@
             self._drop_expired(outgoing)
             return
         link = links.Link(sock, self._settings)
-        link.enqueue(self._identity)
+        number = ids.LinkNumber(next(self._link_numbers))
+        link.enqueue(dataclasses.replace(self._identity, link_number=number))
         self._drop_expired(outgoing)
         while outgoing.pending:
             link.enqueue(outgoing.pending.popleft()[1])
@@ -219,12 +225,13 @@
         if not isinstance(hello, messages.Hello):
             return
         peer = hello.process_id
-        newest = max(hello.incarnation, self._incarnations.get(peer, 0))
-        self._incarnations[peer] = ids.Incarnation(newest)
+        generation = (int(hello.incarnation), int(hello.link_number))
+        newest = self._newest.get(peer, generation)
+        self._newest[peer] = max(generation, newest)
         self._abort_hanging_dial(peer)
         deliver = functools.partial(self._deliver, peer)
         for message in stream:
-            if self._incarnations[peer] != hello.incarnation:
+            if self._newest[peer] != generation:
                 return
             deliver(message)
 
--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -11,6 +11,7 @@
 
 import gevent
 import gevent.event
+from returns import result
 
 from bambookeel.core import ids
 from bambookeel.core import messages
@@ -153,9 +154,7 @@
         """
         match message:
             case messages.LeaderAnswer(number, payload):
-                reply = self._replies.get(number)
-                if reply is not None:
-                    reply.set(calls.decode_answer(payload))
+                self._take_answer(peer, number, payload)
             case messages.LeaderKnown():
                 now_ms = clock.read_now_ms()
                 view = self.leader_view
@@ -168,6 +167,19 @@
                     )
                 self._leader_answered.set()
 
+    def _take_answer(
+        self, peer: ids.ProcessId, number: int, payload: bytes
+    ) -> None:
+        reply = self._replies.get(number)
+        if reply is None:
+            return
+        match calls.decode_answer(payload):
+            case result.Success(answer):
+                reply.set(answer)
+            case result.Failure(error):
+                # The call is sent again when its attempt has timed out.
+                logs.log_event("answer_malformed", peer=peer, error=error)
+
     def describe_leader(self) -> messages.LeaderKnown:
         """Builds the message that tells other processes the known leader.
 
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 import functools
 
+from returns import result
+
 from bambookeel.consensus import effects as core_effects
 from bambookeel.consensus import events as core_events
 from bambookeel.consensus import membership
@@ -144,9 +146,7 @@
     ) -> None:
         match message:
             case messages.LeaderCall(number, payload):
-                reply = functools.partial(self._reply, peer, number)
-                call = calls.decode_call(payload)
-                self._calls.append((call, reply))
+                self._add_call(peer, number, payload)
             case messages.LeaderQuestion(nonce):
                 self._runner.send(peer, self._describe_leader(nonce))
             case messages.ReplicaIdentity():
@@ -158,6 +158,17 @@
                     self._joining.notify_if_retired(message)
                 self._runner.run_step(core_events.MessageReceived(message))
 
+    def _add_call(
+        self, peer: ids.ProcessId, number: int, payload: bytes
+    ) -> None:
+        reply = functools.partial(self._reply, peer, number)
+        match calls.decode_call(payload):
+            case result.Success(call):
+                self._calls.append((call, reply))
+            case result.Failure(error):
+                logs.log_event("call_malformed", peer=peer, error=error)
+                reply(calls.BadRequest("the call cannot be decoded"))
+
     def _reply(
         self, peer: ids.ProcessId, number: int, answer: calls.Answer
     ) -> None:
--- a/bambookeel/storage/log_format.py
+++ b/bambookeel/storage/log_format.py
@@ -3,9 +3,9 @@
 Each record holds its length, a checksum and the index up to which the log was
 synced when it was written. A scan returns the entries up to the first invalid
 record. After a loss of power, any of the writes since the last sync may be
-missing or torn, also if a later one is not, and the file may be truncated at the
-first of them. If a later record shows that the invalid one was complete, the
-file is damaged and must not be truncated.
+missing or torn, also if a later one is not, and the file may be truncated at
+the first of them. If a later record shows that the invalid one was complete,
+the file is damaged and must not be truncated.
 """
 
 import dataclasses
@@ -120,7 +120,7 @@
         return None
     term, index, flags = _BODY.unpack_from(body)
     payload = body[_BODY.size :]
-    # A record of an earlier version was written after all before it were synced.
+    # Records of earlier versions count as written after a sync.
     synced_index = index - 1
     if flags & _HAS_SYNCED:
         (synced_index,) = _SYNCED.unpack_from(payload)
--- a/features/fakes/disk_model.py
+++ b/features/fakes/disk_model.py
@@ -1,8 +1,8 @@
 """A disk that loses power, as a replacement for the module `os`.
 
 Each write since the last sync of its file is present, missing or torn after a
-loss of power, each independently of the others. A renamed or created name may be
-lost until its folder is synced; a new file persists with its own sync.
+loss of power, each independently of the others. A renamed or created name may
+be lost until its folder is synced; a new file persists with its own sync.
 """
 
 import errno
--- a/features/fakes/node_group.py
+++ b/features/fakes/node_group.py
@@ -89,7 +89,7 @@
         if isinstance(message, messages.LeaderAnswer):
             reply = self._waiting.pop(message.number, None)
             if reply is not None:
-                reply.set(calls.decode_answer(message.payload))
+                reply.set(calls.decode_answer(message.payload).unwrap())
             return True
         if isinstance(message, messages.LeaderKnown):
             return True
@@ -118,6 +118,19 @@
         message = messages.LeaderCall(1, b"\0garbage")
         self.replica.mailbox.put(events.FromPeer(self.address, message))
 
+    def fail_next_decision(self):
+        """Makes the next turn that decides something raise an error."""
+        services = self.replica.external_services
+        send_requests = services.send_requests
+
+        def fail(scheduler, term, now):
+            if not scheduler.term.batch:
+                return send_requests(scheduler, term, now)
+            services.send_requests = send_requests
+            raise ValueError("a turn that fails")
+
+        services.send_requests = fail
+
     def kill(self):
         """Stops the replica as a loss of power does."""
         self._supervisor.stop()
--- a/features/messages/channels.feature
+++ b/features/messages/channels.feature
@@ -14,3 +14,10 @@
     Given a process whose machine does not answer dials
     When a message is sent to the process, which answers and connects 250 ms later
     Then the message reaches the process
+
+  Scenario: A message on a connection that has been replaced is dropped
+    # A call that was delayed on the old connection would take effect after a
+    # later attempt had been refused as not run.
+    Given a process that another one has connected to twice
+    When a message is sent on the first connection and one on the second
+    Then only the message of the second connection is delivered
--- a/features/platform/replicas.feature
+++ b/features/platform/replicas.feature
@@ -27,10 +27,19 @@
   Scenario: A failed turn leaves no partial decisions
     Given three replicas of the book
     And configuration 1 is in force there
-    When every replica gets a call that cannot be decoded
+    When the next turn of every replica that decides something fails
     And configuration 2 is put there
     Then configuration 2 is read back
 
+  Scenario: Calls that cannot be decoded are refused and restart nothing
+    # More of them than failures of a task end a process.
+    Given three replicas of the book
+    And configuration 1 is in force there
+    When every replica gets 30 calls that cannot be decoded
+    Then no task of a replica has failed
+    When configuration 2 is put there
+    Then configuration 2 is read back
+
   Scenario: The leader reports that the next loss would stop the service
     Given three replicas of the book
     And configuration 1 is in force there
--- a/features/steps/channel_steps.py
+++ b/features/steps/channel_steps.py
@@ -101,13 +101,13 @@
     context.address = f"{address[0]}:{address[1]}"
 
 
-def _build_hello(process):
+def _build_hello(process, number=0):
     return messages.Hello(
         ids.ProcessId(process),
         messages.ProcessRole.CONTROL,
         ids.DataCentre("north"),
         ids.Incarnation(1),
-        ids.LinkNumber(0),
+        ids.LinkNumber(number),
     )
 
 
@@ -159,3 +159,38 @@
 @then("the message reaches the process")
 def check_received(context):
     assert messages.LeaderQuestion(7) in context.received, context.received
+
+
+@given("a process that another one has connected to twice")
+def connect_twice(context):
+    address = _find_free_address()
+    settings = links.LinkSettings(address, {}, 250, 1_000)
+    context.received = []
+    own = channels.Channels(
+        settings,
+        _build_hello(address),
+        lambda peer, message: context.received.append(message),
+    )
+    own.listen()
+    context.add_cleanup(own.close)
+    context.links = []
+    for number in (1, 2):
+        sock = gevent.socket.create_connection(addresses.parse_address(address))
+        link = links.Link(sock, settings)
+        link.enqueue(_build_hello(_PEER, number))
+        context.add_cleanup(link.close)
+        context.links.append(link)
+        gevent.spawn(link.write_frames)
+        gevent.sleep(0.1)
+
+
+@when("a message is sent on the first connection and one on the second")
+def send_on_both(context):
+    for nonce, link in enumerate(context.links, start=1):
+        link.enqueue(messages.LeaderQuestion(nonce))
+        gevent.sleep(0.1)
+
+
+@then("only the message of the second connection is delivered")
+def check_delivered(context):
+    assert context.received == [messages.LeaderQuestion(2)], context.received
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -36,10 +36,33 @@
     context.leader.folder.space = 0
 
 
-@when("every replica gets a call that cannot be decoded")
-def send_malformed_call(context):
+@when("the next turn of every replica that decides something fails")
+def fail_next_decision(context):
     for member in context.group.members.values():
-        member.send_malformed_call()
+        member.fail_next_decision()
+
+
+@when("every replica gets {count:d} calls that cannot be decoded")
+def send_malformed_calls(context, count):
+    context.failures = failures = []
+
+    def keep(event):
+        if event.get("message_type") == "task_failed":
+            failures.append(event)
+
+    eliot.add_destinations(keep)
+    context.add_cleanup(eliot.remove_destination, keep)
+    # The first destination also gets earlier events.
+    failures.clear()
+    for member in context.group.members.values():
+        for _ in range(count):
+            member.send_malformed_call()
+    gevent.sleep(0.3)
+
+
+@then("no task of a replica has failed")
+def check_no_failed_task(context):
+    assert not context.failures, context.failures[0]
 
 
 @then("another replica has answered")
--- a/features/steps/power_loss_steps.py
+++ b/features/steps/power_loss_steps.py
@@ -104,7 +104,7 @@
         self.known.snapshot = index
 
     def find_fault(self):
-        """Opens the store after the loss; returns what is wrong, if anything."""
+        """Opens the store after the loss; returns what is wrong."""
         known = self.known
         match self._open(self.model.restart()):
             case result.Failure(fault):
