--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -49,6 +49,8 @@
     waves: list[_SavedWave]
     base_sizes: dict[str, int]
     ordered_wall_ms: dict[str, int]
+    # Snapshots of earlier versions do not contain it.
+    ended_workers: dict[str, tuple[int, int]] = {}
 
 
 def encode_book(book: job_book.Book) -> bytes:
@@ -85,6 +87,7 @@
             waves,
             book.instances.base_sizes,
             book.instances.ordered_wall_ms,
+            book.instances.ended_workers,
         )
     )
 
@@ -139,6 +142,7 @@
         book.restore_progress(job)
     book.instances.base_sizes = saved.base_sizes
     book.instances.ordered_wall_ms = saved.ordered_wall_ms
+    book.instances.ended_workers = saved.ended_workers
     for wave in saved.waves:
         restored = book_records.Wave(wave.request, dict.fromkeys(wave.waiting))
         restored.ordered = dict.fromkeys(wave.ordered)
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -145,6 +145,16 @@
     sizes: tuple[tuple[str, int], ...]
 
 
+class WorkerEnded(msgspec.Struct, frozen=True, tag="left"):
+    """Records that an incarnation of a worker has ended for good.
+
+    Its delayed reports must not bring it back, also after a change of leader.
+    """
+
+    life: specs.WorkerIncarnation
+    at_wall_ms: int
+
+
 Command = (
     PutConfiguration
     | AdmitJob
@@ -158,6 +168,7 @@
     | UpkeepEnded
     | RecordPoolSizes
     | RecordOrder
+    | WorkerEnded
 )
 
 _DECODER = msgspec.msgpack.Decoder(tuple[Command, ...])
--- a/bambookeel/jobs/instance_records.py
+++ b/bambookeel/jobs/instance_records.py
@@ -4,6 +4,10 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
+from bambookeel.jobs import specs
+
+# A report is not delayed for longer than this.
+_KEEP_ENDED_MS = 60_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -15,6 +19,8 @@
         base_sizes: Number of instances in each pool before the first move.
         ordered_wall_ms: Unix time in milliseconds of the last order to the
             provider for each instance.
+        ended_workers: Last incarnation of each worker that is known to have
+            ended: Unix time in milliseconds of its start and of its end.
     """
 
     waves: dict[int, book_records.Wave] = dataclasses.field(
@@ -22,6 +28,38 @@
     )
     base_sizes: dict[str, int] = dataclasses.field(default_factory=dict)
     ordered_wall_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    ended_workers: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def has_ended(self, life: specs.WorkerIncarnation) -> bool:
+        """Returns whether an incarnation of a worker is known to have ended.
+
+        Args:
+            life: Incarnation of the worker.
+
+        Returns:
+            True if it or a later one of the same id has ended.
+        """
+        ended = self.ended_workers.get(life.worker)
+        return ended is not None and life.born_wall_ms <= ended[0]
+
+    def record_ended(
+        self, life: specs.WorkerIncarnation, at_wall_ms: int
+    ) -> None:
+        """Records that a worker has ended, and forgets those of long ago.
+
+        Args:
+            life: Incarnation of the worker.
+            at_wall_ms: Unix time in milliseconds.
+        """
+        if not self.has_ended(life):
+            self.ended_workers[life.worker] = (life.born_wall_ms, at_wall_ms)
+        self.ended_workers = {
+            worker: ended
+            for worker, ended in self.ended_workers.items()
+            if at_wall_ms - ended[1] < _KEEP_ENDED_MS
+        }
 
 
 def apply_to_instances(
@@ -37,6 +75,8 @@
     match command:
         case commands.RecordOrder(instance, at_wall_ms):
             records.ordered_wall_ms[instance] = at_wall_ms
+        case commands.WorkerEnded(life, at_wall_ms):
+            records.record_ended(life, at_wall_ms)
         case commands.RecordPoolSizes(sizes):
             records.base_sizes = dict(sizes)
         case commands.StartWave():
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -217,6 +217,7 @@
     if worker is not None and worker.incarnation == ended:
         term.lose_all_runs(ended, "its instance was ordered away", worker)
         term.workers.remove_ended(worker)
+    term.decide(commands.WorkerEnded(ended, now.wall_ms))
 
 
 def handle_instance_list(
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -32,6 +32,8 @@
         are committed.
     """
     stale_reason = term.workers.find_stale_reason(report)
+    if term.book.instances.has_ended(report.life):
+        stale_reason = "this life of the worker has ended"
     if stale_reason:
         return term_state.make_deferred(calls.BadRequest(stale_reason))
     worker, ended = term.workers.update(report, now.steady_ms)
@@ -319,24 +321,29 @@
 
 
 def handle_worker_left(
-    term: term_state.Term, call: calls.WorkerLeft
+    term: term_state.Term, call: calls.WorkerLeft, now: term_state.Now
 ) -> calls.Answer:
     """Handles the orderly shutdown of a worker.
 
     Args:
         term: State of the leader's term.
         call: Call that announces the shutdown.
+        now: Current time.
 
     Returns:
         Always `Done`, also for a worker that is not known.
     """
     worker = term.workers.by_id.get(call.worker)
+    life = specs.WorkerIncarnation(call.worker, call.born_wall_ms)
     if worker is not None and (
         call.born_wall_ms in (0, worker.incarnation.born_wall_ms)
     ):
-        term.lose_all_runs(worker.incarnation, "the worker has left", worker)
+        life = worker.incarnation
+        term.lose_all_runs(life, "the worker has left", worker)
         term.workers.remove_ended(worker)
         term.log_event("worker_left", worker=call.worker)
+    if life.born_wall_ms and not term.book.instances.has_ended(life):
+        term.decide(commands.WorkerEnded(life, now.wall_ms))
     return calls.Done()
 
 
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -126,7 +126,7 @@
             case calls.CountJobs():
                 return callers.count_jobs(term, call)
             case calls.WorkerLeft():
-                return reports.handle_worker_left(term, call)
+                return reports.handle_worker_left(term, call, now)
             case calls.PutDocument(document):
                 return operators.put_document(term, document)
             case calls.GetDocument():
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -226,3 +226,17 @@
     And the simulation runs with a provider for 60000 ms
     Then the wave is complete
     And every worker is known to the leader
+
+  Scenario: A worker that has left is not used again after a change of leader
+    When worker "w0" shuts down in an orderly way
+    And a new leader takes over
+    And a delayed report of worker "w0" arrives
+    Then the report is refused
+    And worker "w0" gets no new runs when job "a" of 400 tasks is submitted
+
+  Scenario: A worker that starts again after it has left is used
+    When worker "w0" shuts down in an orderly way
+    And a new leader takes over
+    And worker "w0" starts again
+    And the simulation runs for 1000 ms
+    Then worker "w0" gets runs when job "a" of 400 tasks is submitted
