--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -240,3 +240,10 @@
     And worker "w0" starts again
     And the simulation runs for 1000 ms
     Then worker "w0" gets runs when job "a" of 400 tasks is submitted
+
+  Scenario: A withdrawn key stays withdrawn after a restart and a late resend
+    When key "key-school" is withdrawn in version 2
+    And a new leader takes over
+    And the first configuration is put in force again
+    And job "a" is submitted with key "key-school"
+    Then the answer is "BadKey"
--- a/features/steps/left_worker_steps.py
+++ b/features/steps/left_worker_steps.py
@@ -1,8 +1,9 @@
-"""Steps for workers that have left."""
+"""Steps for workers that have left and keys that were withdrawn."""
 
 from behave import then
 from behave import when
 
+from bambookeel.configuration import document as configuration
 from bambookeel.jobs import calls
 from features.steps import job_steps
 
@@ -53,3 +54,24 @@
 )
 def check_used(context, name, job, count):
     assert _count_assigned(context, name, job, count) > 0
+
+
+@when('key "{key}" is withdrawn in version {version:d}')
+def withdraw_key(context, key, version):
+    document = context.sim.build_document(version)
+    teams = tuple(
+        configuration.Team(
+            team.name,
+            tuple(each for each in team.keys if each != key),
+            team.weight,
+            team.cap,
+        )
+        for team in document.teams
+    )
+    values = {
+        field: getattr(document, field) for field in document.__struct_fields__
+    }
+    answer = context.sim.put_document(
+        type(document)(**{**values, "teams": teams})
+    )
+    assert isinstance(answer, calls.Done), answer
