Log each run that is lost with its worker

runs_lost named jobs only, so that the log could not tell which task was on a worker that crashed, whether the worker had reported it, or how often a task was lost. No decision changes. The list of jobs in one line grew with the worker's load; one line a run is bounded by the runs.

--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -282,9 +282,18 @@
             self.log_event(
                 "runs_lost",
                 worker=incarnation.worker,
+                instance=worker.report.instance if worker else "",
                 reason=reason,
                 runs=len(lost),
-                jobs=",".join(sorted({ref.job for ref, _, _ in lost})),
+            )
+        for ref, run, _ in lost:
+            self.log_event(
+                "run_lost",
+                job=ref.job,
+                task=ref.position,
+                run=run,
+                worker=incarnation.worker,
+                reported=worker is not None and ref in worker.running,
             )
 
 
--- a/features/timeline/explain_job.feature
+++ b/features/timeline/explain_job.feature
@@ -14,10 +14,10 @@
       at=1000.00000 event=job_admitted job=bb queue=q team=t tasks=2 process=n1 data_centre=d
       at=1010.00000 event=job_admitted job=cc queue=q team=t tasks=2 process=n1 data_centre=d
       at=1600.00000 event=run_assigned job=bb task=0.0.0 run=1 worker=w process=n1 data_centre=d
-      at=5700.00000 event=runs_lost worker=w reason="its lease ran out" runs=2 jobs=aa,bb process=n1 data_centre=d
+      at=5700.00000 event=run_lost job=bb task=0.0.0 run=1 worker=w process=n1 data_centre=d
       at=9000.00000 event=job_ended job=bb state=completed took_ms=8000 process=n1 data_centre=d
       """
-    Then job "bb" is explained as "admitted after 0 refusals; first task given after 600 ms; 1 times runs were lost; completed after 8000 ms"
+    Then job "bb" is explained as "admitted after 0 refusals; first task given after 600 ms; 1 runs were lost with their worker; completed after 8000 ms"
 
   Scenario: A job that failed
     Given these lines of a log
