Give up tasks that crash the workers on which they run

Cause: a run whose worker crashed was removed by LoseRuns and its task waited again, without a count. Only ends that a worker reports as failed counted against a task, and a worker that has crashed reports nothing. Copies doubled the rate: a task whose worker fell silent was copied to a second one.

Ruled out: a count lost over changes of leader (one leader led throughout), a count kept for the worker (health starts anew with each incarnation).

Change: the crash of a worker counts against the tasks that may have caused it (jobs/crashes): those of the runs that it had just started, or that were at work if there were none; the weight depends on how many jobs they are of. Draining workers, instances that were ordered away, other instances at the same address and racks that fail as a whole are no crash by a task; silence counts only once a later incarnation reports from the instance. Suspects of different jobs run apart. At a weight of 12 (two crashes, one of them with no other job's start; three; or four) the job is given up as failed, by a command of its own, so that all replicas agree and an earlier version stops instead of diverging.

--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -7,6 +7,7 @@
 
 from bambookeel.configuration import document as configuration
 from bambookeel.core import faults
+from bambookeel.jobs import book_crashes
 from bambookeel.jobs import book_records
 from bambookeel.jobs import book_use
 from bambookeel.jobs import commands
@@ -23,6 +24,7 @@
         self.former_queues: dict[str, configuration.Queue] = {}
         self.jobs: dict[str, book_records.Job] = {}
         self.instances = instance_records.InstanceRecords()
+        self.crashes = book_crashes.CrashRecords()
         # Steps with waiting tasks whose earlier steps are complete, by queue.
         self.ready: dict[str, dict[book_records.StepKey, book_records.Step]] = (
             {}
@@ -50,11 +52,13 @@
                     self.former_queues.update(self.configuration.queues)
                     self.configuration = configuration.View(document)
             case commands.AdmitJob():
-                self._admit(command)
+                self.admit_job(command)
             case commands.CancelJob(job, at_wall_ms):
-                found = self.jobs.get(job)
-                if found is not None and found.is_open:
-                    self._end_job(found, specs.JobState.CANCELLED, at_wall_ms)
+                self._end_open_job(job, specs.JobState.CANCELLED, at_wall_ms)
+            case commands.GiveUpJob(job, reason, at_wall_ms):
+                self._end_open_job(
+                    job, specs.JobState.FAILED, at_wall_ms, reason
+                )
             case commands.DropJobs(jobs):
                 for job in jobs:
                     self.jobs.pop(job, None)
@@ -63,16 +67,18 @@
             case commands.LoseRuns(incarnation, _, runs):
                 for task, run, checkpoint in runs:
                     self._lose_run(incarnation, task, run, checkpoint)
+                self.crashes.record_loss(command, self.jobs)
             case _:
                 instance_records.apply_to_instances(self.instances, command)
+                self.crashes.apply(command, self.get_task)
 
     def _apply_run_command(
         self, command: commands.AssignRuns | commands.EndRuns
     ) -> None:
         match command:
-            case commands.AssignRuns(incarnation, report_number, runs):
-                for assignment in runs:
-                    self._assign(incarnation, report_number, assignment)
+            case commands.AssignRuns():
+                for assignment in command.runs:
+                    self._assign(command, assignment)
             case commands.EndRuns(incarnation, ends, at_wall_ms):
                 for ended in ends:
                     self._end_run(incarnation, ended, at_wall_ms)
@@ -118,7 +124,12 @@
             return None
         return job.steps.get((ref.occurrence, ref.step))
 
-    def _admit(self, command: commands.AdmitJob) -> None:
+    def admit_job(self, command: commands.AdmitJob) -> None:
+        """Adds a job that was admitted, unless the book already contains it.
+
+        Args:
+            command: Command that admitted the job.
+        """
         if command.job in self.jobs:
             return
         spec = command.spec
@@ -156,27 +167,56 @@
         self.pending[job.queue] = self.pending.get(job.queue, 0) + 1
         self.open_jobs.setdefault(job.queue, {})[job.job_id] = None
         for admitted_step in steps.values():
-            self._update_ready(job, admitted_step)
+            self.update_ready(job, admitted_step)
 
-    def _update_ready(
+    def update_ready(
         self, job: book_records.Job, step: book_records.Step
     ) -> None:
-        """Adds a step to the ready ones or removes it, after a change."""
+        """Adds a step to the ready ones or removes it, after a change.
+
+        Args:
+            job: Job of the step.
+            step: Step that has changed.
+        """
         ready = self.ready.setdefault(job.queue, {})
         if job.is_open and step.waiting and step.unfinished_dependencies == 0:
             ready[step.key] = step
             return
         ready.pop(step.key, None)
 
-    def _activate(self, job: book_records.Job) -> None:
+    def _end_open_job(
+        self,
+        name: str,
+        state: specs.JobState,
+        at_wall_ms: int,
+        reason: str = "",
+    ) -> None:
+        job = self.jobs.get(name)
+        if job is not None and job.is_open:
+            self.end_job(job, state, at_wall_ms)
+            job.end_reason = reason
+
+    def activate_job(self, job: book_records.Job) -> None:
+        """Marks a waiting job as active.
+
+        Args:
+            job: Job of which a run was assigned or that has ended.
+        """
         if job.state is specs.JobState.WAITING:
             job.state = specs.JobState.ACTIVE
             self.pending[job.queue] -= 1
 
-    def _end_job(
+    def end_job(
         self, job: book_records.Job, state: specs.JobState, at_wall_ms: int
     ) -> None:
-        self._activate(job)
+        """Ends an open job.
+
+        Args:
+            job: The job.
+            state: State in which it ends.
+            at_wall_ms: Unix time in milliseconds of its end.
+        """
+        self.activate_job(job)
         job.state = state
         job.ended_wall_ms = at_wall_ms
         self.open_jobs[job.queue].pop(job.job_id, None)
@@ -185,11 +225,9 @@
             ready.pop(step.key, None)
 
     def _assign(
-        self,
-        incarnation: specs.WorkerIncarnation,
-        report_number: int,
-        assignment: commands.Assignment,
+        self, command: commands.AssignRuns, assignment: commands.Assignment
     ) -> None:
+        incarnation = command.life
         ref = specs.TaskRef(*assignment.task)
         task = self.get_task(ref)
         job = self.jobs[ref.job]
@@ -213,12 +251,17 @@
         step.waiting.pop(ref.task_index, None)
         self.assigned_runs.setdefault(incarnation, {})[ref] = (
             book_records.AssignedRun(
-                ref, assignment.run, report_number, assignment.ticket
+                ref,
+                assignment.run,
+                command.heard,
+                assignment.ticket,
+                command.instance,
+                command.at_wall_ms,
             )
         )
         self.usage.add(job, step.spec)
-        self._activate(job)
-        self._update_ready(job, step)
+        self.activate_job(job)
+        self.update_ready(job, step)
 
     def _remove_run(
         self, incarnation: specs.WorkerIncarnation, ref: specs.TaskRef, run: int
@@ -271,7 +314,8 @@
             failures = step.failures if step.spec.is_gang else task.failures
             queue = self.find_queue(job.queue)
             if queue is not None and failures >= max(1, queue.max_attempts):
-                self._end_job(job, specs.JobState.FAILED, at_wall_ms)
+                self.end_job(job, specs.JobState.FAILED, at_wall_ms)
+                job.end_reason = f"task {ref.position} failed {failures} times"
                 return
         self._requeue_task(job, step, task)
 
@@ -295,19 +339,19 @@
             each.is_done = True
             step.waiting.pop(each.ref.task_index, None)
         step.done_count += len(completed)
-        self._update_ready(job, step)
+        self.update_ready(job, step)
         if not step.is_complete:
             return
         job.incomplete_steps -= 1
         if job.incomplete_steps == 0:
-            self._end_job(job, specs.JobState.COMPLETED, at_wall_ms)
+            self.end_job(job, specs.JobState.COMPLETED, at_wall_ms)
             return
         _, occurrence, number = step.key
         for later in range(number + 1, len(job.spec.steps)):
             if number in job.spec.steps[later].after:
                 following = job.steps[occurrence, later]
                 following.unfinished_dependencies -= 1
-                self._update_ready(job, following)
+                self.update_ready(job, following)
 
     def _requeue_task(
         self,
@@ -318,7 +362,7 @@
         if task.runs or task.is_done or not job.is_open:
             return
         step.waiting[task.ref.task_index] = None
-        self._update_ready(job, step)
+        self.update_ready(job, step)
 
     def _lose_run(
         self,
@@ -334,65 +378,3 @@
         if checkpoint:
             task.checkpoint = checkpoint
         self._requeue_task(job, step, task)
-
-    # --- Restoring from a snapshot ---
-
-    def restore_job(
-        self,
-        admitted: commands.AdmitJob,
-        state: specs.JobState,
-        ended_wall_ms: int,
-    ) -> None:
-        """Adds a job in a saved state; its tasks are restored afterwards.
-
-        Args:
-            admitted: Command that admitted the job.
-            state: State of the job.
-            ended_wall_ms: Unix time in milliseconds at which the job ended.
-        """
-        self._admit(admitted)
-        job = self.jobs[admitted.job]
-        if state is specs.JobState.WAITING:
-            return
-        self._activate(job)
-        if state is not specs.JobState.ACTIVE:
-            self._end_job(job, state, ended_wall_ms)
-
-    def restore_run(
-        self,
-        incarnation: specs.WorkerIncarnation,
-        assigned: book_records.AssignedRun,
-    ) -> None:
-        """Adds a run that was assigned to a worker.
-
-        Args:
-            incarnation: The worker.
-            assigned: The run.
-        """
-        job = self.jobs[assigned.task.job]
-        step = job.steps[assigned.task.occurrence, assigned.task.step]
-        step.tasks[assigned.task.task_index].runs[assigned.run] = incarnation
-        self.assigned_runs.setdefault(incarnation, {})[assigned.task] = assigned
-        self.usage.add(job, step.spec)
-
-    def restore_progress(self, job: book_records.Job) -> None:
-        """Derives the counts of a job's steps from its restored tasks.
-
-        Args:
-            job: Job whose tasks and runs have all been restored.
-        """
-        job.incomplete_steps = 0
-        for step in job.steps.values():
-            step.done_count = sum(task.is_done for task in step.tasks)
-            step.waiting = {
-                task.ref.task_index: None
-                for task in step.tasks
-                if not task.is_done and not task.runs
-            }
-            job.incomplete_steps += not step.is_complete
-        for (occurrence, _), step in job.steps.items():
-            step.unfinished_dependencies = sum(
-                not job.steps[occurrence, earlier].is_complete
-                for earlier in set(step.spec.after)
-            )
-            self._update_ready(job, step)
--- /dev/null
+++ b/bambookeel/jobs/book_crashes.py
@@ -0,0 +1,98 @@
+"""Replicated records of crashed and silent workers and the tasks on them."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
+
+import msgspec
+
+from bambookeel.jobs import book_records
+from bambookeel.jobs import commands
+from bambookeel.jobs import specs
+
+
+class SilentWorker(msgspec.Struct, frozen=True, array_like=True):
+    """A worker that has lost its runs and may have crashed.
+
+    Attributes:
+        instance: Instance that it runs on; empty if unknown.
+        suspects: Tasks that have crashed it if it has crashed, with the weight
+            of the evidence against each.
+    """
+
+    instance: str
+    suspects: tuple[tuple[specs.TaskRef, int], ...]
+
+
+@dataclasses.dataclass(slots=True)
+class CrashRecords:
+    """Records of crashes that all replicas hold.
+
+    Attributes:
+        silent_workers: Workers of which it is open whether they have crashed.
+        suspects: Tasks with evidence against them, also of ended jobs.
+    """
+
+    silent_workers: dict[specs.WorkerIncarnation, SilentWorker] = (
+        dataclasses.field(default_factory=dict)
+    )
+    suspects: dict[specs.TaskRef, None] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def record_loss(
+        self,
+        command: commands.LoseRuns,
+        jobs: Mapping[str, book_records.Job],
+    ) -> None:
+        """Records the suspects of a worker that has lost its runs.
+
+        Args:
+            command: Command that removed the runs.
+            jobs: All jobs; workers with suspects of ended jobs only are
+                forgotten.
+        """
+        if not command.suspects:
+            return
+        self.silent_workers = {
+            life: silent
+            for life, silent in self.silent_workers.items()
+            if any(
+                ref.job in jobs and jobs[ref.job].is_open
+                for ref, _ in silent.suspects
+            )
+        }
+        self.silent_workers[command.life] = SilentWorker(
+            command.instance, command.suspects
+        )
+        self.suspects = {ref: None for ref in self.suspects if ref.job in jobs}
+
+    def apply(
+        self,
+        command: commands.Command,
+        get_task: Callable[[specs.TaskRef], book_records.Task | None],
+    ) -> None:
+        """Applies a command that concerns crashes; ignores all others.
+
+        Args:
+            command: A committed command.
+            get_task: Looks up a task.
+        """
+        match command:
+            case commands.WorkerCrashed(life):
+                silent = self.silent_workers.pop(life, None)
+                for ref, evidence in silent.suspects if silent else ():
+                    task = get_task(ref)
+                    if task is None or task.is_done:
+                        continue
+                    task.crashes += 1
+                    task.evidence += evidence
+                    self.suspects[task.ref] = None
+            case commands.WorkerReturned(life) | commands.WorkerEnded(life):
+                self.silent_workers.pop(life, None)
+            case commands.ClearTasks(tasks):
+                for ref in tasks:
+                    self.suspects.pop(ref, None)
+                    task = get_task(ref)
+                    if task is not None:
+                        task.evidence = 0
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -21,6 +21,8 @@
         is_done: Whether a run has succeeded.
         runs: Runs that may be in progress, by number, with their workers.
         checkpoint: The newest checkpoint; empty for none.
+        crashes: Number of workers that have crashed under its runs.
+        evidence: Weight of the evidence that it has crashed them.
     """
 
     ref: specs.TaskRef
@@ -31,6 +33,8 @@
         default_factory=dict
     )
     checkpoint: str = ""
+    crashes: int = 0
+    evidence: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +86,7 @@
             is open.
         steps: Steps by occurrence and number of the step.
         incomplete_steps: Number of steps that are not complete.
+        end_reason: Why the job has failed, for its caller; empty otherwise.
     """
 
     job_id: str
@@ -93,6 +98,7 @@
     ended_wall_ms: int
     steps: dict[tuple[int, int], Step]
     incomplete_steps: int
+    end_reason: str = ""
 
     @property
     def is_open(self) -> bool:
@@ -110,12 +116,17 @@
         report_number: Number of the worker's last report before the
             assignment.
         ticket: The advisor's approval; empty where none is needed.
+        instance: Instance that the worker runs on; empty if unknown.
+        assigned_wall_ms: Unix time in milliseconds of the assignment; 0 if
+            unknown.
     """
 
     task: specs.TaskRef
     run: int
     report_number: int
     ticket: str
+    instance: str = ""
+    assigned_wall_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -4,6 +4,7 @@
 
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import book as job_book
+from bambookeel.jobs import book_crashes
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
 from bambookeel.jobs import specs
@@ -14,6 +15,9 @@
     failures: int
     is_done: bool
     saved: str
+    # Snapshots of earlier versions end here.
+    crashes: int = 0
+    evidence: int = 0
 
 
 class _SavedStep(msgspec.Struct, array_like=True):
@@ -26,6 +30,7 @@
     state: specs.JobState
     ended_wall_ms: int
     steps: list[_SavedStep]
+    end_reason: str = ""
 
 
 class _SavedRun(msgspec.Struct, array_like=True):
@@ -33,6 +38,8 @@
     run: int
     heard: int
     ticket: str
+    instance: str = ""
+    assigned_wall_ms: int = 0
 
 
 class _SavedWave(msgspec.Struct):
@@ -49,8 +56,11 @@
     waves: list[_SavedWave]
     base_sizes: dict[str, int]
     ordered_wall_ms: dict[str, int]
-    # Snapshots of earlier versions do not contain it.
+    # Snapshots of earlier versions do not contain these.
     ended_workers: dict[str, tuple[int, int]] = {}
+    silent_workers: list[
+        tuple[specs.WorkerIncarnation, book_crashes.SilentWorker]
+    ] = []
 
 
 def encode_book(book: job_book.Book) -> bytes:
@@ -67,7 +77,14 @@
         (
             incarnation,
             [
-                _SavedRun(r.task, r.run, r.report_number, r.ticket)
+                _SavedRun(
+                    r.task,
+                    r.run,
+                    r.report_number,
+                    r.ticket,
+                    r.instance,
+                    r.assigned_wall_ms,
+                )
                 for r in runs.values()
             ],
         )
@@ -88,6 +105,7 @@
             book.instances.base_sizes,
             book.instances.ordered_wall_ms,
             book.instances.ended_workers,
+            list(book.crashes.silent_workers.items()),
         )
     )
 
@@ -96,14 +114,23 @@
     steps = []
     for step in job.steps.values():
         tasks = [
-            _SavedTask(t.last_run, t.failures, t.is_done, t.checkpoint)
+            _SavedTask(
+                t.last_run,
+                t.failures,
+                t.is_done,
+                t.checkpoint,
+                t.crashes,
+                t.evidence,
+            )
             for t in step.tasks
         ]
         steps.append(_SavedStep(step.failures, tasks))
     admitted = commands.AdmitJob(
         job.job_id, job.queue, job.team, job.spec, job.admitted_wall_ms
     )
-    return _SavedJob(admitted, job.state, job.ended_wall_ms, steps)
+    return _SavedJob(
+        admitted, job.state, job.ended_wall_ms, steps, job.end_reason
+    )
 
 
 def decode_book(payload: bytes) -> job_book.Book:
@@ -123,23 +150,13 @@
         book.apply(commands.PutConfiguration(saved.document))
     book.former_queues = {queue.name: queue for queue in saved.former_queues}
     for each in saved.jobs:
-        book.restore_job(each.admitted, each.state, each.ended_wall_ms)
-        job = book.jobs[each.admitted.job]
-        for step, saved_step in zip(job.steps.values(), each.steps):
-            step.failures = saved_step.failures
-            for task, saved_task in zip(step.tasks, saved_step.tasks):
-                task.last_run = saved_task.last_run
-                task.failures = saved_task.failures
-                task.is_done = saved_task.is_done
-                task.checkpoint = saved_task.saved
+        _restore_job(book, each)
     for incarnation, runs in saved.held:
         for run in runs:
-            assigned = book_records.AssignedRun(
-                run.task, run.run, run.heard, run.ticket
-            )
-            book.restore_run(incarnation, assigned)
+            _restore_run(book, incarnation, run)
     for job in book.jobs.values():
-        book.restore_progress(job)
+        _restore_progress(book, job)
+    book.crashes.silent_workers = dict(saved.silent_workers)
     book.instances.base_sizes = saved.base_sizes
     book.instances.ordered_wall_ms = saved.ordered_wall_ms
     book.instances.ended_workers = saved.ended_workers
@@ -148,3 +165,80 @@
         restored.ordered = dict.fromkeys(wave.ordered)
         book.instances.waves[wave.request.wave] = restored
     return book
+
+
+def _restore_job(book: job_book.Book, saved: _SavedJob) -> None:
+    """Adds a job in its saved state, without its runs.
+
+    Args:
+        book: Book to which it is added.
+        saved: The job.
+    """
+    book.admit_job(saved.admitted)
+    job = book.jobs[saved.admitted.job]
+    if saved.state is not specs.JobState.WAITING:
+        book.activate_job(job)
+    if saved.state not in (specs.JobState.WAITING, specs.JobState.ACTIVE):
+        book.end_job(job, saved.state, saved.ended_wall_ms)
+    job.end_reason = saved.end_reason
+    for step, saved_step in zip(job.steps.values(), saved.steps):
+        step.failures = saved_step.failures
+        for task, saved_task in zip(step.tasks, saved_step.tasks):
+            task.last_run = saved_task.last_run
+            task.failures = saved_task.failures
+            task.is_done = saved_task.is_done
+            task.checkpoint = saved_task.saved
+            task.crashes = saved_task.crashes
+            task.evidence = saved_task.evidence
+            if task.evidence:
+                book.crashes.suspects[task.ref] = None
+
+
+def _restore_run(
+    book: job_book.Book, incarnation: specs.WorkerIncarnation, saved: _SavedRun
+) -> None:
+    """Adds a run that was assigned to a worker.
+
+    Args:
+        book: Book to which it is added.
+        incarnation: The worker.
+        saved: The run.
+    """
+    job = book.jobs[saved.task.job]
+    step = job.steps[saved.task.occurrence, saved.task.step]
+    step.tasks[saved.task.task_index].runs[saved.run] = incarnation
+    book.assigned_runs.setdefault(incarnation, {})[saved.task] = (
+        book_records.AssignedRun(
+            saved.task,
+            saved.run,
+            saved.heard,
+            saved.ticket,
+            saved.instance,
+            saved.assigned_wall_ms,
+        )
+    )
+    book.usage.add(job, step.spec)
+
+
+def _restore_progress(book: job_book.Book, job: book_records.Job) -> None:
+    """Derives the counts of a job's steps from its restored tasks.
+
+    Args:
+        book: Book of the job.
+        job: Job whose tasks and runs have all been restored.
+    """
+    job.incomplete_steps = 0
+    for step in job.steps.values():
+        step.done_count = sum(task.is_done for task in step.tasks)
+        step.waiting = {
+            task.ref.task_index: None
+            for task in step.tasks
+            if not task.is_done and not task.runs
+        }
+        job.incomplete_steps += not step.is_complete
+    for (occurrence, _), step in job.steps.items():
+        step.unfinished_dependencies = sum(
+            not job.steps[occurrence, earlier].is_complete
+            for earlier in set(step.spec.after)
+        )
+        book.update_ready(job, step)
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -57,11 +57,17 @@
         heard: Number of the worker's last report. A later report that does not
             list a run shows that the worker has not received the order.
         runs: Runs that are assigned.
+        instance: Instance that the worker runs on; empty if unknown, and in
+            logs of earlier versions.
+        at_wall_ms: Unix time in milliseconds of the assignment; 0 in logs of
+            earlier versions.
     """
 
     life: specs.WorkerIncarnation
     heard: int
     runs: tuple[Assignment, ...]
+    instance: str = ""
+    at_wall_ms: int = 0
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
@@ -82,11 +88,49 @@
 
 
 class LoseRuns(msgspec.Struct, frozen=True, tag="lose"):
-    """Removes runs that are known to have ended or were never started."""
+    """Removes runs that are known to have ended or were never started.
+
+    Attributes:
+        life: Incarnation of the worker.
+        reason: Why they are removed, for the log.
+        runs: Task, run number and newest checkpoint of each run.
+        instance: Instance that the worker runs on; empty if unknown, and in
+            logs of earlier versions.
+        suspects: Tasks that have crashed the worker if it turns out to have
+            crashed, with the weight of the evidence against each.
+    """
 
     life: specs.WorkerIncarnation
     reason: str
     runs: tuple[tuple[specs.TaskRef, int, str], ...]
+    instance: str = ""
+    suspects: tuple[tuple[specs.TaskRef, int], ...] = ()
+
+
+class WorkerCrashed(msgspec.Struct, frozen=True, tag="crashed"):
+    """Counts the crash of a worker against the suspects of its last loss."""
+
+    life: specs.WorkerIncarnation
+
+
+class WorkerReturned(msgspec.Struct, frozen=True, tag="returned"):
+    """Drops the suspects of a worker that was silent but has not crashed."""
+
+    life: specs.WorkerIncarnation
+
+
+class ClearTasks(msgspec.Struct, frozen=True, tag="clear"):
+    """Drops the evidence against tasks that have worked for long."""
+
+    tasks: tuple[specs.TaskRef, ...]
+
+
+class GiveUpJob(msgspec.Struct, frozen=True, tag="giveup"):
+    """Ends a job as failed because one of its tasks crashes workers."""
+
+    job: str
+    reason: str
+    at_wall_ms: int
 
 
 class DropJobs(msgspec.Struct, frozen=True, tag="drop"):
@@ -162,6 +206,10 @@
     | AssignRuns
     | EndRuns
     | LoseRuns
+    | WorkerCrashed
+    | WorkerReturned
+    | ClearTasks
+    | GiveUpJob
     | DropJobs
     | StartWave
     | UpkeepOrdered
--- a/bambookeel/jobs/copies.py
+++ b/bambookeel/jobs/copies.py
@@ -38,5 +38,8 @@
             if step is None or not step.spec.allows_copies:
                 continue
             task = step.tasks[run.task.task_index]
+            if task.evidence:
+                # A second run could crash a second worker.
+                continue
             if len(task.runs) == 1 and term.is_task_open(run.task):
                 yield task
--- a/bambookeel/jobs/evictions.py
+++ b/bambookeel/jobs/evictions.py
@@ -71,7 +71,7 @@
     if queue is None:
         return False
     usable = planning.list_usable_workers(term, queue.service, now.steady_ms)
-    capacities = placing.measure_free(usable)
+    capacities = placing.measure_free(usable, {})
     chosen = placing.choose_worker(capacities, step, now.steady_ms)
     return chosen is not None
 
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Mapping
 import dataclasses
+import enum
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import specs
@@ -19,6 +20,21 @@
 _REMOTE_DATA_PENALTY_MILLI = 20_000
 # A suspect worker is used only if the task fits on no other one.
 _SUSPECT_PENALTY_MILLI = 1_000_000
+# A task that may crash its worker and the tasks of other jobs share one only if
+# they fit on no other.
+_MAY_CRASH_PENALTY_MILLI = 200_000
+
+
+class Isolation(enum.Enum):
+    """How far a task that may crash its worker is kept apart from other jobs.
+
+    If it is preferred, the worker gets tasks of other jobs only if they fit
+    nowhere else; if it is required, it gets none until the task has started.
+    """
+
+    NONE = "none"
+    PREFERRED = "preferred"
+    REQUIRED = "required"
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,6 +48,8 @@
         gpus: Free accelerators.
         placed_by_step: Number of tasks that the plan has placed on the worker,
             by step.
+        isolated_jobs: Jobs with a task that has just started on the worker and
+            may crash it.
     """
 
     worker: worker_table.Worker
@@ -39,6 +57,7 @@
     memory_mb: int
     gpus: int
     placed_by_step: dict[book_records.StepKey, int]
+    isolated_jobs: dict[str, Isolation]
 
     def fits(self, needs: specs.Resources) -> bool:
         """Returns whether a task fits on the worker.
@@ -56,25 +75,35 @@
         )
 
     def reserve(
-        self, key: book_records.StepKey, needs: specs.Resources
+        self,
+        key: book_records.StepKey,
+        needs: specs.Resources,
+        isolation: Isolation = Isolation.NONE,
     ) -> None:
         """Reserves the resources of a task.
 
         Args:
             key: Key of the task's step.
             needs: Resources of the task.
+            isolation: How far the task must be kept apart.
         """
+        if isolation is not Isolation.NONE:
+            self.isolated_jobs[key[0]] = isolation
         self.cpu_milli -= needs.cpu_milli
         self.memory_mb -= needs.memory_mb
         self.gpus -= needs.gpus
         self.placed_by_step[key] = self.placed_by_step.get(key, 0) + 1
 
 
-def measure_free(workers: list[worker_table.Worker]) -> list[FreeCapacity]:
+def measure_free(
+    workers: list[worker_table.Worker],
+    isolated_jobs: Mapping[specs.WorkerIncarnation, Mapping[str, Isolation]],
+) -> list[FreeCapacity]:
     """Measures the free capacity of workers.
 
     Args:
         workers: Workers that may get work.
+        isolated_jobs: Jobs of the tasks on each worker that may crash it.
 
     Returns:
         Free capacity of each worker.
@@ -83,7 +112,14 @@
     for worker in workers:
         free = worker.free
         capacities.append(
-            FreeCapacity(worker, free.cpu_milli, free.memory_mb, free.gpus, {})
+            FreeCapacity(
+                worker,
+                free.cpu_milli,
+                free.memory_mb,
+                free.gpus,
+                {},
+                dict(isolated_jobs.get(worker.incarnation, {})),
+            )
         )
     return capacities
 
@@ -149,6 +185,7 @@
     now_ms: int,
     avoided: frozenset[str] = frozenset(),
     tickets: Mapping[specs.WorkerIncarnation, str] | None = None,
+    isolation: Isolation = Isolation.NONE,
 ) -> FreeCapacity | None:
     """Chooses the worker for one task of a step.
 
@@ -160,6 +197,7 @@
             they are used only if the task fits on no other worker.
         tickets: Workers that the advisor allows, with their tickets; None if
             all are allowed.
+        isolation: How far the task must be kept apart.
 
     Returns:
         Free capacity of the worker; None if the task fits on no worker.
@@ -175,10 +213,18 @@
         if not _is_allowed(capacity, step, assigned, tickets):
             continue
         score = capacity.cpu_milli
-        if step.spec.is_standing:
+        others = [
+            other
+            for job, other in capacity.isolated_jobs.items()
+            if job != step.key[0]
+        ]
+        if others and Isolation.REQUIRED in (isolation, *others):
+            continue
+        if step.spec.is_standing or isolation is not Isolation.NONE:
             # Spreads standing tasks, so that the loss of one instance
             # interrupts few of them.
             score = -score
+        score += len(others) * _MAY_CRASH_PENALTY_MILLI
         if capacity.worker.incarnation.worker in avoided:
             score += _SUSPECT_PENALTY_MILLI
         if data_rack and capacity.worker.rack != data_rack:
@@ -195,6 +241,7 @@
     step: book_records.Step,
     now_ms: int,
     tickets: Mapping[specs.WorkerIncarnation, str] | None = None,
+    isolation: Isolation = Isolation.NONE,
 ) -> list[FreeCapacity] | None:
     """Chooses workers for all tasks of a gang and reserves their resources.
 
@@ -204,6 +251,7 @@
         now_ms: Steady-clock time in milliseconds.
         tickets: Workers that the advisor allows, with their tickets; None if
             all are allowed.
+        isolation: How far the gang must be kept apart.
 
     Returns:
         Free capacity of the worker of each task; None if they do not all fit.
@@ -217,15 +265,21 @@
     groups.append(capacities)
     for group in groups:
         trial = [
-            dataclasses.replace(c, placed_by_step=dict(c.placed_by_step))
+            dataclasses.replace(
+                c,
+                placed_by_step=dict(c.placed_by_step),
+                isolated_jobs=dict(c.isolated_jobs),
+            )
             for c in group
         ]
         places = []
         for _ in step.tasks:
-            found = choose_worker(trial, step, now_ms, tickets=tickets)
+            found = choose_worker(
+                trial, step, now_ms, tickets=tickets, isolation=isolation
+            )
             if found is None:
                 break
-            found.reserve(step.key, step.spec.reserved)
+            found.reserve(step.key, step.spec.reserved, isolation)
             places.append(found.worker.incarnation)
         if len(places) < len(step.tasks):
             continue
@@ -234,6 +288,6 @@
         }
         chosen = [by_incarnation[incarnation] for incarnation in places]
         for capacity in chosen:
-            capacity.reserve(step.key, step.spec.reserved)
+            capacity.reserve(step.key, step.spec.reserved, isolation)
         return chosen
     return None
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -2,9 +2,8 @@
 
 Standing tasks come first, then standing fillers, then other steps by their
 jobs' slack; steps of jobs that will miss their objective or are deferred come
-last. While a service is
-full, teams below their share come first within each group of steps that are
-not standing.
+last. While a service is full, teams below their share come first within each
+group of steps that are not standing.
 """
 
 from collections.abc import Mapping
@@ -16,6 +15,7 @@
 from bambookeel.jobs import caps
 from bambookeel.jobs import commands
 from bambookeel.jobs import copies
+from bambookeel.jobs import crashes
 from bambookeel.jobs import deferring
 from bambookeel.jobs import placing
 from bambookeel.jobs import shares as team_shares
@@ -121,7 +121,8 @@
     usable = list_usable_workers(term, service, now.steady_ms)
     if not usable:
         return
-    current = _Plan(placing.measure_free(usable), now)
+    isolated = crashes.list_isolated_jobs(term, now)
+    current = _Plan(placing.measure_free(usable, isolated), now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
     if current.shares is not None:
@@ -254,14 +255,15 @@
     avoided.update(incarnation.worker for incarnation in task.runs.values())
     now_ms = current.now.steady_ms
     tickets = _list_tickets(term, step, now_ms)
+    isolation = crashes.get_isolation(term, [task])
     capacity = placing.choose_worker(
-        current.capacities, step, now_ms, frozenset(avoided), tickets
+        current.capacities, step, now_ms, frozenset(avoided), tickets, isolation
     )
     if capacity is None:
         return False
     if capacity.worker.incarnation in task.runs.values():
         return True
-    capacity.reserve(step.key, step.spec.reserved)
+    capacity.reserve(step.key, step.spec.reserved, isolation)
     _add_assignment(term, current, step, task, capacity, tickets)
     return True
 
@@ -325,7 +327,13 @@
         return
     now_ms = current.now.steady_ms
     tickets = _list_tickets(term, step, now_ms)
-    places = placing.place_gang(current.capacities, step, now_ms, tickets)
+    places = placing.place_gang(
+        current.capacities,
+        step,
+        now_ms,
+        tickets,
+        crashes.get_isolation(term, step.tasks),
+    )
     if places is None:
         return
     for task, capacity in zip(step.tasks, places):
@@ -343,7 +351,13 @@
     for incarnation, runs in current.assignments.items():
         worker = term.workers.by_id[incarnation.worker]
         term.decide(
-            commands.AssignRuns(incarnation, worker.report.number, tuple(runs))
+            commands.AssignRuns(
+                incarnation,
+                worker.report.number,
+                tuple(runs),
+                worker.report.instance,
+                current.now.wall_ms,
+            )
         )
         term.update_reserved(worker)
         for run in runs:
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -11,6 +11,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
+from bambookeel.jobs import losses
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -39,6 +40,7 @@
     worker, ended = term.workers.update(report, now.steady_ms)
     if worker.is_new:
         worker.is_new = False
+        losses.end_earlier_lives(term, worker, ended, now)
         term.log_event(
             "worker_heard",
             worker=report.life.worker,
@@ -48,16 +50,8 @@
         )
     if term.instance_controller.update_from_report(worker):
         instance_steps.end_goal(term, report.instance)
-    for other in ended:
-        term.lose_all_runs(other.incarnation, "a later life was heard", other)
-    for incarnation in list(term.book.assigned_runs):
-        if (
-            incarnation.worker == report.life.worker
-            and incarnation != report.life
-        ):
-            term.lose_all_runs(
-                incarnation, "the worker has started again", None
-            )
+    if report.life in term.book.crashes.silent_workers:
+        term.decide(commands.WorkerReturned(report.life))
     _record_ends(term, worker, now)
     _withdraw_stalled(term, worker, now)
     _adjust_pace(term, worker, now.steady_ms)
@@ -309,6 +303,7 @@
                 each.task, each.run, job.spec.body, saved, each.ticket
             )
         )
+    worker.ordered = {(start.task, start.run) for start in starts}
     return calls.WorkerOrders(
         term.settings.lease_ms,
         acknowledged,
@@ -366,35 +361,3 @@
     if old:
         term.decide(commands.DropJobs(tuple(old)))
         term.discard_dropped_jobs()
-
-
-def expire_leases(term: term_state.Term, now: term_state.Now) -> None:
-    """Removes the runs of workers whose leases have expired.
-
-    Runs of workers that have not reported in this term are removed once the
-    leases granted by earlier leaders have expired.
-
-    Args:
-        term: State of the leader's term.
-        now: Current time.
-    """
-    for worker in list(term.workers.by_id.values()):
-        if now.steady_ms < worker.lease_until_ms:
-            continue
-        term.lose_all_runs(worker.incarnation, "its lease ran out", worker)
-        worker.running = {}
-        worker.reserved = specs.Resources()
-        if worker.is_lease_expired:
-            continue
-        worker.is_lease_expired = True
-        term.log_event(
-            "worker_silent",
-            worker=worker.incarnation.worker,
-            age_ms=now.steady_ms - worker.last_report_ms,
-        )
-    if now.steady_ms < term.earlier_leases_until_ms:
-        return
-    for incarnation in list(term.book.assigned_runs):
-        known = term.workers.by_id.get(incarnation.worker)
-        if known is None or known.incarnation != incarnation:
-            term.lose_all_runs(incarnation, "not heard in this term", None)
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -12,8 +12,10 @@
 from bambookeel.jobs import callers
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import crashes
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import instances
+from bambookeel.jobs import losses
 from bambookeel.jobs import operators
 from bambookeel.jobs import planning
 from bambookeel.jobs import reports
@@ -185,7 +187,8 @@
         Args:
             now: Current time.
         """
-        reports.expire_leases(self.term, now)
+        losses.expire_leases(self.term, now)
+        crashes.clear_standing_tasks(self.term, now)
         reports.drop_old_jobs(self.term, now)
         instance_steps.control_instances(self.term, now)
 
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -56,6 +56,8 @@
         self.settings = settings
         self.fencing_token = fencing_token
         self.workers = worker_table.WorkerTable()
+        # Rack and time of the last report of workers that ended lately.
+        self.ended_workers: list[tuple[str, int]] = []
         self.run_times = objectives.RunTimes()
         self.instance_controller = steering.InstanceController(
             settings, now.steady_ms
@@ -264,6 +266,8 @@
         incarnation: specs.WorkerIncarnation,
         reason: str,
         worker: worker_table.Worker | None,
+        suspects: tuple[tuple[specs.TaskRef, int], ...] = (),
+        instance: str = "",
     ) -> None:
         """Removes all runs of a worker whose runs are known to have ended.
 
@@ -271,18 +275,27 @@
             incarnation: Incarnation of the worker.
             reason: Why the runs have ended, for the log.
             worker: The worker as last reported; None if it has not reported.
+            suspects: Tasks that have crashed the worker if it has crashed.
+            instance: Instance of a worker that has not reported; empty if
+                unknown.
         """
+        if worker is not None:
+            instance = worker.report.instance
         lost = []
         for assigned in self.book.assigned_runs.get(incarnation, {}).values():
             listed = worker.running.get(assigned.task) if worker else None
             checkpoint = listed.saved if listed is not None else ""
             lost.append((assigned.task, assigned.run, checkpoint))
         if lost:
-            self.decide(commands.LoseRuns(incarnation, reason, tuple(lost)))
+            self.decide(
+                commands.LoseRuns(
+                    incarnation, reason, tuple(lost), instance, suspects
+                )
+            )
             self.log_event(
                 "runs_lost",
                 worker=incarnation.worker,
-                instance=worker.report.instance if worker else "",
+                instance=instance,
                 reason=reason,
                 runs=len(lost),
             )
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -28,8 +28,11 @@
             received.
         lease_until_ms: Steady-clock time in milliseconds at which all its runs
             are known to have ended, unless it reports again.
+        first_report_ms: Steady-clock time in milliseconds of its first report
+            to this leader.
         reserved: Resources of its assigned runs and of unknown runs on it.
         running: Runs of the newest report, by task.
+        ordered: Runs that the last answer told it to start.
         health: Health of the worker, judged by its runs.
         pace: Pace of the filler tasks on the worker.
         is_new: Whether its first report has not been logged yet.
@@ -39,10 +42,14 @@
     report: calls.WorkerReport
     last_report_ms: int
     lease_until_ms: int
+    first_report_ms: int
     reserved: specs.Resources = specs.Resources()
     running: dict[specs.TaskRef, calls.RunningRun] = dataclasses.field(
         default_factory=dict
     )
+    ordered: set[tuple[specs.TaskRef, int]] = dataclasses.field(
+        default_factory=set
+    )
     health: worker_health.HealthRecord = dataclasses.field(
         default_factory=worker_health.HealthRecord
     )
@@ -168,7 +175,7 @@
         for other in ended:
             self.remove_ended(other)
         if known is None:
-            known = Worker(report, now_ms, now_ms)
+            known = Worker(report, now_ms, now_ms, now_ms)
             self.by_id[report.life.worker] = known
         known.report = report
         known.is_lease_expired = False
--- a/features/fakes/jobs_crashes.py
+++ b/features/fakes/jobs_crashes.py
@@ -92,6 +92,7 @@
                 self.violations.append(
                     f"{order.task} starts again after three crashes"
                 )
+        worker.running[order.task].ends_ms = float("inf")
         at_ms = self.now_ms + self.crash_delay_ms
         self.crash_at_ms.setdefault(worker.name, at_ms)
 
