Tell callers and operators why a job has failed

The answer to a caller of a failed job was its state alone, and explain-job did not name the task that was given up. Tests: timeline/explain_job, jobs/crashes (the log names each crashed run by job, task and worker), platform/adapter.

--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -166,7 +166,7 @@
     found = _find_job(term, call)
     if not isinstance(found, book_records.Job):
         return found
-    return calls.JobIs(found.state)
+    return calls.JobIs(found.state, found.end_reason)
 
 
 def cancel_job(
--- a/bambookeel/jobs/calls.py
+++ b/bambookeel/jobs/calls.py
@@ -200,9 +200,15 @@
 
 
 class JobIs(msgspec.Struct, frozen=True, tag="jobis"):
-    """State of a job."""
+    """State of a job.
+
+    Attributes:
+        state: The state.
+        reason: Why the job has failed, for its caller; empty otherwise.
+    """
 
     state: specs.JobState
+    reason: str = ""
 
 
 class Pending(msgspec.Struct, frozen=True, tag="pending"):
--- a/bambookeel/tools/explain_job.py
+++ b/bambookeel/tools/explain_job.py
@@ -86,6 +86,7 @@
     ]
     if unsuccessful:
         parts.append(f"{len(unsuccessful)} runs did not end well")
+    parts += _summarise_crashes(by_name)
     for event in by_name.get("job_cancelled", []):
         parts.append(f"cancelled after {event.stamp.wall_ms - admitted_ms} ms")
     for event in by_name.get("job_ended", []):
@@ -96,6 +97,20 @@
     return "; ".join(parts)
 
 
+def _summarise_crashes(
+    by_name: dict[str, list[log_lines.LogEvent]],
+) -> list[str]:
+    parts = []
+    if "task_suspected" in by_name:
+        workers = {
+            event.fields.get("worker") for event in by_name["task_suspected"]
+        }
+        parts.append(f"{len(workers)} workers crashed under its tasks")
+    for event in by_name.get("job_given_up", []):
+        parts.append(f"given up because of task {event.fields.get('task')}")
+    return parts
+
+
 def _summarise_not_admitted(
     by_name: dict[str, list[log_lines.LogEvent]],
     refused: list[log_lines.LogEvent],
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -9,6 +9,8 @@
     When deadly job "a" of 1 task is submitted
     And the simulation runs for 40000 ms
     Then job "a" is "failed"
+    And its caller gets the reason "task 0.0.0 was given up: 2 workers have crashed under it"
+    And the log names each of its crashed runs, and why it was given up
     And at most 3 workers have crashed
     And no guarantee was violated
 
--- a/features/jobs/scheduler.feature
+++ b/features/jobs/scheduler.feature
@@ -41,6 +41,7 @@
     When job "a" of 1 step of 1 task is submitted
     And the simulation runs for 20000 ms
     Then job "a" is "failed"
+    And its caller gets the reason "task 0.0.0 failed 3 times"
     And 3 runs have started
 
   Scenario: A run without progress is withdrawn from its worker
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -76,3 +76,7 @@
       | stop_fillers_after_ms    | 1000  |
       | stall_ms                 | 1500  |
       | wave_round_ms            | 6000  |
+
+  Scenario: Callers are told why a job has failed
+    Then a caller is told that a job is "failed" with the reason "task 0.0.0 failed 3 times"
+    And a caller is told that a job is "completed" without a reason
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -285,3 +285,17 @@
     found = context.converted.node.scheduling
     for row in context.table:
         assert getattr(found, row["time"]) == int(row["ms"]), (row, found)
+
+
+@then('a caller is told that a job is "{state}" with the reason "{reason}"')
+def check_failed_reason(context, state, reason):
+    answer = calls.JobIs(specs.JobState(state), reason)
+    response = adapter_jobs.build_response(None, answer)
+    assert response == (200, {"state": state, "reason": reason}, 0), response
+
+
+@then('a caller is told that a job is "{state}" without a reason')
+def check_no_reason(context, state):
+    answer = calls.JobIs(specs.JobState(state))
+    response = adapter_jobs.build_response(None, answer)
+    assert response == (200, {"state": state}, 0), response
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -64,6 +64,21 @@
     assert len(context.sim.crashes) <= count, context.sim.crashes
 
 
+@then("the log names each of its crashed runs, and why it was given up")
+def check_log(context):
+    simulation = context.sim
+    crashed = {name for _, name, _ in simulation.crashes}
+    for event in ("run_lost", "task_suspected"):
+        named = {
+            fields["worker"]
+            for fields in simulation.get_events(event)
+            if fields["job"] == job_steps.build_job_id("a")
+        }
+        assert named == crashed, (event, named, crashed)
+    (given_up,) = simulation.get_events("job_given_up")
+    assert given_up["task"] == "0.0.0", given_up
+
+
 @when("a new leader takes over {ms:d} ms after each crash for {span:d} ms")
 def change_leaders(context, ms, span):
     simulation = context.sim
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -207,8 +207,14 @@
 
 @then('job "{job}" is "{state}"')
 def check_state(context, job, state):
-    answer = context.sim.ask(build_job_id(job))
-    assert answer == calls.JobIs(specs.JobState(state)), answer
+    context.answer = context.sim.ask(build_job_id(job))
+    assert isinstance(context.answer, calls.JobIs), context.answer
+    assert context.answer.state is specs.JobState(state), context.answer
+
+
+@then('its caller gets the reason "{reason}"')
+def check_reason(context, reason):
+    assert context.answer.reason == reason, context.answer
 
 
 @then('the book says that job "{job}" is "{state}"')
--- a/features/timeline/explain_job.feature
+++ b/features/timeline/explain_job.feature
@@ -29,6 +29,20 @@
       """
     Then job "bb" is explained as "admitted after 0 refusals; first task given after 100 ms; 1 runs did not end well; failed after 500 ms"
 
+  Scenario: A job that was given up because a task crashed its workers
+    Given these lines of a log
+      """
+      at=1000.00000 event=job_admitted job=bb queue=q team=t tasks=2 process=n1 data_centre=d
+      at=1100.00000 event=run_assigned job=bb task=0.0.0 run=1 worker=w process=n1 data_centre=d
+      at=4500.00000 event=run_lost job=bb task=0.0.0 run=1 worker=w process=n1 data_centre=d
+      at=4500.00001 event=task_suspected job=bb task=0.0.0 worker=w evidence=only_job_started crashes=1 weight=8/12 process=n1 data_centre=d
+      at=8500.00000 event=run_lost job=bb task=0.0.0 run=2 worker=v process=n1 data_centre=d
+      at=8500.00001 event=task_suspected job=bb task=0.0.0 worker=v evidence=only_job_started crashes=2 weight=16/12 process=n1 data_centre=d
+      at=8500.00002 event=job_given_up job=bb task=0.0.0 crashes=2 process=n1 data_centre=d
+      at=8500.00003 event=job_ended job=bb state=failed took_ms=7500 process=n1 data_centre=d
+      """
+    Then job "bb" is explained as "admitted after 0 refusals; first task given after 100 ms; 2 runs were lost with their worker; 2 workers crashed under its tasks; given up because of task 0.0.0; failed after 7500 ms"
+
   Scenario: A job whose calls did not reach a leader
     Given these lines of a log
       """
