Take back undelivered starts when their worker has shrunk

A run that was assigned but whose order was lost went out again with each answer, although the worker had meanwhile reported less capacity: it was overfilled, or refused the start where it guards its capacity. Of a gang the others would have waited for the missing task in vain. A pool was measured as members times its largest instance, so that one whose workers had shrunk got no more instances.

Change: with each report, runs that are not delivered and no longer fit go back to their queue (a gang as a whole), in a module of its own; pools count what their workers report. Placing, admission, deferral and gangs that are placed anew used the reported capacity already.

--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -116,7 +116,7 @@
 
 def _measure_members(
     term: term_state.Term, service: str, now_ms: int
-) -> tuple[int, int, tuple[str, ...]]:
+) -> tuple[int, int, int, tuple[str, ...]]:
     """Measures the instances of a pool.
 
     Args:
@@ -126,11 +126,13 @@
 
     Returns:
         Number of instances, including those that are moving to the pool;
-        processor time of the largest one, in thousandths of a core; names of
-        the instances that run nothing.
+        processor time of all and of the largest one, in thousandths of a core,
+        where those that do not report count like the largest; names of the
+        instances that run nothing.
     """
     fleet = term.instance_controller.fleet
-    members = loads.count_unreported_instances(term, service, now_ms)
+    members = 0
+    total_milli = 0
     instance_milli = 0
     empty = []
     for worker in term.workers.by_id.values():
@@ -145,6 +147,7 @@
         if goal is not None and isinstance(goal.order, instances.Move):
             continue
         members += 1
+        total_milli += report.capacity.cpu_milli
         instance_milli = max(instance_milli, report.capacity.cpu_milli)
         is_free = (
             not term.book.assigned_runs.get(worker.incarnation)
@@ -156,7 +159,9 @@
         isinstance(goal.order, instances.Move) and goal.order.pool == service
         for goal in fleet.goals.values()
     )
-    return members + incoming, instance_milli, tuple(sorted(empty))
+    absent = incoming + loads.count_unreported_instances(term, service, now_ms)
+    total_milli += absent * instance_milli
+    return members + absent, total_milli, instance_milli, tuple(sorted(empty))
 
 
 def _measure_work(
@@ -240,7 +245,9 @@
         State of the pool.
     """
     now_ms = now.steady_ms
-    members, instance_milli, empty = _measure_members(term, service, now_ms)
+    members, total_milli, instance_milli, empty = _measure_members(
+        term, service, now_ms
+    )
     ready_work, ready_milli, standing_milli, needed = _measure_work(
         term, service
     )
@@ -256,7 +263,7 @@
         open_work=open_work,
         ready_milli=ready_milli,
         arriving_milli=term.get_arrival_rate(service, now_ms),
-        capacity_milli=members * instance_milli - standing_milli,
+        capacity_milli=total_milli - standing_milli,
         instance_milli=instance_milli,
         members=members,
         min_members=max(kept, needed),
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -15,6 +15,7 @@
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import undelivered
 from bambookeel.jobs import workers as worker_table
 
 
@@ -55,7 +56,7 @@
     _record_ends(term, worker, now)
     _withdraw_stalled(term, worker, now)
     _adjust_pace(term, worker, now.steady_ms)
-    _lose_undelivered(term, worker)
+    undelivered.lose_undelivered(term, worker)
     term.update_reserved(worker)
     lease_ms = term.settings.lease_ms
     worker.lease_until_ms = max(
@@ -238,35 +239,6 @@
     return tuple(paces)
 
 
-def _lose_undelivered(
-    term: term_state.Term, worker: worker_table.Worker
-) -> None:
-    """Removes runs that the worker has not received and should not start.
-
-    These are runs of tasks that no longer have to run, and all of them if the
-    worker is draining.
-    """
-    lost = []
-    for assigned in term.book.assigned_runs.get(
-        worker.incarnation, {}
-    ).values():
-        if assigned.task in worker.running:
-            continue
-        if assigned.report_number >= worker.report.number:
-            continue
-        if term.is_task_open(assigned.task) and not worker.report.is_leaving:
-            continue
-        lost.append((assigned.task, assigned.run, ""))
-    if lost:
-        term.decide(
-            commands.LoseRuns(
-                worker.incarnation,
-                "never told",
-                tuple(lost),
-            )
-        )
-
-
 def _build_orders(
     term: term_state.Term,
     worker: worker_table.Worker,
@@ -289,6 +261,8 @@
             continue
         if not term.is_task_open(each.task):
             continue
+        if (each.task, each.run) in term.withdrawn:
+            continue
         job = term.book.jobs[each.task.job]
         task = term.book.get_task(each.task)
         step = term.book.get_step(each.task)
--- /dev/null
+++ b/bambookeel/jobs/undelivered.py
@@ -0,0 +1,104 @@
+"""Takes back runs that a worker has not received and should not start.
+
+A worker may have shrunk since it was given a run, or be about to leave. A gang
+is taken back as a whole, since its tasks would wait for the missing ones.
+"""
+
+from bambookeel.jobs import book_records
+from bambookeel.jobs import commands
+from bambookeel.jobs import specs
+from bambookeel.jobs import term as term_state
+from bambookeel.jobs import workers as worker_table
+
+
+def lose_undelivered(
+    term: term_state.Term, worker: worker_table.Worker
+) -> None:
+    """Removes runs that the worker has not received and should not start.
+
+    These are runs of tasks that no longer have to run or that were withdrawn,
+    those that no longer fit on the worker, and all of them if it is draining.
+
+    Args:
+        term: State of the leader's term.
+        worker: Worker that has reported.
+    """
+    waiting = [
+        assigned
+        for assigned in term.book.assigned_runs.get(
+            worker.incarnation, {}
+        ).values()
+        if assigned.task not in worker.running
+        and assigned.report_number < worker.report.number
+    ]
+    if not waiting:
+        return
+    free = _measure_free(term, worker)
+    lost = []
+    for assigned in waiting:
+        step = term.book.get_step(assigned.task)
+        is_wanted = (
+            step is not None
+            and term.is_task_open(assigned.task)
+            and not worker.report.is_leaving
+            and (assigned.task, assigned.run) not in term.withdrawn
+        )
+        if is_wanted and step is not None:
+            if step.spec.reserved.fits_in(free):
+                free = free - step.spec.reserved
+                continue
+            _withdraw_gang(term, worker, assigned, step)
+        lost.append((assigned.task, assigned.run, ""))
+    if lost:
+        term.decide(
+            commands.LoseRuns(worker.incarnation, "never told", tuple(lost))
+        )
+
+
+def _measure_free(
+    term: term_state.Term, worker: worker_table.Worker
+) -> specs.Resources:
+    """Measures what the runs that a worker reports leave of its capacity.
+
+    Args:
+        term: State of the leader's term.
+        worker: Worker that has reported.
+
+    Returns:
+        Free resources, which may be negative; none if a run is unknown.
+    """
+    free = worker.report.capacity
+    for ref in worker.running:
+        step = term.book.get_step(ref)
+        if step is None:
+            return specs.Resources()
+        free = free - step.spec.reserved
+    return free
+
+
+def _withdraw_gang(
+    term: term_state.Term,
+    worker: worker_table.Worker,
+    assigned: book_records.AssignedRun,
+    step: book_records.Step,
+) -> None:
+    """Withdraws all runs of a gang of which one no longer fits.
+
+    Args:
+        term: State of the leader's term.
+        worker: Worker that has shrunk.
+        assigned: Run that no longer fits on it.
+        step: Step of the run.
+    """
+    term.log_event(
+        "run_withdrawn",
+        job=assigned.task.job,
+        task=assigned.task.position,
+        run=assigned.run,
+        worker=worker.incarnation.worker,
+        capacity_milli=worker.report.capacity.cpu_milli,
+    )
+    if not step.spec.is_gang:
+        return
+    for task in step.tasks:
+        term.withdrawn.update((task.ref, run) for run in task.runs)
