Park operators' jobs that crash their workers

Change: the crash is recorded with the task; jobs under which workers have crashed are placed apart from others, and have workers of their own after two crashes of one task. A job is parked once two workers have crashed under it alone, or four under one task; the reason names the workers. Attempts that are lost without a later incarnation (silence, a lease that ran out) do not count.

--- a/bambookeel/fleet/jobs.py
+++ b/bambookeel/fleet/jobs.py
@@ -50,11 +50,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
-    """A failed attempt.
+    """An attempt that failed, or during which its worker crashed.
 
     Attributes:
         worker: The worker on which it ran.
-        at_ms: Wall time at which the leader learnt of the failure.
+        at_ms: Wall time at which the leader learnt of it.
     """
 
     worker: str
@@ -73,6 +73,7 @@
         incarnation: Incarnation of that worker when the attempt was placed.
         started_ms: Wall time at which the latest attempt was placed.
         failures: The failed attempts.
+        crashes: The attempts during which the worker restarted.
     """
 
     index: int
@@ -82,6 +83,7 @@
     incarnation: int = 0
     started_ms: int = 0
     failures: tuple[Failure, ...] = ()
+    crashes: tuple[Failure, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/bambookeel/fleet/placement.py
+++ b/bambookeel/fleet/placement.py
@@ -15,6 +15,7 @@
 import heapq
 
 from bambookeel.fleet import attribution
+from bambookeel.fleet import crashes
 from bambookeel.fleet import jobs
 from bambookeel.fleet import learning
 from bambookeel.fleet import records
@@ -38,6 +39,7 @@
             kept for urgent tasks.
         tasks_left: Number of tasks that may still be placed on it.
         running: Job, task and clamped estimate of each attempt on it.
+        job_names: Jobs with an attempt on it, including those just placed.
     """
 
     instance: records.Instance
@@ -49,6 +51,7 @@
     running: list[tuple[jobs.Job, jobs.Task, learning.Size]] = (
         dataclasses.field(default_factory=list)
     )
+    job_names: set[str] = dataclasses.field(default_factory=set)
 
     def clamp_size(self, size: learning.Size) -> learning.Size:
         """Limits an estimate to the size of the whole worker.
@@ -114,6 +117,9 @@
         self.jobs = current
         self._evidence = evidence
         self._corrections = learning.learn_corrections(current.values())
+        # Jobs that may crash their workers.
+        self._suspects = crashes.list_suspects(current.values())
+        self._confined = crashes.list_confined(current.values())
         self._workers: dict[str, Worker] = {}
         self._by_pool: dict[str, list[Worker]] = {}
         # Sizes of all workers by pool, including unavailable workers.
@@ -151,6 +157,7 @@
             if worker is None:
                 continue
             worker.reserve(size)
+            worker.job_names.add(job.name)
             worker.tasks_left -= 1
             worker.running.append((job, task, worker.clamp_size(size)))
             if task.state is jobs.TaskState.STOPPING:
@@ -261,7 +268,9 @@
         self, job: jobs.Job, size: learning.Size
     ) -> Worker | None:
         failed_on = {
-            failure.worker for other in job.tasks for failure in other.failures
+            failure.worker
+            for other in job.tasks
+            for failure in (*other.failures, *other.crashes)
         }
         racks: Counter[str] = Counter()
         for other in job.tasks:
@@ -274,11 +283,15 @@
             for worker in self._by_pool.get(job.spec.pool, ())
             if worker.fits(size)
             and (job.spec.urgent or not worker.is_preempting)
+            and crashes.may_share(job.name, worker.job_names, self._confined)
         ]
 
-        def rank(worker: Worker) -> tuple[bool, int, int, float, str]:
+        def rank(worker: Worker) -> tuple[int, bool, int, int, float, str]:
             spare_accelerators = worker.accelerators - size.accelerators
             return (
+                crashes.count_conflicts(
+                    job.name, worker.job_names, self._suspects
+                ),
                 worker.instance.name in failed_on,
                 racks[worker.instance.spec.rack],
                 spare_accelerators,
@@ -296,6 +309,7 @@
         worker: Worker,
     ) -> None:
         worker.reserve(size)
+        worker.job_names.add(job.name)
         worker.tasks_left -= 1
         self.running_by_team[job.spec.team] += 1
         self._cores_by_team[job.spec.team] += int(size.cores)
--- a/bambookeel/fleet/planner.py
+++ b/bambookeel/fleet/planner.py
@@ -10,6 +10,7 @@
 from bambookeel.core import resources
 from bambookeel.fleet import attribution
 from bambookeel.fleet import changes
+from bambookeel.fleet import crashes
 from bambookeel.fleet import draft
 from bambookeel.fleet import explain
 from bambookeel.fleet import invariants
@@ -156,6 +157,7 @@
         name: task_steps.observe_job(view, job, reports, before)
         for name, job in view.job_records.items()
     }
+    current = crashes.park_crashing_jobs(view, current)
     evidence = attribution.gather_evidence(current.values(), view.instances)
     quarantine.start_quarantines(plan, evidence)
     drafted = dataclasses.replace(view, instances=plan.instances)
--- a/bambookeel/fleet/task_steps.py
+++ b/bambookeel/fleet/task_steps.py
@@ -58,19 +58,43 @@
         has expired, or is no longer in the state.
     """
     instance = view.instances.get(task.worker)
-    if instance is None:
-        return True
-    if instance.incarnation > task.incarnation:
-        return True
-    report = records.find_fresh_report(view, instance)
-    if report is not None and report.incarnation > task.incarnation:
+    if instance is None or has_worker_restarted(view, instance, task):
         return True
-    if report is not None:
+    if records.find_fresh_report(view, instance) is not None:
         return False
     has_failed = instance.state is resources.InstanceState.FAILED
     return has_failed and observe.has_lease_expired(view, task.worker)
 
 
+def has_worker_restarted(
+    view: records.FleetView, instance: records.Instance, task: jobs.Task
+) -> bool:
+    """Returns whether the worker of an attempt has a later incarnation.
+
+    Args:
+        view: Gives the reports of instances.
+        instance: Instance of the worker.
+        task: A task with an active attempt.
+
+    Returns:
+        Whether the state or a fresh report shows a later incarnation.
+    """
+    if instance.incarnation > task.incarnation:
+        return True
+    report = records.find_fresh_report(view, instance)
+    return report is not None and report.incarnation > task.incarnation
+
+
+def _lose_attempt(view: records.FleetView, task: jobs.Task) -> jobs.Task:
+    """Returns a task whose attempt is lost, with the crash of its worker."""
+    lost = dataclasses.replace(task, state=jobs.TaskState.PENDING)
+    instance = view.instances.get(task.worker)
+    if instance is None or not has_worker_restarted(view, instance, task):
+        return lost
+    crash = jobs.Failure(task.worker, view.wall_ms)
+    return dataclasses.replace(lost, crashes=(*task.crashes, crash))
+
+
 def _end_attempt(
     task: jobs.Task, phase: jobs.TaskPhase, wall_ms: int
 ) -> jobs.Task:
@@ -143,8 +167,7 @@
         report = reports.get(jobs.render_task_id(job.name, task))
         if report is None:
             if is_attempt_lost(view, task):
-                lost = dataclasses.replace(task, state=jobs.TaskState.PENDING)
-                job = jobs.replace_task(job, lost)
+                job = jobs.replace_task(job, _lose_attempt(view, task))
             elif _should_stop(view, job, task, is_known=False):
                 job = _stop_task(job, task)
             continue
@@ -211,6 +234,23 @@
     if ended is None:
         return job
     state, reason = ended
+    return end_job(view, job, state, reason)
+
+
+def end_job(
+    view: records.FleetView, job: jobs.Job, state: jobs.JobState, reason: str
+) -> jobs.Job:
+    """Ends a job and stops its running tasks.
+
+    Args:
+        view: Gives the time.
+        job: A job that has not ended.
+        state: State in which it ends.
+        reason: Why it ends.
+
+    Returns:
+        The ended job.
+    """
     return dataclasses.replace(
         _stop_running_tasks(job),
         state=state,
--- a/features/fakes/fleet_platform.py
+++ b/features/fakes/fleet_platform.py
@@ -159,7 +159,9 @@
         for task_id, task in worker.tasks.items():
             if task["phase"] != "running":
                 continue
-            is_bad = worker.fails_all_tasks or task_id.startswith("bad")
+            is_bad = worker.fails_all_tasks or task_id.startswith("bad-")
+            # These crash their workers instead.
+            is_bad = is_bad and not task_id.startswith("bad-crash-")
             if is_bad:
                 task["phase"] = "failed"
                 self.failures_by_worker[worker.name] += 1
--- a/features/fleet/jobs.feature
+++ b/features/fleet/jobs.feature
@@ -22,6 +22,19 @@
       | 3    | 10   | 10  |
       | 4    | 20   | 5   |
 
+  Scenario Outline: A job that crashes worker after worker is parked, seed <seed>
+    Given a fleet of jobs with seed <seed>
+    When <good> good jobs and <bad> jobs that crash their workers are submitted
+    Then every good job is done and every bad job is parked
+    And each bad job names the workers that it crashed, at most 4 a task
+    And only the fleet workers "none" were quarantined
+
+    Examples:
+      | seed | good | bad |
+      | 5    | 0    | 1   |
+      | 6    | 8    | 1   |
+      | 7    | 12   | 2   |
+
   Scenario: A job that can never run is parked at once
     Given a fleet of jobs with seed 1
     When a job needs more than any worker of its pool has
--- a/features/steps/fleet_job_steps.py
+++ b/features/steps/fleet_job_steps.py
@@ -58,6 +58,44 @@
     _run_until_ended(run, names)
 
 
+@when(
+    "{count:d} good jobs and {bad:d} jobs that crash their workers are"
+    " submitted"
+)
+def submit_deadly_jobs(context, count, bad):
+    run = context.run
+    run.platform.task_duration_ms = 3_000
+    names = [f"good-{i}" for i in range(count)]
+    names += [f"bad-crash-{i}" for i in range(bad)]
+    run.random.shuffle(names)
+    for name in names:
+        _declare_job(run, name, tasks=run.random.randint(1, 3))
+    context.jobs = names
+    context.crashes = {}
+    for _ in range(200):
+        run.step()
+        for worker in run.platform.workers.values():
+            for task_id, task in list(worker.tasks.items()):
+                job = task_id.partition(".")[0]
+                if task["phase"] == "running" and job.startswith("bad-crash"):
+                    crashed = context.crashes.setdefault(job, {})
+                    name = task_id.rpartition(".")[0]
+                    crashed.setdefault(name, []).append(worker.name)
+                    run.platform.restart(worker.name)
+                    break
+        if {_get_job_state(run, name) for name in names} <= {"done", "parked"}:
+            return
+
+
+@then("each bad job names the workers that it crashed, at most {most:d} a task")
+def check_crashes(context, most):
+    for name, crashed in context.crashes.items():
+        reason = context.run.get("job", name).status.details["reason"]
+        for workers in crashed.values():
+            assert len(workers) <= most, context.crashes
+            assert all(worker in reason for worker in workers), reason
+
+
 @then("every good job is done and every bad job is parked")
 def check_jobs(context):
     run = context.run
