--- a/features/requests/requests.feature
+++ b/features/requests/requests.feature
@@ -39,6 +39,16 @@
     When 200 requests are sent in turn to backend servers that refuse connections
     Then at most 20 plus a fifth of them were tried again
 
+  Scenario Outline: A request that crashes its backend servers reaches at most <count>: <fields>
+    When a request with "<fields>" crashes each backend server that gets it
+    Then its outcome is unknown and <count> backend servers got it
+
+    Examples:
+      | fields                                | count |
+      | X-Work-Id: w                          | 1     |
+      | X-Idempotent: true                    | 3     |
+      | X-Idempotent: true,Idempotency-Key: k | 1     |
+
   Scenario: A request whose caller disconnects is taken out of the queue
     When a caller disconnects while its request waits
     Then the dispatcher receives a cancellation of the request
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -220,6 +220,18 @@
     assert all(release.backend_fault for release in context.holder.releases)
 
 
+@when('a request with "{fields}" crashes each backend server that gets it')
+def crash_servers(context, fields):
+    request_scripts.answer_with(context.backend, b"")
+    context.response = context.entry.call(headers=fields.split(","))
+
+
+@then("its outcome is unknown and {count:d} backend servers got it")
+def check_crashed_servers(context, count):
+    assert context.response.outcome == "unknown", context.response
+    assert len(context.backend.heads) == count, context.backend.heads
+
+
 @when("a caller disconnects while its request waits")
 def disconnect_waiting(context):
     context.holder.answer = lambda message: None
