Log why a worker's end is blamed on no task

An operator could not see why the crash of a worker counted against nothing: no_task_blamed names the cause (draining, ordered away, whole rack). The name of evidence in task_suspected no longer depends on the weights of this version.

--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -31,6 +31,10 @@
     AT_WORK = 3
 
 
+# Logs of other versions may contain other weights.
+_EVIDENCE_NAMES: dict[int, str] = {
+    int(evidence): evidence.name.lower() for evidence in Evidence
+}
 _GIVE_UP_EVIDENCE = 12
 # From here on the next crash decides, so that the task runs apart from others.
 _ISOLATE_EVIDENCE = 8
@@ -67,11 +71,12 @@
         Open tasks with the evidence against them if the worker has crashed;
         empty if its end has another cause.
     """
-    if worker is not None and find_other_cause(term, worker):
+    runs = term.book.assigned_runs.get(incarnation, {})
+    if not runs or (worker is not None and _has_other_cause(term, worker)):
         return ()
     started = []
     at_work = []
-    for run in term.book.assigned_runs.get(incarnation, {}).values():
+    for run in runs.values():
         step = term.book.get_step(run.task)
         if step is None or not _may_have_begun(run, worker):
             continue
@@ -127,16 +132,33 @@
     return now.wall_ms - silent_ms - run.assigned_wall_ms
 
 
-def find_other_cause(term: term_state.Term, worker: worker_table.Worker) -> str:
-    """Finds a cause other than a task for the end of a worker.
+def _has_other_cause(
+    term: term_state.Term, worker: worker_table.Worker
+) -> bool:
+    """Checks for a cause of a worker's end other than a task, and logs it.
 
     Args:
         term: State of the leader's term.
-        worker: A worker that has ended or fallen silent.
+        worker: A worker that has ended or fallen silent, with assigned runs.
 
     Returns:
-        The cause, for the log; empty if there is none.
+        True if no task is to blame.
     """
+    cause = _find_other_cause(term, worker)
+    if not cause:
+        return False
+    term.log_event(
+        "no_task_blamed",
+        worker=worker.incarnation.worker,
+        instance=worker.report.instance,
+        cause=cause,
+    )
+    return True
+
+
+def _find_other_cause(
+    term: term_state.Term, worker: worker_table.Worker
+) -> str:
     report = worker.report
     if report.is_leaving:
         return "it was draining"
@@ -219,7 +241,7 @@
             job=ref.job,
             task=ref.position,
             worker=incarnation.worker,
-            evidence=Evidence(evidence).name.lower(),
+            evidence=_EVIDENCE_NAMES.get(evidence, evidence),
             crashes=task.crashes,
             weight=f"{task.evidence}/{_GIVE_UP_EVIDENCE}",
         )
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -79,6 +79,7 @@
     When job "a" of 1 step of 3 tasks of 20000 ms is submitted
     And the racks lose power in turn for 3000 ms, 6 times
     Then job "a" is "active"
+    And the log says that "its whole rack has failed"
     When the simulation runs for 40000 ms
     Then job "a" is "completed"
 
@@ -93,6 +94,12 @@
     When every worker that runs it crashes each 6000 ms, 5 times
     Then job "s" is "active"
 
+  Scenario: Logs and snapshots of earlier versions are read
+    When job "a" of 1 step of 3 tasks of 9000 ms is submitted
+    And the simulation runs for 500 ms
+    Then entries of an earlier version of the log are decoded
+    And a snapshot of an earlier version restores the same book
+
   Scenario Outline: Only deadly tasks are given up in random simulations
     When random simulations of deadly tasks with seeds <first> to <last> are run
     Then no run has violated a guarantee
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -3,8 +3,12 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
+from bambookeel.core import packing
+from bambookeel.jobs import book_snapshot
 from bambookeel.jobs import calls
+from bambookeel.jobs import commands
 from bambookeel.jobs import specs
 from features.fakes import jobs_crashes
 from features.fakes import jobs_provider
@@ -79,6 +83,41 @@
     assert given_up["task"] == "0.0.0", given_up
 
 
+@then('the log says that "{cause}"')
+def check_cause(context, cause):
+    found = context.sim.get_events("no_task_blamed")
+    assert any(fields["cause"] == cause for fields in found), found
+
+
+@then("entries of an earlier version of the log are decoded")
+def decode_old_entries(context):
+    life = ["w0", 1]
+    old = [
+        {"type": "assign", "life": life, "heard": 3, "runs": []},
+        {"type": "lose", "life": life, "reason": "r", "runs": []},
+    ]
+    payload = packing.compress(msgspec.msgpack.encode(old))
+    assigned, lost = commands.decode_batch(payload)
+    assert (assigned.instance, assigned.at_wall_ms) == ("", 0), assigned
+    assert (lost.instance, lost.suspects) == ("", ()), lost
+
+
+@then("a snapshot of an earlier version restores the same book")
+def restore_old_snapshot(context):
+    saved = msgspec.msgpack.decode(context.sim.committed)
+    for job in saved["jobs"]:
+        del job["end_reason"]
+        for step in job["steps"]:
+            step[1] = [task[:4] for task in step[1]]
+    for held in saved["held"]:
+        held[1] = [run[:4] for run in held[1]]
+    del saved["silent_workers"]
+    book = book_snapshot.decode_book(msgspec.msgpack.encode(saved))
+    known = context.sim.scheduler.book
+    assert list(book.assigned_runs) == list(known.assigned_runs)
+    assert book.ready == known.ready and book.usage.by_team
+
+
 @when("a new leader takes over {ms:d} ms after each crash for {span:d} ms")
 def change_leaders(context, ms, span):
     simulation = context.sim
