End a worker also when a known one takes over its address

Found by reading the change: since the fix, workers that the table removed were ended only if the one that replaced them was new to the leader; otherwise their runs stayed assigned until the earlier leases had run out. The scenario failed before.

--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -39,9 +39,10 @@
     if stale_reason:
         return term_state.make_deferred(calls.BadRequest(stale_reason))
     worker, ended = term.workers.update(report, now.steady_ms)
+    if worker.is_new or ended:
+        losses.end_earlier_lives(term, worker, ended, now)
     if worker.is_new:
         worker.is_new = False
-        losses.end_earlier_lives(term, worker, ended, now)
         term.log_event(
             "worker_heard",
             worker=report.life.worker,
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -94,6 +94,12 @@
     When every worker that runs it crashes each 6000 ms, 5 times
     Then job "s" is "active"
 
+  Scenario: A known worker that takes over an address ends the worker that had it
+    When job "a" of 1 step of 3 tasks of 9000 ms is submitted
+    And the simulation runs for 500 ms
+    And worker "w1" reports the address of worker "w0"
+    Then no runs are assigned to worker "w0"
+
   Scenario: Logs and snapshots of earlier versions are read
     When job "a" of 1 step of 3 tasks of 9000 ms is submitted
     And the simulation runs for 500 ms
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -83,6 +83,21 @@
     assert given_up["task"] == "0.0.0", given_up
 
 
+@when('worker "{name}" reports the address of worker "{other}"')
+def take_over_address(context, name, other):
+    simulation = context.sim
+    assert simulation.workers[other].running, simulation.workers[other]
+    report = simulation.workers[name].make_report(simulation.now_ms)
+    taken = msgspec.structs.replace(report, address=f"{other}:1")
+    simulation.scheduler.handle(taken, simulation.read_now())
+
+
+@then('no runs are assigned to worker "{name}"')
+def check_no_runs(context, name):
+    lives = context.sim.scheduler.book.assigned_runs
+    assert name not in {life.worker for life in lives}, lives
+
+
 @then('the log says that "{cause}"')
 def check_cause(context, cause):
     found = context.sim.get_events("no_task_blamed")
