--- a/bambookeel/jobs/advice.py
+++ b/bambookeel/jobs/advice.py
@@ -129,15 +129,7 @@
     free = (
         worker.report.capacity if step.unfinished_dependencies else worker.free
     )
-    needs = step.spec.reserved
-    count = len(step.waiting)
-    for has, need in (
-        (free.cpu_milli, needs.cpu_milli),
-        (free.memory_mb, needs.memory_mb),
-        (free.gpus, needs.gpus),
-    ):
-        if need:
-            count = min(count, max(0, has) // need)
+    count = step.spec.reserved.count_in(free, len(step.waiting))
     if step.spec.max_per_instance:
         count = min(count, max(0, step.spec.max_per_instance - assigned))
     return count
--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -56,12 +56,16 @@
         phase: Phase from the provider's list.
         listed_ms: When that list was requested, on the steady clock.
         retry_at_ms: Earliest time of the next order after a failed one.
+        capacity: Resources of a worker on it.
+        labels: Labels of a worker on it.
     """
 
     pool: str
     phase: instances.InstancePhase
     listed_ms: int
     retry_at_ms: int = 0
+    capacity: specs.Resources = specs.Resources()
+    labels: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,7 +109,12 @@
         status = fleet.statuses.get(instance.name)
         retry_at_ms = status.retry_at_ms if status is not None else 0
         fleet.statuses[instance.name] = InstanceStatus(
-            instance.pool, instance.phase, requested_ms, retry_at_ms
+            instance.pool,
+            instance.phase,
+            requested_ms,
+            retry_at_ms,
+            instance.capacity,
+            instance.labels,
         )
     for name in list(fleet.statuses):
         if name not in names:
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -1,7 +1,10 @@
 """Moves instances between pools and takes them down for upkeep."""
 
+import dataclasses
+
 from bambookeel.jobs import commands
 from bambookeel.jobs import evictions
+from bambookeel.jobs import fitting
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
 from bambookeel.jobs import pool_demand
@@ -12,6 +15,8 @@
 
 # Interval between two checks of pools and goals; orders take far longer.
 _CHECK_INTERVAL_MS = 100
+# Interval between two searches for tasks that do not fit in their pools.
+_FITTING_INTERVAL_MS = 500
 # Interval between two log lines about each pool.
 _POOL_LOG_INTERVAL_MS = 1_000
 # Maximum number of instances named in a log line about a wave.
@@ -76,7 +81,8 @@
     spare = pool_demand.list_spare_instances(
         term.instance_controller.fleet, spare_pool, now_ms
     )
-    moves = pools.choose_moves(states, spare_pool, spare, now_ms)
+    required, states, spare = _choose_required(term, states, spare, now)
+    moves = required + pools.choose_moves(states, spare_pool, spare, now_ms)
     if not moves and not spare:
         moves = _choose_hand_overs(term, states)
     for name, pool in moves:
@@ -86,6 +92,53 @@
         term.log_event("move_chosen", instance=name, pool=pool, source=source)
 
 
+def _choose_required(
+    term: term_state.Term,
+    states: list[pools.PoolState],
+    spare: tuple[str, ...],
+    now: term_state.Now,
+) -> tuple[list[tuple[str, str]], list[pools.PoolState], tuple[str, ...]]:
+    """Chooses instances for waiting tasks that do not fit in their pools.
+
+    Args:
+        term: State of the leader's term.
+        states: State of each pool other than the spare pool.
+        spare: Instances of the spare pool that may be moved.
+        now: Current time.
+
+    Returns:
+        Pairs of an instance and the pool to which it should move; the states
+        and the spare instances without them.
+    """
+    if now.steady_ms - term.fitting_checked_ms < _FITTING_INTERVAL_MS:
+        return [], states, spare
+    term.fitting_checked_ms = now.steady_ms
+    moves: list[tuple[str, str]] = []
+    for state in states:
+        taken = {name for name, _ in moves}
+        candidates = [name for name in reversed(spare) if name not in taken]
+        for other in states:
+            if other is not state and pools.is_idle(other):
+                extra = other.members - max(1, other.min_members)
+                candidates += [n for n in other.empty[:extra] if n not in taken]
+        for name in fitting.choose_instances(term, state.pool, candidates, now):
+            moves.append((name, state.pool))
+    taken = {name for name, _ in moves}
+    left = []
+    for state in states:
+        given = taken.intersection(state.empty)
+        left.append(
+            dataclasses.replace(
+                state,
+                members=state.members - len(given),
+                capacity_milli=state.capacity_milli
+                - len(given) * state.instance_milli,
+                empty=tuple(name for name in state.empty if name not in given),
+            )
+        )
+    return moves, left, tuple(name for name in spare if name not in taken)
+
+
 def _choose_hand_overs(
     term: term_state.Term, states: list[pools.PoolState]
 ) -> list[tuple[str, str]]:
--- a/bambookeel/jobs/instances.py
+++ b/bambookeel/jobs/instances.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from bambookeel.jobs import specs
+
 
 class InstancePhase(enum.Enum):
     """State of an instance, as the provider lists it."""
@@ -26,6 +28,8 @@
         phase: State of the instance.
         data_centre: Data centre of the instance.
         worker: Id of the worker that runs on it; empty if there is none.
+        capacity: Resources of a worker on it.
+        labels: Labels of a worker on it; the last one is the rack.
     """
 
     name: str
@@ -33,6 +37,8 @@
     phase: InstancePhase
     data_centre: str
     worker: str = ""
+    capacity: specs.Resources = specs.Resources()
+    labels: tuple[str, ...] = ()
 
 
 class Move(msgspec.Struct, frozen=True):
--- a/bambookeel/jobs/loads.py
+++ b/bambookeel/jobs/loads.py
@@ -31,10 +31,10 @@
     return count
 
 
-def count_unreported_instances(
+def list_unreported_instances(
     term: term_state.Term, service: str, now_ms: int
-) -> int:
-    """Counts instances whose workers have not reported in this term yet.
+) -> frozenset[str]:
+    """Lists instances whose workers have not reported in this term yet.
 
     Until the leases granted by an earlier leader have expired, a missing
     report does not mean that the worker is lost.
@@ -45,22 +45,23 @@
         now_ms: Steady-clock time in milliseconds.
 
     Returns:
-        Number of instances that the provider lists for the service as up or
-        moving and that have neither a worker nor a goal; 0 after that time.
+        Names of instances that the provider lists for the service as up or
+        moving and that have neither a worker nor a goal; none after that time.
     """
     if now_ms >= term.earlier_leases_until_ms:
-        return 0
+        return frozenset()
     fleet = term.instance_controller.fleet
     expected_phases = (
         instances.InstancePhase.UP,
         instances.InstancePhase.MOVING,
     )
-    return sum(
-        status.pool == service
+    return frozenset(
+        name
+        for name, status in fleet.statuses.items()
+        if status.pool == service
         and status.phase in expected_phases
         and name not in fleet.goals
         and term.workers.find_by_instance(name) is None
-        for name, status in fleet.statuses.items()
     )
 
 
@@ -88,7 +89,7 @@
         if worker.is_lease_expired:
             continue
         capacity += worker_milli
-    absent = count_unreported_instances(term, service, now_ms)
+    absent = len(list_unreported_instances(term, service, now_ms))
     absent += _count_obtainable_instances(term, service)
     capacity += absent * each_milli
     jobs = term.list_open_jobs(service)
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -3,6 +3,7 @@
 import math
 
 from bambookeel.jobs import deferring
+from bambookeel.jobs import fitting
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
 from bambookeel.jobs import loads
@@ -135,17 +136,9 @@
     total_milli = 0
     instance_milli = 0
     empty = []
-    for worker in term.workers.by_id.values():
+    for worker in fitting.list_members(term, service):
         report = worker.report
-        if (
-            report.service != service
-            or report.is_leaving
-            or worker.is_lease_expired
-        ):
-            continue
         goal = fleet.goals.get(report.instance)
-        if goal is not None and isinstance(goal.order, instances.Move):
-            continue
         members += 1
         total_milli += report.capacity.cpu_milli
         instance_milli = max(instance_milli, report.capacity.cpu_milli)
@@ -159,7 +152,8 @@
         isinstance(goal.order, instances.Move) and goal.order.pool == service
         for goal in fleet.goals.values()
     )
-    absent = incoming + loads.count_unreported_instances(term, service, now_ms)
+    unreported = loads.list_unreported_instances(term, service, now_ms)
+    absent = incoming + len(unreported)
     total_milli += absent * instance_milli
     return members + absent, total_milli, instance_milli, tuple(sorted(empty))
 
--- a/bambookeel/jobs/specs.py
+++ b/bambookeel/jobs/specs.py
@@ -59,6 +59,25 @@
             and self.gpus <= free.gpus
         )
 
+    def count_in(self, free: "Resources", most: int) -> int:
+        """Counts how often the amounts fit into free resources.
+
+        Args:
+            free: Resources that are available, which may be negative.
+            most: Maximum to return.
+
+        Returns:
+            Number of times.
+        """
+        for need, has in (
+            (self.cpu_milli, free.cpu_milli),
+            (self.memory_mb, free.memory_mb),
+            (self.gpus, free.gpus),
+        ):
+            if need:
+                most = min(most, max(0, has) // need)
+        return most
+
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """One step of a job.
