--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -21,6 +21,7 @@
 from bambookeel.jobs import reports
 from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import waiting
 
 # The scheduler plans after every decision, and at this interval since tasks may
 # become due and workers usable without one.
@@ -182,7 +183,7 @@
         advising.handle_answer(self.term, question, approvals, now)
 
     def tick(self, now: Now) -> None:
-        """Expires leases, removes old jobs and controls instances.
+        """Expires leases, removes old jobs, controls instances and logs.
 
         Args:
             now: Current time.
@@ -191,6 +192,7 @@
         crashes.clear_standing_tasks(self.term, now)
         reports.drop_old_jobs(self.term, now)
         instance_steps.control_instances(self.term, now)
+        waiting.log_waiting_steps(self.term, now)
 
     def plan(self, now: Now) -> None:
         """Assigns waiting tasks to workers if something may have changed.
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -97,6 +97,7 @@
         # not.
         self.idle_since_ms: dict[str, int] = {}
         self.pools_logged_ms = 0
+        self.waiting_logged_ms = 0
         self.instances_checked_ms = 0
         self.fitting_checked_ms = 0
         self.planned_ms = 0
--- a/features/jobs/fitting.feature
+++ b/features/jobs/fitting.feature
@@ -48,3 +48,14 @@
     Examples:
       | first | last |
       | 0     | 5    |
+
+  Scenario Outline: The log tells why a step waits
+    When job "a" of <count> <kind> of <cpu> milli-cores and <mb> MB with label "<label>" is submitted
+    And the simulation runs for 10000 ms
+    Then the log says once a second that a step of job "a" waits because of "<reason>"
+
+    Examples:
+      | count | kind       | cpu | mb    | label | reason    |
+      | 1     | task       | 500 | 70000 |       | too_large |
+      | 40    | gang tasks | 10  | 40000 |       | no_room   |
+      | 1     | task       | 500 | 100   | none  | no_room   |
--- a/features/steps/fitting_steps.py
+++ b/features/steps/fitting_steps.py
@@ -88,3 +88,18 @@
         found = jobs_pools.simulate(seed)
         if found:
             context.violations[seed] = found
+
+
+@then(
+    "the log says once a second that a step of job {job} waits because of"
+    ' "{reason}"'
+)
+def check_waiting_log(context, job, reason):
+    name = job_steps.build_job_id(job.strip('"'))
+    lines = [
+        fields["reason"]
+        for fields in context.sim.get_events("step_waiting")
+        if fields["job"] == name
+    ]
+    assert 8 <= len(lines) <= 10, lines
+    assert set(lines) == {reason}, lines
