--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -72,7 +72,7 @@
         empty if its end has another cause.
     """
     runs = term.book.assigned_runs.get(incarnation, {})
-    if not runs or (worker is not None and _has_other_cause(term, worker)):
+    if not runs or (worker is not None and _has_other_cause(term, worker, now)):
         return ()
     started = []
     at_work = []
@@ -133,18 +133,19 @@
 
 
 def _has_other_cause(
-    term: term_state.Term, worker: worker_table.Worker
+    term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
 ) -> bool:
     """Checks for a cause of a worker's end other than a task, and logs it.
 
     Args:
         term: State of the leader's term.
         worker: A worker that has ended or fallen silent, with assigned runs.
+        now: Current time.
 
     Returns:
         True if no task is to blame.
     """
-    cause = _find_other_cause(term, worker)
+    cause = _find_other_cause(term, worker, now)
     if not cause:
         return False
     term.log_event(
@@ -157,7 +158,7 @@
 
 
 def _find_other_cause(
-    term: term_state.Term, worker: worker_table.Worker
+    term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
 ) -> str:
     report = worker.report
     if report.is_leaving:
@@ -165,17 +166,20 @@
     ordered_wall_ms = term.book.instances.ordered_wall_ms
     if ordered_wall_ms.get(report.instance, 0) > report.life.born_wall_ms:
         return "its instance was ordered away"
-    if _is_rack_dark(term, worker):
+    if _is_rack_dark(term, worker, now):
         return "its whole rack has failed"
     return ""
 
 
-def _is_rack_dark(term: term_state.Term, worker: worker_table.Worker) -> bool:
+def _is_rack_dark(
+    term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
+) -> bool:
     """Returns whether the workers of a rack fell silent at the same time.
 
     Args:
         term: State of the leader's term.
         worker: A worker that has ended or fallen silent.
+        now: Current time.
 
     Returns:
         True if the rack has other workers and most of them fell silent with
@@ -187,13 +191,19 @@
         if other.rack == worker.rack
         and other.report.instance != worker.report.instance
     ]
+    tolerance_ms = term.settings.report_ms + _REPORT_DELAY_MS
     last_reports_ms = [
-        last_report_ms
-        for rack, last_report_ms in term.ended_workers
-        if rack == worker.rack
+        ended.last_report_ms
+        for ended in term.ended_workers
+        if ended.rack == worker.rack
+        and ended.instance != worker.report.instance
+        and ended.ended_ms > worker.last_report_ms
+    ]
+    last_reports_ms += [
+        other.last_report_ms
+        for other in others
+        if now.steady_ms - other.last_report_ms > tolerance_ms
     ]
-    last_reports_ms += [other.last_report_ms for other in others]
-    tolerance_ms = term.settings.report_ms + _REPORT_DELAY_MS
     together = sum(
         abs(last_report_ms - worker.last_report_ms) <= tolerance_ms
         for last_report_ms in last_reports_ms
@@ -201,14 +211,24 @@
     return together > 0 and together >= _RACK_SHARE * len(others)
 
 
-def remember_ended(term: term_state.Term, worker: worker_table.Worker) -> None:
+def remember_ended(
+    term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
+) -> None:
     """Remembers when a worker that has ended fell silent.
 
     Args:
         term: State of the leader's term.
         worker: The worker.
+        now: Current time.
     """
-    term.ended_workers.append((worker.rack, worker.last_report_ms))
+    term.ended_workers.append(
+        worker_table.EndedWorker(
+            worker.rack,
+            worker.report.instance,
+            worker.last_report_ms,
+            now.steady_ms,
+        )
+    )
     del term.ended_workers[:-_MAX_ENDED_WORKERS]
 
 
--- a/bambookeel/jobs/losses.py
+++ b/bambookeel/jobs/losses.py
@@ -31,7 +31,7 @@
         term.lose_all_runs(
             other.incarnation, "a later life was heard", other, suspects
         )
-        crashes.remember_ended(term, other)
+        crashes.remember_ended(term, other, now)
     for incarnation, instance in _list_unheard_lives(term, worker):
         suspects = crashes.find_suspects(term, incarnation, None, now)
         term.lose_all_runs(
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -56,8 +56,8 @@
         self.settings = settings
         self.fencing_token = fencing_token
         self.workers = worker_table.WorkerTable()
-        # Rack and time of the last report of workers that ended lately.
-        self.ended_workers: list[tuple[str, int]] = []
+        # Workers that ended lately.
+        self.ended_workers: list[worker_table.EndedWorker] = []
         self.run_times = objectives.RunTimes()
         self.instance_controller = steering.InstanceController(
             settings, now.steady_ms
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -85,6 +85,23 @@
         return labels[-1] if labels else ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedWorker:
+    """A worker that has ended, as last reported.
+
+    Attributes:
+        rack: Its rack.
+        instance: Instance that it ran on.
+        last_report_ms: Steady-clock time in milliseconds of its last report.
+        ended_ms: Steady-clock time in milliseconds at which its end was known.
+    """
+
+    rack: str
+    instance: str
+    last_report_ms: int
+    ended_ms: int
+
+
 def compute_lease_end(report_ms: int, lease_ms: int) -> int:
     """Computes when the lease granted for a report has certainly expired.
 
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -29,6 +29,23 @@
       | 7000 | the same    |
       | 1000 | another     |
       | 7000 | another     |
+      | 75   | the same    |
+      | 150  | another     |
+
+  Scenario Outline: Workers that restart in turn are no rack that has failed
+    Given a simulation of <count> workers on 1 racks that deadly tasks can crash
+    And a worker that crashes is back after <ms> ms under another id
+    When deadly job "a" of 4 tasks is submitted
+    And the simulation runs for 60000 ms
+    Then job "a" is "failed"
+    And at most 3 workers have crashed
+    And no guarantee was violated
+
+    Examples:
+      | count | ms |
+      | 2     | 25 |
+      | 2     | 75 |
+      | 3     | 75 |
 
   Scenario Outline: A task of any kind is given up
     When deadly job "a" of 4 tasks of kind "<kind>" is submitted
