--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -42,6 +42,7 @@
             and term.is_task_open(assigned.task)
             and not worker.report.is_leaving
             and (assigned.task, assigned.run) not in term.withdrawn
+            and _is_gang_complete(step, assigned.run)
         )
         if is_wanted and step is not None:
             if step.spec.reserved.fits_in(free):
@@ -76,6 +77,22 @@
     return free
 
 
+def _is_gang_complete(step: book_records.Step, run: int) -> bool:
+    """Returns whether no member of a gang has lost its part of a run.
+
+    The checkpoint of the gang may have changed with the loss, so that another
+    member would resume from a different one.
+
+    Args:
+        step: Step of the run.
+        run: Number of the run.
+
+    Returns:
+        True for a step that is no gang.
+    """
+    return not step.spec.is_gang or all(run in task.runs for task in step.tasks)
+
+
 def _withdraw_gang(
     term: term_state.Term,
     worker: worker_table.Worker,
--- a/features/jobs/capacity.feature
+++ b/features/jobs/capacity.feature
@@ -27,6 +27,17 @@
     Then job "g" is "completed"
     And no guarantee was violated
 
+  Scenario: A member of a gang is not started once another member was lost
+    Given a simulation of 3 workers whose capacity can shrink
+    When orders to worker "w0" are lost
+    And job "g" of a gang of 40 tasks is submitted
+    And the simulation runs for 300 ms
+    And worker "w1" restarts
+    And the simulation runs for 600 ms
+    And orders arrive again
+    And the simulation runs for 1000 ms
+    Then no task has started on worker "w0"
+
   Scenario: A pool whose workers have shrunk gets more instances
     Given a simulation of 4 workers whose capacity can shrink
     When the capacity of worker "w0" shrinks to 0.1
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -58,6 +58,18 @@
     job_steps.submit_spec(context, job, specs.JobSpec("body", (step,)))
 
 
+@when('worker "{name}" restarts')
+def restart(context, name):
+    assert context.sim.workers[name].running, context.sim.starts
+    context.sim.restart(context.sim.workers[name])
+
+
+@then('no task has started on worker "{name}"')
+def check_no_starts(context, name):
+    workers = {worker for _, _, _, worker in context.sim.starts}
+    assert workers and name not in workers, context.sim.starts
+
+
 @then("the pool is measured to have {cores:d} of {full:d} cores")
 def check_pool(context, cores, full):
     simulation = context.sim
