--- a/bambookeel/jobs/book_crashes.py
+++ b/bambookeel/jobs/book_crashes.py
@@ -18,10 +18,13 @@
         instance: Instance that it runs on; empty if unknown.
         suspects: Tasks that have crashed it if it has crashed, with the weight
             of the evidence against each.
+        lost_wall_ms: Unix time in milliseconds at which it lost its runs; 0 if
+            unknown.
     """
 
     instance: str
     suspects: tuple[tuple[specs.TaskRef, int], ...]
+    lost_wall_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,7 +66,7 @@
             )
         }
         self.silent_workers[command.life] = SilentWorker(
-            command.instance, command.suspects
+            command.instance, command.suspects, command.at_wall_ms
         )
         self.suspects = {ref: None for ref in self.suspects if ref.job in jobs}
 
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -98,6 +98,8 @@
             logs of earlier versions.
         suspects: Tasks that have crashed the worker if it turns out to have
             crashed, with the weight of the evidence against each.
+        at_wall_ms: Unix time in milliseconds; 0 if there are no suspects, and
+            in logs of earlier versions.
     """
 
     life: specs.WorkerIncarnation
@@ -105,6 +107,7 @@
     runs: tuple[tuple[specs.TaskRef, int, str], ...]
     instance: str = ""
     suspects: tuple[tuple[specs.TaskRef, int], ...] = ()
+    at_wall_ms: int = 0
 
 
 class WorkerCrashed(msgspec.Struct, frozen=True, tag="crashed"):
--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -1,10 +1,11 @@
-"""Weighs which task has crashed a worker, and gives up tasks that do so.
+"""Weighs which tasks may have crashed a worker.
 
-A task that crashes its workers would go on to crash the next one with each new
-run. A crash shows in the next report from the instance, which comes from a new
+A crash shows in the next report from the instance, which comes from a new
 incarnation of the worker. It counts against the runs that the worker had just
-started, most of all if they are of one job. Suspects of different jobs then run
-apart from each other, so that the next crash tells them apart.
+started, most of all if they are of one job, and less against a run that the
+worker had not reported, since the order may have been lost with it. Suspects of
+different jobs then run apart from each other, so that the next crash tells them
+apart.
 """
 
 from collections.abc import Iterator
@@ -21,21 +22,21 @@
 class Evidence(enum.IntEnum):
     """Weight of one crash as evidence against a task on the worker.
 
-    A task is given up after two crashes if only its job had just started runs
-    in one of them, after three among starts of several jobs, and after four if
-    it was at work each time or it is not known when the workers crashed.
+    A task is given up after two crashes if only its job had certainly just
+    started runs in one of them, after three if its own or those of other jobs
+    may have begun, and after four if it was at work each time or it is not
+    known when the workers crashed.
     """
 
     ONLY_JOB_STARTED = 8
-    SEVERAL_JOBS_STARTED = 4
+    MAY_HAVE_STARTED = 4
     AT_WORK = 3
 
 
-# Logs of other versions may contain other weights.
-_EVIDENCE_NAMES: dict[int, str] = {
-    int(evidence): evidence.name.lower() for evidence in Evidence
-}
-_GIVE_UP_EVIDENCE = 12
+GIVE_UP_EVIDENCE = 12
+# Maximum time for which a task waits until it is known whether its last worker
+# has crashed.
+_MAX_HOLD_MS = 4_000
 # From here on the next crash decides, so that the task runs apart from others.
 _ISOLATE_EVIDENCE = 8
 # A run that a worker has reported for this long did not crash it by starting.
@@ -76,6 +77,7 @@
         return ()
     started = []
     at_work = []
+    certain = []
     for run in runs.values():
         step = term.book.get_step(run.task)
         if step is None or not _may_have_begun(run, worker):
@@ -86,27 +88,43 @@
                 at_work.append(run.task)
         elif worked_ms < _STARTED_MS:
             started.append(run.task)
+            # After the end of its lease the worker may have crashed at any
+            # time, and its runs have ended by themselves.
+            if (
+                _is_reported(run, worker)
+                and now.steady_ms < worker.lease_until_ms
+            ):
+                certain.append(run.task)
         elif not step.spec.is_standing:
             at_work.append(run.task)
-    suspects, evidence = at_work, Evidence.AT_WORK
-    if started:
-        suspects, evidence = started, Evidence.SEVERAL_JOBS_STARTED
-    if len({ref.job for ref in started}) == 1:
-        evidence = Evidence.ONLY_JOB_STARTED
-    return tuple((ref, evidence) for ref in suspects if term.is_task_open(ref))
+    if not started:
+        weights = dict.fromkeys(at_work, Evidence.AT_WORK)
+    else:
+        weights = dict.fromkeys(started, Evidence.MAY_HAVE_STARTED)
+        if len({ref.job for ref in started}) == 1:
+            weights.update(dict.fromkeys(certain, Evidence.ONLY_JOB_STARTED))
+    return tuple(
+        (ref, weight)
+        for ref, weight in weights.items()
+        if term.is_task_open(ref)
+    )
 
 
 def _may_have_begun(
     run: book_records.AssignedRun, worker: worker_table.Worker | None
 ) -> bool:
-    if worker is None:
-        return True
-    listed = worker.running.get(run.task)
-    if listed is not None and listed.run == run.run:
+    if worker is None or _is_reported(run, worker):
         return True
     return (run.task, run.run) in worker.ordered
 
 
+def _is_reported(
+    run: book_records.AssignedRun, worker: worker_table.Worker
+) -> bool:
+    listed = worker.running.get(run.task)
+    return listed is not None and listed.run == run.run
+
+
 def _measure_work_ms(
     run: book_records.AssignedRun,
     worker: worker_table.Worker | None,
@@ -232,71 +250,6 @@
     del term.ended_workers[:-_MAX_ENDED_WORKERS]
 
 
-def count_crash(
-    term: term_state.Term,
-    incarnation: specs.WorkerIncarnation,
-    now: term_state.Now,
-) -> None:
-    """Counts the crash of a worker and gives up the tasks that caused it.
-
-    Args:
-        term: State of the leader's term.
-        incarnation: Incarnation of a worker that has lost its runs.
-        now: Current time.
-    """
-    silent = term.book.crashes.silent_workers[incarnation]
-    term.decide(commands.WorkerCrashed(incarnation))
-    term.log_event(
-        "worker_crashed",
-        worker=incarnation.worker,
-        instance=silent.instance,
-        suspects=len(silent.suspects),
-    )
-    for ref, evidence in silent.suspects:
-        task = term.book.get_task(ref)
-        if task is None or not term.is_task_open(ref):
-            continue
-        term.log_event(
-            "task_suspected",
-            job=ref.job,
-            task=ref.position,
-            worker=incarnation.worker,
-            evidence=_EVIDENCE_NAMES.get(evidence, evidence),
-            crashes=task.crashes,
-            weight=f"{task.evidence}/{_GIVE_UP_EVIDENCE}",
-        )
-        if task.evidence >= _GIVE_UP_EVIDENCE:
-            _give_up(term, task, now)
-
-
-def _give_up(
-    term: term_state.Term, task: book_records.Task, now: term_state.Now
-) -> None:
-    job = term.book.jobs[task.ref.job]
-    reason = (
-        f"task {task.ref.position} was given up: {task.crashes} workers have"
-        " crashed under it"
-    )
-    term.decide(commands.GiveUpJob(job.job_id, reason, now.wall_ms))
-    term.log_event(
-        "job_given_up",
-        job=job.job_id,
-        task=task.ref.position,
-        crashes=task.crashes,
-        queue=job.queue,
-        team=job.team,
-    )
-    term.log_event(
-        "job_ended",
-        job=job.job_id,
-        queue=job.queue,
-        team=job.team,
-        state=job.state.value,
-        took_ms=now.wall_ms - job.admitted_wall_ms,
-        reason=reason,
-    )
-
-
 def clear_standing_tasks(term: term_state.Term, now: term_state.Now) -> None:
     """Drops the evidence against standing tasks that have worked for long.
 
@@ -327,6 +280,23 @@
             yield task
 
 
+def is_suspect(term: term_state.Term, ref: specs.TaskRef) -> bool:
+    """Returns whether a task may have crashed a worker.
+
+    Args:
+        term: State of the leader's term.
+        ref: Identifies the task.
+
+    Returns:
+        True if there is evidence against it, or a silent worker that may have
+        crashed under it.
+    """
+    task = term.book.get_task(ref)
+    if task is None:
+        return False
+    return task.evidence > 0 or bool(_list_open_cases(term, task))
+
+
 def list_isolated_jobs(
     term: term_state.Term, now: term_state.Now
 ) -> dict[specs.WorkerIncarnation, dict[str, placing.Isolation]]:
@@ -346,34 +316,77 @@
             run = term.book.assigned_runs[incarnation][task.ref]
             if _measure_work_ms(run, worker, now) < _STARTED_MS:
                 jobs = found.setdefault(incarnation, {})
-                jobs[task.ref.job] = get_isolation(term, [task])
+                jobs[task.ref.job] = _choose_isolation(term, [task])
     return found
 
 
 def get_isolation(
-    term: term_state.Term, tasks: list[book_records.Task]
+    term: term_state.Term,
+    tasks: list[book_records.Task],
+    now: term_state.Now,
 ) -> placing.Isolation:
     """Returns how far tasks must be kept apart from those of other jobs.
 
+    A task is held if it will be given up as soon as a worker that is silent
+    turns out to have crashed.
+
     Args:
         term: State of the leader's term.
         tasks: A task that waits for a worker or a copy, or those of a gang.
+        now: Current time.
 
     Returns:
         The isolation; a task whose worker is silent may have crashed it.
     """
-    pending = term.book.crashes.silent_workers
+    if any(_is_held(term, task, now) for task in tasks):
+        return placing.Isolation.HELD
+    return _choose_isolation(term, tasks)
+
+
+def _choose_isolation(
+    term: term_state.Term, tasks: list[book_records.Task]
+) -> placing.Isolation:
     evidence = 0
     for task in tasks:
-        weights = [
-            weight
-            for silent in pending.values()
-            for ref, weight in silent.suspects
-            if ref == task.ref
-        ]
-        evidence = max(evidence, task.evidence + sum(weights))
+        open_cases = _list_open_cases(term, task)
+        pending = sum(weight for weight, _ in open_cases)
+        evidence = max(evidence, task.evidence + pending)
     if evidence >= _ISOLATE_EVIDENCE:
         return placing.Isolation.REQUIRED
     if evidence or any(task.runs for task in tasks):
         return placing.Isolation.PREFERRED
     return placing.Isolation.NONE
+
+
+def _list_open_cases(
+    term: term_state.Term, task: book_records.Task
+) -> list[tuple[int, int]]:
+    """Lists the workers that are silent and that a task may have crashed.
+
+    Args:
+        term: State of the leader's term.
+        task: The task.
+
+    Returns:
+        Weight of the evidence and Unix time in milliseconds of the loss, for
+        each worker.
+    """
+    return [
+        (weight, silent.lost_wall_ms)
+        for silent in term.book.crashes.silent_workers.values()
+        for ref, weight in silent.suspects
+        if ref == task.ref
+    ]
+
+
+def _is_held(
+    term: term_state.Term, task: book_records.Task, now: term_state.Now
+) -> bool:
+    recent = [
+        weight
+        for weight, lost_wall_ms in _list_open_cases(term, task)
+        if 0 <= now.wall_ms - lost_wall_ms < _MAX_HOLD_MS
+    ]
+    if not recent:
+        return False
+    return task.evidence + sum(recent) >= GIVE_UP_EVIDENCE
--- a/bambookeel/jobs/losses.py
+++ b/bambookeel/jobs/losses.py
@@ -1,6 +1,7 @@
 """Removes the runs of workers that have ended or fallen silent."""
 
 from bambookeel.jobs import crashes
+from bambookeel.jobs import giving_up
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
@@ -29,7 +30,11 @@
                 term, other.incarnation, other, now
             )
         term.lose_all_runs(
-            other.incarnation, "a later life was heard", other, suspects
+            other.incarnation,
+            "a later life was heard",
+            other,
+            suspects,
+            at_wall_ms=now.wall_ms,
         )
         crashes.remember_ended(term, other, now)
     for incarnation, instance in _list_unheard_lives(term, worker):
@@ -40,10 +45,11 @@
             None,
             suspects,
             instance,
+            now.wall_ms,
         )
     for incarnation, silent in list(term.book.crashes.silent_workers.items()):
         if _is_earlier(incarnation, silent.instance, worker):
-            crashes.count_crash(term, incarnation, now)
+            giving_up.count_crash(term, incarnation, now)
 
 
 def _is_restart(
@@ -113,7 +119,11 @@
             continue
         suspects = crashes.find_suspects(term, worker.incarnation, worker, now)
         term.lose_all_runs(
-            worker.incarnation, "its lease ran out", worker, suspects
+            worker.incarnation,
+            "its lease ran out",
+            worker,
+            suspects,
+            at_wall_ms=now.wall_ms,
         )
         worker.running = {}
         worker.reserved = specs.Resources()
@@ -134,5 +144,10 @@
             instance = next((run.instance for run in runs), "")
             suspects = crashes.find_suspects(term, incarnation, None, now)
             term.lose_all_runs(
-                incarnation, "not heard in this term", None, suspects, instance
+                incarnation,
+                "not heard in this term",
+                None,
+                suspects,
+                instance,
+                now.wall_ms,
             )
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -29,12 +29,14 @@
     """How far a task that may crash its worker is kept apart from other jobs.
 
     If it is preferred, the worker gets tasks of other jobs only if they fit
-    nowhere else; if it is required, it gets none until the task has started.
+    nowhere else; if it is required, it gets none until the task has started. A
+    task that is held gets no worker for now.
     """
 
     NONE = "none"
     PREFERRED = "preferred"
     REQUIRED = "required"
+    HELD = "held"
 
 
 @dataclasses.dataclass(slots=True)
@@ -200,8 +202,11 @@
         isolation: How far the task must be kept apart.
 
     Returns:
-        Free capacity of the worker; None if the task fits on no worker.
+        Free capacity of the worker; None if the task fits on no worker or is
+        held.
     """
+    if isolation is Isolation.HELD:
+        return None
     needs = step.spec.reserved
     data_rack = step.spec.data_rack
     assigned = _count_assigned(step)
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -255,7 +255,7 @@
     avoided.update(incarnation.worker for incarnation in task.runs.values())
     now_ms = current.now.steady_ms
     tickets = _list_tickets(term, step, now_ms)
-    isolation = crashes.get_isolation(term, [task])
+    isolation = crashes.get_isolation(term, [task], current.now)
     capacity = placing.choose_worker(
         current.capacities, step, now_ms, frozenset(avoided), tickets, isolation
     )
@@ -332,7 +332,7 @@
         step,
         now_ms,
         tickets,
-        crashes.get_isolation(term, step.tasks),
+        crashes.get_isolation(term, step.tasks, current.now),
     )
     if places is None:
         return
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -9,6 +9,7 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import checkpoints
 from bambookeel.jobs import commands
+from bambookeel.jobs import crashes
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import losses
@@ -18,6 +19,10 @@
 from bambookeel.jobs import undelivered
 from bambookeel.jobs import workers as worker_table
 
+# A worker reports soon after the start of a suspect task, since a crash counts
+# less against a run that it has not reported.
+_CONFIRM_START_MS = 25
+
 
 def handle_report(
     term: term_state.Term, report: calls.WorkerReport, now: term_state.Now
@@ -279,6 +284,9 @@
             )
         )
     worker.ordered = {(start.task, start.run) for start in starts}
+    report_in_ms = term.settings.report_ms
+    if any(crashes.is_suspect(term, start.task) for start in starts):
+        report_in_ms = _CONFIRM_START_MS
     return calls.WorkerOrders(
         term.settings.lease_ms,
         acknowledged,
@@ -286,7 +294,7 @@
         tuple(starts),
         tuple(stops),
         _list_paces(term, worker, report),
-        term.settings.report_ms,
+        report_in_ms,
     )
 
 
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -268,6 +268,7 @@
         worker: worker_table.Worker | None,
         suspects: tuple[tuple[specs.TaskRef, int], ...] = (),
         instance: str = "",
+        at_wall_ms: int = 0,
     ) -> None:
         """Removes all runs of a worker whose runs are known to have ended.
 
@@ -278,6 +279,7 @@
             suspects: Tasks that have crashed the worker if it has crashed.
             instance: Instance of a worker that has not reported; empty if
                 unknown.
+            at_wall_ms: Unix time in milliseconds, if there are suspects.
         """
         if worker is not None:
             instance = worker.report.instance
@@ -289,7 +291,12 @@
         if lost:
             self.decide(
                 commands.LoseRuns(
-                    incarnation, reason, tuple(lost), instance, suspects
+                    incarnation,
+                    reason,
+                    tuple(lost),
+                    instance,
+                    suspects,
+                    at_wall_ms,
                 )
             )
             self.log_event(
--- a/features/fakes/jobs_crashes.py
+++ b/features/fakes/jobs_crashes.py
@@ -25,6 +25,9 @@
         self.crash_at_ms = {}
         self.back_at_ms = {}
         self.events = []
+        # Number of further orders to start runs that are lost since the worker
+        # crashes before it receives them.
+        self.lost_orders = 0
         super().__init__(seed, workers=0, faults=faults)
         for i in range(workers):
             self.add_worker(f"w{i}", "pack", labels=("a", f"r{i % racks}"))
@@ -75,6 +78,14 @@
             instance=worker.instance or f"m-{base}",
         )
 
+    def apply_orders(self, worker, orders, sent_ms):
+        """Applies orders, unless they are lost with the worker."""
+        if orders.starts and self.lost_orders:
+            self.lost_orders -= 1
+            self.crash_at_ms[worker.name] = self.now_ms
+            return
+        super().apply_orders(worker, orders, sent_ms)
+
     def count_crashes(self, task):
         """Counts the workers that a task has crashed."""
         return sum(task in tasks for _, _, tasks in self.crashes)
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -71,6 +71,26 @@
     And job "c" is "completed"
     And no guarantee was violated
 
+  Scenario Outline: A task waits while it is open whether it has crashed its last worker
+    Given a worker that crashes is back after <ms> ms under another id
+    When deadly job "a" of 4 tasks of kind "<kind>" is submitted
+    And the simulation runs for 60000 ms
+    Then job "a" is "failed"
+    And at most 3 workers have crashed
+
+    Examples:
+      | ms   | kind     |
+      | 5000 | plain    |
+      | 7000 | plain    |
+      | 7000 | gang     |
+      | 7000 | standing |
+
+  Scenario: A task does not wait for long for a worker that is gone for good
+    Given a worker that crashes is back after 7000 ms under another id
+    When deadly job "a" of 1 task is submitted
+    And the third worker that it crashes never comes back
+    Then it starts again after 6000 ms and within 9000 ms
+
   Scenario: A worker that a task has crashed gets work at once when it is back
     Given a simulation of 1 workers on 1 racks that deadly tasks can crash
     When deadly job "a" of 1 task is submitted
@@ -106,6 +126,18 @@
     And the simulation runs for 30000 ms
     Then job "a" is "completed"
 
+  Scenario: A task is not given up because two workers crash before they receive its order
+    Given 2 workers crash before they receive an order
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And the simulation runs for 20000 ms
+    Then job "b" is "active"
+
+  Scenario: A task whose workers were cut off and crash once its runs have lapsed is not given up
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And its worker is cut off and crashes once the run has lapsed, 2 times
+    And the simulation runs for 10000 ms
+    Then job "b" is "active"
+
   Scenario: A task that lasts is not blamed for the crash of a worker on which it worked for long
     Given a standing job of 3 tasks of which 1 may be unavailable
     When every worker that runs it crashes each 6000 ms, 5 times
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -32,6 +32,11 @@
     context.sim.renames = name == "another"
 
 
+@given("{count:d} workers crash before they receive an order")
+def lose_orders(context, count):
+    context.sim.lost_orders = count
+
+
 @when('deadly job "{job}" of {count:d} task is submitted')
 @when('deadly job "{job}" of {count:d} tasks is submitted')
 def submit_deadly(context, job, count):
@@ -63,6 +68,27 @@
     job_steps.submit_spec(context, job, spec)
 
 
+def _advance_to_crash(context, count):
+    while len(context.sim.crashes) < count:
+        context.sim.advance(jobs_simulation.STEP_MS)
+
+
+@when("the third worker that it crashes never comes back")
+def lose_third_worker(context):
+    _advance_to_crash(context, 3)
+    _, worker, _ = context.sim.crashes[-1]
+    del context.sim.back_at_ms[worker]
+
+
+@then("it starts again after {least_ms:d} ms and within {most_ms:d} ms")
+def check_next_start(context, least_ms, most_ms):
+    seen = len(context.sim.starts)
+    context.sim.advance(least_ms)
+    assert len(context.sim.starts) == seen, context.sim.starts
+    context.sim.advance(most_ms - least_ms)
+    assert len(context.sim.starts) == seen + 1, context.sim.starts
+
+
 @then("at most {count:d} workers have crashed")
 def check_crashes(context, count):
     assert len(context.sim.crashes) <= count, context.sim.crashes
@@ -115,6 +141,7 @@
     assigned, lost = commands.decode_batch(payload)
     assert (assigned.instance, assigned.at_wall_ms) == ("", 0), assigned
     assert (lost.instance, lost.suspects) == ("", ()), lost
+    assert lost.at_wall_ms == 0, lost
 
 
 @then("a snapshot of an earlier version restores the same book")
@@ -161,6 +188,25 @@
             worker.is_cut_off = False
 
 
+def _advance_to_start(context, count):
+    while len(context.sim.starts) < count:
+        context.sim.advance(jobs_simulation.STEP_MS)
+
+
+@when(
+    "its worker is cut off and crashes once the run has lapsed, {count:d} times"
+)
+def cut_off_and_crash(context, count):
+    for number in range(count):
+        _advance_to_start(context, number + 1)
+        context.sim.advance(1_000)
+        (worker,) = _list_working(context)
+        worker.is_cut_off = True
+        _advance_to_start(context, number + 2)
+        assert not worker.running, worker.running
+        context.sim.crash_worker(worker)
+
+
 @when("the racks lose power in turn for {ms:d} ms, {count:d} times")
 def lose_racks(context, ms, count):
     context.sim.down_ms = ms
