--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -59,6 +59,7 @@
                 self._end_open_job(
                     job, specs.JobState.FAILED, at_wall_ms, reason
                 )
+                self.crashes.apply(command, self.get_task)
             case commands.DropJobs(jobs):
                 for job in jobs:
                     self.jobs.pop(job, None)
--- a/bambookeel/jobs/book_crashes.py
+++ b/bambookeel/jobs/book_crashes.py
@@ -34,6 +34,8 @@
     Attributes:
         silent_workers: Workers of which it is open whether they have crashed.
         suspects: Tasks with evidence against them, also of ended jobs.
+        unexplained: Suspects of each crash for which no task has been given
+            up, with the weight of the evidence against each.
     """
 
     silent_workers: dict[specs.WorkerIncarnation, SilentWorker] = (
@@ -42,6 +44,9 @@
     suspects: dict[specs.TaskRef, None] = dataclasses.field(
         default_factory=dict
     )
+    unexplained: dict[
+        specs.WorkerIncarnation, tuple[tuple[specs.TaskRef, int], ...]
+    ] = dataclasses.field(default_factory=dict)
 
     def record_loss(
         self,
@@ -69,6 +74,13 @@
             command.instance, command.suspects, command.at_wall_ms
         )
         self.suspects = {ref: None for ref in self.suspects if ref.job in jobs}
+        self.unexplained = {
+            life: suspects
+            for life, suspects in self.unexplained.items()
+            if any(
+                ref.job in jobs and jobs[ref.job].is_open for ref, _ in suspects
+            )
+        }
 
     def apply(
         self,
@@ -84,13 +96,13 @@
         match command:
             case commands.WorkerCrashed(life):
                 silent = self.silent_workers.pop(life, None)
-                for ref, evidence in silent.suspects if silent else ():
-                    task = get_task(ref)
-                    if task is None or task.is_done:
-                        continue
-                    task.crashes += 1
-                    task.evidence += evidence
-                    self.suspects[task.ref] = None
+                if silent is not None:
+                    self._count_crash(life, silent.suspects, get_task)
+            case commands.GiveUpJob(_, _, _, ref):
+                task = get_task(ref) if ref is not None else None
+                if task is not None:
+                    task.is_given_up = True
+                    self._explain_crashes(task, get_task)
             case commands.WorkerReturned(life) | commands.WorkerEnded(life):
                 self.silent_workers.pop(life, None)
             case commands.ClearTasks(tasks):
@@ -99,3 +111,58 @@
                     task = get_task(ref)
                     if task is not None:
                         task.evidence = 0
+                        task.explained_evidence = 0
+                self._drop_suspects(frozenset(tasks))
+
+    def _count_crash(
+        self,
+        life: specs.WorkerIncarnation,
+        suspects: tuple[tuple[specs.TaskRef, int], ...],
+        get_task: Callable[[specs.TaskRef], book_records.Task | None],
+    ) -> None:
+        counted = []
+        culprit = None
+        for ref, evidence in suspects:
+            task = get_task(ref)
+            if task is None:
+                continue
+            if task.is_given_up:
+                culprit = task
+            if task.is_done:
+                continue
+            task.crashes += 1
+            task.evidence += evidence
+            self.suspects[task.ref] = None
+            counted.append((task.ref, evidence))
+        if counted:
+            self.unexplained[life] = tuple(counted)
+        if culprit is not None:
+            self._explain_crashes(culprit, get_task)
+
+    def _explain_crashes(
+        self,
+        culprit: book_records.Task,
+        get_task: Callable[[specs.TaskRef], book_records.Task | None],
+    ) -> None:
+        """Takes back the evidence from the crashes that a task has caused.
+
+        Args:
+            culprit: The task, whose job has been given up.
+            get_task: Looks up a task.
+        """
+        for life, suspects in list(self.unexplained.items()):
+            if all(ref != culprit.ref for ref, _ in suspects):
+                continue
+            del self.unexplained[life]
+            for ref, evidence in suspects:
+                task = get_task(ref)
+                if task is not None and task is not culprit:
+                    task.explained_evidence += evidence
+
+    def _drop_suspects(self, cleared: frozenset[specs.TaskRef]) -> None:
+        for life, suspects in list(self.unexplained.items()):
+            self.unexplained[life] = tuple(
+                (ref, evidence)
+                for ref, evidence in suspects
+                if ref not in cleared
+            )
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -23,6 +23,9 @@
         checkpoint: The newest checkpoint; empty for none.
         crashes: Number of workers that have crashed under its runs.
         evidence: Weight of the evidence that it has crashed them.
+        explained_evidence: Part of the evidence from crashes for which a task
+            that ran beside it has been given up.
+        is_given_up: Whether its job was given up because of it.
     """
 
     ref: specs.TaskRef
@@ -35,6 +38,8 @@
     checkpoint: str = ""
     crashes: int = 0
     evidence: int = 0
+    explained_evidence: int = 0
+    is_given_up: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -15,9 +15,12 @@
     failures: int
     is_done: bool
     saved: str
-    # Snapshots of earlier versions end here.
+    # Snapshots of earlier versions end here,
     crashes: int = 0
     evidence: int = 0
+    # or here.
+    explained_evidence: int = 0
+    is_given_up: bool = False
 
 
 class _SavedStep(msgspec.Struct, array_like=True):
@@ -61,6 +64,9 @@
     silent_workers: list[
         tuple[specs.WorkerIncarnation, book_crashes.SilentWorker]
     ] = []
+    unexplained_crashes: list[
+        tuple[specs.WorkerIncarnation, tuple[tuple[specs.TaskRef, int], ...]]
+    ] = []
 
 
 def encode_book(book: job_book.Book) -> bytes:
@@ -106,6 +112,7 @@
             book.instances.ordered_wall_ms,
             book.instances.ended_workers,
             list(book.crashes.silent_workers.items()),
+            list(book.crashes.unexplained.items()),
         )
     )
 
@@ -121,6 +128,8 @@
                 t.checkpoint,
                 t.crashes,
                 t.evidence,
+                t.explained_evidence,
+                t.is_given_up,
             )
             for t in step.tasks
         ]
@@ -157,6 +166,7 @@
     for job in book.jobs.values():
         _restore_progress(book, job)
     book.crashes.silent_workers = dict(saved.silent_workers)
+    book.crashes.unexplained = dict(saved.unexplained_crashes)
     book.instances.base_sizes = saved.base_sizes
     book.instances.ordered_wall_ms = saved.ordered_wall_ms
     book.instances.ended_workers = saved.ended_workers
@@ -190,6 +200,8 @@
             task.checkpoint = saved_task.saved
             task.crashes = saved_task.crashes
             task.evidence = saved_task.evidence
+            task.explained_evidence = saved_task.explained_evidence
+            task.is_given_up = saved_task.is_given_up
             if task.evidence:
                 book.crashes.suspects[task.ref] = None
 
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -129,11 +129,19 @@
 
 
 class GiveUpJob(msgspec.Struct, frozen=True, tag="giveup"):
-    """Ends a job as failed because one of its tasks crashes workers."""
+    """Ends a job as failed because one of its tasks crashes workers.
+
+    Attributes:
+        job: The job.
+        reason: Why it is given up, for its caller.
+        at_wall_ms: Unix time in milliseconds.
+        task: The task; None in logs of earlier versions.
+    """
 
     job: str
     reason: str
     at_wall_ms: int
+    task: specs.TaskRef | None = None
 
 
 class DropJobs(msgspec.Struct, frozen=True, tag="drop"):
--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -3,9 +3,7 @@
 A crash shows in the next report from the instance, which comes from a new
 incarnation of the worker. It counts against the runs that the worker had just
 started, most of all if they are of one job, and less against a run that the
-worker had not reported, since the order may have been lost with it. Suspects of
-different jobs then run apart from each other, so that the next crash tells them
-apart.
+worker had not reported, since the order may have been lost with it.
 """
 
 from collections.abc import Iterator
@@ -13,7 +11,6 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
-from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
@@ -25,22 +22,22 @@
     A task is given up after two crashes if only its job had certainly just
     started runs in one of them, after three if its own or those of other jobs
     may have begun, and after four if it was at work each time or it is not
-    known when the workers crashed.
+    known when the workers crashed. If the whole rack seems to have failed, the
+    crash is counted without weight.
     """
 
     ONLY_JOB_STARTED = 8
     MAY_HAVE_STARTED = 4
     AT_WORK = 3
+    RACK_FAILED = 0
 
 
 GIVE_UP_EVIDENCE = 12
-# Maximum time for which a task waits until it is known whether its last worker
-# has crashed.
-_MAX_HOLD_MS = 4_000
-# From here on the next crash decides, so that the task runs apart from others.
-_ISOLATE_EVIDENCE = 8
+# Number of crashes after which a task is given up although other tasks that
+# were given up explain some of them.
+MAX_CRASHES = 5
 # A run that a worker has reported for this long did not crash it by starting.
-_STARTED_MS = 2_000
+STARTED_MS = 2_000
 # A standing task that has worked for this long on one worker is no suspect.
 _CLEARED_MS = 10_000
 # Share of a rack's other workers that fall silent with one if the rack fails; a
@@ -70,10 +67,14 @@
 
     Returns:
         Open tasks with the evidence against them if the worker has crashed;
-        empty if its end has another cause.
+        empty if its end is known to have another cause.
     """
     runs = term.book.assigned_runs.get(incarnation, {})
-    if not runs or (worker is not None and _has_other_cause(term, worker, now)):
+    if not runs:
+        return ()
+    cause = _find_other_cause(term, worker) if worker is not None else ""
+    if worker is not None and cause:
+        _log_other_cause(term, worker, cause)
         return ()
     started = []
     at_work = []
@@ -82,11 +83,11 @@
         step = term.book.get_step(run.task)
         if step is None or not _may_have_begun(run, worker):
             continue
-        worked_ms = _measure_work_ms(run, worker, now)
+        worked_ms = measure_work_ms(run, worker, now)
         if worker is None:
             if not step.spec.is_standing or worked_ms < _CLEARED_MS:
                 at_work.append(run.task)
-        elif worked_ms < _STARTED_MS:
+        elif worked_ms < STARTED_MS:
             started.append(run.task)
             # After the end of its lease the worker may have crashed at any
             # time, and its runs have ended by themselves.
@@ -97,12 +98,10 @@
                 certain.append(run.task)
         elif not step.spec.is_standing:
             at_work.append(run.task)
-    if not started:
-        weights = dict.fromkeys(at_work, Evidence.AT_WORK)
-    else:
-        weights = dict.fromkeys(started, Evidence.MAY_HAVE_STARTED)
-        if len({ref.job for ref in started}) == 1:
-            weights.update(dict.fromkeys(certain, Evidence.ONLY_JOB_STARTED))
+    weights = _weigh(started, at_work, certain)
+    if worker is not None and _is_rack_dark(term, worker, now):
+        _log_other_cause(term, worker, "its whole rack has failed")
+        weights = dict.fromkeys(started, Evidence.RACK_FAILED)
     return tuple(
         (ref, weight)
         for ref, weight in weights.items()
@@ -110,6 +109,29 @@
     )
 
 
+def _weigh(
+    started: list[specs.TaskRef],
+    at_work: list[specs.TaskRef],
+    certain: list[specs.TaskRef],
+) -> dict[specs.TaskRef, Evidence]:
+    """Weighs a crash as evidence against the tasks on the worker.
+
+    Args:
+        started: Tasks that the worker may have just started.
+        at_work: Tasks that had worked for longer.
+        certain: Those of `started` that certainly ran when it crashed.
+
+    Returns:
+        Suspects with the evidence against each.
+    """
+    if not started:
+        return dict.fromkeys(at_work, Evidence.AT_WORK)
+    weights = dict.fromkeys(started, Evidence.MAY_HAVE_STARTED)
+    if len({ref.job for ref in started}) == 1:
+        weights.update(dict.fromkeys(certain, Evidence.ONLY_JOB_STARTED))
+    return weights
+
+
 def _may_have_begun(
     run: book_records.AssignedRun, worker: worker_table.Worker | None
 ) -> bool:
@@ -125,7 +147,7 @@
     return listed is not None and listed.run == run.run
 
 
-def _measure_work_ms(
+def measure_work_ms(
     run: book_records.AssignedRun,
     worker: worker_table.Worker | None,
     now: term_state.Now,
@@ -150,33 +172,8 @@
     return now.wall_ms - silent_ms - run.assigned_wall_ms
 
 
-def _has_other_cause(
-    term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
-) -> bool:
-    """Checks for a cause of a worker's end other than a task, and logs it.
-
-    Args:
-        term: State of the leader's term.
-        worker: A worker that has ended or fallen silent, with assigned runs.
-        now: Current time.
-
-    Returns:
-        True if no task is to blame.
-    """
-    cause = _find_other_cause(term, worker, now)
-    if not cause:
-        return False
-    term.log_event(
-        "no_task_blamed",
-        worker=worker.incarnation.worker,
-        instance=worker.report.instance,
-        cause=cause,
-    )
-    return True
-
-
 def _find_other_cause(
-    term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
+    term: term_state.Term, worker: worker_table.Worker
 ) -> str:
     report = worker.report
     if report.is_leaving:
@@ -184,11 +181,20 @@
     ordered_wall_ms = term.book.instances.ordered_wall_ms
     if ordered_wall_ms.get(report.instance, 0) > report.life.born_wall_ms:
         return "its instance was ordered away"
-    if _is_rack_dark(term, worker, now):
-        return "its whole rack has failed"
     return ""
 
 
+def _log_other_cause(
+    term: term_state.Term, worker: worker_table.Worker, cause: str
+) -> None:
+    term.log_event(
+        "no_task_blamed",
+        worker=worker.incarnation.worker,
+        instance=worker.report.instance,
+        cause=cause,
+    )
+
+
 def _is_rack_dark(
     term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
 ) -> bool:
@@ -258,7 +264,7 @@
         now: Current time.
     """
     cleared = []
-    for task in _list_suspects(term):
+    for task in list_suspects(term):
         step = term.book.get_step(task.ref)
         if step is None or not step.spec.is_standing:
             continue
@@ -267,126 +273,22 @@
             if worker is None or worker.incarnation != incarnation:
                 continue
             run = term.book.assigned_runs[incarnation][task.ref]
-            if _measure_work_ms(run, worker, now) >= _CLEARED_MS:
+            if measure_work_ms(run, worker, now) >= _CLEARED_MS:
                 cleared.append(task.ref)
     if cleared:
         term.decide(commands.ClearTasks(tuple(cleared)))
 
 
-def _list_suspects(term: term_state.Term) -> Iterator[book_records.Task]:
-    for ref in term.book.crashes.suspects:
-        task = term.book.get_task(ref)
-        if task is not None and task.evidence and term.is_task_open(ref):
-            yield task
-
-
-def is_suspect(term: term_state.Term, ref: specs.TaskRef) -> bool:
-    """Returns whether a task may have crashed a worker.
+def list_suspects(term: term_state.Term) -> Iterator[book_records.Task]:
+    """Lists the open tasks with evidence against them.
 
     Args:
         term: State of the leader's term.
-        ref: Identifies the task.
-
-    Returns:
-        True if there is evidence against it, or a silent worker that may have
-        crashed under it.
-    """
-    task = term.book.get_task(ref)
-    if task is None:
-        return False
-    return task.evidence > 0 or bool(_list_open_cases(term, task))
-
-
-def list_isolated_jobs(
-    term: term_state.Term, now: term_state.Now
-) -> dict[specs.WorkerIncarnation, dict[str, placing.Isolation]]:
-    """Lists the jobs with suspect tasks that each worker has just started.
 
-    Args:
-        term: State of the leader's term.
-        now: Current time.
-
-    Returns:
-        Jobs with their isolation, by worker; workers without any are left out.
+    Yields:
+        The tasks.
     """
-    found: dict[specs.WorkerIncarnation, dict[str, placing.Isolation]] = {}
-    for task in _list_suspects(term):
-        for incarnation in task.runs.values():
-            worker = term.workers.by_id.get(incarnation.worker)
-            run = term.book.assigned_runs[incarnation][task.ref]
-            if _measure_work_ms(run, worker, now) < _STARTED_MS:
-                jobs = found.setdefault(incarnation, {})
-                jobs[task.ref.job] = _choose_isolation(term, [task])
-    return found
-
-
-def get_isolation(
-    term: term_state.Term,
-    tasks: list[book_records.Task],
-    now: term_state.Now,
-) -> placing.Isolation:
-    """Returns how far tasks must be kept apart from those of other jobs.
-
-    A task is held if it will be given up as soon as a worker that is silent
-    turns out to have crashed.
-
-    Args:
-        term: State of the leader's term.
-        tasks: A task that waits for a worker or a copy, or those of a gang.
-        now: Current time.
-
-    Returns:
-        The isolation; a task whose worker is silent may have crashed it.
-    """
-    if any(_is_held(term, task, now) for task in tasks):
-        return placing.Isolation.HELD
-    return _choose_isolation(term, tasks)
-
-
-def _choose_isolation(
-    term: term_state.Term, tasks: list[book_records.Task]
-) -> placing.Isolation:
-    evidence = 0
-    for task in tasks:
-        open_cases = _list_open_cases(term, task)
-        pending = sum(weight for weight, _ in open_cases)
-        evidence = max(evidence, task.evidence + pending)
-    if evidence >= _ISOLATE_EVIDENCE:
-        return placing.Isolation.REQUIRED
-    if evidence or any(task.runs for task in tasks):
-        return placing.Isolation.PREFERRED
-    return placing.Isolation.NONE
-
-
-def _list_open_cases(
-    term: term_state.Term, task: book_records.Task
-) -> list[tuple[int, int]]:
-    """Lists the workers that are silent and that a task may have crashed.
-
-    Args:
-        term: State of the leader's term.
-        task: The task.
-
-    Returns:
-        Weight of the evidence and Unix time in milliseconds of the loss, for
-        each worker.
-    """
-    return [
-        (weight, silent.lost_wall_ms)
-        for silent in term.book.crashes.silent_workers.values()
-        for ref, weight in silent.suspects
-        if ref == task.ref
-    ]
-
-
-def _is_held(
-    term: term_state.Term, task: book_records.Task, now: term_state.Now
-) -> bool:
-    recent = [
-        weight
-        for weight, lost_wall_ms in _list_open_cases(term, task)
-        if 0 <= now.wall_ms - lost_wall_ms < _MAX_HOLD_MS
-    ]
-    if not recent:
-        return False
-    return task.evidence + sum(recent) >= GIVE_UP_EVIDENCE
+    for ref in term.book.crashes.suspects:
+        task = term.book.get_task(ref)
+        if task is not None and task.evidence and term.is_task_open(ref):
+            yield task
--- a/bambookeel/jobs/giving_up.py
+++ b/bambookeel/jobs/giving_up.py
@@ -1,6 +1,8 @@
 """Gives up tasks that crash their workers.
 
-Such a task would go on to crash the next worker with each new run.
+Such a task would go on to crash the next worker with each new run. Once it has
+been given up, its crashes are explained: they no longer count against the tasks
+that ran beside it.
 """
 
 from bambookeel.jobs import book_records
@@ -37,7 +39,7 @@
     )
     for ref, weight in silent.suspects:
         task = term.book.get_task(ref)
-        if task is None or not term.is_task_open(ref):
+        if task is None or not weight or not term.is_task_open(ref):
             continue
         term.log_event(
             "task_suspected",
@@ -47,9 +49,40 @@
             evidence=_EVIDENCE_NAMES.get(weight, weight),
             crashes=task.crashes,
             weight=f"{task.evidence}/{crashes.GIVE_UP_EVIDENCE}",
+            explained=task.explained_evidence,
         )
-        if task.evidence >= crashes.GIVE_UP_EVIDENCE:
-            _give_up(term, task, now)
+    while (task := _find_culprit(term, silent.suspects)) is not None:
+        _give_up(term, task, now)
+
+
+def _find_culprit(
+    term: term_state.Term, suspects: tuple[tuple[specs.TaskRef, int], ...]
+) -> book_records.Task | None:
+    """Finds the task that has most certainly caused a crash.
+
+    Args:
+        term: State of the leader's term.
+        suspects: Suspects of the crash with the weight of its evidence.
+
+    Returns:
+        The open task with the most evidence that is not explained; None if
+        there is not enough against any.
+    """
+    culprit = None
+    most = (crashes.GIVE_UP_EVIDENCE, 0)
+    for ref, weight in suspects:
+        task = term.book.get_task(ref)
+        if task is None or not term.is_task_open(ref):
+            continue
+        evidence = task.evidence
+        is_alone = weight >= crashes.Evidence.ONLY_JOB_STARTED
+        if not is_alone and task.crashes < crashes.MAX_CRASHES:
+            # The tasks given up explain its earlier crashes, but they do not
+            # clear it if it crashes a worker by itself.
+            evidence -= task.explained_evidence
+        if (evidence, task.evidence) >= most:
+            culprit, most = task, (evidence, task.evidence + 1)
+    return culprit
 
 
 def _give_up(
@@ -60,7 +93,7 @@
         f"task {task.ref.position} was given up: {task.crashes} workers have"
         " crashed under it"
     )
-    term.decide(commands.GiveUpJob(job.job_id, reason, now.wall_ms))
+    term.decide(commands.GiveUpJob(job.job_id, reason, now.wall_ms, task.ref))
     term.log_event(
         "job_given_up",
         job=job.job_id,
--- /dev/null
+++ b/bambookeel/jobs/isolating.py
@@ -0,0 +1,149 @@
+"""Keeps tasks that may have crashed a worker apart from those of other jobs.
+
+The next crash then tells them apart. A task that will be given up as soon as a
+silent worker turns out to have crashed waits for that.
+"""
+
+from bambookeel.jobs import book_records
+from bambookeel.jobs import crashes
+from bambookeel.jobs import placing
+from bambookeel.jobs import specs
+from bambookeel.jobs import term as term_state
+
+# From here on the next crash decides, so that the task runs apart from others.
+_ISOLATE_EVIDENCE = 8
+# Maximum time for which a task waits until it is known whether its last worker
+# has crashed.
+_MAX_HOLD_MS = 4_000
+
+
+def is_suspect(term: term_state.Term, ref: specs.TaskRef) -> bool:
+    """Returns whether a task may have crashed a worker.
+
+    Args:
+        term: State of the leader's term.
+        ref: Identifies the task.
+
+    Returns:
+        True if there is evidence against it, or a silent worker that may have
+        crashed under it.
+    """
+    task = term.book.get_task(ref)
+    if task is None:
+        return False
+    return task.evidence > 0 or bool(_list_open_cases(term, task))
+
+
+def list_isolated_jobs(
+    term: term_state.Term, now: term_state.Now
+) -> dict[specs.WorkerIncarnation, dict[str, placing.Isolation]]:
+    """Lists the jobs with suspect tasks that each worker has just started.
+
+    Args:
+        term: State of the leader's term.
+        now: Current time.
+
+    Returns:
+        Jobs with their isolation, by worker; workers without any are left out.
+    """
+    found: dict[specs.WorkerIncarnation, dict[str, placing.Isolation]] = {}
+    for task in crashes.list_suspects(term):
+        for incarnation in task.runs.values():
+            worker = term.workers.by_id.get(incarnation.worker)
+            run = term.book.assigned_runs[incarnation][task.ref]
+            if crashes.measure_work_ms(run, worker, now) < crashes.STARTED_MS:
+                jobs = found.setdefault(incarnation, {})
+                jobs[task.ref.job] = _choose_isolation(term, [task])
+    return found
+
+
+def get_isolation(
+    term: term_state.Term,
+    tasks: list[book_records.Task],
+    now: term_state.Now,
+) -> placing.Isolation:
+    """Returns how far tasks must be kept apart from those of other jobs.
+
+    A task is held if it will be given up as soon as a worker that is silent
+    turns out to have crashed.
+
+    Args:
+        term: State of the leader's term.
+        tasks: A task that waits for a worker or a copy, or those of a gang.
+        now: Current time.
+
+    Returns:
+        The isolation; a task whose worker is silent may have crashed it.
+    """
+    for task in tasks:
+        if _is_held(term, task, now):
+            _log_held(term, task)
+            return placing.Isolation.HELD
+        term.held.discard(task.ref)
+    return _choose_isolation(term, tasks)
+
+
+def _choose_isolation(
+    term: term_state.Term, tasks: list[book_records.Task]
+) -> placing.Isolation:
+    evidence = 0
+    for task in tasks:
+        open_cases = _list_open_cases(term, task)
+        pending = sum(weight for weight, _ in open_cases)
+        evidence = max(evidence, task.evidence + pending)
+    if evidence >= _ISOLATE_EVIDENCE:
+        return placing.Isolation.REQUIRED
+    if evidence or any(task.runs for task in tasks):
+        return placing.Isolation.PREFERRED
+    return placing.Isolation.NONE
+
+
+def _list_open_cases(
+    term: term_state.Term, task: book_records.Task
+) -> list[tuple[int, int]]:
+    """Lists the workers that are silent and that a task may have crashed.
+
+    Args:
+        term: State of the leader's term.
+        task: The task.
+
+    Returns:
+        Weight of the evidence and Unix time in milliseconds of the loss, for
+        each worker.
+    """
+    return [
+        (weight, silent.lost_wall_ms)
+        for silent in term.book.crashes.silent_workers.values()
+        for ref, weight in silent.suspects
+        if ref == task.ref
+    ]
+
+
+def _is_held(
+    term: term_state.Term, task: book_records.Task, now: term_state.Now
+) -> bool:
+    recent = [
+        weight
+        for weight, lost_wall_ms in _list_open_cases(term, task)
+        if 0 <= now.wall_ms - lost_wall_ms < _MAX_HOLD_MS
+    ]
+    if not recent:
+        return False
+    evidence = task.evidence - task.explained_evidence + sum(recent)
+    return (
+        evidence >= crashes.GIVE_UP_EVIDENCE
+        or task.crashes + len(recent) >= crashes.MAX_CRASHES
+    )
+
+
+def _log_held(term: term_state.Term, task: book_records.Task) -> None:
+    if task.ref in term.held:
+        return
+    term.held.add(task.ref)
+    term.log_event(
+        "task_held",
+        job=task.ref.job,
+        task=task.ref.position,
+        crashes=task.crashes,
+        silent_workers=len(_list_open_cases(term, task)),
+    )
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -15,8 +15,8 @@
 from bambookeel.jobs import caps
 from bambookeel.jobs import commands
 from bambookeel.jobs import copies
-from bambookeel.jobs import crashes
 from bambookeel.jobs import deferring
+from bambookeel.jobs import isolating
 from bambookeel.jobs import placing
 from bambookeel.jobs import shares as team_shares
 from bambookeel.jobs import specs
@@ -121,7 +121,7 @@
     usable = list_usable_workers(term, service, now.steady_ms)
     if not usable:
         return
-    isolated = crashes.list_isolated_jobs(term, now)
+    isolated = isolating.list_isolated_jobs(term, now)
     current = _Plan(placing.measure_free(usable, isolated), now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
@@ -255,7 +255,7 @@
     avoided.update(incarnation.worker for incarnation in task.runs.values())
     now_ms = current.now.steady_ms
     tickets = _list_tickets(term, step, now_ms)
-    isolation = crashes.get_isolation(term, [task], current.now)
+    isolation = isolating.get_isolation(term, [task], current.now)
     capacity = placing.choose_worker(
         current.capacities, step, now_ms, frozenset(avoided), tickets, isolation
     )
@@ -332,7 +332,7 @@
         step,
         now_ms,
         tickets,
-        crashes.get_isolation(term, step.tasks, current.now),
+        isolating.get_isolation(term, step.tasks, current.now),
     )
     if places is None:
         return
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -9,9 +9,9 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import checkpoints
 from bambookeel.jobs import commands
-from bambookeel.jobs import crashes
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
+from bambookeel.jobs import isolating
 from bambookeel.jobs import losses
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
@@ -285,7 +285,7 @@
         )
     worker.ordered = {(start.task, start.run) for start in starts}
     report_in_ms = term.settings.report_ms
-    if any(crashes.is_suspect(term, start.task) for start in starts):
+    if any(isolating.is_suspect(term, start.task) for start in starts):
         report_in_ms = _CONFIRM_START_MS
     return calls.WorkerOrders(
         term.settings.lease_ms,
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -85,6 +85,8 @@
         self.failed_on: dict[specs.TaskRef, set[str]] = {}
         # Stalled runs that their workers must stop.
         self.withdrawn: set[tuple[specs.TaskRef, int]] = set()
+        # Tasks that wait until it is known whether they have crashed a worker.
+        self.held: set[specs.TaskRef] = set()
         self.advice = advice.Advice()
         # Questions to the advisor that the leader has not fetched yet.
         self.questions: list[advice.Question] = []
@@ -173,6 +175,7 @@
             job: chains for job, chains in self.chains_ms.items() if job in jobs
         }
         self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
+        self.held = {ref for ref in self.held if ref.job in jobs}
         self.advice.retain_jobs(jobs)
 
     def compute_objective_wall_ms(
--- a/features/fakes/jobs_crashes.py
+++ b/features/fakes/jobs_crashes.py
@@ -1,6 +1,9 @@
 """Simulates tasks that crash the workers on which they run."""
 
+import msgspec
+
 from bambookeel.jobs import calls
+from bambookeel.jobs import commands
 from bambookeel.jobs import specs
 from features.fakes import jobs_simulation
 from features.fakes import jobs_worker
@@ -28,6 +31,8 @@
         # Number of further orders to start runs that are lost since the worker
         # crashes before it receives them.
         self.lost_orders = 0
+        # Book of a replica that passes over the newest fields of commands.
+        self.former_book = None
         super().__init__(seed, workers=0, faults=faults)
         for i in range(workers):
             self.add_worker(f"w{i}", "pack", labels=("a", f"r{i % racks}"))
@@ -36,6 +41,8 @@
         """Commits the batch and keeps the log events."""
         events = self.scheduler.take_log_events()
         self.events += events
+        for command in self.scheduler.term.batch if self.former_book else ():
+            self.former_book.apply(drop_new_fields(command))
         return super().commit()
 
     def get_events(self, name):
@@ -108,6 +115,16 @@
         self.crash_at_ms.setdefault(worker.name, at_ms)
 
 
+def drop_new_fields(command):
+    """Returns a command as the former version decodes it."""
+    match command:
+        case commands.LoseRuns():
+            return msgspec.structs.replace(command, at_wall_ms=0)
+        case commands.GiveUpJob():
+            return msgspec.structs.replace(command, task=None)
+    return command
+
+
 def simulate(seed, span_ms=30_000):
     """Runs a random simulation with deadly tasks among sound ones.
 
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -71,6 +71,13 @@
     And job "c" is "completed"
     And no guarantee was violated
 
+  Scenario: A task that ran beside several deadly tasks in turn is not given up
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And deadly jobs crash the worker of job "b" in turn, 4 times
+    Then job "b" is "active"
+    And each deadly job is "failed"
+    And no guarantee was violated
+
   Scenario Outline: A task waits while it is open whether it has crashed its last worker
     Given a worker that crashes is back after <ms> ms under another id
     When deadly job "a" of 4 tasks of kind "<kind>" is submitted
@@ -155,6 +162,14 @@
     Then entries of an earlier version of the log are decoded
     And a snapshot of an earlier version restores the same book
 
+  Scenario: A replica of the former version holds the same evidence
+    Given a replica of the former version
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And deadly jobs crash the worker of job "b" in turn, 3 times
+    Then each deadly job is "failed"
+    And the replica holds the same evidence
+    And a snapshot of the former version restores the same evidence
+
   Scenario Outline: Only deadly tasks are given up in random simulations
     When random simulations of deadly tasks with seeds <first> to <last> are run
     Then no run has violated a guarantee
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -85,10 +85,18 @@
     seen = len(context.sim.starts)
     context.sim.advance(least_ms)
     assert len(context.sim.starts) == seen, context.sim.starts
+    assert len(context.sim.get_events("task_held")) == 1
     context.sim.advance(most_ms - least_ms)
     assert len(context.sim.starts) == seen + 1, context.sim.starts
 
 
+@then('each deadly job is "{state}"')
+def check_deadly_jobs(context, state):
+    for task in context.sim.deadly:
+        answer = context.sim.ask(task.job)
+        assert answer.state.value == state, (task, answer)
+
+
 @then("at most {count:d} workers have crashed")
 def check_crashes(context, count):
     assert len(context.sim.crashes) <= count, context.sim.crashes
@@ -160,6 +168,42 @@
     assert book.ready == known.ready and book.usage.by_team
 
 
+@given("a replica of the former version")
+def add_replica(context):
+    context.sim.former_book = book_snapshot.decode_book(context.sim.committed)
+
+
+def _list_evidence(book):
+    return {
+        task.ref: (task.evidence, task.crashes, task.is_done, job.state)
+        for job in book.jobs.values()
+        for step in job.steps.values()
+        for task in step.tasks
+    }
+
+
+@then("the replica holds the same evidence")
+def check_replica(context):
+    evidence = _list_evidence(context.sim.scheduler.book)
+    assert _list_evidence(context.sim.former_book) == evidence, evidence
+    assert any(weight for weight, _, _, _ in evidence.values()), evidence
+
+
+@then("a snapshot of the former version restores the same evidence")
+def restore_former_snapshot(context):
+    saved = msgspec.msgpack.decode(context.sim.committed)
+    for job in saved["jobs"]:
+        for step in job["steps"]:
+            step[1] = [task[:6] for task in step[1]]
+    saved["silent_workers"] = [
+        (life, silent[:2]) for life, silent in saved["silent_workers"]
+    ]
+    del saved["unexplained_crashes"]
+    book = book_snapshot.decode_book(msgspec.msgpack.encode(saved))
+    evidence = _list_evidence(context.sim.scheduler.book)
+    assert _list_evidence(book) == evidence, evidence
+
+
 @when("a new leader takes over {ms:d} ms after each crash for {span:d} ms")
 def change_leaders(context, ms, span):
     simulation = context.sim
@@ -173,6 +217,27 @@
             simulation.start_leader()
 
 
+@when('deadly jobs crash the worker of job "{job}" in turn, {count:d} times')
+def crash_worker_of(context, job, count):
+    simulation = context.sim
+    name = job_steps.build_job_id(job)
+    for number in range(count):
+        simulation.advance(3_000)
+        submit_deadly_kind(context, str(number), 1, "plain")
+        seen = len(simulation.crashes)
+        workers = [
+            worker.name
+            for worker in simulation.workers.values()
+            if any(task.job == name for task in worker.running)
+        ]
+        assert workers, f"after {number} crashes the job does not run"
+        _advance_to_crash(context, seen + 1)
+        assert simulation.crashes[-1][1] in workers, simulation.crashes
+        # The next leader has not heard the worker.
+        simulation.start_leader()
+        simulation.advance(12_000)
+
+
 def _list_working(context):
     return [w for w in context.sim.workers.values() if w.is_up and w.running]
 
