--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -25,13 +25,14 @@
         ref: Identifies the task.
 
     Returns:
-        True if there is evidence against it, or a silent worker that may have
-        crashed under it.
+        True if there is evidence against it, a silent worker that may have
+        crashed under it, or a second run of it.
     """
     task = term.book.get_task(ref)
     if task is None:
         return False
-    return task.evidence > 0 or bool(_list_open_cases(term, task))
+    has_copy = len(task.runs) > 1
+    return has_copy or task.evidence > 0 or bool(_list_open_cases(term, task))
 
 
 def list_isolated_jobs(
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -21,7 +21,7 @@
 
 # A worker reports soon after the start of a suspect task, since a crash counts
 # less against a run that it has not reported.
-_CONFIRM_START_MS = 25
+_CONFIRM_START_MS = 10
 
 
 def handle_report(
