--- a/bambookeel/jobs/isolation.py
+++ b/bambookeel/jobs/kept_workers.py
@@ -9,6 +9,7 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import crashes
+from bambookeel.jobs import isolating
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -19,13 +20,14 @@
 
 
 def _list_waiting_steps(
-    term: term_state.Term, service: str
+    term: term_state.Term, service: str, now: term_state.Now
 ) -> list[book_records.Step]:
     """Lists the ready steps with a waiting task that must run apart.
 
     Args:
         term: State of the leader's term.
         service: Name of the service.
+        now: Current time.
 
     Returns:
         Steps in the order in which their tasks became suspect.
@@ -40,7 +42,7 @@
             continue
         if task.ref.task_index not in step.waiting:
             continue
-        isolation = crashes.get_isolation(term, [task])
+        isolation = isolating.get_isolation(term, [task], now)
         if isolation is placing.Isolation.REQUIRED:
             steps[step.key] = step
     return list(steps.values())
@@ -90,7 +92,7 @@
     term: term_state.Term,
     service: str,
     capacities: list[placing.FreeCapacity],
-    now_ms: int,
+    now: term_state.Now,
 ) -> None:
     """Keeps workers free of other suspects for tasks that must run apart.
 
@@ -98,9 +100,9 @@
         term: State of the leader's term.
         service: Name of the service.
         capacities: Free capacities of its workers, which are changed.
-        now_ms: Steady-clock time in milliseconds.
+        now: Current time.
     """
     left = max(1, int(len(capacities) * _MAX_KEPT_SHARE))
-    for step in _list_waiting_steps(term, service):
-        tickets = term.list_tickets(step, now_ms)
+    for step in _list_waiting_steps(term, service, now):
+        tickets = term.list_tickets(step, now.steady_ms)
         left -= _keep_for_step(step, capacities, tickets, left)
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -14,9 +14,9 @@
 from bambookeel.jobs import caps
 from bambookeel.jobs import commands
 from bambookeel.jobs import copies
-from bambookeel.jobs import crashes
 from bambookeel.jobs import deferring
-from bambookeel.jobs import isolation
+from bambookeel.jobs import isolating
+from bambookeel.jobs import kept_workers
 from bambookeel.jobs import placing
 from bambookeel.jobs import ranking
 from bambookeel.jobs import shares as team_shares
@@ -113,9 +113,9 @@
     usable = list_usable_workers(term, service, now.steady_ms)
     if not usable:
         return
-    isolated = crashes.list_isolated_jobs(term, now)
+    isolated = isolating.list_isolated_jobs(term, now)
     current = _Plan(placing.measure_free(usable, isolated), now)
-    isolation.keep_workers(term, service, current.capacities, now.steady_ms)
+    kept_workers.keep_workers(term, service, current.capacities, now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
     if current.shares is not None:
@@ -223,7 +223,8 @@
                 break
             if _place_task(term, current, step, task):
                 continue
-            if crashes.get_isolation(term, [task]) is placing.Isolation.NONE:
+            isolation = isolating.get_isolation(term, [task], current.now)
+            if isolation is placing.Isolation.NONE:
                 # The others of the step fit nowhere either.
                 break
         maximum = placing.find_maximum(current.capacities)
@@ -254,15 +255,15 @@
     avoided.update(incarnation.worker for incarnation in task.runs.values())
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
-    apart = crashes.get_isolation(term, [task])
+    isolation = isolating.get_isolation(term, [task], current.now)
     capacity = placing.choose_worker(
-        current.capacities, step, now_ms, frozenset(avoided), tickets, apart
+        current.capacities, step, now_ms, frozenset(avoided), tickets, isolation
     )
     if capacity is None:
         return False
     if capacity.worker.incarnation in task.runs.values():
         return True
-    capacity.reserve(step.key, step.spec.reserved, apart)
+    capacity.reserve(step.key, step.spec.reserved, isolation)
     _add_assignment(term, current, step, task, capacity, tickets)
     return True
 
@@ -312,7 +313,7 @@
         step,
         now_ms,
         tickets,
-        crashes.get_isolation(term, step.tasks),
+        isolating.get_isolation(term, step.tasks, current.now),
     )
     if places is None:
         return
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -57,8 +57,8 @@
         self.settings = settings
         self.fencing_token = fencing_token
         self.workers = worker_table.WorkerTable()
-        # Rack and time of the last report of workers that ended lately.
-        self.ended_workers: list[tuple[str, int]] = []
+        # Workers that ended lately.
+        self.ended_workers: list[worker_table.EndedWorker] = []
         self.run_times = objectives.RunTimes()
         self.instance_controller = steering.InstanceController(
             settings, now.steady_ms
@@ -86,6 +86,8 @@
         self.failed_on: dict[specs.TaskRef, set[str]] = {}
         # Stalled runs that their workers must stop.
         self.withdrawn: set[tuple[specs.TaskRef, int]] = set()
+        # Tasks that wait until it is known whether they have crashed a worker.
+        self.held: set[specs.TaskRef] = set()
         self.advice = advice.Advice()
         # Questions to the advisor that the leader has not fetched yet.
         self.questions: list[advice.Question] = []
@@ -176,6 +178,7 @@
             job: chains for job, chains in self.chains_ms.items() if job in jobs
         }
         self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
+        self.held = {ref for ref in self.held if ref.job in jobs}
         self.advice.retain_jobs(jobs)
 
     def list_tickets(
@@ -288,6 +291,7 @@
         worker: worker_table.Worker | None,
         suspects: tuple[tuple[specs.TaskRef, int], ...] = (),
         instance: str = "",
+        at_wall_ms: int = 0,
     ) -> None:
         """Removes all runs of a worker whose runs are known to have ended.
 
@@ -298,6 +302,7 @@
             suspects: Tasks that have crashed the worker if it has crashed.
             instance: Instance of a worker that has not reported; empty if
                 unknown.
+            at_wall_ms: Unix time in milliseconds, if there are suspects.
         """
         if worker is not None:
             instance = worker.report.instance
@@ -309,7 +314,12 @@
         if lost:
             self.decide(
                 commands.LoseRuns(
-                    incarnation, reason, tuple(lost), instance, suspects
+                    incarnation,
+                    reason,
+                    tuple(lost),
+                    instance,
+                    suspects,
+                    at_wall_ms,
                 )
             )
             self.log_event(
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -4,7 +4,7 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import caps
-from bambookeel.jobs import crashes
+from bambookeel.jobs import isolating
 from bambookeel.jobs import placing
 from bambookeel.jobs import planning
 from bambookeel.jobs import term as term_state
@@ -54,8 +54,8 @@
     if place(capacities, step, now_ms, tickets=tickets) is None:
         return Reason.NO_ROOM
     tasks = [step.tasks[index] for index in step.waiting]
-    isolation = crashes.get_isolation(term, tasks)
-    isolated = crashes.list_isolated_jobs(term, now)
+    isolation = isolating.get_isolation(term, tasks, now)
+    isolated = isolating.list_isolated_jobs(term, now)
     capacities = placing.measure_free(workers, isolated)
     if not place(
         capacities, step, now_ms, tickets=tickets, isolation=isolation
--- a/features/fakes/jobs_crashes.py
+++ b/features/fakes/jobs_crashes.py
@@ -1,6 +1,9 @@
 """Simulates tasks that crash the workers on which they run."""
 
+import msgspec
+
 from bambookeel.jobs import calls
+from bambookeel.jobs import commands
 from bambookeel.jobs import specs
 from features.fakes import jobs_simulation
 from features.fakes import jobs_worker
@@ -25,6 +28,11 @@
         self.crash_at_ms = {}
         self.back_at_ms = {}
         self.events = []
+        # Number of further orders to start runs that are lost since the worker
+        # crashes before it receives them.
+        self.lost_orders = 0
+        # Book of a replica that passes over the newest fields of commands.
+        self.former_book = None
         super().__init__(seed, workers=0, faults=faults)
         for i in range(workers):
             self.add_worker(f"w{i}", "pack", labels=("a", f"r{i % racks}"))
@@ -33,6 +41,8 @@
         """Commits the batch and keeps the log events."""
         events = self.scheduler.take_log_events()
         self.events += events
+        for command in self.scheduler.term.batch if self.former_book else ():
+            self.former_book.apply(drop_new_fields(command))
         return super().commit()
 
     def get_events(self, name):
@@ -75,6 +85,14 @@
             instance=worker.instance or f"m-{base}",
         )
 
+    def apply_orders(self, worker, orders, sent_ms):
+        """Applies orders, unless they are lost with the worker."""
+        if orders.starts and self.lost_orders:
+            self.lost_orders -= 1
+            self.crash_at_ms[worker.name] = self.now_ms
+            return
+        super().apply_orders(worker, orders, sent_ms)
+
     def count_crashes(self, task):
         """Counts the workers that a task has crashed."""
         return sum(task in tasks for _, _, tasks in self.crashes)
@@ -97,6 +115,16 @@
         self.crash_at_ms.setdefault(worker.name, at_ms)
 
 
+def drop_new_fields(command):
+    """Returns a command as the former version decodes it."""
+    match command:
+        case commands.LoseRuns():
+            return msgspec.structs.replace(command, at_wall_ms=0)
+        case commands.GiveUpJob():
+            return msgspec.structs.replace(command, task=None)
+    return command
+
+
 def simulate(seed, span_ms=30_000):
     """Runs a random simulation with deadly tasks among sound ones.
 
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -29,6 +29,23 @@
       | 7000 | the same    |
       | 1000 | another     |
       | 7000 | another     |
+      | 75   | the same    |
+      | 150  | another     |
+
+  Scenario Outline: Workers that restart in turn are no rack that has failed
+    Given a simulation of <count> workers on 1 racks that deadly tasks can crash
+    And a worker that crashes is back after <ms> ms under another id
+    When deadly job "a" of 4 tasks is submitted
+    And the simulation runs for 60000 ms
+    Then job "a" is "failed"
+    And at most 3 workers have crashed
+    And no guarantee was violated
+
+    Examples:
+      | count | ms |
+      | 2     | 25 |
+      | 2     | 75 |
+      | 3     | 75 |
 
   Scenario Outline: A task of any kind is given up
     When deadly job "a" of 4 tasks of kind "<kind>" is submitted
@@ -54,6 +71,33 @@
     And job "c" is "completed"
     And no guarantee was violated
 
+  Scenario: A task that ran beside several deadly tasks in turn is not given up
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And deadly jobs crash the worker of job "b" in turn, 4 times
+    Then job "b" is "active"
+    And each deadly job is "failed"
+    And no guarantee was violated
+
+  Scenario Outline: A task waits while it is open whether it has crashed its last worker
+    Given a worker that crashes is back after <ms> ms under another id
+    When deadly job "a" of 4 tasks of kind "<kind>" is submitted
+    And the simulation runs for 60000 ms
+    Then job "a" is "failed"
+    And at most 3 workers have crashed
+
+    Examples:
+      | ms   | kind     |
+      | 5000 | plain    |
+      | 7000 | plain    |
+      | 7000 | gang     |
+      | 7000 | standing |
+
+  Scenario: A task does not wait for long for a worker that is gone for good
+    Given a worker that crashes is back after 7000 ms under another id
+    When deadly job "a" of 1 task is submitted
+    And the third worker that it crashes never comes back
+    Then it starts again after 6000 ms and within 9000 ms
+
   Scenario: A worker that a task has crashed gets work at once when it is back
     Given a simulation of 1 workers on 1 racks that deadly tasks can crash
     When deadly job "a" of 1 task is submitted
@@ -89,6 +133,18 @@
     And the simulation runs for 30000 ms
     Then job "a" is "completed"
 
+  Scenario: A task is not given up because two workers crash before they receive its order
+    Given 2 workers crash before they receive an order
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And the simulation runs for 20000 ms
+    Then job "b" is "active"
+
+  Scenario: A task whose workers were cut off and crash once its runs have lapsed is not given up
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And its worker is cut off and crashes once the run has lapsed, 2 times
+    And the simulation runs for 10000 ms
+    Then job "b" is "active"
+
   Scenario: A task that lasts is not blamed for the crash of a worker on which it worked for long
     Given a standing job of 3 tasks of which 1 may be unavailable
     When every worker that runs it crashes each 6000 ms, 5 times
@@ -106,6 +162,14 @@
     Then entries of an earlier version of the log are decoded
     And a snapshot of an earlier version restores the same book
 
+  Scenario: A replica of the former version holds the same evidence
+    Given a replica of the former version
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And deadly jobs crash the worker of job "b" in turn, 3 times
+    Then each deadly job is "failed"
+    And the replica holds the same evidence
+    And a snapshot of the former version restores the same evidence
+
   Scenario Outline: Only deadly tasks are given up in random simulations
     When random simulations of deadly tasks with seeds <first> to <last> are run
     Then no run has violated a guarantee
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -33,6 +33,11 @@
     context.sim.renames = name == "another"
 
 
+@given("{count:d} workers crash before they receive an order")
+def lose_orders(context, count):
+    context.sim.lost_orders = count
+
+
 @when('deadly job "{job}" of {count:d} task is submitted')
 @when('deadly job "{job}" of {count:d} tasks is submitted')
 def submit_deadly(context, job, count):
@@ -64,6 +69,35 @@
     job_steps.submit_spec(context, job, spec)
 
 
+def _advance_to_crash(context, count):
+    while len(context.sim.crashes) < count:
+        context.sim.advance(jobs_simulation.STEP_MS)
+
+
+@when("the third worker that it crashes never comes back")
+def lose_third_worker(context):
+    _advance_to_crash(context, 3)
+    _, worker, _ = context.sim.crashes[-1]
+    del context.sim.back_at_ms[worker]
+
+
+@then("it starts again after {least_ms:d} ms and within {most_ms:d} ms")
+def check_next_start(context, least_ms, most_ms):
+    seen = len(context.sim.starts)
+    context.sim.advance(least_ms)
+    assert len(context.sim.starts) == seen, context.sim.starts
+    assert len(context.sim.get_events("task_held")) == 1
+    context.sim.advance(most_ms - least_ms)
+    assert len(context.sim.starts) == seen + 1, context.sim.starts
+
+
+@then('each deadly job is "{state}"')
+def check_deadly_jobs(context, state):
+    for task in context.sim.deadly:
+        answer = context.sim.ask(task.job)
+        assert answer.state.value == state, (task, answer)
+
+
 @then("at most {count:d} workers have crashed")
 def check_crashes(context, count):
     assert len(context.sim.crashes) <= count, context.sim.crashes
@@ -116,6 +150,7 @@
     assigned, lost = commands.decode_batch(payload)
     assert (assigned.instance, assigned.at_wall_ms) == ("", 0), assigned
     assert (lost.instance, lost.suspects) == ("", ()), lost
+    assert lost.at_wall_ms == 0, lost
 
 
 @then("a snapshot of an earlier version restores the same book")
@@ -134,6 +169,42 @@
     assert book.ready == known.ready and book.usage.by_team
 
 
+@given("a replica of the former version")
+def add_replica(context):
+    context.sim.former_book = book_snapshot.decode_book(context.sim.committed)
+
+
+def _list_evidence(book):
+    return {
+        task.ref: (task.evidence, task.crashes, task.is_done, job.state)
+        for job in book.jobs.values()
+        for step in job.steps.values()
+        for task in step.tasks
+    }
+
+
+@then("the replica holds the same evidence")
+def check_replica(context):
+    evidence = _list_evidence(context.sim.scheduler.book)
+    assert _list_evidence(context.sim.former_book) == evidence, evidence
+    assert any(weight for weight, _, _, _ in evidence.values()), evidence
+
+
+@then("a snapshot of the former version restores the same evidence")
+def restore_former_snapshot(context):
+    saved = msgspec.msgpack.decode(context.sim.committed)
+    for job in saved["jobs"]:
+        for step in job["steps"]:
+            step[1] = [task[:6] for task in step[1]]
+    saved["silent_workers"] = [
+        (life, silent[:2]) for life, silent in saved["silent_workers"]
+    ]
+    del saved["unexplained_crashes"]
+    book = book_snapshot.decode_book(msgspec.msgpack.encode(saved))
+    evidence = _list_evidence(context.sim.scheduler.book)
+    assert _list_evidence(book) == evidence, evidence
+
+
 @when("a new leader takes over {ms:d} ms after each crash for {span:d} ms")
 def change_leaders(context, ms, span):
     simulation = context.sim
@@ -147,6 +218,27 @@
             simulation.start_leader()
 
 
+@when('deadly jobs crash the worker of job "{job}" in turn, {count:d} times')
+def crash_worker_of(context, job, count):
+    simulation = context.sim
+    name = job_steps.build_job_id(job)
+    for number in range(count):
+        simulation.advance(3_000)
+        submit_deadly_kind(context, str(number), 1, "plain")
+        seen = len(simulation.crashes)
+        workers = [
+            worker.name
+            for worker in simulation.workers.values()
+            if any(task.job == name for task in worker.running)
+        ]
+        assert workers, f"after {number} crashes the job does not run"
+        _advance_to_crash(context, seen + 1)
+        assert simulation.crashes[-1][1] in workers, simulation.crashes
+        # The next leader has not heard the worker.
+        simulation.start_leader()
+        simulation.advance(12_000)
+
+
 def _list_working(context):
     return [w for w in context.sim.workers.values() if w.is_up and w.running]
 
@@ -162,6 +254,25 @@
             worker.is_cut_off = False
 
 
+def _advance_to_start(context, count):
+    while len(context.sim.starts) < count:
+        context.sim.advance(jobs_simulation.STEP_MS)
+
+
+@when(
+    "its worker is cut off and crashes once the run has lapsed, {count:d} times"
+)
+def cut_off_and_crash(context, count):
+    for number in range(count):
+        _advance_to_start(context, number + 1)
+        context.sim.advance(1_000)
+        (worker,) = _list_working(context)
+        worker.is_cut_off = True
+        _advance_to_start(context, number + 2)
+        assert not worker.running, worker.running
+        context.sim.crash_worker(worker)
+
+
 @when("the racks lose power in turn for {ms:d} ms, {count:d} times")
 def lose_racks(context, ms, count):
     context.sim.down_ms = ms
