--- a/bambookeel/net/addresses.py
+++ b/bambookeel/net/addresses.py
@@ -1,6 +1,20 @@
 """Addresses of the form `ip:port`."""
 
 import ipaddress
+import typing
+
+import msgspec
+
+# Address of a process that the platform names: an IP address or a host name.
+HostPort = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"\A(\[[0-9A-Fa-f:.]+\]|[^\s:/\[\]]+):0*([1-9][0-9]{0,3}|[1-5]"
+        r"[0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])\Z",
+        max_length=255,
+    ),
+]
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -22,3 +36,25 @@
     host = host.removeprefix("[").removesuffix("]")
     ipaddress.ip_address(host)
     return host, int(port)
+
+
+def replace_ports(entries: list[object], port: int) -> list[str]:
+    """Lists the addresses of one port at the hosts of other addresses.
+
+    Args:
+        entries: Addresses of the form `ip:port`; any other value is skipped.
+        port: Port of the result.
+
+    Returns:
+        Address of each host, with the port.
+    """
+    found = []
+    for entry in entries:
+        if not isinstance(entry, str):
+            continue
+        try:
+            parse_address(entry)
+        except ValueError:
+            continue
+        found.append(f"{entry.rpartition(':')[0]}:{port}")
+    return found
--- a/bambookeel/net/json_answers.py
+++ b/bambookeel/net/json_answers.py
@@ -17,6 +17,11 @@
 Environ = dict[str, typing.Any]
 
 _MS_PER_S = 1_000
+# Part of a caller's deadline that is reserved for sending the response.
+REPLY_TIME_MS = 150
+_MIN_DEADLINE_MS = 2 * REPLY_TIME_MS
+_DEFAULT_DEADLINE_MS = 3_000
+_MAX_DEADLINE_MS = 30_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,3 +147,20 @@
         return body
     is_large = body.reason is outcomes.Reason.BODY_TOO_LARGE
     return build_error(413 if is_large else 400, body.detail)
+
+
+def parse_deadline_ms(text: str) -> int:
+    """Parses the time for which a caller waits for its response.
+
+    Args:
+        text: Value of the caller's header field; may be anything.
+
+    Returns:
+        Time in milliseconds within fixed bounds; a default if the text is no
+        number.
+    """
+    try:
+        deadline_ms = int(text)
+    except ValueError:
+        return _DEFAULT_DEADLINE_MS
+    return max(_MIN_DEADLINE_MS, min(deadline_ms, _MAX_DEADLINE_MS))
