--- a/bambookeel/node/advisor_task.py
+++ b/bambookeel/node/advisor_task.py
@@ -8,8 +8,12 @@
 import gevent
 
 from bambookeel.jobs import advice
+from bambookeel.runtime import logs
 from bambookeel.runtime import mailbox
 
+# Limit of an error in a log line.
+_MAX_CHARS = 200
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceResult:
@@ -46,5 +50,10 @@
         gevent.spawn(self._ask, question, term)
 
     def _ask(self, question: advice.Question, term: int) -> None:
-        approvals = self._advisor.ask(question)
+        approvals = None
+        try:
+            approvals = self._advisor.ask(question)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # Without a result, no other question would ever be asked.
+            logs.log_event("advisor_failed", error=repr(error)[:_MAX_CHARS])
         self._target.put(AdviceResult(question, approvals, term))
--- a/bambookeel/node/provider_task.py
+++ b/bambookeel/node/provider_task.py
@@ -14,6 +14,7 @@
 
 from bambookeel.jobs import instances
 from bambookeel.runtime import clock
+from bambookeel.runtime import logs
 from bambookeel.runtime import mailbox
 
 # Maximum number of orders in progress at once.
@@ -21,6 +22,8 @@
 # Maximum wait of an order while others are in progress. The next leader relies
 # on the time at which an order was recorded, so it must be sent soon after.
 _MAX_WAIT_MS = 2_000
+# Limit of an error in a log line.
+_MAX_CHARS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +50,11 @@
     term: int
 
 
+def _log_failure(error: Exception) -> None:
+    """Logs a failed call; the leader still waits for the call's result."""
+    logs.log_event("provider_failed", error=repr(error)[:_MAX_CHARS])
+
+
 class ProviderTask:
     """Runs each call to the provider in a task of its own."""
 
@@ -90,7 +98,10 @@
                     self._holder, str(term), functools.partial(leads, term)
                 )
                 if holder.leads():
+                    outcome = instances.OrderOutcome.UNKNOWN
                     outcome = self._provider.carry_out(order, holder)
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                _log_failure(error)
             finally:
                 self._slots.release()
         self._target.put(OrderResult(order, outcome, term))
@@ -105,5 +116,9 @@
 
     def _list(self, term: int) -> None:
         asked_ms = clock.read_now_ms()
-        listed = self._provider.list_instances()
+        listed = None
+        try:
+            listed = self._provider.list_instances()
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            _log_failure(error)
         self._target.put(InstanceListResult(listed, asked_ms, term))
--- a/features/fakes/platform_advisor.py
+++ b/features/fakes/platform_advisor.py
@@ -10,6 +10,8 @@
 
     def __init__(self, address, approved):
         self.approved = approved
+        # Bodies that are sent, one each, before any right answer.
+        self.odd_bodies = []
         self.tickets = {}
         self.calls = []
         advisor = self
@@ -21,7 +23,11 @@
                 """Answers a question."""
                 size = int(self.headers["Content-Length"])
                 question = json.loads(self.rfile.read(size))
-                body = json.dumps(advisor.decide(self.path, question)).encode()
+                if advisor.odd_bodies:
+                    body = advisor.odd_bodies.pop(0)
+                else:
+                    answer = advisor.decide(self.path, question)
+                    body = json.dumps(answer).encode()
                 self.send_response(200)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -52,6 +52,7 @@
       | {"node_name":"n"}        | missing required field    |
       | {"node_name":4}          | $.node_name               |
       | not JSON                 | JSON is malformed         |
+      | nested 100000 deep       | missing required field    |
 
   Scenario: Bounds may hold fractions
     When the settings with these bounds are converted
