--- a/features/platform/provider.feature
+++ b/features/platform/provider.feature
@@ -35,3 +35,7 @@
     When the provider's service sends "HTTP/1.1 200 OK~Content-Length: 0~~"
     And a leader whose lease ends as it connects gives an order
     Then nothing was sent to the provider
+
+  Scenario: The provider's list says what a worker on each instance can hold
+    When the provider lists an instance of 64000 milli-cores, 262144 MB and labels "a,r1-3"
+    Then the instance can hold 64000 milli-cores and 262144 MB, with labels "a,r1-3"
--- a/features/steps/odd_answer_steps.py
+++ b/features/steps/odd_answer_steps.py
@@ -265,3 +265,30 @@
         if "event=seeds_changed" in line
     )
     assert "10.0.0.1:" not in line and len(line) < 400, line
+
+
+@when(
+    "the provider lists an instance of {cpu:d} milli-cores, {mb:d} MB and"
+    ' labels "{labels}"'
+)
+def list_instance(context, cpu, mb, labels):
+    entry = {
+        "machine": "m1",
+        "pool": "pack",
+        "state": "up",
+        "capacity": {"cpu": cpu, "mem_mb": mb, "gpu": 0},
+        "labels": labels.split(","),
+    }
+    service = _serve(context, json.dumps({"machines": [entry]}).encode())
+    provider = adapter_provider.HttpProvider(service.address)
+    (context.instance,) = provider.list_instances()
+
+
+@then(
+    "the instance can hold {cpu:d} milli-cores and {mb:d} MB, with labels"
+    ' "{labels}"'
+)
+def check_instance(context, cpu, mb, labels):
+    found = context.instance
+    assert found.capacity == specs.Resources(cpu, mb, 0), found
+    assert found.labels == tuple(labels.split(",")), found
