--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -34,6 +34,8 @@
         now: Current time.
         team_usage: Resources that the plan has assigned to each team.
         assignments: Runs that the plan has assigned, by worker.
+        closable: Number of workers that tasks that must run apart may close
+            for others.
         shares: The teams' shares of the service; None while all waiting tasks
             fit.
         placed: Tasks that the plan has assigned.
@@ -41,6 +43,7 @@
 
     capacities: list[placing.FreeCapacity]
     now: term_state.Now
+    closable: int
     team_usage: dict[str, specs.Resources] = dataclasses.field(
         default_factory=dict
     )
@@ -114,7 +117,9 @@
     if not usable:
         return
     isolated = isolating.list_isolated_jobs(term, now)
-    current = _Plan(placing.measure_free(usable, isolated), now)
+    capacities = placing.measure_free(usable, isolated)
+    closable = kept_workers.count_closable(steps, capacities)
+    current = _Plan(capacities, now, closable)
     kept_workers.keep_workers(term, service, current.capacities, now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
@@ -256,8 +261,11 @@
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
     isolation = isolating.get_isolation(term, [task], current.now)
+    capacities = kept_workers.list_open_to(
+        step.key[0], isolation, current.capacities, current.closable
+    )
     capacity = placing.choose_worker(
-        current.capacities, step, now_ms, frozenset(avoided), tickets, isolation
+        capacities, step, now_ms, frozenset(avoided), tickets, isolation
     )
     if capacity is None:
         return False
@@ -308,13 +316,11 @@
         return
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
-    places = placing.place_gang(
-        current.capacities,
-        step,
-        now_ms,
-        tickets,
-        isolating.get_isolation(term, step.tasks, current.now),
+    isolation = isolating.get_isolation(term, step.tasks, current.now)
+    capacities = kept_workers.list_open_to(
+        step.key[0], isolation, current.capacities, current.closable
     )
+    places = placing.place_gang(capacities, step, now_ms, tickets, isolation)
     if places is None:
         return
     for task, capacity in zip(step.tasks, places):
