--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -61,6 +61,12 @@
       | copies   |
       | timed    |
 
+  Scenario: A task that allows copies is given up after two crashes
+    When deadly job "a" of 4 tasks of kind "copies" is submitted
+    And the simulation runs for 60000 ms
+    Then job "a" is "failed"
+    And at most 2 workers have crashed
+
   Scenario: Tasks that ran beside a task that crashes workers end well
     When job "b" of 1 step of 20 tasks of 1500 ms is submitted
     And deadly job "a" of 4 tasks is submitted
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -11,6 +11,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import specs
 from features.fakes import jobs_crashes
+from features.fakes import jobs_mixed_crashes
 from features.fakes import jobs_provider
 from features.fakes import jobs_simulation
 from features.steps import job_steps
@@ -308,3 +309,11 @@
 )
 def simulate_seeds(context, first, last):
     job_steps.simulate_each(context, first, last, jobs_crashes.simulate)
+
+
+@when(
+    "random simulations of deadly tasks among other faults with seeds"
+    " {first:d} to {last:d} are run"
+)
+def simulate_mixed(context, first, last):
+    job_steps.simulate_each(context, first, last, jobs_mixed_crashes.simulate)
