--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -251,13 +251,12 @@
     """
     if not caps.allows(term, step, 1, current.team_usage):
         return False
-    avoided = set(term.failed_on.get(task.ref, ()))
-    avoided.update(incarnation.worker for incarnation in task.runs.values())
+    avoided = term.list_avoided(task)
     now_ms = current.now.steady_ms
     tickets = _list_tickets(term, step, now_ms)
     isolation = isolating.get_isolation(term, [task], current.now)
     capacity = placing.choose_worker(
-        current.capacities, step, now_ms, frozenset(avoided), tickets, isolation
+        current.capacities, step, now_ms, avoided, tickets, isolation
     )
     if capacity is None:
         return False
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -145,6 +145,9 @@
         now: Current time.
     """
     step = term.book.get_step(end.task)
+    if end.how is specs.RunEnd.REFUSED:
+        refused_on = term.refused_on.setdefault(end.task, set())
+        refused_on.add(worker.incarnation.worker)
     if step is None or step.spec.is_standing:
         return
     if end.how is specs.RunEnd.FAILED:
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -83,6 +83,8 @@
         self.deferred: dict[str, tuple[int, frozenset[str]]] = {}
         # Workers on which a task has failed.
         self.failed_on: dict[specs.TaskRef, set[str]] = {}
+        # Workers that have refused to start a task.
+        self.refused_on: dict[specs.TaskRef, set[str]] = {}
         # Stalled runs that their workers must stop.
         self.withdrawn: set[tuple[specs.TaskRef, int]] = set()
         # Tasks that wait until it is known whether they have crashed a worker.
@@ -166,6 +168,11 @@
             for task, names in self.failed_on.items()
             if task.job in jobs
         }
+        self.refused_on = {
+            task: names
+            for task, names in self.refused_on.items()
+            if task.job in jobs
+        }
         self.objectives_ms = {
             job: at_ms
             for job, at_ms in self.objectives_ms.items()
@@ -244,6 +251,21 @@
         task = self.book.get_task(ref)
         return task is not None and not task.is_done
 
+    def list_avoided(self, task: book_records.Task) -> frozenset[str]:
+        """Lists the workers that should get a task only if no other has room.
+
+        Args:
+            task: A task that waits for a worker or a copy.
+
+        Returns:
+            Ids of the workers that run it, on which it has failed or that have
+            refused it.
+        """
+        avoided = {incarnation.worker for incarnation in task.runs.values()}
+        avoided.update(self.failed_on.get(task.ref, ()))
+        avoided.update(self.refused_on.get(task.ref, ()))
+        return frozenset(avoided)
+
     def update_reserved(self, worker: worker_table.Worker) -> None:
         """Updates the resources that a worker's runs reserve.
 
--- a/features/fakes/jobs_capacity.py
+++ b/features/fakes/jobs_capacity.py
@@ -20,6 +20,9 @@
         self.lost_answers = _LOST_ANSWERS
         # Workers that get no orders.
         self.deaf = set()
+        # Workers that refuse all runs although they report free capacity.
+        self.refusing = set()
+        self.refusals = 0
         self.is_random = True
         super().__init__(seed, workers, faults=False)
         self.full = {name: w.capacity for name, w in self.workers.items()}
@@ -46,6 +49,14 @@
             return
         super().apply_orders(worker, orders, sent_ms)
 
+    def start_run(self, worker, order):
+        """Starts a run unless the worker refuses it."""
+        if worker.name not in self.refusing:
+            super().start_run(worker, order)
+        elif order.run > worker.last_runs.get(order.task, 0):
+            self.refusals += 1
+            worker.refuse_run(order)
+
     def end_run(self, worker, run, how):
         """Ends a run; a gang whose members wait in vain is a violation."""
         if how is specs.RunEnd.ALONE:
--- a/features/jobs/capacity.feature
+++ b/features/jobs/capacity.feature
@@ -38,6 +38,14 @@
     And the simulation runs for 1000 ms
     Then no task has started on worker "w0"
 
+  Scenario: A run that a worker refuses goes to another worker
+    Given a simulation of 2 workers whose capacity can shrink
+    When worker "w0" refuses all runs
+    And job "a" of 1 step of 4 tasks is submitted
+    And the simulation runs for 4000 ms
+    Then job "a" is "completed"
+    And 4 runs were refused
+
   Scenario: A pool whose workers have shrunk gets more instances
     Given a simulation of 4 workers whose capacity can shrink
     When the capacity of worker "w0" shrinks to 0.1
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -58,6 +58,16 @@
     job_steps.submit_spec(context, job, specs.JobSpec("body", (step,)))
 
 
+@when('worker "{name}" refuses all runs')
+def refuse_runs(context, name):
+    context.sim.refusing = {name}
+
+
+@then("{count:d} runs were refused")
+def check_refusals(context, count):
+    assert context.sim.refusals == count, context.sim.refusals
+
+
 @when('worker "{name}" restarts')
 def restart(context, name):
     assert context.sim.workers[name].running, context.sim.starts
