--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -22,8 +22,9 @@
     A task is given up after two crashes if only its job had certainly just
     started runs in one of them, after three if its own or those of other jobs
     may have begun, and after four if it was at work each time or it is not
-    known when the workers crashed. If the whole rack seems to have failed, the
-    crash is counted without weight.
+    known when the workers crashed. If the whole rack seems to have failed, a
+    crash weighs something only against a run that was not at work yet: tasks
+    that start together on all workers of a rack may crash them together.
     """
 
     ONLY_JOB_STARTED = 8
@@ -38,6 +39,9 @@
 MAX_CRASHES = 5
 # A run that a worker has reported for this long did not crash it by starting.
 STARTED_MS = 2_000
+# A run that a worker has reported for less than this is no older than its crash
+# by a task that crashes workers when it starts.
+_FRESH_MS = 500
 # A standing task that has worked for this long on one worker is no suspect.
 _CLEARED_MS = 10_000
 # Share of a rack's other workers that fall silent with one if the rack fails; a
@@ -77,6 +81,7 @@
         _log_other_cause(term, worker, cause)
         return ()
     started = []
+    fresh = []
     at_work = []
     certain = []
     for run in runs.values():
@@ -89,6 +94,8 @@
                 at_work.append(run.task)
         elif worked_ms < STARTED_MS:
             started.append(run.task)
+            if worked_ms < _FRESH_MS:
+                fresh.append(run.task)
             # After the end of its lease the worker may have crashed at any
             # time, and its runs have ended by themselves.
             if (
@@ -102,6 +109,7 @@
     if worker is not None and _is_rack_dark(term, worker, now):
         _log_other_cause(term, worker, "its whole rack has failed")
         weights = dict.fromkeys(started, Evidence.RACK_FAILED)
+        weights.update(dict.fromkeys(fresh, Evidence.AT_WORK))
     return tuple(
         (ref, weight)
         for ref, weight in weights.items()
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -47,6 +47,20 @@
       | 2     | 75 |
       | 3     | 75 |
 
+  Scenario Outline: Tasks that crash all workers of a rack together are given up
+    Given a simulation of <workers> workers on <racks> racks that deadly tasks can crash
+    When <count> deadly and <count> sound jobs are submitted, one each 100 ms
+    And the simulation runs for 60000 ms
+    Then each deadly job is "failed"
+    And each sound job is "completed"
+    And no guarantee was violated
+
+    Examples:
+      | workers | racks | count |
+      | 4       | 1     | 4     |
+      | 4       | 2     | 8     |
+      | 6       | 2     | 6     |
+
   Scenario Outline: A task of any kind is given up
     When deadly job "a" of 4 tasks of kind "<kind>" is submitted
     And the simulation runs for 60000 ms
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -91,6 +91,29 @@
     assert len(context.sim.starts) == seen + 1, context.sim.starts
 
 
+@when(
+    "{deadly:d} deadly and {sound:d} sound jobs are submitted, one each"
+    " {gap_ms:d} ms"
+)
+def submit_both(context, deadly, sound, gap_ms):
+    names = [chr(ord("A") + number) for number in range(deadly + sound)]
+    for name in names[:deadly]:
+        submit_deadly_kind(context, name, 1, "plain")
+        context.sim.advance(gap_ms)
+    for name in names[deadly:]:
+        job_steps.submit_job(context, name, 1, 1)
+        context.sim.advance(gap_ms)
+
+
+@then('each sound job is "{state}"')
+def check_sound_jobs(context, state):
+    deadly = {task.job for task in context.sim.deadly}
+    for job in context.sim.specs:
+        if job not in deadly:
+            answer = context.sim.ask(job)
+            assert answer.state.value == state, (job, answer)
+
+
 @then('each deadly job is "{state}"')
 def check_deadly_jobs(context, state):
     for task in context.sim.deadly:
