--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -21,6 +21,7 @@
 from bambookeel.jobs import reports
 from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import undelivered
 
 # The scheduler plans after every decision, and at this interval since tasks may
 # become due and workers usable without one.
@@ -182,12 +183,13 @@
         advising.handle_answer(self.term, question, approvals, now)
 
     def tick(self, now: Now) -> None:
-        """Expires leases, removes old jobs and controls instances.
+        """Expires leases, takes back unsent runs and controls instances.
 
         Args:
             now: Current time.
         """
         losses.expire_leases(self.term, now)
+        undelivered.lose_unsent(self.term, now)
         crashes.clear_standing_tasks(self.term, now)
         reports.drop_old_jobs(self.term, now)
         instance_steps.control_instances(self.term, now)
--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -56,6 +56,54 @@
         )
 
 
+def lose_unsent(term: term_state.Term, now: term_state.Now) -> None:
+    """Removes runs of silent workers whose order has not been sent.
+
+    The order would go out with the answer to the next report, which does not
+    come if the worker crashed before the assignment. Gangs are left as they
+    are, since their other members may have started.
+
+    Args:
+        term: State of the leader's term.
+        now: Current time.
+    """
+    for worker in term.workers.by_id.values():
+        silent_ms = now.steady_ms - worker.last_report_ms
+        if silent_ms <= term.settings.assign_max_silence_ms:
+            continue
+        runs = term.book.assigned_runs.get(worker.incarnation, {})
+        unsent = [run for run in runs.values() if _is_unsent(term, worker, run)]
+        if not unsent:
+            continue
+        lost = tuple((run.task, run.run, "") for run in unsent)
+        term.decide(commands.LoseRuns(worker.incarnation, "never told", lost))
+        term.update_reserved(worker)
+        for run in unsent:
+            term.log_event(
+                "run_lost",
+                job=run.task.job,
+                task=run.task.position,
+                run=run.run,
+                worker=worker.incarnation.worker,
+                reported=False,
+            )
+
+
+def _is_unsent(
+    term: term_state.Term,
+    worker: worker_table.Worker,
+    assigned: book_records.AssignedRun,
+) -> bool:
+    step = term.book.get_step(assigned.task)
+    return (
+        step is not None
+        and not step.spec.is_gang
+        and assigned.report_number == worker.report.number
+        and assigned.task not in worker.running
+        and (assigned.task, assigned.run) not in worker.ordered
+    )
+
+
 def _measure_free(
     term: term_state.Term, worker: worker_table.Worker
 ) -> specs.Resources:
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -118,6 +118,14 @@
     And the third worker that it crashes never comes back
     Then it starts again after 6000 ms and within 9000 ms
 
+  Scenario: A run that was assigned to a worker after its last report soon goes to another one
+    Given a worker that crashes is back after 30000 ms under another id
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And every worker that runs it crashes each 1000 ms, 1 times
+    And job "a" of 1 step of 1 task is submitted
+    And the simulation runs for 1500 ms
+    Then job "a" has started on a worker that is up
+
   Scenario: A worker that a task has crashed gets work at once when it is back
     Given a simulation of 1 workers on 1 racks that deadly tasks can crash
     When deadly job "a" of 1 task is submitted
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -121,6 +121,17 @@
         assert answer.state.value == state, (task, answer)
 
 
+@then('job "{job}" has started on a worker that is up')
+def check_started(context, job):
+    name = job_steps.build_job_id(job)
+    lost = context.sim.get_events("run_lost")
+    assert [event["reported"] for event in lost] == [False], lost
+    running = [
+        task.job for worker in _list_working(context) for task in worker.running
+    ]
+    assert name in running, context.sim.starts
+
+
 @then("at most {count:d} workers have crashed")
 def check_crashes(context, count):
     assert len(context.sim.crashes) <= count, context.sim.crashes
