--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -256,8 +256,7 @@
     """
     if not caps.allows(term, step, 1, current.team_usage):
         return False
-    avoided = set(term.failed_on.get(task.ref, ()))
-    avoided.update(incarnation.worker for incarnation in task.runs.values())
+    avoided = term.list_avoided(task)
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
     isolation = isolating.get_isolation(term, [task], current.now)
@@ -265,7 +264,7 @@
         step.key[0], isolation, current.capacities, current.closable
     )
     capacity = placing.choose_worker(
-        capacities, step, now_ms, frozenset(avoided), tickets, isolation
+        capacities, step, now_ms, avoided, tickets, isolation
     )
     if capacity is None:
         return False
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -47,6 +47,20 @@
       | 2     | 75 |
       | 3     | 75 |
 
+  Scenario Outline: Tasks that crash all workers of a rack together are given up
+    Given a simulation of <workers> workers on <racks> racks that deadly tasks can crash
+    When <count> deadly and <count> sound jobs are submitted, one each 100 ms
+    And the simulation runs for 60000 ms
+    Then each deadly job is "failed"
+    And each sound job is "completed"
+    And no guarantee was violated
+
+    Examples:
+      | workers | racks | count |
+      | 4       | 1     | 4     |
+      | 4       | 2     | 8     |
+      | 6       | 2     | 6     |
+
   Scenario Outline: A task of any kind is given up
     When deadly job "a" of 4 tasks of kind "<kind>" is submitted
     And the simulation runs for 60000 ms
@@ -61,6 +75,12 @@
       | copies   |
       | timed    |
 
+  Scenario: A task that allows copies is given up after two crashes
+    When deadly job "a" of 4 tasks of kind "copies" is submitted
+    And the simulation runs for 60000 ms
+    Then job "a" is "failed"
+    And at most 2 workers have crashed
+
   Scenario: Tasks that ran beside a task that crashes workers end well
     When job "b" of 1 step of 20 tasks of 1500 ms is submitted
     And deadly job "a" of 4 tasks is submitted
@@ -98,6 +118,14 @@
     And the third worker that it crashes never comes back
     Then it starts again after 6000 ms and within 9000 ms
 
+  Scenario: A run that was assigned to a worker after its last report soon goes to another one
+    Given a worker that crashes is back after 30000 ms under another id
+    When job "b" of 1 step of 1 task of 90000 ms is submitted
+    And every worker that runs it crashes each 1000 ms, 1 times
+    And job "a" of 1 step of 1 task is submitted
+    And the simulation runs for 1500 ms
+    Then job "a" has started on a worker that is up
+
   Scenario: A worker that a task has crashed gets work at once when it is back
     Given a simulation of 1 workers on 1 racks that deadly tasks can crash
     When deadly job "a" of 1 task is submitted
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -11,6 +11,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import specs
 from features.fakes import jobs_crashes
+from features.fakes import jobs_mixed_crashes
 from features.fakes import jobs_provider
 from features.fakes import jobs_simulation
 from features.fakes import jobs_starvation
@@ -91,6 +92,29 @@
     assert len(context.sim.starts) == seen + 1, context.sim.starts
 
 
+@when(
+    "{deadly:d} deadly and {sound:d} sound jobs are submitted, one each"
+    " {gap_ms:d} ms"
+)
+def submit_both(context, deadly, sound, gap_ms):
+    names = [chr(ord("A") + number) for number in range(deadly + sound)]
+    for name in names[:deadly]:
+        submit_deadly_kind(context, name, 1, "plain")
+        context.sim.advance(gap_ms)
+    for name in names[deadly:]:
+        job_steps.submit_job(context, name, 1, 1)
+        context.sim.advance(gap_ms)
+
+
+@then('each sound job is "{state}"')
+def check_sound_jobs(context, state):
+    deadly = {task.job for task in context.sim.deadly}
+    for job in context.sim.specs:
+        if job not in deadly:
+            answer = context.sim.ask(job)
+            assert answer.state.value == state, (job, answer)
+
+
 @then('each deadly job is "{state}"')
 def check_deadly_jobs(context, state):
     for task in context.sim.deadly:
@@ -98,6 +122,17 @@
         assert answer.state.value == state, (task, answer)
 
 
+@then('job "{job}" has started on a worker that is up')
+def check_started(context, job):
+    name = job_steps.build_job_id(job)
+    lost = context.sim.get_events("run_lost")
+    assert [event["reported"] for event in lost] == [False], lost
+    running = [
+        task.job for worker in _list_working(context) for task in worker.running
+    ]
+    assert name in running, context.sim.starts
+
+
 @then("at most {count:d} workers have crashed")
 def check_crashes(context, count):
     assert len(context.sim.crashes) <= count, context.sim.crashes
@@ -329,3 +364,11 @@
 @then("every job has ended")
 def check_ended(context):
     assert not context.open_jobs, context.open_jobs
+
+
+@when(
+    "random simulations of deadly tasks among other faults with seeds"
+    " {first:d} to {last:d} are run"
+)
+def simulate_mixed(context, first, last):
+    job_steps.simulate_each(context, first, last, jobs_mixed_crashes.simulate)
