--- a/bambookeel/jobs/calls.py
+++ b/bambookeel/jobs/calls.py
@@ -298,6 +298,8 @@
     | NotLeading
 )
 
+# Limit of a reason, which becomes part of a log line.
+_MAX_REASON_CHARS = 200
 _CALL_DECODER = msgspec.msgpack.Decoder(Call)
 _ANSWER_DECODER = msgspec.msgpack.Decoder(Answer)
 
@@ -331,8 +333,8 @@
 ) -> result.Result[typing.Any, str]:
     try:
         return result.Success(decoder.decode(packing.decompress(payload)))
-    except (msgspec.MsgspecError, zlib.error, ValueError) as error:
-        return result.Failure(str(error))
+    except (zlib.error, ValueError, RecursionError) as error:
+        return result.Failure(str(error)[:_MAX_REASON_CHARS])
 
 
 def decode_call(payload: bytes) -> result.Result[Call, str]:
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -114,8 +114,9 @@
         Args:
             command: Command that expresses the decision.
         """
-        self.book.apply(command)
+        # First queued, so that a batch shows that the book may have changed.
         self.batch.append(command)
+        self.book.apply(command)
 
     def estimate_work(
         self, queue: configuration.Queue, spec: specs.JobSpec
--- /dev/null
+++ b/bambookeel/node/call_turn.py
@@ -0,0 +1,144 @@
+"""Handles the waiting calls of one turn, and refuses those that fail.
+
+An error in one call must not end the turn of the others: it would repeat with
+each attempt, and the process would end, like those of the next leaders.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from bambookeel.core import faults
+from bambookeel.jobs import calls
+from bambookeel.jobs import commands
+from bambookeel.jobs import scheduler as job_scheduler
+from bambookeel.runtime import logs
+
+Reply = Callable[[calls.Answer], None]
+WaitingCall = tuple[calls.Call, Reply]
+# Answer, function that sends it, and the steady-clock time in milliseconds of
+# the call.
+PendingAnswer = tuple[job_scheduler.DeferredAnswer, Reply, int]
+
+# Limit of an error in a log line.
+_MAX_CHARS = 200
+
+
+@dataclasses.dataclass(slots=True)
+class Turn:
+    """Result of the calls of one turn.
+
+    Attributes:
+        waiting: Answers to send once the decisions are committed.
+        decided: Each handled call, and the part of the batch that it decided.
+        is_broken: Whether a call failed after it had decided something. The
+            book must then be rebuilt before the handled calls are repeated.
+    """
+
+    waiting: list[PendingAnswer] = dataclasses.field(default_factory=list)
+    decided: list[tuple[WaitingCall, slice]] = dataclasses.field(
+        default_factory=list
+    )
+    is_broken: bool = False
+
+    def list_handled(self) -> list[WaitingCall]:
+        """Lists the calls that have not failed."""
+        return [waiting_call for waiting_call, _ in self.decided]
+
+
+def _refuse(waiting_call: WaitingCall, error: Exception) -> None:
+    """Refuses a call that has failed.
+
+    Args:
+        waiting_call: The call.
+        error: Error that it raised.
+    """
+    call, reply = waiting_call
+    logs.log_event(
+        "call_failed", call=type(call).__name__, error=repr(error)[:_MAX_CHARS]
+    )
+    reply(calls.BadRequest("the call cannot be handled"))
+
+
+def handle_calls(
+    scheduler: job_scheduler.Scheduler,
+    accepted: list[WaitingCall],
+    now: job_scheduler.Now,
+) -> Turn:
+    """Handles calls in their order; those that fail are refused.
+
+    Args:
+        scheduler: Scheduler of the current term.
+        accepted: Calls to handle.
+        now: Current time.
+
+    Returns:
+        The handled calls with their answers. If the turn is broken, the calls
+        after the failed one count as handled.
+    """
+    turn = Turn()
+    for i, waiting_call in enumerate(accepted):
+        call, reply = waiting_call
+        begin = len(scheduler.term.batch)
+        try:
+            answer = scheduler.handle(call, now)
+        except faults.InvariantError:
+            raise
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            _refuse(waiting_call, error)
+            if len(scheduler.term.batch) == begin:
+                continue
+            turn.is_broken = True
+            turn.decided += [(each, slice(0)) for each in accepted[i + 1 :]]
+            return turn
+        part = slice(begin, len(scheduler.term.batch))
+        turn.decided.append((waiting_call, part))
+        turn.waiting.append((answer, reply, now.steady_ms))
+    return turn
+
+
+def encode_batch(
+    batch: tuple[commands.Command, ...], turn: Turn
+) -> bytes | None:
+    """Encodes a batch; refuses the calls whose decisions cannot be encoded.
+
+    Args:
+        batch: Decisions of the turn.
+        turn: Calls of the turn; is broken if the batch cannot be encoded.
+
+    Returns:
+        The payload of a log entry; None if the turn is broken.
+
+    Raises:
+        OverflowError: If a decision without a call cannot be encoded.
+    """
+    try:
+        return commands.encode_batch(batch)
+    except (OverflowError, TypeError, ValueError) as batch_error:
+        handled = turn.decided
+        turn.decided = []
+        for waiting_call, part in handled:
+            try:
+                commands.encode_batch(batch[part])
+                turn.decided.append((waiting_call, part))
+            except (OverflowError, TypeError, ValueError) as error:
+                _refuse(waiting_call, error)
+                turn.is_broken = True
+        if not turn.is_broken:
+            raise batch_error
+    return None
+
+
+def send_answer(pending: PendingAnswer) -> None:
+    """Sends an answer; the outcome is unknown if it cannot be built.
+
+    Args:
+        pending: Answer whose call has taken effect.
+    """
+    answer, reply, _ = pending
+    try:
+        reply(answer())
+    except faults.InvariantError:
+        raise
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        logs.log_event("answer_failed", error=repr(error)[:_MAX_CHARS])
+        reply(calls.NotLeading("", True))
--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -32,6 +32,8 @@
 # restart of all nodes, seeds without a disk know no process that they could
 # ask.
 _ANNOUNCE_MS = 1_000
+# Limit of an error in a log line.
+_MAX_CHARS = 200
 
 
 class Gateway:
@@ -97,7 +99,11 @@
         start_ms = clock.read_now_ms()
         deadline_ms = start_ms + timeout_ms
         may_have_effect = False
-        payload = calls.encode_call(call)
+        try:
+            payload = calls.encode_call(call)
+        except (OverflowError, TypeError, ValueError) as error:
+            logs.log_event("call_unencodable", error=repr(error)[:_MAX_CHARS])
+            return calls.BadRequest("the call cannot be encoded")
         while True:
             now_ms = clock.read_now_ms()
             remaining_ms = deadline_ms - now_ms
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -7,7 +7,6 @@
 has decided anything meanwhile.
 """
 
-from collections.abc import Callable
 import functools
 
 from returns import result
@@ -25,10 +24,10 @@
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.jobs import calls
-from bambookeel.jobs import commands
 from bambookeel.jobs import scheduler as job_scheduler
 from bambookeel.node import advisor_task
 from bambookeel.node import book_machine
+from bambookeel.node import call_turn
 from bambookeel.node import outside
 from bambookeel.node import provider_task
 from bambookeel.node import settings as node_settings
@@ -45,9 +44,6 @@
 # Maximum wait of an answer for the leader's lease.
 _MAX_CONFIRM_WAIT_MS = 900
 
-Reply = Callable[[calls.Answer], None]
-_PendingAnswer = tuple[job_scheduler.DeferredAnswer, Reply, int]
-
 
 class Replica:
     """Owns the log, the book and the scheduler of one node."""
@@ -77,15 +73,15 @@
         )
         self.margin = margin_watch.MarginWatch(self._runner)
         self._scheduler: job_scheduler.Scheduler | None = None
-        self._calls: list[tuple[calls.Call, Reply]] = []
+        self._calls: list[call_turn.WaitingCall] = []
         self._plan_due = False
         self.external_services = outside.ExternalServices(
             self.mailbox, self._leads
         )
         # Index of the proposed entry, and the answers that wait for its commit.
-        self._in_flight: tuple[int, list[_PendingAnswer]] | None = None
+        self._in_flight: tuple[int, list[call_turn.PendingAnswer]] | None = None
         # Answers that wait only for the lease.
-        self._unconfirmed: list[_PendingAnswer] = []
+        self._unconfirmed: list[call_turn.PendingAnswer] = []
         self._stop_requested = False
 
     def run(self) -> None:
@@ -246,8 +242,8 @@
             return
         waiting = self._in_flight[1]
         self._in_flight = None
-        for answer, reply, _ in waiting:
-            reply(answer())
+        for pending in waiting:
+            call_turn.send_answer(pending)
 
     def _stop_leading(self) -> None:
         self._machine.drop_uncommitted()
@@ -276,15 +272,17 @@
         if not self._calls and not self._plan_due:
             return
         now = self._read_now()
-        waiting: list[_PendingAnswer] = []
         accepted_calls = self._calls
         self._calls = []
         term = int(self._runner.core.term)
         self.external_services.pass_results(scheduler, term, now)
         if self._plan_due:
             scheduler.tick(now)
-        for call, reply in accepted_calls:
-            waiting.append((scheduler.handle(call, now), reply, now.steady_ms))
+        turn = call_turn.handle_calls(scheduler, accepted_calls, now)
+        if turn.is_broken:
+            self._repeat_turn(turn)
+            return
+        waiting = turn.waiting
         scheduler.plan(now)
         self._plan_due = False
         for send in self.external_services.send_requests(scheduler, term, now):
@@ -302,7 +300,10 @@
         waiting = self._unconfirmed + waiting
         self._unconfirmed = []
         index = self._runner.core.log.last_index + 1
-        payload = commands.encode_batch(batch)
+        payload = call_turn.encode_batch(batch, turn)
+        if payload is None:
+            self._repeat_turn(turn)
+            return
         self._machine.mark_uncommitted(index, self._runner.core.term)
         self._in_flight = (index, waiting)
         refusal = self._runner.run_step(core_events.ProposalsMade((payload,)))
@@ -310,6 +311,17 @@
             self._drop_batch(refusal)
         self._process_outputs()
 
+    def _repeat_turn(self, turn: call_turn.Turn) -> None:
+        """Drops the decisions of a turn, and handles its other calls again.
+
+        Args:
+            turn: Turn in which a call has failed.
+        """
+        self._machine.rebuild()
+        self._stop_leading()
+        self._calls = turn.list_handled() + self._calls
+        self._plan_due = True
+
     def _drop_batch(self, refusal: str) -> None:
         """Drops a batch that was not appended, and hands over leadership.
 
@@ -331,8 +343,8 @@
         if self._holds_lease():
             waiting = self._unconfirmed
             self._unconfirmed = []
-            for answer, reply, _ in waiting:
-                reply(answer())
+            for pending in waiting:
+                call_turn.send_answer(pending)
             return
         now_ms = clock.read_now_ms()
         kept = []
--- a/features/platform/replicas.feature
+++ b/features/platform/replicas.feature
@@ -40,6 +40,25 @@
     When configuration 2 is put there
     Then configuration 2 is read back
 
+  Scenario Outline: A call that fails is refused, and the others go on
+    # More of them than failures of a task end a process.
+    Given three replicas of the book
+    And configuration 1 is in force there
+    And a call about wave 666 <trouble>
+    When the leader gets 30 calls about wave 666 beside configuration 2
+    Then no task of a replica has failed
+    And each call about wave 666 is answered with "<answer>"
+    And configuration 2 is read back
+    And the same replica leads
+
+    Examples:
+      | trouble                            | answer     |
+      | raises an error                    | BadRequest |
+      | raises an error after a decision   | BadRequest |
+      | decides what cannot be encoded     | BadRequest |
+      | has an answer that raises an error | NotLeading |
+      | has an answer that does not encode | NotLeading |
+
   Scenario: The leader reports that the next loss would stop the service
     Given three replicas of the book
     And configuration 1 is in force there
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -1,6 +1,7 @@
 """Steps for replicas of the job book."""
 
 import math
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -9,6 +10,8 @@
 import gevent
 
 from bambookeel.jobs import calls
+from bambookeel.jobs import commands
+from bambookeel.jobs import scheduler as job_scheduler
 from features.fakes import node_group
 
 # Maximum wait for a change of the margin; a change takes far less.
@@ -44,6 +47,14 @@
 
 @when("every replica gets {count:d} calls that cannot be decoded")
 def send_malformed_calls(context, count):
+    _record_failures(context)
+    for member in context.group.members.values():
+        for _ in range(count):
+            member.send_malformed_call()
+    gevent.sleep(0.3)
+
+
+def _record_failures(context):
     context.failures = failures = []
 
     def keep(event):
@@ -54,10 +65,73 @@
     context.add_cleanup(eliot.remove_destination, keep)
     # The first destination also gets earlier events.
     failures.clear()
-    for member in context.group.members.values():
-        for _ in range(count):
-            member.send_malformed_call()
-    gevent.sleep(0.3)
+
+
+def _build_failing(handle, trouble):
+    """Builds a scheduler's `handle` that fails for wave 666."""
+
+    def fail(scheduler, call, now):
+        if not isinstance(call, calls.AskWave) or call.wave != 666:
+            return handle(scheduler, call, now)
+        command = commands.RecordOrder("m1", now.wall_ms)
+        match trouble:
+            case "raises an error":
+                raise ValueError("a call that fails")
+            case "raises an error after a decision":
+                scheduler.term.decide(command)
+                raise ValueError("a call that fails")
+            case "decides what cannot be encoded":
+                scheduler.term.decide(commands.RecordOrder("m1", 2**70))
+                return calls.Done
+            case "has an answer that raises an error":
+                scheduler.term.decide(command)
+                return lambda: 1 // 0
+            case "has an answer that does not encode":
+                scheduler.term.decide(command)
+                return lambda: calls.Pending(2**70)
+        raise AssertionError(trouble)
+
+    return fail
+
+
+@given("a call about wave 666 {trouble}")
+def make_call_fail(context, trouble):
+    scheduler = job_scheduler.Scheduler
+    failing = _build_failing(scheduler.handle, trouble)
+    patch = mock.patch.object(scheduler, "handle", failing)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when(
+    "the leader gets {count:d} calls about wave 666 beside configuration"
+    " {version:d}"
+)
+def send_failing(context, count, version):
+    _record_failures(context)
+    leader = context.leader
+    document = calls.PutDocument(context.group.build_document(version))
+    sent = [calls.AskWave(666)] * count
+    sent.insert(count // 2, document)
+    waiting = [gevent.spawn(leader.call, call) for call in sent]
+    gevent.joinall(waiting)
+    answers = [each.value for each in waiting]
+    put = answers.pop(count // 2)
+    assert isinstance(put, calls.Done), put
+    context.odd_answers = answers
+    context.previous_leader = leader
+
+
+@then('each call about wave 666 is answered with "{name}"')
+def check_odd_answers(context, name):
+    found = {type(answer).__name__ for answer in context.odd_answers}
+    assert found == {name}, found
+
+
+@then("the same replica leads")
+def check_same_leader(context):
+    _, member = context.group.call(calls.GetDocument())
+    assert member is context.leader, (member.address, context.leader.address)
 
 
 @then("no task of a replica has failed")
