--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -85,6 +85,20 @@
     listed_ms: int = 0
     is_listing: bool = False
 
+    def find_goal_pool(self, instance: str) -> str:
+        """Finds the pool to which an instance is being moved.
+
+        Args:
+            instance: Name of the instance.
+
+        Returns:
+            Name of the pool; empty if the instance is not being moved.
+        """
+        goal = self.goals.get(instance)
+        if goal is not None and isinstance(goal.order, instances.Move):
+            return goal.order.pool
+        return ""
+
 
 def update_from_list(
     fleet: Fleet, listed: tuple[instances.Instance, ...], requested_ms: int
--- a/bambookeel/jobs/instance_records.py
+++ b/bambookeel/jobs/instance_records.py
@@ -32,17 +32,20 @@
         default_factory=dict
     )
 
-    def has_ended(self, life: specs.WorkerIncarnation) -> bool:
-        """Returns whether an incarnation of a worker is known to have ended.
+    def has_ended(self, life: specs.WorkerIncarnation, at_wall_ms: int) -> bool:
+        """Returns whether an incarnation of a worker has ended lately.
 
         Args:
             life: Incarnation of the worker.
+            at_wall_ms: Unix time in milliseconds.
 
         Returns:
             True if it or a later one of the same id has ended.
         """
         ended = self.ended_workers.get(life.worker)
-        return ended is not None and life.born_wall_ms <= ended[0]
+        if ended is None or at_wall_ms - ended[1] >= _KEEP_ENDED_MS:
+            return False
+        return life.born_wall_ms <= ended[0]
 
     def record_ended(
         self, life: specs.WorkerIncarnation, at_wall_ms: int
@@ -53,7 +56,7 @@
             life: Incarnation of the worker.
             at_wall_ms: Unix time in milliseconds.
         """
-        if not self.has_ended(life):
+        if not self.has_ended(life, at_wall_ms):
             self.ended_workers[life.worker] = (life.born_wall_ms, at_wall_ms)
         self.ended_workers = {
             worker: ended
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -216,7 +216,7 @@
     worker = term.workers.by_id.get(ended.worker)
     if worker is not None and worker.incarnation == ended:
         term.lose_all_runs(ended, "its instance was ordered away", worker)
-        term.workers.remove_ended(worker)
+        term.workers.remove_ended(worker, now.steady_ms)
     term.decide(commands.WorkerEnded(ended, now.wall_ms))
 
 
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -14,6 +14,7 @@
 from bambookeel.jobs import losses
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
+from bambookeel.jobs import stale_reports
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import undelivered
 from bambookeel.jobs import workers as worker_table
@@ -33,8 +34,16 @@
         Function that builds the orders, to be called once the recorded ends
         are committed.
     """
-    stale_reason = term.workers.find_stale_reason(report)
-    if term.book.instances.has_ended(report.life):
+    context = stale_reports.Context(
+        now.steady_ms,
+        now.wall_ms,
+        term.book.configuration.services,
+        term.instance_controller.fleet.find_goal_pool(report.instance),
+    )
+    stale_reason = stale_reports.find_stale_reason(
+        term.workers, report, context
+    )
+    if term.book.instances.has_ended(report.life, now.wall_ms):
         stale_reason = "this life of the worker has ended"
     if stale_reason:
         return term_state.make_deferred(calls.BadRequest(stale_reason))
@@ -301,7 +310,8 @@
         now: Current time.
 
     Returns:
-        Always `Done`, also for a worker that is not known.
+        `Done`, also for a worker that is not known, or why the call cannot be
+        true.
     """
     worker = term.workers.by_id.get(call.worker)
     life = specs.WorkerIncarnation(call.worker, call.born_wall_ms)
@@ -310,9 +320,16 @@
     ):
         life = worker.incarnation
         term.lose_all_runs(life, "the worker has left", worker)
-        term.workers.remove_ended(worker)
+        term.workers.remove_ended(worker, now.steady_ms)
         term.log_event("worker_left", worker=call.worker)
-    if life.born_wall_ms and not term.book.instances.has_ended(life):
+    elif stale_reports.starts_in_future(call.born_wall_ms, now.wall_ms):
+        return calls.BadRequest("no worker has started then")
+    elif worker is not None and now.steady_ms < worker.lease_until_ms:
+        if call.born_wall_ms > worker.incarnation.born_wall_ms:
+            return calls.BadRequest("an earlier life of the worker reports")
+    if life.born_wall_ms and not term.book.instances.has_ended(
+        life, now.wall_ms
+    ):
         term.decide(commands.WorkerEnded(life, now.wall_ms))
     return calls.Done()
 
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -105,33 +105,38 @@
 
     def __init__(self) -> None:
         self.by_id: dict[str, Worker] = {}
-        # Incarnations that are known to have ended; their reports are stale.
-        self._ended: set[specs.WorkerIncarnation] = set()
+        # Steady-clock time in milliseconds at which incarnations were taken to
+        # have ended; their reports are stale for a time.
+        self._ended: dict[specs.WorkerIncarnation, int] = {}
         self._by_instance: dict[str, str] = {}
         self._by_address: dict[str, str] = {}
 
-    def find_stale_reason(self, report: calls.WorkerReport) -> str:
-        """Checks whether newer information about the worker is known.
+    def get_ended_ms(self, life: specs.WorkerIncarnation) -> int | None:
+        """Returns when an incarnation was taken to have ended.
 
         Args:
-            report: Report that has been received.
+            life: Incarnation of a worker.
 
         Returns:
-            One sentence on why the report is stale; empty if it is not.
+            Steady-clock time in milliseconds; None if it has not ended.
         """
-        if report.life in self._ended:
-            return "this life of the worker has ended"
+        return self._ended.get(life)
+
+    def list_rivals(self, report: calls.WorkerReport) -> list[Worker]:
+        """Lists the workers that cannot run at the same time as a sender.
+
+        Args:
+            report: Report of a worker.
+
+        Returns:
+            Another life of the same worker, and workers with the same instance
+            or address.
+        """
+        rivals = self._find_conflicting(report)
         known = self.by_id.get(report.life.worker)
-        if known is not None:
-            if known.incarnation.born_wall_ms > report.life.born_wall_ms:
-                return "a later life of the worker is known"
-            is_same = known.incarnation == report.life
-            if is_same and known.report.number >= report.number:
-                return "a later report is known"
-        for other in self._find_conflicting(report):
-            if other.incarnation.born_wall_ms > report.life.born_wall_ms:
-                return "a later worker of the instance is known"
-        return ""
+        if known is not None and known.incarnation != report.life:
+            rivals.append(known)
+        return rivals
 
     def _find_conflicting(self, report: calls.WorkerReport) -> list[Worker]:
         """Finds other workers that cannot run at the same time as this one.
@@ -167,13 +172,13 @@
             The worker, and the earlier workers that must have ended since this
             one reports.
         """
-        ended = self._find_conflicting(report)
+        ended = self.list_rivals(report)
         known = self.by_id.get(report.life.worker)
         if known is not None and known.incarnation != report.life:
-            ended.append(known)
             known = None
+        self._ended.pop(report.life, None)
         for other in ended:
-            self.remove_ended(other)
+            self.remove_ended(other, now_ms)
         if known is None:
             known = Worker(report, now_ms, now_ms, now_ms)
             self.by_id[report.life.worker] = known
@@ -195,15 +200,14 @@
         if self.by_id.get(worker.incarnation.worker) is worker:
             del self.by_id[worker.incarnation.worker]
 
-    def remove_ended(self, worker: Worker) -> None:
+    def remove_ended(self, worker: Worker, now_ms: int) -> None:
         """Removes a worker that is known to have ended.
 
-        Later reports of the same incarnation are stale.
-
         Args:
             worker: Worker to remove.
+            now_ms: Steady-clock time in milliseconds.
         """
-        self._ended.add(worker.incarnation)
+        self._ended[worker.incarnation] = now_ms
         self.remove(worker)
 
     def find_by_instance(self, instance: str) -> Worker | None:
