--- a/bambookeel/jobs/specs.py
+++ b/bambookeel/jobs/specs.py
@@ -10,6 +10,8 @@
 import msgspec
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+# Unix time in milliseconds, up to the year 33658.
+WallMs = typing.Annotated[int, msgspec.Meta(ge=0, le=10**15)]
 # Limits on the size of a job, which bound its memory in the scheduler.
 MAX_TASKS_PER_STEP = 10_000
 MAX_STEPS = 1_000
@@ -131,7 +133,7 @@
     occurrences: typing.Annotated[
         int, msgspec.Meta(ge=0, le=MAX_OCCURRENCES)
     ] = 0
-    first_due_wall_ms: Count = 0
+    first_due_wall_ms: WallMs = 0
     period_ms: Count = 0
 
     @property
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -24,6 +24,12 @@
       | {"spec":"x","phases":[{"count":0}]}                 | Expected      |
       | {"spec":"x","phases":[{"count":1,"cpu":-1}]}        | Expected      |
       | {"spec":"x","phases":[{"count":1,"depends_on":[0]}]} | not an earlier |
+      | {"spec":"x","phases":[{"count":1}],"start_at_ms":1e16} | start_at_ms |
+
+  Scenario: A job on a timetable of today is taken
+    # Each was refused, since the first due time had the range of an amount.
+    When the job {"spec":"x","phases":[{"count":2}],"repeat_count":3,"start_at_ms":1796444734000,"interval_ms":500} is decoded
+    Then occurrence 2 is due at 1796444735000 ms
 
   Scenario: Any input is either decoded or refused with a reason
     Then any JSON in a heartbeat gives a report or a reason
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -177,6 +177,16 @@
     assert step.max_missing == 1, step
 
 
+@then("occurrence {number:d} is due at {due_ms:d} ms")
+def check_due(context, number, due_ms):
+    assert isinstance(context.spec, specs.JobSpec), context.spec
+    assert context.spec.get_due_wall_ms(number) == due_ms, context.spec
+    encoded = calls.encode_call(
+        calls.SubmitJob("h", "/", "", "a", context.spec)
+    )
+    assert calls.decode_call(encoded).unwrap().spec == context.spec
+
+
 @when("a heartbeat with these lists is decoded")
 def decode_lists(context):
     row = context.table[0]
