--- a/bambookeel/jobs/specs.py
+++ b/bambookeel/jobs/specs.py
@@ -16,6 +16,8 @@
 MAX_TASKS_PER_STEP = 10_000
 MAX_STEPS = 1_000
 MAX_OCCURRENCES = 10_000
+# Tasks of all steps and occurrences of a job; each replica holds them all.
+MAX_TASKS = 100_000
 MAX_BODY_BYTES = 4_000
 
 
@@ -214,6 +216,11 @@
         return "a job needs at least one step"
     if len(spec.steps) > MAX_STEPS:
         return f"{len(spec.steps)} steps; at most {MAX_STEPS} are taken"
+    tasks = sum(step.count for step in spec.steps) * max(1, spec.occurrences)
+    if tasks > MAX_TASKS:
+        return (
+            f"{tasks} tasks in all occurrences; at most {MAX_TASKS} are taken"
+        )
     for i, step in enumerate(spec.steps):
         for earlier in step.after:
             if earlier >= i:
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -24,6 +24,7 @@
       | {"spec":"x","phases":[{"count":0}]}                 | Expected      |
       | {"spec":"x","phases":[{"count":1,"cpu":-1}]}        | Expected      |
       | {"spec":"x","phases":[{"count":1,"depends_on":[0]}]} | not an earlier |
+      | {"spec":"x","phases":[{"count":10000}],"repeat_count":10000} | 100000000 tasks |
       | {"spec":"x","phases":[{"count":1}],"start_at_ms":1e16} | start_at_ms |
 
   Scenario: A job on a timetable of today is taken
@@ -31,6 +32,10 @@
     When the job {"spec":"x","phases":[{"count":2}],"repeat_count":3,"start_at_ms":1796444734000,"interval_ms":500} is decoded
     Then occurrence 2 is due at 1796444735000 ms
 
+  Scenario: A job of the largest size is taken
+    When the job {"spec":"x","phases":[{"count":10}],"repeat_count":10000} is decoded
+    Then occurrence 9999 is due at 0 ms
+
   Scenario: Any input is either decoded or refused with a reason
     Then any JSON in a heartbeat gives a report or a reason
     And any JSON in a job gives a job or a reason
