--- a/bambookeel/core/settings.py
+++ b/bambookeel/core/settings.py
@@ -12,9 +12,16 @@
 
 from bambookeel.core import resources
 
+_OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})"
+_PORT = (
+    "([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]"
+    "|6553[0-5])"
+)
 Address = Annotated[
     str,
-    msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$"),
+    msgspec.Meta(
+        pattern=rf"^({_OCTET}(\.{_OCTET}){{3}}|\[[0-9a-f:]+\]):{_PORT}$"
+    ),
 ]
 HeartbeatMs = Annotated[int, msgspec.Meta(ge=20, le=10_000)]
 LeaseMs = Annotated[int, msgspec.Meta(ge=200, le=60_000)]
--- a/bambookeel/entry/announcements.py
+++ b/bambookeel/entry/announcements.py
@@ -14,6 +14,7 @@
 from bambookeel.core import resources
 from bambookeel.core import settings
 from bambookeel.entry import events
+from bambookeel.net import addresses
 from bambookeel.runtime import mailbox
 
 _MAX_SLOTS = 4_096
@@ -46,7 +47,7 @@
     slots: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
     connections: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     lease_ms: Annotated[int, msgspec.Meta(ge=100, le=_MAX_LEASE_MS)]
-    running: Annotated[int, msgspec.Meta(ge=0)] = 0
+    running: Annotated[int, msgspec.Meta(ge=0, lt=2**31)] = 0
 
 
 _STATES = {
@@ -67,8 +68,13 @@
     Raises:
         msgspec.ValidationError: If a field is missing or out of bounds.
         msgspec.DecodeError: If the body is not JSON.
+        RecursionError: If the body is nested too deeply.
     """
     document = msgspec.json.decode(body, type=AnnouncementDocument)
+    try:
+        addresses.parse_address(document.address)
+    except ValueError as error:
+        raise msgspec.ValidationError(str(error)) from error
     if document.state not in _STATES:
         raise msgspec.ValidationError(
             f"state {document.state!r} is not one of {sorted(_STATES)}"
@@ -106,6 +112,7 @@
         Raises:
             msgspec.ValidationError: If a field is missing or out of bounds.
             msgspec.DecodeError: If the body is not JSON.
+        RecursionError: If the body is nested too deeply.
         """
         announcement = parse_announcement(body)
         self._dispatcher.put(events.FromPeer(self._process_id, announcement))
--- a/bambookeel/entry/callers_app.py
+++ b/bambookeel/entry/callers_app.py
@@ -233,7 +233,11 @@
             return problem.build_json_response(
                 "400 Bad Request", {"detail": str(error)}
             )
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             return problem.build_json_response(
                 "400 Bad Request", {"detail": f"malformed JSON: {error}"}
             )
--- a/features/requests/edge.feature
+++ b/features/requests/edge.feature
@@ -59,6 +59,20 @@
     When announcements are sent that are not JSON, not announcements or too large
     Then each is refused with a status of 400 to 413
 
+  Scenario Outline: Odd announcements of another writer are refused
+    Then an announcement whose "<field>" is <value> gets status <status>
+
+    Examples:
+      | field       | value                  | status |
+      | extra       | nested 1900 deep       | 400    |
+      | running     | 1180591620717411303424 | 400    |
+      | incarnation | 1180591620717411303424 | 400    |
+      | slots       | 1e308                  | 400    |
+      | address     | "127.0.0.1:99999"      | 400    |
+      | address     | "127.0.0.1:80\n"       | 400    |
+      | address     | "999.0.0.1:80"         | 400    |
+      | running     | 1                      | 204    |
+
   Scenario: Arbitrary bytes never crash the server
     Then random heads and bodies get a refusal or a closed connection
     And nothing was run and a valid request is answered
--- a/features/steps/edge_steps.py
+++ b/features/steps/edge_steps.py
@@ -1,5 +1,7 @@
 """Steps for malformed input from callers and backend servers."""
 
+import json
+
 from behave import given
 from behave import then
 from behave import when
@@ -153,6 +155,29 @@
         context.statuses.append(int(received.split()[1]))
 
 
+@then('an announcement whose "{field}" is {value} gets status {status:d}')
+def send_odd_announcement(context, field, value, status):
+    if value == "nested 1900 deep":
+        # As deep as the limit of an announcement's size allows.
+        value = "[" * 1_900 + "]" * 1_900
+    document = {
+        "service": "orders",
+        "backend_id": "b1",
+        "address": "127.0.0.1:80",
+        "incarnation": 1,
+        "sequence": 1,
+        "state": "serving",
+        "slots": 1,
+        "connections": 1,
+        "lease_ms": 500,
+        field: "<odd>",
+    }
+    body = json.dumps(document).replace('"<odd>"', value).encode()
+    head = f"POST /announce HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n"
+    received = _exchange(context, head.encode() + body)
+    assert int(received.split()[1]) == status, received
+
+
 @then("each is refused with a status of 400 to 413")
 def check_announcements(context):
     assert context.statuses == [400, 400, 400, 400, 413], context.statuses
