--- a/bambookeel/net/channels.py
+++ b/bambookeel/net/channels.py
@@ -180,7 +180,8 @@
             sock.setsockopt(
                 plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
             )
-        except OSError:
+        except (OSError, ValueError):
+            # Also if the peer's id is no address.
             return None
         return sock
 
--- a/bambookeel/net/platform_client.py
+++ b/bambookeel/net/platform_client.py
@@ -107,7 +107,7 @@
     """
     try:
         decoded = msgspec.json.decode(data, type=_Workers)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return result.Failure(faults.Fault("/platform/workers", str(error)))
     return result.Success(
         {
--- a/bambookeel/tools/cli_client.py
+++ b/bambookeel/tools/cli_client.py
@@ -21,6 +21,8 @@
 _WATCH_TIMEOUT_S = 15.0
 _RETRY_PAUSE_S = 0.3
 NO_ANSWER = 0
+# What a failed call or an answer that is not JSON raises.
+_FAILURES = (OSError, http.client.HTTPException, ValueError, RecursionError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +80,7 @@
         response = connection.getresponse()
         document = json.loads(response.read() or b"{}")
         return Answer(response.status, document, address)
-    except (OSError, http.client.HTTPException, ValueError) as error:
+    except _FAILURES as error:
         detail = f"{address}: {type(error).__name__}: {error}"
         return Answer(NO_ANSWER, {"detail": detail}, address)
     finally:
@@ -162,7 +164,7 @@
                 version = document["version"]
                 if document["changes"]:
                     yield result.Success(document)
-        except (OSError, http.client.HTTPException, ValueError):
+        except _FAILURES:
             pass
         finally:
             connection.close()
