--- a/features/platform/odd_answers.feature
+++ b/features/platform/odd_answers.feature
@@ -52,6 +52,7 @@
   Scenario Outline: Odd settings are left out, with or without a signal
     Given a site of four nodes, three with a disk
     When the settings of node 1 become <odd>
+    And node 1 gets a hang-up signal
     Then node 1 logs that its settings are unreadable
     When the settings of node 1 name another seed beside odd ones
     Then node 1 follows the other seed
--- a/features/platform/odd_input.feature
+++ b/features/platform/odd_input.feature
@@ -91,6 +91,7 @@
   Scenario: Nodes answer odd input with a refusal, and go on
     Given a site of four nodes, three with a disk
     And a configuration with one queue
+    And every sound worker is used for a new job
     When each odd request is sent to the leader and to two other nodes
     Then each was refused with a status from 400 to 499
     And no node has ended, and no task or request has failed in one
--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -5,6 +5,7 @@
 import sys
 import time
 
+from behave import given
 from behave import then
 from behave import when
 
@@ -168,7 +169,25 @@
         ("POST", "/v1/instances/odd/heartbeat", build_json(heartbeat, *each))
         for each in odd
     ]
+    # Of a worker that reports, by its id, its instance or its address.
+    sound = {
+        "address": "127.0.0.1:9000",
+        "machine": "m-9000",
+        "born": born + 1_000,
+    }
+    for name, changes in (
+        ("9000", {"born": 2**53 - 1}),
+        ("9000", {"service": "unnamed"}),
+        ("odd", {"born": 2**53 - 1}),
+        ("odd", {"service": "unnamed", "machine": "m-other"}),
+        ("odd", {"service": "unnamed", "address": "127.0.0.1:8"}),
+    ):
+        body = json.dumps({**heartbeat, **sound, **changes}).encode()
+        path = f"/v1/instances/{name}/heartbeat"
+        control.append(("POST", path, body))
     left = "/v1/instances/9000/deregister"
+    control.append(("POST", left, b'{"born":9007199254740991}'))
+    control.append(("POST", left, json.dumps({"born": born + 999}).encode()))
     for field, value in (("extra", DEEP), ("born", str(_BIG))):
         control.append(("POST", left, build_json({"born": 5}, field, value)))
     control.append(("POST", left, b"{}"))
@@ -236,10 +255,12 @@
     assert context.site.find_leader().number == context.leader
 
 
+@given("every sound worker is used for a new job")
 @then("every sound worker is used for a new job")
 def check_workers(context):
     site = context.site
-    job = "/orders/00000000000000bb"
+    site.starts.clear()
+    job = f"/orders/{time.time_ns():016x}"
     phases = [{"count": 24, "cpu": 1000, "mem_mb": 100, "estimate_ms": 150}]
     body = {"spec": "x", "phases": phases}
     answer = site.call_front(3, "POST", job, body)
