--- a/bambookeel/jobs/specs.py
+++ b/bambookeel/jobs/specs.py
@@ -10,10 +10,14 @@
 import msgspec
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=10**12)]
+# Unix time in milliseconds, up to the year 33658.
+WallMs = typing.Annotated[int, msgspec.Meta(ge=0, le=10**15)]
 # Limits on the size of a job, which bound its memory in the scheduler.
 MAX_TASKS_PER_STEP = 10_000
 MAX_STEPS = 1_000
 MAX_OCCURRENCES = 10_000
+# Tasks of all steps and occurrences of a job; each replica holds them all.
+MAX_TASKS = 100_000
 MAX_BODY_BYTES = 4_000
 
 
@@ -150,7 +154,7 @@
     occurrences: typing.Annotated[
         int, msgspec.Meta(ge=0, le=MAX_OCCURRENCES)
     ] = 0
-    first_due_wall_ms: Count = 0
+    first_due_wall_ms: WallMs = 0
     period_ms: Count = 0
 
     @property
@@ -231,6 +235,11 @@
         return "a job needs at least one step"
     if len(spec.steps) > MAX_STEPS:
         return f"{len(spec.steps)} steps; at most {MAX_STEPS} are taken"
+    tasks = sum(step.count for step in spec.steps) * max(1, spec.occurrences)
+    if tasks > MAX_TASKS:
+        return (
+            f"{tasks} tasks in all occurrences; at most {MAX_TASKS} are taken"
+        )
     for i, step in enumerate(spec.steps):
         for earlier in step.after:
             if earlier >= i:
