--- a/bambookeel/jobs/kept_workers.py
+++ b/bambookeel/jobs/kept_workers.py
@@ -1,10 +1,12 @@
 """Divides the workers of a service between suspect tasks and all others.
 
 Load pattern: many jobs have tasks that may crash their workers. Those of one
-job start on the same workers again and again, so that a task that must run apart
-would wait for as long as they do. In turn, tasks that run apart would close all
-workers, so that unsuspected tasks wait although most of the pool is idle.
+job start on the same workers again and again, so that a task that must run
+apart would wait for as long as they do. In turn, tasks that run apart would
+close all workers, so that unsuspected tasks wait although most of the pool is
+idle.
 """
+
 from collections.abc import Mapping
 
 from bambookeel.jobs import book_records
