--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -41,7 +41,7 @@
 STARTED_MS = 800
 # A run that a worker has reported for less than this is no older than its crash
 # by a task that crashes workers when it starts.
-_FRESH_MS = 500
+FRESH_MS = 500
 # A standing task that has worked for this long on one worker is no suspect.
 _CLEARED_MS = 10_000
 # Share of a rack's other workers that fall silent with one if the rack fails; a
@@ -94,7 +94,7 @@
                 at_work.append(run.task)
         elif worked_ms < STARTED_MS:
             started.append(run.task)
-            if worked_ms < _FRESH_MS:
+            if worked_ms < FRESH_MS:
                 fresh.append(run.task)
             # After the end of its lease the worker may have crashed at any
             # time, and its runs have ended by themselves.
--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -12,6 +12,9 @@
 
 # From here on the next crash decides, so that the task runs apart from others.
 _ISOLATE_EVIDENCE = 8
+# Maximum time for which a task waits for a worker of its own. A job must not be
+# without a running task for 3 s while there is room for it.
+_MAX_APART_WAIT_MS = 1_500
 # Maximum time for which a task waits until it is known whether its last worker
 # has crashed.
 _MAX_HOLD_MS = 4_000
@@ -52,7 +55,7 @@
         for incarnation in task.runs.values():
             worker = term.workers.by_id.get(incarnation.worker)
             run = term.book.assigned_runs[incarnation][task.ref]
-            if crashes.measure_work_ms(run, worker, now) < crashes.STARTED_MS:
+            if crashes.measure_work_ms(run, worker, now) < crashes.FRESH_MS:
                 jobs = found.setdefault(incarnation, {})
                 jobs[task.ref.job] = _choose_isolation(term, [task])
     return found
@@ -81,7 +84,33 @@
             _log_held(term, task)
             return placing.Isolation.HELD
         term.held.discard(task.ref)
-    return _choose_isolation(term, tasks)
+    isolation = _choose_isolation(term, tasks)
+    if isolation is placing.Isolation.REQUIRED:
+        since_ms = min(
+            term.apart_since_ms.get(task.ref, now.steady_ms) for task in tasks
+        )
+        if now.steady_ms - since_ms >= _MAX_APART_WAIT_MS:
+            return placing.Isolation.PREFERRED
+    return isolation
+
+
+def note_unplaced(
+    term: term_state.Term,
+    tasks: list[book_records.Task],
+    isolation: placing.Isolation,
+    now_ms: int,
+) -> None:
+    """Notes since when tasks that must run apart have found no worker.
+
+    Args:
+        term: State of the leader's term.
+        tasks: A waiting task, or those of a gang.
+        isolation: How far they must be kept apart.
+        now_ms: Steady-clock time in milliseconds.
+    """
+    if isolation is placing.Isolation.REQUIRED:
+        for task in tasks:
+            term.apart_since_ms.setdefault(task.ref, now_ms)
 
 
 def _choose_isolation(
--- a/bambookeel/jobs/kept_workers.py
+++ b/bambookeel/jobs/kept_workers.py
@@ -17,14 +17,10 @@
 from bambookeel.jobs import term as term_state
 
 # Share of the workers that may be kept free of other suspects, and that may be
-# closed for unsuspected tasks while such tasks wait.
+# closed for all other tasks.
 _MAX_SHARE = 0.5
 
 
-def _count_share(capacities: list[placing.FreeCapacity]) -> int:
-    return max(1, int(len(capacities) * _MAX_SHARE))
-
-
 def _list_waiting_steps(
     term: term_state.Term, service: str, now: term_state.Now
 ) -> list[book_records.Step]:
@@ -108,28 +104,22 @@
         capacities: Free capacities of its workers, which are changed.
         now: Current time.
     """
-    left = _count_share(capacities)
+    left = count_closable(capacities)
     for step in _list_waiting_steps(term, service, now):
         tickets = term.list_tickets(step, now.steady_ms)
         left -= _keep_for_step(step, capacities, tickets, left)
 
 
-def count_closable(
-    steps: list[book_records.Step], capacities: list[placing.FreeCapacity]
-) -> int:
+def count_closable(capacities: list[placing.FreeCapacity]) -> int:
     """Counts the workers that tasks that must run apart may close for others.
 
     Args:
-        steps: Steps of the service with waiting tasks.
-        capacities: Free capacities of its workers.
+        capacities: Free capacities of the service's workers.
 
     Returns:
-        All workers if only suspect tasks wait.
+        Number of workers.
     """
-    for step in steps:
-        if not all(step.tasks[index].evidence for index in step.waiting):
-            return _count_share(capacities)
-    return len(capacities)
+    return max(1, int(len(capacities) * _MAX_SHARE))
 
 
 def list_open_to(
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -118,7 +118,7 @@
         return
     isolated = isolating.list_isolated_jobs(term, now)
     capacities = placing.measure_free(usable, isolated)
-    closable = kept_workers.count_closable(steps, capacities)
+    closable = kept_workers.count_closable(capacities)
     current = _Plan(capacities, now, closable)
     kept_workers.keep_workers(term, service, current.capacities, now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
@@ -267,6 +267,7 @@
         capacities, step, now_ms, avoided, tickets, isolation
     )
     if capacity is None:
+        isolating.note_unplaced(term, [task], isolation, now_ms)
         return False
     if capacity.worker.incarnation in task.runs.values():
         return True
@@ -284,6 +285,7 @@
     tickets: Mapping[specs.WorkerIncarnation, str] | None,
 ) -> None:
     current.placed.add(task.ref)
+    term.apart_since_ms.pop(task.ref, None)
     job = term.book.jobs[step.key[0]]
     used = current.team_usage.get(job.team, specs.Resources())
     current.team_usage[job.team] = used + step.spec.needs
@@ -321,6 +323,7 @@
     )
     places = placing.place_gang(capacities, step, now_ms, tickets, isolation)
     if places is None:
+        isolating.note_unplaced(term, step.tasks, isolation, now_ms)
         return
     for task, capacity in zip(step.tasks, places):
         _add_assignment(term, current, step, task, capacity, tickets)
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -90,6 +90,9 @@
         self.withdrawn: set[tuple[specs.TaskRef, int]] = set()
         # Tasks that wait until it is known whether they have crashed a worker.
         self.held: set[specs.TaskRef] = set()
+        # Steady-clock time since which tasks that must run apart have found no
+        # worker.
+        self.apart_since_ms: dict[specs.TaskRef, int] = {}
         self.advice = advice.Advice()
         # Questions to the advisor that the leader has not fetched yet.
         self.questions: list[advice.Question] = []
@@ -187,6 +190,11 @@
         }
         self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
         self.held = {ref for ref in self.held if ref.job in jobs}
+        self.apart_since_ms = {
+            ref: since_ms
+            for ref, since_ms in self.apart_since_ms.items()
+            if ref.job in jobs
+        }
         self.advice.retain_jobs(jobs)
 
     def list_tickets(
