--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -169,13 +169,17 @@
         now: Current time.
 
     Returns:
-        Time in milliseconds from the assignment to the worker's last report,
-        or until now if there was none; 0 if no report lists the run.
+        Time in milliseconds from its start, or from the assignment if it is not
+        known when it started, to the worker's last report, or until now if
+        there was none; 0 if no report lists the run.
     """
     if worker is None:
         return now.wall_ms - run.assigned_wall_ms
     if run.task not in worker.running:
         return 0
+    begun_after_ms = worker.begun_after_ms.get((run.task, run.run))
+    if begun_after_ms is not None:
+        return worker.last_report_ms - begun_after_ms
     silent_ms = now.steady_ms - worker.last_report_ms
     return now.wall_ms - silent_ms - run.assigned_wall_ms
 
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -32,6 +32,9 @@
             to this leader.
         reserved: Resources of its assigned runs and of unknown runs on it.
         running: Runs of the newest report, by task.
+        begun_after_ms: Steady-clock time in milliseconds of the last report
+            that did not list a run of `running`, by task and run; none for runs
+            that its first report to this leader listed.
         ordered: Runs that the last answer told it to start.
         health: Health of the worker, judged by its runs.
         pace: Pace of the filler tasks on the worker.
@@ -47,6 +50,9 @@
     running: dict[specs.TaskRef, calls.RunningRun] = dataclasses.field(
         default_factory=dict
     )
+    begun_after_ms: dict[tuple[specs.TaskRef, int], int] = dataclasses.field(
+        default_factory=dict
+    )
     ordered: set[tuple[specs.TaskRef, int]] = dataclasses.field(
         default_factory=set
     )
@@ -67,6 +73,22 @@
         """Capacity that is not reserved."""
         return self.report.capacity - self.reserved
 
+    def note_begun(self, report: calls.WorkerReport) -> None:
+        """Notes which runs have begun since the last report.
+
+        Args:
+            report: The next report, before it replaces the last one.
+        """
+        listed = {(run.task, run.run) for run in self.report.running}
+        begun = {}
+        for run in report.running:
+            key = (run.task, run.run)
+            if key not in listed:
+                begun[key] = self.last_report_ms
+            elif key in self.begun_after_ms:
+                begun[key] = self.begun_after_ms[key]
+        self.begun_after_ms = begun
+
     def is_suspect(self, now_ms: int) -> bool:
         """Returns whether the worker's health is in doubt.
 
@@ -194,6 +216,8 @@
         if known is None:
             known = Worker(report, now_ms, now_ms, now_ms)
             self.by_id[report.life.worker] = known
+        else:
+            known.note_begun(report)
         known.report = report
         known.is_lease_expired = False
         known.last_report_ms = now_ms
--- a/features/fakes/jobs_crashes.py
+++ b/features/fakes/jobs_crashes.py
@@ -31,6 +31,8 @@
         # Number of further orders to start runs that are lost since the worker
         # crashes before it receives them.
         self.lost_orders = 0
+        # Until then no worker receives orders.
+        self.deaf_until_ms = 0
         # Book of a replica that passes over the newest fields of commands.
         self.former_book = None
         super().__init__(seed, workers=0, faults=faults)
@@ -86,7 +88,10 @@
         )
 
     def apply_orders(self, worker, orders, sent_ms):
-        """Applies orders, unless they are lost with the worker."""
+        """Applies orders, unless they are lost, also with the worker."""
+        if self.now_ms < self.deaf_until_ms:
+            worker.next_report_ms = self.now_ms + 200
+            return
         if orders.starts and self.lost_orders:
             self.lost_orders -= 1
             self.crash_at_ms[worker.name] = self.now_ms
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -167,6 +167,15 @@
     And the simulation runs for 20000 ms
     Then job "b" is "active"
 
+  Scenario: A run has begun when its worker starts it, however late the order arrives
+    Given no worker receives orders for 3000 ms
+    And a deadly task crashes its worker 400 ms after its start
+    And a worker that crashes is back after 1000 ms under another id
+    When deadly job "a" of 1 task is submitted
+    And the simulation runs for 20000 ms
+    Then job "a" is "failed"
+    And no evidence against it is "at_work"
+
   Scenario: A task whose workers were cut off and crash once its runs have lapsed is not given up
     When job "b" of 1 step of 1 task of 90000 ms is submitted
     And its worker is cut off and crashes once the run has lapsed, 2 times
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -33,6 +33,23 @@
     context.sim.renames = name == "another"
 
 
+@given("a deadly task crashes its worker {ms:d} ms after its start")
+def set_crash_delay(context, ms):
+    context.sim.crash_delay_ms = ms
+
+
+@given("no worker receives orders for {ms:d} ms")
+def lose_all_orders(context, ms):
+    context.sim.deaf_until_ms = context.sim.now_ms + ms
+
+
+@then('no evidence against it is "{evidence}"')
+def check_evidence(context, evidence):
+    events = context.sim.get_events("task_suspected")
+    assert events, context.sim.events
+    assert all(event["evidence"] != evidence for event in events), events
+
+
 @given("{count:d} workers crash before they receive an order")
 def lose_orders(context, count):
     context.sim.lost_orders = count
