--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -84,7 +84,7 @@
     required, states, spare = _choose_required(term, states, spare, now)
     moves = required + pools.choose_moves(states, spare_pool, spare, now_ms)
     if not moves and not spare:
-        moves = _choose_hand_overs(term, states)
+        moves = _choose_hand_overs(term, states, now_ms)
     for name, pool in moves:
         term.instance_controller.set_goal(instances.Move(name, pool), now_ms)
         source = term.instance_controller.fleet.statuses[name].pool
@@ -119,8 +119,8 @@
         candidates = [name for name in reversed(spare) if name not in taken]
         for other in states:
             if other is not state and pools.is_idle(other):
-                extra = other.members - max(1, other.min_members)
-                candidates += [n for n in other.empty[:extra] if n not in taken]
+                givable = other.empty[: other.count_givable()]
+                candidates += [name for name in givable if name not in taken]
         for name in fitting.choose_instances(term, state.pool, candidates, now):
             moves.append((name, state.pool))
     taken = {name for name, _ in moves}
@@ -140,13 +140,14 @@
 
 
 def _choose_hand_overs(
-    term: term_state.Term, states: list[pools.PoolState]
+    term: term_state.Term, states: list[pools.PoolState], now_ms: int
 ) -> list[tuple[str, str]]:
     """Chooses instances that a pool hands over to one with a longer backlog.
 
     Args:
         term: State of the leader's term.
         states: State of each pool other than the spare pool.
+        now_ms: Steady-clock time in milliseconds.
 
     Returns:
         Pairs of an instance and the pool to which it should move.
@@ -157,7 +158,7 @@
         source = hand_over.source
         if source not in drainable:
             drainable[source] = pool_demand.list_drainable_instances(
-                term, source
+                term, source, now_ms
             )
         if drainable[source]:
             moves.append((drainable[source].pop(0), hand_over.target))
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -75,12 +75,15 @@
     return longest_ms
 
 
-def list_drainable_instances(term: term_state.Term, service: str) -> list[str]:
+def list_drainable_instances(
+    term: term_state.Term, service: str, now_ms: int
+) -> list[str]:
     """Lists the instances of a pool that would be empty soon.
 
     Args:
         term: State of the leader's term.
         service: Service of the pool.
+        now_ms: Steady-clock time in milliseconds.
 
     Returns:
         Names of instances without a goal, those that are empty soonest
@@ -97,7 +100,8 @@
         ):
             continue
         name = report.instance
-        if name in fleet.goals or name not in fleet.statuses:
+        status = fleet.statuses.get(name)
+        if name in fleet.goals or status is None or now_ms < status.retry_at_ms:
             continue
         drain_ms = _compute_drain_ms(term, worker)
         if drain_ms <= _MAX_DRAIN_MS:
@@ -117,7 +121,7 @@
 
 def _measure_members(
     term: term_state.Term, service: str, now_ms: int
-) -> tuple[int, int, int, tuple[str, ...]]:
+) -> tuple[int, int, int, int, tuple[str, ...]]:
     """Measures the instances of a pool.
 
     Args:
@@ -127,9 +131,9 @@
 
     Returns:
         Number of instances, including those that are moving to the pool;
-        processor time of all and of the largest one, in thousandths of a core,
-        where those that do not report count like the largest; names of the
-        instances that run nothing.
+        number of those among them that do not report; processor time of all and
+        of the largest one, in thousandths of a core, where those that do not
+        report count like the largest; names of the instances that run nothing.
     """
     fleet = term.instance_controller.fleet
     members = 0
@@ -146,7 +150,10 @@
             not term.book.assigned_runs.get(worker.incarnation)
             and not worker.running
         )
-        if is_free and goal is None and report.instance in fleet.statuses:
+        status = fleet.statuses.get(report.instance)
+        if not is_free or goal is not None or status is None:
+            continue
+        if now_ms >= status.retry_at_ms:
             empty.append(report.instance)
     incoming = sum(
         isinstance(goal.order, instances.Move) and goal.order.pool == service
@@ -155,7 +162,8 @@
     unreported = loads.list_unreported_instances(term, service, now_ms)
     absent = incoming + len(unreported)
     total_milli += absent * instance_milli
-    return members + absent, total_milli, instance_milli, tuple(sorted(empty))
+    members += absent
+    return members, absent, total_milli, instance_milli, tuple(sorted(empty))
 
 
 def _measure_work(
@@ -239,7 +247,7 @@
         State of the pool.
     """
     now_ms = now.steady_ms
-    members, total_milli, instance_milli, empty = _measure_members(
+    members, incoming, total_milli, instance_milli, empty = _measure_members(
         term, service, now_ms
     )
     ready_work, ready_milli, standing_milli, needed = _measure_work(
@@ -263,4 +271,5 @@
         min_members=max(kept, needed),
         empty=empty,
         idle_since_ms=idle_since_ms,
+        incoming=incoming,
     )
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -55,6 +55,9 @@
         empty: Names of the instances that run nothing.
         idle_since_ms: Since when the pool has been idle, on the steady clock;
             -1 if it is not.
+        incoming: Number of members that are moving to the pool or have not
+            reported yet. They may never arrive, so that the pool gives away
+            others only beside the instances that it keeps.
     """
 
     pool: str
@@ -68,6 +71,11 @@
     min_members: int
     empty: tuple[str, ...]
     idle_since_ms: int
+    incoming: int = 0
+
+    def count_givable(self) -> int:
+        """Counts the instances that the pool may give away."""
+        return self.members - self.incoming - max(1, self.min_members)
 
 
 def is_idle(state: PoolState) -> bool:
@@ -80,7 +88,7 @@
         True if the pool could manage with one instance less.
     """
     left_milli = state.capacity_milli - state.instance_milli
-    if state.members <= max(1, state.min_members) or left_milli <= 0:
+    if state.count_givable() <= 0 or left_milli <= 0:
         return False
     if state.arriving_milli > IDLE_ARRIVAL_SHARE * left_milli:
         return False
@@ -227,8 +235,7 @@
         if is_idle(state):
             # A pool that needs instances may take them from an idle pool
             # without waiting until that pool gives them back.
-            extra = state.members - max(1, state.min_members)
-            supply = [*state.empty[:extra], *supply]
+            supply = [*state.empty[: state.count_givable()], *supply]
             continue
         count = _count_missing(state)
         if count:
--- a/bambookeel/jobs/rebalancing.py
+++ b/bambookeel/jobs/rebalancing.py
@@ -99,7 +99,8 @@
         balance
         for balance in balances
         if balance is not target
-        and balance.members > max(1, balance.state.min_members)
+        and balance.members - balance.state.incoming
+        > max(1, balance.state.min_members)
         and balance.capacity_milli > balance.state.instance_milli
     ]
     source = min(
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -21,6 +21,8 @@
 # Pause before the next order for an instance after an order that was refused or
 # got no answer.
 _RETRY_MS = 600
+# The same after two orders in a row without an answer.
+_UNANSWERED_RETRY_MS = 5_000
 
 
 class InstanceController:
@@ -311,6 +313,7 @@
         if goal is None or goal.order != order:
             return None
         status = self.fleet.statuses.get(order.instance)
+        retry_ms = _RETRY_MS
         match outcome:
             case instances.OrderOutcome.DONE:
                 goal.phase = fleet_view.GoalPhase.AWAY
@@ -327,14 +330,20 @@
                 del self.fleet.goals[order.instance]
             case instances.OrderOutcome.UNKNOWN:
                 # The order may be in progress; sending it again does no harm.
+                is_repeated = goal.has_earlier_order
                 goal.has_earlier_order = True
                 goal.phase = fleet_view.GoalPhase.DRAINING
+                if is_repeated and isinstance(order, instances.Move):
+                    # The provider may be down for long; until it answers, the
+                    # worker is of use where it is.
+                    del self.fleet.goals[order.instance]
+                    retry_ms = _UNANSWERED_RETRY_MS
             case _:
                 goal.phase = fleet_view.GoalPhase.DRAINING
                 if isinstance(order, instances.Move):
                     del self.fleet.goals[order.instance]
         if status is not None:
-            status.retry_at_ms = now_ms + _RETRY_MS
+            status.retry_at_ms = now_ms + retry_ms
         return None
 
     def update_from_report(self, worker: worker_table.Worker) -> bool:
--- a/features/fakes/jobs_pools.py
+++ b/features/fakes/jobs_pools.py
@@ -30,6 +30,8 @@
         self._answers = []
         self._list_due = None
         self._moves = 0
+        # Whether the provider carries out nothing and gives no answer.
+        self.is_provider_silent = False
         super().__init__(seed, workers=0, faults=faults)
         for pool, count in (*((p, members) for p in POOLS), (SPARE, spare)):
             for i in range(count):
@@ -144,7 +146,10 @@
     def _carry_out(self, order):
         outcome = instances.OrderOutcome.DONE
         is_carried_out = True
-        if self.faults:
+        if self.is_provider_silent:
+            outcome = instances.OrderOutcome.UNKNOWN
+            is_carried_out = False
+        elif self.faults:
             chance = self.random.random()
             if chance < _LOST_RATE:
                 outcome = instances.OrderOutcome.UNKNOWN
--- a/features/jobs/fitting.feature
+++ b/features/jobs/fitting.feature
@@ -59,3 +59,11 @@
       | 1     | task       | 500 | 70000 |       | too_large |
       | 40    | gang tasks | 10  | 40000 |       | no_room   |
       | 1     | task       | 500 | 100   | none  | no_room   |
+
+  # Hollybrook, LOST: a pool gave away its own workers for some that never came.
+  Scenario: A pool works on while the provider is silent
+    Given the provider is silent
+    When the pools get peaks of jobs one after another for 30000 ms
+    And the simulation runs for 20000 ms
+    Then all jobs have ended
+    And no guarantee was violated
--- a/features/jobs/pools.feature
+++ b/features/jobs/pools.feature
@@ -75,3 +75,10 @@
   Scenario: A few large arrivals raise only the decaying average
     When 2 jobs of 240 core seconds arrive, one every 50 ms
     Then the arrival rate is at most 410 cores
+
+  Scenario: A pool gives none of its own instances away for some that may never come
+    Given pools
+      | pool | ready_s | members | needed | empty | idle_ms | incoming |
+      | a    | 0       | 13      | 4      | a1,a2 | 9000    | 9        |
+      | b    | 900     | 4       | 4      |       |         | 0        |
+    Then no instance moves
--- a/features/steps/fitting_steps.py
+++ b/features/steps/fitting_steps.py
@@ -4,6 +4,7 @@
 from behave import then
 from behave import when
 
+from bambookeel.jobs import calls
 from bambookeel.jobs import instances
 from bambookeel.jobs import specs
 from features.fakes import jobs_pools
@@ -103,3 +104,36 @@
     ]
     assert 8 <= len(lines) <= 10, lines
     assert set(lines) == {reason}, lines
+
+
+@given("the provider is silent")
+def silence_provider(context):
+    context.sim.is_provider_silent = True
+
+
+@when("the pools get peaks of jobs one after another for {ms:d} ms")
+def submit_peaks(context, ms):
+    spec = specs.JobSpec(
+        "body",
+        (
+            specs.StepSpec(
+                count=8, needs=specs.Resources(2_000, 1_000, 0), estimate_ms=800
+            ),
+        ),
+    )
+    peak_ms = 5_000
+    context.jobs = []
+    for number in range(ms // 250):
+        pool = jobs_pools.POOLS[(number * 250 // peak_ms) % 3]
+        name = f"{number:016x}"
+        answer = context.sim.submit_to(pool, name, spec)
+        if isinstance(answer, calls.Done):
+            context.jobs.append(name)
+        context.sim.advance(250)
+
+
+@then("all jobs have ended")
+def check_all_ended(context):
+    book = context.sim.scheduler.book
+    still_open = [name for name in context.jobs if book.jobs[name].is_open]
+    assert context.jobs and not still_open, still_open
--- a/features/steps/job_pool_steps.py
+++ b/features/steps/job_pool_steps.py
@@ -31,6 +31,7 @@
                 int(row["needed"]),
                 tuple(row["empty"].split(",")) if row["empty"] else (),
                 _NOW_MS - int(idle) if idle else -1,
+                int(row.get("incoming", "0")),
             )
         )
 
