--- a/bambookeel/jobs/kept_workers.py
+++ b/bambookeel/jobs/kept_workers.py
@@ -1,10 +1,8 @@
-"""Divides the workers of a service between suspect tasks and all others.
+"""Keeps workers free for suspect tasks that must run apart from others.
 
-Load pattern: many jobs have tasks that may crash their workers. Those of one
-job start on the same workers again and again, so that a task that must run
-apart would wait for as long as they do. In turn, tasks that run apart would
-close all workers, so that unsuspected tasks wait although most of the pool is
-idle.
+Load pattern: several jobs have tasks that may crash their workers, and those of
+one job start on the same workers again and again. A task that must run apart
+would wait for as long as they do, although most of the pool is idle.
 """
 
 from collections.abc import Mapping
@@ -16,9 +14,9 @@
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 
-# Share of the workers that may be kept free of other suspects, and that may be
-# closed for all other tasks.
-_MAX_SHARE = 0.5
+# Share of the workers that may be kept free; suspects of other jobs use the
+# rest.
+_MAX_KEPT_SHARE = 0.5
 
 
 def _list_waiting_steps(
@@ -104,49 +102,7 @@
         capacities: Free capacities of its workers, which are changed.
         now: Current time.
     """
-    left = count_closable(capacities)
+    left = max(1, int(len(capacities) * _MAX_KEPT_SHARE))
     for step in _list_waiting_steps(term, service, now):
         tickets = term.list_tickets(step, now.steady_ms)
         left -= _keep_for_step(step, capacities, tickets, left)
-
-
-def count_closable(capacities: list[placing.FreeCapacity]) -> int:
-    """Counts the workers that tasks that must run apart may close for others.
-
-    Args:
-        capacities: Free capacities of the service's workers.
-
-    Returns:
-        Number of workers.
-    """
-    return max(1, int(len(capacities) * _MAX_SHARE))
-
-
-def list_open_to(
-    job: str,
-    isolation: placing.Isolation,
-    capacities: list[placing.FreeCapacity],
-    closable: int,
-) -> list[placing.FreeCapacity]:
-    """Lists the workers on which a task may start.
-
-    Args:
-        job: Job of the task.
-        isolation: How far the task must be kept apart.
-        capacities: Free capacities of the service's workers.
-        closable: Number of workers that may be closed for other tasks.
-
-    Returns:
-        All workers, unless the task must run apart and enough are closed; then
-        those that its job has closed.
-    """
-    if isolation is not placing.Isolation.REQUIRED:
-        return capacities
-    closed = [
-        capacity
-        for capacity in capacities
-        if placing.Isolation.REQUIRED in capacity.isolated_jobs.values()
-    ]
-    if len(closed) < closable:
-        return capacities
-    return [capacity for capacity in closed if job in capacity.isolated_jobs]
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -34,8 +34,6 @@
         now: Current time.
         team_usage: Resources that the plan has assigned to each team.
         assignments: Runs that the plan has assigned, by worker.
-        closable: Number of workers that tasks that must run apart may close
-            for others.
         shares: The teams' shares of the service; None while all waiting tasks
             fit.
         placed: Tasks that the plan has assigned.
@@ -43,7 +41,6 @@
 
     capacities: list[placing.FreeCapacity]
     now: term_state.Now
-    closable: int
     team_usage: dict[str, specs.Resources] = dataclasses.field(
         default_factory=dict
     )
@@ -117,9 +114,7 @@
     if not usable:
         return
     isolated = isolating.list_isolated_jobs(term, now)
-    capacities = placing.measure_free(usable, isolated)
-    closable = kept_workers.count_closable(capacities)
-    current = _Plan(capacities, now, closable)
+    current = _Plan(placing.measure_free(usable, isolated), now)
     kept_workers.keep_workers(term, service, current.capacities, now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
@@ -260,11 +255,8 @@
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
     isolation = isolating.get_isolation(term, [task], current.now)
-    capacities = kept_workers.list_open_to(
-        step.key[0], isolation, current.capacities, current.closable
-    )
     capacity = placing.choose_worker(
-        capacities, step, now_ms, avoided, tickets, isolation
+        current.capacities, step, now_ms, avoided, tickets, isolation
     )
     if capacity is None:
         isolating.note_unplaced(term, [task], isolation, now_ms)
@@ -318,10 +310,9 @@
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
     isolation = isolating.get_isolation(term, step.tasks, current.now)
-    capacities = kept_workers.list_open_to(
-        step.key[0], isolation, current.capacities, current.closable
+    places = placing.place_gang(
+        current.capacities, step, now_ms, tickets, isolation
     )
-    places = placing.place_gang(capacities, step, now_ms, tickets, isolation)
     if places is None:
         isolating.note_unplaced(term, step.tasks, isolation, now_ms)
         return
