--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -105,7 +105,7 @@
                 certain.append(run.task)
         elif not step.spec.is_standing:
             at_work.append(run.task)
-    weights = _weigh(started, at_work, certain)
+    weights = _weigh(started, fresh, at_work, certain)
     if worker is not None and _is_rack_dark(term, worker, now):
         _log_other_cause(term, worker, "its whole rack has failed")
         weights = dict.fromkeys(started, Evidence.RACK_FAILED)
@@ -119,6 +119,7 @@
 
 def _weigh(
     started: list[specs.TaskRef],
+    fresh: list[specs.TaskRef],
     at_work: list[specs.TaskRef],
     certain: list[specs.TaskRef],
 ) -> dict[specs.TaskRef, Evidence]:
@@ -126,6 +127,7 @@
 
     Args:
         started: Tasks that the worker may have just started.
+        fresh: Those of `started` that were not at work yet.
         at_work: Tasks that had worked for longer.
         certain: Those of `started` that certainly ran when it crashed.
 
@@ -137,6 +139,10 @@
     weights = dict.fromkeys(started, Evidence.MAY_HAVE_STARTED)
     if len({ref.job for ref in started}) == 1:
         weights.update(dict.fromkeys(certain, Evidence.ONLY_JOB_STARTED))
+    if fresh:
+        # The others have started without a crash.
+        older = [ref for ref in started if ref not in fresh]
+        weights.update(dict.fromkeys(older, Evidence.AT_WORK))
     return weights
 
 
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -214,3 +214,7 @@
     Examples:
       | first | last |
       | 0     | 15   |
+      | 116   | 116  |
+      | 133   | 133  |
+      | 177   | 177  |
+      | 319   | 319  |
--- a/features/jobs/mixed_crashes.feature
+++ b/features/jobs/mixed_crashes.feature
@@ -7,3 +7,6 @@
     Examples:
       | first | last |
       | 0     | 7    |
+      | 31    | 31   |
+      | 57    | 57   |
+      | 107   | 107  |
