--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -214,6 +214,10 @@
     Examples:
       | first | last |
       | 0     | 15   |
+      | 116   | 116  |
+      | 133   | 133  |
+      | 177   | 177  |
+      | 319   | 319  |
 
   # Hollybrook, LOST: suspects of other jobs kept a task that must run apart waiting.
   Scenario Outline: No job waits beside free room while tasks crash their workers
