--- a/bambookeel/core/json_input.py
+++ b/bambookeel/core/json_input.py
@@ -22,7 +22,12 @@
 _MAX_ENTRY_DEPTH = 64
 # Depth of an entry: it is in an array that is a member of an object.
 _ENTRY_DEPTH = 3
-_STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# A larger document is not searched for such entries, which takes time.
+_MAX_BLANKED_BYTES = 1024 * 1024
+# A string without an end is matched, too, so that it is read only once.
+_STRING_OR_BRACKETS = re.compile(
+    rb'"(?:[^"\\]|\\.)*"?|[\[{]+|[\]}]+', re.DOTALL
+)
 
 Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Whole = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
@@ -107,21 +112,26 @@
         body: A JSON object whose members may be arrays of entries.
 
     Returns:
-        The document with null in place of those entries.
+        The document with null in place of those entries; unchanged if it is
+        large.
     """
+    if len(body) > _MAX_BLANKED_BYTES:
+        return body
     kept = []
     kept_until = begin = depth = deepest = 0
-    for token in _STRING_OR_BRACKET.finditer(body):
-        match token.group():
+    for token in _STRING_OR_BRACKETS.finditer(body):
+        count = token.end() - token.start()
+        match body[token.start() : token.start() + 1]:
             case b"[" | b"{":
-                depth += 1
-                if depth == _ENTRY_DEPTH:
-                    begin = token.start()
-                    deepest = depth
+                if depth < _ENTRY_DEPTH <= depth + count:
+                    begin = token.start() + _ENTRY_DEPTH - 1 - depth
+                    deepest = 0
+                depth += count
                 deepest = max(deepest, depth)
             case b"]" | b"}":
-                if depth == _ENTRY_DEPTH and deepest > _MAX_ENTRY_DEPTH:
+                is_end = depth - count < _ENTRY_DEPTH <= depth
+                if is_end and deepest > _MAX_ENTRY_DEPTH:
                     kept += [body[kept_until:begin], b"null"]
-                    kept_until = token.end()
-                depth -= 1
+                    kept_until = token.start() + depth - _ENTRY_DEPTH + 1
+                depth -= count
     return b"".join((*kept, body[kept_until:]))
--- a/bambookeel/net/json_client.py
+++ b/bambookeel/net/json_client.py
@@ -22,7 +22,7 @@
 # Time limit of a call, as a multiple of the wait for each part of its answer.
 _MAX_CALL_PARTS = 4
 # Limit of an answer; a larger one counts as none.
-_MAX_ANSWER_BYTES = 32 * 1024 * 1024
+_MAX_ANSWER_BYTES = 8 * 1024 * 1024
 _PART_BYTES = 65_536
 # Other characters cannot be part of a request line.
 _PATH_CHARS = string.ascii_letters + string.digits + string.punctuation
@@ -175,10 +175,10 @@
         answer = self.call(method, path, document)
         if answer is None or answer[0] != 200:
             return None
-        body = answer[1]
-        if blanks_entries:
-            body = json_input.blank_deep_entries(body)
-        record = json_input.decode(body, record_type)
+        record = json_input.decode(answer[1], record_type)
+        if isinstance(record, str) and blanks_entries:
+            shallow = json_input.blank_deep_entries(answer[1])
+            record = json_input.decode(shallow, record_type)
         if isinstance(record, str):
             logs.log_event("answer_malformed", path=path, error=record)
             return None
--- a/features/platform/odd_answers.feature
+++ b/features/platform/odd_answers.feature
@@ -17,6 +17,20 @@
       | "odd"                                                       |
       | 1180591620717411303424                                      |
 
+  Scenario Outline: Just the entries that are nested too deeply are blanked
+    Then the document <document> becomes <blanked>
+
+    Examples:
+      | document                                         | blanked                           |
+      | {"m":[{"a":1},{"z":nested 100000 deep},{"b":1}]} | {"m":[{"a":1},null,{"b":1}]}      |
+      | {"m":[nested 100000 deep,5]}                     | {"m":[null,5]}                    |
+      | {"m":nested 100000 deep}                         | {"m":[null]}                      |
+      | {"m":[{"a":"]}["}],"n":[nested 100000 deep]}     | {"m":[{"a":"]}["}],"n":[null]}    |
+
+  Scenario: Other documents are left as they are, and none takes long to search
+    Then any shallow document is left as it is
+    And a document of 400000 escaped quotes without an end is left as it is
+
   Scenario Outline: An odd document of a service is no answer
     When a service answers <odd>
     Then the provider gives no list, and the advisor no advice
--- a/features/steps/odd_answer_steps.py
+++ b/features/steps/odd_answer_steps.py
@@ -12,7 +12,10 @@
 from behave import when
 import eliot
 import gevent
+import hypothesis
+from hypothesis import strategies
 
+from bambookeel.core import json_input
 from bambookeel.jobs import advice
 from bambookeel.jobs import instances
 from bambookeel.jobs import specs
@@ -89,6 +92,36 @@
     assert len(logs.render_line(found[0])) <= most, found
 
 
+@then("the document {document} becomes {blanked}")
+def check_blanked(_context, document, blanked):
+    found = json_input.blank_deep_entries(_expand(document).encode())
+    assert found == blanked.encode(), found[:200]
+
+
+@then("any shallow document is left as it is")
+def check_shallow(_context):
+    texts = strategies.text(alphabet='[]{}"\\a', max_size=6)
+    values = strategies.recursive(
+        texts | strategies.integers(),
+        lambda inner: strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(texts, inner, max_size=3),
+    )
+
+    @hypothesis.given(strategies.dictionaries(texts, values, max_size=4))
+    def check(document):
+        body = json.dumps(document).encode()
+        assert json_input.blank_deep_entries(body) == body
+
+    check()
+
+
+@then("a document of {count:d} escaped quotes without an end is left as it is")
+def check_endless_string(_context, count):
+    # A search that began again at each quote would take hours.
+    body = b'{"m":["' + b'\\"' * count
+    assert json_input.blank_deep_entries(body) == body
+
+
 @when("a service answers {odd}")
 def answer_odd(context, odd):
     context.service = _serve(context, _expand(odd).encode())
