--- a/bambookeel/jobs/fitting.py
+++ b/bambookeel/jobs/fitting.py
@@ -4,7 +4,8 @@
 need more memory than the standing tasks leave on any instance, or a label that
 no instance has, and a gang needs capacity for all its tasks at once. Such a
 task would wait forever while most of the pool is idle. It fits if it could run
-once all tasks that end by themselves have ended.
+once all tasks that end by themselves have ended. Fillers and steps that need
+the advisor's approval are left out.
 """
 
 from collections.abc import Iterator
@@ -19,6 +20,13 @@
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
+# Interval between two searches for the same step. An instance that came for it
+# may be given back before the step has started, and one that is missing may be
+# missing for long.
+_REPEAT_INTERVAL_MS = 15_000
+# Maximum number of steps without room in one search.
+_MAX_STEPS = 30
+
 
 @dataclasses.dataclass(slots=True)
 class _Room:
@@ -150,17 +158,23 @@
         now: Current time.
 
     Returns:
-        Steps with waiting tasks that are due.
+        Steps with waiting tasks that are due and have not been searched for
+        lately.
     """
     steps = []
     for name, ready in term.book.ready.items():
         queue = term.book.find_queue(name)
-        if queue is None or queue.service != service:
+        if queue is None or queue.service != service or queue.ticket_ms:
             continue
         for step in ready.values():
-            if step.due_wall_ms > now.wall_ms:
+            if step.due_wall_ms > now.wall_ms or step.spec.is_filler:
                 continue
-            steps.append(step)
+            searched_ms = term.fitting_searched_ms.get(step.key)
+            if (
+                searched_ms is None
+                or now.steady_ms - searched_ms >= _REPEAT_INTERVAL_MS
+            ):
+                steps.append(step)
     steps.sort(key=lambda step: not step.spec.is_standing)
     return steps
 
@@ -182,7 +196,7 @@
         self._candidates = candidates
         self.chosen: list[str] = []
 
-    def add(self, step: book_records.Step, count: int) -> None:
+    def add(self, step: book_records.Step, count: int) -> bool:
         """Chooses instances until tasks of a step fit at the same time.
 
         Chooses none for a gang that would not fit all the same.
@@ -190,6 +204,9 @@
         Args:
             step: Step of the tasks.
             count: Number of tasks.
+
+        Returns:
+            Whether the tasks fit without further instances.
         """
         missing = count
         for room in self._rooms:
@@ -199,6 +216,8 @@
             missing -= fitting
             if step.spec.is_standing:
                 room.reserve(step, fitting)
+        if not missing:
+            return True
         names = []
         added = []
         for name, status in self._candidates:
@@ -213,10 +232,10 @@
                 room.reserve(step, fitting)
             names.append(name)
             added.append(room)
-        if missing and step.spec.is_gang:
-            return
-        self.chosen.extend(names)
-        self._rooms.extend(added)
+        if not missing or not step.spec.is_gang:
+            self.chosen.extend(names)
+            self._rooms.extend(added)
+        return False
 
 
 def choose_instances(
@@ -246,7 +265,10 @@
         _list_rooms(term, service, now.steady_ms),
         [(name, statuses[name]) for name in candidates],
     )
+    without_room = 0
     for step in steps:
+        if without_room == _MAX_STEPS:
+            break
         count = 1
         if step.spec.is_gang:
             count = len(step.tasks)
@@ -254,5 +276,8 @@
             continue
         if step.spec.is_standing and not step.spec.is_gang:
             count = len(step.waiting)
-        search.add(step, count)
+        if search.add(step, count):
+            continue
+        without_room += 1
+        term.fitting_searched_ms[step.key] = now.steady_ms
     return search.chosen
--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -57,7 +57,7 @@
             run = term.book.assigned_runs[incarnation][task.ref]
             if crashes.measure_work_ms(run, worker, now) < crashes.FRESH_MS:
                 jobs = found.setdefault(incarnation, {})
-                jobs[task.ref.job] = _choose_isolation(term, [task])
+                jobs[task.ref.job] = choose_isolation(term, [task])
     return found
 
 
@@ -84,7 +84,7 @@
             _log_held(term, task)
             return placing.Isolation.HELD
         term.held.discard(task.ref)
-    isolation = _choose_isolation(term, tasks)
+    isolation = choose_isolation(term, tasks)
     if isolation is placing.Isolation.REQUIRED:
         since_ms = min(
             term.apart_since_ms.get(task.ref, now.steady_ms) for task in tasks
@@ -113,9 +113,18 @@
             term.apart_since_ms.setdefault(task.ref, now_ms)
 
 
-def _choose_isolation(
+def choose_isolation(
     term: term_state.Term, tasks: list[book_records.Task]
 ) -> placing.Isolation:
+    """Chooses the isolation by the evidence alone, however long tasks waited.
+
+    Args:
+        term: State of the leader's term.
+        tasks: A task, or those of a gang.
+
+    Returns:
+        The isolation.
+    """
     evidence = 0
     for task in tasks:
         open_cases = _list_open_cases(term, task)
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -107,6 +107,9 @@
         self.waiting_logged_ms = 0
         self.instances_checked_ms = 0
         self.fitting_checked_ms = 0
+        # Steady-clock time of the last search for instances for each step that
+        # fitted on none of its pool.
+        self.fitting_searched_ms: dict[book_records.StepKey, int] = {}
         self.planned_ms = 0
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
@@ -189,6 +192,11 @@
             job: chains for job, chains in self.chains_ms.items() if job in jobs
         }
         self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
+        self.fitting_searched_ms = {
+            key: searched_ms
+            for key, searched_ms in self.fitting_searched_ms.items()
+            if key[0] in jobs
+        }
         self.held = {ref for ref in self.held if ref.job in jobs}
         self.apart_since_ms = {
             ref: since_ms
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -54,7 +54,7 @@
     if place(capacities, step, now_ms, tickets=tickets) is None:
         return Reason.NO_ROOM
     tasks = [step.tasks[index] for index in step.waiting]
-    isolation = isolating.get_isolation(term, tasks, now)
+    isolation = isolating.choose_isolation(term, tasks)
     isolated = isolating.list_isolated_jobs(term, now)
     capacities = placing.measure_free(workers, isolated)
     if not place(
--- a/features/fakes/jobs_pools.py
+++ b/features/fakes/jobs_pools.py
@@ -32,6 +32,8 @@
         self._moves = 0
         # Whether the provider carries out nothing and gives no answer.
         self.is_provider_silent = False
+        # Listed capacity as a multiple of that which the workers report.
+        self.listed_factor = 1
         super().__init__(seed, workers=0, faults=faults)
         for pool, count in (*((p, members) for p in POOLS), (SPARE, spare)):
             for i in range(count):
@@ -138,7 +140,17 @@
         ]
         return tuple(
             instances.Instance(
-                name, pool, phase, "dc", "", w.capacity, w.labels
+                name,
+                pool,
+                phase,
+                "dc",
+                "",
+                specs.Resources(
+                    w.capacity.cpu_milli * self.listed_factor,
+                    w.capacity.memory_mb * self.listed_factor,
+                    0,
+                ),
+                w.labels,
             )
             for name, pool, phase, w in listed
         )
--- a/features/jobs/fitting.feature
+++ b/features/jobs/fitting.feature
@@ -40,6 +40,13 @@
       | 1     | task       | 500   | 70000 |       |
       | 40    | gang tasks | 10    | 40000 |       |
       | 1     | task       | 500   | 100   | none  |
+      | 40    | fillers    | 10    | 20000 |       |
+
+  Scenario: An instance that is too small for the task it came for is not moved again and again
+    Given the provider lists twice the capacity that spare instances have
+    When job "a" of 1 task of 500 milli-cores and 70000 MB with label "" is submitted
+    And the simulation runs for 60000 ms
+    Then at most 4 instances have moved to the pool
 
   Scenario Outline: No task waits in vain in random runs with pools
     When random simulations of pools with seeds <first> to <last> are run
--- a/features/steps/fitting_steps.py
+++ b/features/steps/fitting_steps.py
@@ -57,6 +57,8 @@
         needs=specs.Resources(cpu, mb, 0),
         estimate_ms=600,
         is_gang=kind == "gang tasks",
+        is_standing=kind == "fillers",
+        is_filler=kind == "fillers",
         label=label,
     )
     name = job_steps.build_job_id(job)
@@ -137,3 +139,20 @@
     book = context.sim.scheduler.book
     still_open = [name for name in context.jobs if book.jobs[name].is_open]
     assert context.jobs and not still_open, still_open
+
+
+@given("the provider lists twice the capacity that spare instances have")
+def list_too_much(context):
+    context.sim.listed_factor = 2
+    context.sim.start_leader()
+    context.sim.advance(1_000)
+
+
+@then("at most {count:d} instances have moved to the pool")
+def check_few_moves(context, count):
+    moves = [
+        event
+        for event in context.sim.get_events("move_chosen")
+        if event["pool"] == _POOL
+    ]
+    assert 1 <= len(moves) <= count, moves
