--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -52,6 +52,8 @@
             by step.
         isolated_jobs: Jobs with a task that has just started on the worker and
             may crash it.
+        kept_for: Job for which the worker gets no suspect tasks of other jobs;
+            empty for none.
     """
 
     worker: worker_table.Worker
@@ -60,6 +62,20 @@
     gpus: int
     placed_by_step: dict[book_records.StepKey, int]
     isolated_jobs: dict[str, Isolation]
+    kept_for: str = ""
+
+    def list_other_isolations(self, job: str) -> list[Isolation]:
+        """Lists the isolation of each other job that has just started a task.
+
+        Args:
+            job: Job that is left out.
+
+        Returns:
+            One entry for each job.
+        """
+        return [
+            other for name, other in self.isolated_jobs.items() if name != job
+        ]
 
     def fits(self, needs: specs.Resources) -> bool:
         """Returns whether a task fits on the worker.
@@ -76,6 +92,19 @@
             and needs.gpus <= self.gpus
         )
 
+    def count_fitting(self, needs: specs.Resources, most: int) -> int:
+        """Counts how many equal tasks fit on the worker.
+
+        Args:
+            needs: Resources of each task.
+            most: Maximum to return.
+
+        Returns:
+            Number of tasks.
+        """
+        free = specs.Resources(self.cpu_milli, self.memory_mb, self.gpus)
+        return needs.count_in(free, most)
+
     def reserve(
         self,
         key: book_records.StepKey,
@@ -142,12 +171,23 @@
     )
 
 
-def _is_allowed(
+def is_allowed(
     capacity: FreeCapacity,
     step: book_records.Step,
     assigned: collections.Counter[specs.WorkerIncarnation],
     tickets: Mapping[specs.WorkerIncarnation, str] | None,
 ) -> bool:
+    """Returns whether one more task of a step may run on a worker.
+
+    Args:
+        capacity: Free capacity of the worker.
+        step: Step of the task.
+        assigned: Number of the step's tasks on each worker, if it is limited.
+        tickets: Workers that the advisor allows; None if all are allowed.
+
+    Returns:
+        False if the advisor, the label or the limit of the step forbids it.
+    """
     if tickets is not None and capacity.worker.incarnation not in tickets:
         return False
     spec = step.spec
@@ -163,7 +203,7 @@
     )
 
 
-def _count_assigned(
+def count_assigned(
     step: book_records.Step,
 ) -> collections.Counter[specs.WorkerIncarnation]:
     """Counts the tasks of a step on each worker if their number is limited.
@@ -209,20 +249,21 @@
         return None
     needs = step.spec.reserved
     data_rack = step.spec.data_rack
-    assigned = _count_assigned(step)
+    assigned = count_assigned(step)
     best: FreeCapacity | None = None
     best_score = 0
     for capacity in capacities:
         if not capacity.fits(needs):
             continue
-        if not _is_allowed(capacity, step, assigned, tickets):
+        if not is_allowed(capacity, step, assigned, tickets):
             continue
         score = capacity.cpu_milli
-        others = [
-            other
-            for job, other in capacity.isolated_jobs.items()
-            if job != step.key[0]
-        ]
+        others = capacity.list_other_isolations(step.key[0])
+        if isolation is not Isolation.NONE and capacity.kept_for not in (
+            "",
+            step.key[0],
+        ):
+            continue
         if others and Isolation.REQUIRED in (isolation, *others):
             continue
         if step.spec.is_standing or isolation is not Isolation.NONE:
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -16,6 +16,7 @@
 from bambookeel.jobs import copies
 from bambookeel.jobs import deferring
 from bambookeel.jobs import isolating
+from bambookeel.jobs import kept_workers
 from bambookeel.jobs import placing
 from bambookeel.jobs import ranking
 from bambookeel.jobs import shares as team_shares
@@ -114,6 +115,7 @@
         return
     isolated = isolating.list_isolated_jobs(term, now)
     current = _Plan(placing.measure_free(usable, isolated), now)
+    kept_workers.keep_workers(term, service, current.capacities, now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
     if current.shares is not None:
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -229,3 +229,9 @@
       | jobs | percent | seed |
       | 80   | 30      | 2    |
       | 80   | 30      | 5    |
+
+  Scenario: A suspect of a team at its cap keeps no worker from other teams
+    Given a simulation of 1 worker whose team coach is capped at 4 cores and uses them
+    When a suspect job of team coach and then one of team school wait
+    And the simulation runs for 10000 ms
+    Then the job of team school has ended
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -1,5 +1,7 @@
 """Steps for tasks that crash the workers on which they run."""
 
+from unittest import mock
+
 from behave import given
 from behave import then
 from behave import when
@@ -389,3 +391,46 @@
 )
 def simulate_mixed(context, first, last):
     job_steps.simulate_each(context, first, last, jobs_mixed_crashes.simulate)
+
+
+@given(
+    "a simulation of 1 worker whose team coach is capped at 4 cores and uses"
+    " them"
+)
+def create_capped(context):
+    create_simulation(context, 1, 1)
+    document = context.sim.build_document(version=2)
+    coach, school = document.teams
+    coach = msgspec.structs.replace(coach, cap=specs.Resources(4_000, 0, 0))
+    context.sim.put_document(
+        msgspec.structs.replace(document, teams=(coach, school))
+    )
+    step = specs.StepSpec(
+        count=4, needs=specs.Resources(1_000, 100, 0), is_standing=True
+    )
+    context.sim.submit("a" * 16, specs.JobSpec("body", (step,)))
+    context.sim.advance(1_000)
+
+
+def _submit_suspect(context, job, key, evidence):
+    step = specs.StepSpec(
+        count=1, needs=specs.Resources(1_000, 100, 0), estimate_ms=600
+    )
+    context.sim.submit(job, specs.JobSpec("body", (step,)), key)
+    book = context.sim.scheduler.book
+    task = book.get_task(specs.TaskRef(job, 0, 0, 0))
+    task.evidence, task.crashes = evidence, 1
+    book.crashes.suspects[task.ref] = None
+
+
+@when("a suspect job of team coach and then one of team school wait")
+def submit_suspects(context):
+    with mock.patch.object(context.sim.scheduler, "plan"):
+        _submit_suspect(context, "b" * 16, "key-coach", 8)
+        _submit_suspect(context, "c" * 16, "key-school", 4)
+
+
+@then("the job of team school has ended")
+def check_school_job(context):
+    job = context.sim.scheduler.book.jobs["c" * 16]
+    assert job.state is specs.JobState.COMPLETED, job.state
