--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -232,6 +232,9 @@
             address = nodes[self._last_node % len(nodes)].get_address(_CONTROL)
         path = f"/v1/instances/{self.name}/heartbeat"
         answer = request(address, "POST", path, body, timeout_s=1.0)
+        if self._born != body["born"]:
+            # The connection has ended with the worker that sent the report.
+            return
         self._next_report = time.monotonic() + 0.1
         if answer is None or answer[0] != 200:
             self._address = None
