--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -168,6 +168,8 @@
     def step(self):
         """Ends runs that are done or without a lease, and reports when due."""
         now = time.monotonic()
+        if now >= self._lease_until:
+            self._lose_ends()
         for task, (run, ends) in list(self.running.items()):
             if now >= ends:
                 self._end(task, run, "done")
@@ -182,11 +184,7 @@
 
     def restart(self):
         """Simulates a crash and a restart with the same id and no runs."""
-        # Ends that the leader may not have received are lost in the crash, so
-        # their tasks may run again.
-        self._site.lost_ends.update(
-            (task, run) for _, task, run, _, _ in self._finished
-        )
+        self._lose_ends()
         self._born = max(self._born + 1, int(time.time() * 1000))
         self._sequence_number = 0
         self.running = {}
@@ -196,6 +194,15 @@
         self._fencing_token = 0
         self._highest_runs = {}
 
+    def _lose_ends(self):
+        """Notes ends that no leader has acknowledged before a crash or a lapse.
+
+        Their tasks may run again.
+        """
+        self._site.lost_ends.update(
+            (task, run) for _, task, run, _, _ in self._finished
+        )
+
     def _end(self, task, run, how):
         del self.running[task]
         self._last_end_number += 1
