--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -195,13 +195,9 @@
         self._highest_runs = {}
 
     def _lose_ends(self):
-        """Notes ends that no leader has acknowledged before a crash or a lapse.
-
-        Their tasks may run again.
-        """
-        self._site.lost_ends.update(
-            (task, run) for _, task, run, _, _ in self._finished
-        )
+        """Notes unacknowledged ends, whose tasks may run again."""
+        for _, task, run, _, _ in self._finished:
+            self._site.lost_ends.add((task, run))
 
     def _end(self, task, run, how):
         del self.running[task]
