--- a/review/standins.py
+++ b/review/standins.py
@@ -452,6 +452,8 @@
         self.find_gang = lambda task, run: None
         self.life = None
         self._last_born = 0
+        # Whether the executor crashes while an order is on its way to it.
+        self.misses_order = lambda executor, task, run: False
         self.on_start = lambda executor, task, run: None
         self.on_end = lambda executor, task, run, how: None
 
@@ -602,6 +604,10 @@
 
     def _apply(self, life, orders, sent):
         with self._lock:
+            for task, run, *_ in orders.get("start_tasks", ()):
+                if self.misses_order(self, task, run):
+                    self.crash("crashes, as an order is on its way to it")
+                    return
             if life.is_over or orders.get("fencing_token", 0) < life.fence:
                 return
             life.fence = orders.get("fencing_token", 0)
