--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A route that gets another name loses the submissions of its place."""
+"""One failed run of a gang uses up all attempts of its submission."""
 
 import pathlib
 import sys
@@ -7,14 +7,15 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins  # noqa: E402
 
-EXECUTORS = 4
-CONFIG_APPLY_S = 2.0
-VISIBLE_S = 3.0
-CANCEL_S = 3.0
-STOP_S = 0.4
+EXECUTORS = 20
+# Executors that fail what they run, and for how long.
+GREY = 2
+GREY_S = 5.5
+MEMBERS = 12
+MAX_ATTEMPTS = 2
+WORK_S = 2.0
+FAILS_AFTER_S = 0.5
 JOB = "5c0e7a21d94b36f8"
-FIRST = f"{JOB}.0.0.0"
-SECOND = f"{JOB}.0.1.0"
 
 
 def case(record, has_trouble, resources):
@@ -22,47 +23,71 @@
     resources.append(nodes)
     nodes.start_all()
     standins.put_until_acked(
-        nodes, record, "/v1/config/put", standins.build_config(1)
+        nodes,
+        record,
+        "/v1/config/put",
+        standins.build_config(max_attempts=MAX_ATTEMPTS),
     )
-    starts = {}
+    gangs = {}
+    ends = []
+
+    def find_gang(task, run):
+        return gangs.setdefault(run, standins.Gang(MEMBERS, WORK_S))
+
     for i in range(EXECUTORS):
-        executor = standins.Executor(
-            f"i-{i}", f"m-{i}", nodes, record, {FIRST: 18.0, SECOND: 2.0}
-        )
-        executor.on_start = lambda e, task, run: starts.setdefault(
-            task, time.monotonic()
-        )
+        executor = standins.Executor(f"i-{i}", f"m-{i}", nodes, record)
+        executor.find_gang = find_gang
+        executor.on_end = lambda e, task, run, how: ends.append((run, how))
         executor.start()
     time.sleep(3.0)
     client = standins.Client(nodes, record)
-    step = {"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 18000}
-    later = {**step, "estimate_ms": 2000, "depends_on": [0]}
-    client.submit(JOB, {"spec": "an order", "phases": [step, later]})
-    standins.wait_until(lambda: FIRST in starts, 10, "the submission has begun")
-    # The same route at the same place; only its name differs with the trouble.
-    name = "r-orders-new" if has_trouble else "r-orders"
-    config = standins.build_config(2, name=name)
-    standins.put_until_acked(nodes, record, "/v1/config/put", config)
-    time.sleep(max(CONFIG_APPLY_S, VISIBLE_S) + 0.5)
-    is_broken = False
-    for node in range(3):
-        answer = client.send("GET", JOB, node=node)
-        if answer is not None and answer[0] == 410:
-            record.write(f"LOST: node {node} answers 410, nobody has cancelled")
-            is_broken = True
-    answer = client.send("DELETE", JOB, node=0)
-    if answer is None or not (answer[0] == 410 or answer[0] // 100 == 2):
-        raise standins.NotRunnableError("the cancelling was not acknowledged")
-    cancelled = time.monotonic()
-    time.sleep(18.0)
-    late = starts.get(SECOND, cancelled) - cancelled
-    if late > CANCEL_S:
-        record.write(
-            f"UNASKED: a subtask started {late:.3f} s after the cancelling was"
-            f" acknowledged; cancel_ms is {CANCEL_S * 1000:.0f}"
+    step = {
+        "count": MEMBERS,
+        "cpu": 1000,
+        "mem_mb": 100,
+        "estimate_ms": 2000,
+        "gang": True,
+        "anti_affinity": 1,
+    }
+    client.submit(JOB, {"spec": "an order", "phases": [step]})
+    if has_trouble:
+        standins.wait_until(
+            lambda: any(g.begun for g in gangs.values()), 10, "the gang works"
         )
-        is_broken = True
-    return standins.BROKEN if is_broken else standins.HELD
+        time.sleep(FAILS_AFTER_S)
+        run, gang = next((r, g) for r, g in gangs.items() if g.begun)
+        task, _ = next(iter(gang.members.items()))
+        grey = dict.fromkeys(list(gang.members)[:GREY], "failed")
+        names = [gang.members[member][0].name for member in grey]
+        record.write(f"{names} turn grey: what they run fails")
+        gang.members[task][0].end_members(task, run, grey)
+        grey_until = time.monotonic() + GREY_S
+    state = ""
+    end = time.monotonic() + 40
+    while state not in ("completed", "failed", "cancelled"):
+        if time.monotonic() > end:
+            raise standins.NotRunnableError(f"the submission is still {state}")
+        time.sleep(0.5)
+        answer = client.send("GET", JOB, node=1)
+        if answer is not None and answer[0] == 200:
+            state = answer[1]["state"]
+        if has_trouble and time.monotonic() < grey_until:
+            for run, gang in gangs.items():
+                again = {
+                    member: "failed"
+                    for member, (executor, _) in gang.members.items()
+                    if executor.name in names
+                }
+                if again and gang.begun:
+                    member = next(iter(again))
+                    gang.members[member][0].end_members(member, run, again)
+    failed_runs = {run for run, how in ends if how == "failed"}
+    record.write(
+        f"shown as {state}; runs of the gang that failed: {failed_runs}"
+    )
+    if state == "completed":
+        return standins.HELD
+    return standins.BROKEN if len(failed_runs) < MAX_ATTEMPTS else standins.HELD
 
 
 if __name__ == "__main__":
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Submissions that were assigned to dark executors are missing in `pending`."""
+"""A route that gets another name loses the submissions of its place."""
 
 import pathlib
 import sys
@@ -7,12 +7,14 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins  # noqa: E402
 
-# The pool is one rack.
 EXECUTORS = 4
-DARK_S = 7.5
-SUBMISSIONS = 6
+CONFIG_APPLY_S = 2.0
 VISIBLE_S = 3.0
-ASK_AFTER_S = VISIBLE_S + 2.0 + 0.5
+CANCEL_S = 3.0
+STOP_S = 0.4
+JOB = "5c0e7a21d94b36f8"
+FIRST = f"{JOB}.0.0.0"
+SECOND = f"{JOB}.0.1.0"
 
 
 def case(record, has_trouble, resources):
@@ -20,54 +22,46 @@
     resources.append(nodes)
     nodes.start_all()
     standins.put_until_acked(
-        nodes, record, "/v1/config/put", standins.build_config()
+        nodes, record, "/v1/config/put", standins.build_config(1)
     )
-    begun = set()
-    executors = []
+    starts = {}
     for i in range(EXECUTORS):
-        executor = standins.Executor(f"i-{i}", f"m-{i}", nodes, record)
-        executor.on_start = lambda e, task, run: begun.add(
-            task.partition(".")[0]
+        executor = standins.Executor(
+            f"i-{i}", f"m-{i}", nodes, record, {FIRST: 18.0, SECOND: 2.0}
+        )
+        executor.on_start = lambda e, task, run: starts.setdefault(
+            task, time.monotonic()
         )
         executor.start()
-        executors.append(executor)
     time.sleep(3.0)
     client = standins.Client(nodes, record)
-    if has_trouble:
-        for executor in executors:
-            executor.crash("goes dark")
-    dark_since = time.monotonic()
-    step = {"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 2000}
-    accepted = []
-    for i in range(SUBMISSIONS):
-        job = f"{i:016x}"
-        client.submit(job, {"spec": "an order", "phases": [step]})
-        accepted.append((job, time.monotonic()))
-    time.sleep(max(0.0, accepted[-1][1] + ASK_AFTER_S - time.monotonic()))
+    step = {"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 18000}
+    later = {**step, "estimate_ms": 2000, "depends_on": [0]}
+    client.submit(JOB, {"spec": "an order", "phases": [step, later]})
+    standins.wait_until(lambda: FIRST in starts, 10, "the submission has begun")
+    # The same route at the same place; only its name differs with the trouble.
+    name = "r-orders-new" if has_trouble else "r-orders"
+    config = standins.build_config(2, name=name)
+    standins.put_until_acked(nodes, record, "/v1/config/put", config)
+    time.sleep(max(CONFIG_APPLY_S, VISIBLE_S) + 0.5)
     is_broken = False
     for node in range(3):
-        asked = time.monotonic()
-        answer = client.send("GET", node=node)
-        waiting = [
-            job
-            for job, at in accepted
-            if job not in begun and at < asked - VISIBLE_S - 2.0
-        ]
-        if answer is None or answer[0] != 200:
-            continue
-        pending = answer[1]["pending"]
+        answer = client.send("GET", JOB, node=node)
+        if answer is not None and answer[0] == 410:
+            record.write(f"LOST: node {node} answers 410, nobody has cancelled")
+            is_broken = True
+    answer = client.send("DELETE", JOB, node=0)
+    if answer is None or not (answer[0] == 410 or answer[0] // 100 == 2):
+        raise standins.NotRunnableError("the cancelling was not acknowledged")
+    cancelled = time.monotonic()
+    time.sleep(18.0)
+    late = starts.get(SECOND, cancelled) - cancelled
+    if late > CANCEL_S:
         record.write(
-            f"{len(waiting)} have not begun; node {node} shows {pending}"
+            f"UNASKED: a subtask started {late:.3f} s after the cancelling was"
+            f" acknowledged; cancel_ms is {CANCEL_S * 1000:.0f}"
         )
-        if 2 * pending < len(waiting):
-            is_broken = True
-    if has_trouble:
-        time.sleep(max(0.0, dark_since + DARK_S - time.monotonic()))
-        for executor in executors:
-            executor.start()
-    standins.wait_until(
-        lambda: len(begun) == SUBMISSIONS, 30, "all submissions have begun"
-    )
+        is_broken = True
     return standins.BROKEN if is_broken else standins.HELD
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,75 +1,74 @@
-"""A delayed ping of an ended life makes a machine in upkeep count as back."""
+"""Submissions that were assigned to dark executors are missing in `pending`."""
 
 import pathlib
 import sys
-import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins  # noqa: E402
 
-MACHINES = 8
-# The wave names four of the eight machines.
-WAVE = 4
-CAP = 1
-# The cut begins this long before the wave is requested, and heals this long
-# after the upkeep of the machine behind it has begun: about 2 s in all.
-CUT_BEFORE_WAVE_S = 1.0
-HEAL_AFTER_UPKEEP_S = 0.4
+# The pool is one rack.
+EXECUTORS = 4
+DARK_S = 7.5
+SUBMISSIONS = 6
+VISIBLE_S = 3.0
+ASK_AFTER_S = VISIBLE_S + 2.0 + 0.5
 
 
 def case(record, has_trouble, resources):
-    provider = standins.Provider(record)
-    nodes = standins.Nodes(record, provider.address)
+    nodes = standins.Nodes(record)
     resources.append(nodes)
     nodes.start_all()
     standins.put_until_acked(
         nodes, record, "/v1/config/put", standins.build_config()
     )
+    begun = set()
     executors = []
-    for i in range(MACHINES):
-        machine = f"m-{i}"
-        executor = standins.Executor(f"i-{i}", machine, nodes, record)
-        provider.add(machine, executor)
+    for i in range(EXECUTORS):
+        executor = standins.Executor(f"i-{i}", f"m-{i}", nodes, record)
+        executor.on_start = lambda e, task, run: begun.add(
+            task.partition(".")[0]
+        )
         executor.start()
         executors.append(executor)
-    # The leader has read the list of machines and heard all executors.
-    time.sleep(10.0)
-    cut_off = executors[0]
-
-    def heal_soon(machine):
-        if machine == cut_off.machine:
-            threading.Timer(HEAL_AFTER_UPKEEP_S, heal).start()
-
-    def heal():
-        record.write(f"the cut of {cut_off.machine} heals")
-        cut_off.link.heal()
-
+    time.sleep(3.0)
+    client = standins.Client(nodes, record)
     if has_trouble:
-        provider.on_upkeep = heal_soon
-        record.write(f"{cut_off.machine} is cut off")
-        cut_off.link.cut()
-        time.sleep(0.3)
-        cut_off.crash("crashes behind the cut")
-        time.sleep(0.3)
-        cut_off.start()
-        time.sleep(CUT_BEFORE_WAVE_S - 0.6)
-    wave = {
-        "rollout_wave": 1,
-        "machines": list(provider.machines)[:WAVE],
-        "duration_s": 60,
-        "cap": CAP,
-    }
-    standins.put_until_acked(nodes, record, "/v1/wave-start", wave)
-    standins.wait_until(
-        lambda: len(provider.done) == WAVE, 45, "all upkeeps have begun"
-    )
-    over = [row for row in provider.begun if len(row[2]) >= CAP]
-    for _, machine, down in over:
+        for executor in executors:
+            executor.crash("goes dark")
+    dark_since = time.monotonic()
+    step = {"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 2000}
+    accepted = []
+    for i in range(SUBMISSIONS):
+        job = f"{i:016x}"
+        client.submit(job, {"spec": "an order", "phases": [step]})
+        accepted.append((job, time.monotonic()))
+    time.sleep(max(0.0, accepted[-1][1] + ASK_AFTER_S - time.monotonic()))
+    is_broken = False
+    for node in range(3):
+        asked = time.monotonic()
+        answer = client.send("GET", node=node)
+        waiting = [
+            job
+            for job, at in accepted
+            if job not in begun and at < asked - VISIBLE_S - 2.0
+        ]
+        if answer is None or answer[0] != 200:
+            continue
+        pending = answer[1]["pending"]
         record.write(
-            f"LIMIT: {machine} began while {down} were down, cap {CAP}"
+            f"{len(waiting)} have not begun; node {node} shows {pending}"
         )
-    return standins.BROKEN if over else standins.HELD
+        if 2 * pending < len(waiting):
+            is_broken = True
+    if has_trouble:
+        time.sleep(max(0.0, dark_since + DARK_S - time.monotonic()))
+        for executor in executors:
+            executor.start()
+    standins.wait_until(
+        lambda: len(begun) == SUBMISSIONS, 30, "all submissions have begun"
+    )
+    return standins.BROKEN if is_broken else standins.HELD
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -515,16 +515,15 @@
                     break
                 time.sleep(0.01)
 
-    def _ping(self, life, target):
+    def build_ping(self, life):
+        """Builds the body of a ping."""
         with self._lock:
-            self._work(life)
-            life.sequence += 1
             now = time.monotonic()
             running = [
                 [task, row[0], row[1], self._percent(task, row, now), 0]
                 for task, row in life.running.items()
             ]
-            body = {
+            return {
                 "service": SERVICE,
                 "address": f"127.0.0.1:{self._port}",
                 "zone": "north",
@@ -541,6 +540,12 @@
                 "running": running,
                 "finished": list(life.finished),
             }
+
+    def _ping(self, life, target):
+        with self._lock:
+            self._work(life)
+            life.sequence += 1
+            body = self.build_ping(life)
         path = f"/v1/instances/{self.name}/heartbeat"
         return call(
             self.link.get_address(target),
