Let sound jobs outlast crashes that they have not caused

Cause: a crash counted against a task without the question whether the task could have caused it. A run that the worker had never reported, so that the order may have been lost, weighed 4 of 12; together with one certain crash (8) that was enough. A standing task, which is restarted however it ends, could be blamed at each restart, and was cleared only by 10 s of work on one worker.

Ruled out: racks, moved instances.

Change: the weights are in a module of their own (crash_evidence). Unreported runs weigh 2, one certain crash 7; four crashes without any report still decide.

The simulated worker shows a standing task as at work after a startup of 0.5 s, as the users' pages say; before, it did so at once, also for tasks that crash it.

Measured: six scenarios of jobs/crash_series failed before.

--- a/bambookeel/jobs/book_crashes.py
+++ b/bambookeel/jobs/book_crashes.py
@@ -110,6 +110,8 @@
                     self.suspects.pop(ref, None)
                     task = get_task(ref)
                     if task is not None:
+                        task.has_worked = True
+                        task.crashes = 0
                         task.evidence = 0
                         task.explained_evidence = 0
                 self._drop_suspects(frozenset(tasks))
@@ -130,7 +132,7 @@
                 culprit = task
             if task.is_done:
                 continue
-            task.crashes += 1
+            task.crashes += evidence > 0
             task.evidence += evidence
             self.suspects[task.ref] = None
             counted.append((task.ref, evidence))
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -21,11 +21,13 @@
         is_done: Whether a run has succeeded.
         runs: Runs that may be in progress, by number, with their workers.
         checkpoint: The newest checkpoint; empty for none.
-        crashes: Number of workers that have crashed under its runs.
+        crashes: Number of workers that it may have crashed, since it was last
+            cleared.
         evidence: Weight of the evidence that it has crashed them.
         explained_evidence: Part of the evidence from crashes for which a task
             that ran beside it has been given up.
         is_given_up: Whether its job was given up because of it.
+        has_worked: Whether it is a standing task that has started safely.
     """
 
     ref: specs.TaskRef
@@ -40,6 +42,7 @@
     evidence: int = 0
     explained_evidence: int = 0
     is_given_up: bool = False
+    has_worked: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -21,6 +21,8 @@
     # or here.
     explained_evidence: int = 0
     is_given_up: bool = False
+    # or here.
+    has_worked: bool = False
 
 
 class _SavedStep(msgspec.Struct, array_like=True):
@@ -130,6 +132,7 @@
                 t.evidence,
                 t.explained_evidence,
                 t.is_given_up,
+                t.has_worked,
             )
             for t in step.tasks
         ]
@@ -202,6 +205,7 @@
             task.evidence = saved_task.evidence
             task.explained_evidence = saved_task.explained_evidence
             task.is_given_up = saved_task.is_given_up
+            task.has_worked = saved_task.has_worked
             if task.evidence:
                 book.crashes.suspects[task.ref] = None
 
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -123,7 +123,7 @@
 
 
 class ClearTasks(msgspec.Struct, frozen=True, tag="clear"):
-    """Drops the evidence against tasks that have worked for long."""
+    """Drops the evidence against standing tasks that have started safely."""
 
     tasks: tuple[specs.TaskRef, ...]
 
--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -2,48 +2,24 @@
 
 A crash shows in the next report from the instance, which comes from a new
 incarnation of the worker. It counts against the runs that the worker had just
-started, most of all if they are of one job, and less against a run that the
+started, most of all if they are of one job, and least against a run that the
 worker had not reported, since the order may have been lost with it.
 """
 
 from collections.abc import Iterator
-import enum
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
+from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
-
-class Evidence(enum.IntEnum):
-    """Weight of one crash as evidence against a task on the worker.
-
-    A task is given up after two crashes if only its job had certainly just
-    started runs in one of them, after three if its own or those of other jobs
-    may have begun, and after four if it was at work each time or it is not
-    known when the workers crashed. If the whole rack seems to have failed, a
-    crash weighs something only against a run that was not at work yet: tasks
-    that start together on all workers of a rack may crash them together.
-    """
-
-    ONLY_JOB_STARTED = 8
-    MAY_HAVE_STARTED = 4
-    AT_WORK = 3
-    RACK_FAILED = 0
-
-
-GIVE_UP_EVIDENCE = 12
-# Number of crashes after which a task is given up although other tasks that
-# were given up explain some of them.
-MAX_CRASHES = 5
-# A run that a worker has reported for this long did not crash it by starting.
-STARTED_MS = 800
-# A run that a worker has reported for less than this is no older than its crash
-# by a task that crashes workers when it starts.
-FRESH_MS = 500
-# A standing task that has worked for this long on one worker is no suspect.
-_CLEARED_MS = 10_000
+# A standing task that was assigned for longer than this to a worker which has
+# not reported to this leader is no suspect.
+_SETTLED_MS = 10_000
+# Progress of a standing run that has started up.
+_AT_WORK_PERCENT = 100
 # Share of a rack's other workers that fall silent with one if the rack fails; a
 # few may have been silent before.
 _RACK_SHARE = 0.75
@@ -59,7 +35,7 @@
     incarnation: specs.WorkerIncarnation,
     worker: worker_table.Worker | None,
     now: term_state.Now,
-) -> tuple[tuple[specs.TaskRef, Evidence], ...]:
+) -> tuple[tuple[specs.TaskRef, crash_evidence.Evidence], ...]:
     """Finds the tasks that may have crashed a worker.
 
     Args:
@@ -80,36 +56,39 @@
     if worker is not None and cause:
         _log_other_cause(term, worker, cause)
         return ()
-    started = []
-    fresh = []
-    at_work = []
-    certain = []
+    candidates = []
     for run in runs.values():
         step = term.book.get_step(run.task)
         if step is None or not _may_have_begun(run, worker):
             continue
         worked_ms = measure_work_ms(run, worker, now)
-        if worker is None:
-            if not step.spec.is_standing or worked_ms < _CLEARED_MS:
-                at_work.append(run.task)
-        elif worked_ms < STARTED_MS:
-            started.append(run.task)
-            if worked_ms < FRESH_MS:
-                fresh.append(run.task)
-            # After the end of its lease the worker may have crashed at any
-            # time, and its runs have ended by themselves.
-            if (
-                _is_reported(run, worker)
-                and now.steady_ms < worker.lease_until_ms
-            ):
-                certain.append(run.task)
-        elif not step.spec.is_standing:
-            at_work.append(run.task)
-    weights = _weigh(started, fresh, at_work, certain)
-    if worker is not None and _is_rack_dark(term, worker, now):
+        task = term.book.get_task(run.task)
+        is_standing = step.spec.is_standing
+        if is_standing and _has_started_up(run, worker, worked_ms):
+            continue
+        is_reported = worker is not None and _is_reported(run, worker)
+        candidates.append(
+            crash_evidence.Candidate(
+                run.task,
+                worked_ms,
+                is_standing,
+                task is not None and task.has_worked,
+                is_reported,
+            )
+        )
+    is_rack_dark = worker is not None and _is_rack_dark(term, worker, now)
+    if worker is not None and is_rack_dark:
         _log_other_cause(term, worker, "its whole rack has failed")
-        weights = dict.fromkeys(started, Evidence.RACK_FAILED)
-        weights.update(dict.fromkeys(fresh, Evidence.AT_WORK))
+    weights = crash_evidence.weigh(
+        candidates,
+        crash_evidence.Circumstances(
+            is_heard=worker is not None,
+            has_lease=(
+                worker is not None and now.steady_ms < worker.lease_until_ms
+            ),
+            is_rack_dark=is_rack_dark,
+        ),
+    )
     return tuple(
         (ref, weight)
         for ref, weight in weights.items()
@@ -117,35 +96,6 @@
     )
 
 
-def _weigh(
-    started: list[specs.TaskRef],
-    fresh: list[specs.TaskRef],
-    at_work: list[specs.TaskRef],
-    certain: list[specs.TaskRef],
-) -> dict[specs.TaskRef, Evidence]:
-    """Weighs a crash as evidence against the tasks on the worker.
-
-    Args:
-        started: Tasks that the worker may have just started.
-        fresh: Those of `started` that were not at work yet.
-        at_work: Tasks that had worked for longer.
-        certain: Those of `started` that certainly ran when it crashed.
-
-    Returns:
-        Suspects with the evidence against each.
-    """
-    if not started:
-        return dict.fromkeys(at_work, Evidence.AT_WORK)
-    weights = dict.fromkeys(started, Evidence.MAY_HAVE_STARTED)
-    if len({ref.job for ref in started}) == 1:
-        weights.update(dict.fromkeys(certain, Evidence.ONLY_JOB_STARTED))
-    if fresh:
-        # The others have started without a crash.
-        older = [ref for ref in started if ref not in fresh]
-        weights.update(dict.fromkeys(older, Evidence.AT_WORK))
-    return weights
-
-
 def _may_have_begun(
     run: book_records.AssignedRun, worker: worker_table.Worker | None
 ) -> bool:
@@ -154,6 +104,16 @@
     return (run.task, run.run) in worker.ordered
 
 
+def _has_started_up(
+    run: book_records.AssignedRun,
+    worker: worker_table.Worker | None,
+    worked_ms: int,
+) -> bool:
+    if worker is None:
+        return worked_ms >= _SETTLED_MS
+    return _is_at_work(run, worker)
+
+
 def _is_reported(
     run: book_records.AssignedRun, worker: worker_table.Worker
 ) -> bool:
@@ -161,6 +121,18 @@
     return listed is not None and listed.run == run.run
 
 
+def _is_at_work(
+    run: book_records.AssignedRun, worker: worker_table.Worker
+) -> bool:
+    """Returns whether a worker has reported that a standing run is at work."""
+    listed = worker.running.get(run.task)
+    return (
+        listed is not None
+        and listed.run == run.run
+        and listed.percent >= _AT_WORK_PERCENT
+    )
+
+
 def measure_work_ms(
     run: book_records.AssignedRun,
     worker: worker_table.Worker | None,
@@ -274,25 +246,27 @@
     del term.ended_workers[:-_MAX_ENDED_WORKERS]
 
 
-def clear_standing_tasks(term: term_state.Term, now: term_state.Now) -> None:
-    """Drops the evidence against standing tasks that have worked for long.
+def clear_standing_tasks(
+    term: term_state.Term, worker: worker_table.Worker
+) -> None:
+    """Clears the standing tasks that have started safely on a worker.
+
+    A task that crashes the workers that start it would have crashed this one.
 
     Args:
         term: State of the leader's term.
-        now: Current time.
+        worker: Worker that has reported.
     """
     cleared = []
-    for task in list_suspects(term):
-        step = term.book.get_step(task.ref)
-        if step is None or not step.spec.is_standing:
+    for run in term.book.assigned_runs.get(worker.incarnation, {}).values():
+        step = term.book.get_step(run.task)
+        task = term.book.get_task(run.task)
+        if step is None or task is None or not step.spec.is_standing:
+            continue
+        if task.has_worked and not task.evidence:
             continue
-        for incarnation in task.runs.values():
-            worker = term.workers.by_id.get(incarnation.worker)
-            if worker is None or worker.incarnation != incarnation:
-                continue
-            run = term.book.assigned_runs[incarnation][task.ref]
-            if measure_work_ms(run, worker, now) >= _CLEARED_MS:
-                cleared.append(task.ref)
+        if _is_at_work(run, worker):
+            cleared.append(run.task)
     if cleared:
         term.decide(commands.ClearTasks(tuple(cleared)))
 
--- a/bambookeel/jobs/giving_up.py
+++ b/bambookeel/jobs/giving_up.py
@@ -7,13 +7,13 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
-from bambookeel.jobs import crashes
+from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 
 # Logs of other versions may contain other weights.
 _EVIDENCE_NAMES: dict[int, str] = {
-    int(evidence): evidence.name.lower() for evidence in crashes.Evidence
+    int(evidence): evidence.name.lower() for evidence in crash_evidence.Evidence
 }
 
 
@@ -48,7 +48,7 @@
             worker=incarnation.worker,
             evidence=_EVIDENCE_NAMES.get(weight, weight),
             crashes=task.crashes,
-            weight=f"{task.evidence}/{crashes.GIVE_UP_EVIDENCE}",
+            weight=f"{task.evidence}/{crash_evidence.GIVE_UP_EVIDENCE}",
             explained=task.explained_evidence,
         )
     while (task := _find_culprit(term, silent.suspects)) is not None:
@@ -69,17 +69,15 @@
         there is not enough against any.
     """
     culprit = None
-    most = (crashes.GIVE_UP_EVIDENCE, 0)
+    most = (0, 0)
     for ref, weight in suspects:
         task = term.book.get_task(ref)
         if task is None or not term.is_task_open(ref):
             continue
-        evidence = task.evidence
-        is_alone = weight >= crashes.Evidence.ONLY_JOB_STARTED
-        if not is_alone and task.crashes < crashes.MAX_CRASHES:
-            # The tasks given up explain its earlier crashes, but they do not
-            # clear it if it crashes a worker by itself.
-            evidence -= task.explained_evidence
+        is_alone = weight >= crash_evidence.Evidence.ONLY_JOB_STARTED
+        evidence = crash_evidence.measure_evidence(task, is_alone=is_alone)
+        if not crash_evidence.is_conclusive(task, evidence):
+            continue
         if (evidence, task.evidence) >= most:
             culprit, most = task, (evidence, task.evidence + 1)
     return culprit
--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -5,13 +5,14 @@
 """
 
 from bambookeel.jobs import book_records
+from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import crashes
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 
 # From here on the next crash decides, so that the task runs apart from others.
-_ISOLATE_EVIDENCE = 8
+_ISOLATE_EVIDENCE = 7
 # Maximum time for which a task waits for a worker of its own. A job must not be
 # without a running task for 3 s while there is room for it.
 _MAX_APART_WAIT_MS = 1_500
@@ -55,7 +56,10 @@
         for incarnation in task.runs.values():
             worker = term.workers.by_id.get(incarnation.worker)
             run = term.book.assigned_runs[incarnation][task.ref]
-            if crashes.measure_work_ms(run, worker, now) < crashes.FRESH_MS:
+            if (
+                crashes.measure_work_ms(run, worker, now)
+                < crash_evidence.FRESH_MS
+            ):
                 jobs = found.setdefault(incarnation, {})
                 jobs[task.ref.job] = choose_isolation(term, [task])
     return found
@@ -164,15 +168,12 @@
     recent = [
         weight
         for weight, lost_wall_ms in _list_open_cases(term, task)
-        if 0 <= now.wall_ms - lost_wall_ms < _MAX_HOLD_MS
+        if weight and 0 <= now.wall_ms - lost_wall_ms < _MAX_HOLD_MS
     ]
     if not recent:
         return False
-    evidence = task.evidence - task.explained_evidence + sum(recent)
-    return (
-        evidence >= crashes.GIVE_UP_EVIDENCE
-        or task.crashes + len(recent) >= crashes.MAX_CRASHES
-    )
+    evidence = crash_evidence.measure_evidence(task, recent)
+    return crash_evidence.is_conclusive(task, evidence, recent)
 
 
 def _log_held(term: term_state.Term, task: book_records.Task) -> None:
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -5,25 +5,20 @@
 assigned to the worker is stopped.
 """
 
-from bambookeel.core import faults
 from bambookeel.jobs import calls
-from bambookeel.jobs import checkpoints
 from bambookeel.jobs import commands
+from bambookeel.jobs import crashes
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
-from bambookeel.jobs import isolating
 from bambookeel.jobs import losses
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
 from bambookeel.jobs import stale_reports
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import undelivered
+from bambookeel.jobs import worker_orders
 from bambookeel.jobs import workers as worker_table
 
-# A worker reports soon after the start of a suspect task, since a crash counts
-# less against a run that it has not reported.
-_CONFIRM_START_MS = 10
-
 
 def handle_report(
     term: term_state.Term, report: calls.WorkerReport, now: term_state.Now
@@ -68,6 +63,7 @@
         instance_steps.end_goal(term, report.instance)
     if report.life in term.book.crashes.silent_workers:
         term.decide(commands.WorkerReturned(report.life))
+    crashes.clear_standing_tasks(term, worker)
     _record_ends(term, worker, now)
     _withdraw_stalled(term, worker, now)
     _adjust_pace(term, worker, now.steady_ms)
@@ -81,7 +77,7 @@
     acknowledged = max((end.number for end in report.ends), default=0)
 
     def answer() -> calls.Answer:
-        return _build_orders(term, worker, report, acknowledged)
+        return worker_orders.build_orders(term, worker, report, acknowledged)
 
     return answer
 
@@ -230,86 +226,6 @@
         )
 
 
-def _list_paces(
-    term: term_state.Term,
-    worker: worker_table.Worker,
-    report: calls.WorkerReport,
-) -> tuple[tuple[specs.TaskRef, int, int], ...]:
-    """Lists the paces that a worker gets in the answer to each report.
-
-    Args:
-        term: State of the leader's term.
-        worker: Worker that has reported.
-        report: Report that is answered.
-
-    Returns:
-        Task, run number and pace in percent of each filler run; empty for a
-        worker whose filler tasks have never been slowed down.
-    """
-    if not worker.pace.changed_ms:
-        return ()
-    percent = worker.pace.percent
-    paces = []
-    for run in report.running:
-        step = term.book.get_step(run.task)
-        if step is not None and step.spec.is_filler:
-            paces.append((run.task, run.run, percent))
-    return tuple(paces)
-
-
-def _build_orders(
-    term: term_state.Term,
-    worker: worker_table.Worker,
-    report: calls.WorkerReport,
-    acknowledged: int,
-) -> calls.WorkerOrders:
-    assigned = term.book.assigned_runs.get(worker.incarnation, {})
-    stops = []
-    for run in report.running:
-        found = assigned.get(run.task)
-        is_assigned = found is not None and found.run == run.run
-        is_withdrawn = (run.task, run.run) in term.withdrawn
-        if is_assigned and not is_withdrawn and term.is_task_open(run.task):
-            continue
-        stops.append((run.task, run.run))
-    starts = []
-    listed = {(run.task, run.run) for run in report.running}
-    for each in assigned.values():
-        if (each.task, each.run) in listed or report.is_leaving:
-            continue
-        if not term.is_task_open(each.task):
-            continue
-        if (each.task, each.run) in term.withdrawn:
-            continue
-        job = term.book.jobs[each.task.job]
-        task = term.book.get_task(each.task)
-        step = term.book.get_step(each.task)
-        faults.check_invariant(
-            task is not None,
-            f"task {each.task} of an assigned run does not exist",
-        )
-        assert task is not None and step is not None
-        saved = checkpoints.choose_checkpoint(step, task)
-        starts.append(
-            calls.StartOrder(
-                each.task, each.run, job.spec.body, saved, each.ticket
-            )
-        )
-    worker.ordered = {(start.task, start.run) for start in starts}
-    report_in_ms = term.settings.report_ms
-    if any(isolating.is_suspect(term, start.task) for start in starts):
-        report_in_ms = _CONFIRM_START_MS
-    return calls.WorkerOrders(
-        term.settings.lease_ms,
-        acknowledged,
-        term.fencing_token,
-        tuple(starts),
-        tuple(stops),
-        _list_paces(term, worker, report),
-        report_in_ms,
-    )
-
-
 def handle_worker_left(
     term: term_state.Term, call: calls.WorkerLeft, now: term_state.Now
 ) -> calls.Answer:
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -12,7 +12,6 @@
 from bambookeel.jobs import callers
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
-from bambookeel.jobs import crashes
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import instances
 from bambookeel.jobs import losses
@@ -191,7 +190,6 @@
         """
         losses.expire_leases(self.term, now)
         undelivered.lose_unsent(self.term, now)
-        crashes.clear_standing_tasks(self.term, now)
         reports.drop_old_jobs(self.term, now)
         instance_steps.control_instances(self.term, now)
         waiting.log_waiting_steps(self.term, now)
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -5,6 +5,8 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import specs
 
+# Run time after which a standing task is at work.
+_STARTUP_MS = 500
 # Run time after which a run has a new checkpoint.
 _CHECKPOINT_MS = 300
 
@@ -67,7 +69,8 @@
     def measure_percent(self, run, now_ms):
         """Returns the percentage that a run reports."""
         if run.ends_ms - run.started_ms > 10**8:
-            return 100
+            share = (now_ms - run.started_ms) / _STARTUP_MS
+            return min(100, int(100 * share))
         if now_ms - run.started_ms < self.restoring_ms:
             return 40
         share = (now_ms - run.started_ms) / (run.ends_ms - run.started_ms)
