Count a failed run of a gang once

Cause: each member that ended `failed` added one to the failures of the step, and that sum was compared with max_attempts. Evidence: two run_ended lines with one run number, then "task 0.0.2 failed 2 times". Ruled out: broken ends, a second run.

Change: the step counts a run number once.

--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -310,9 +310,7 @@
             self._complete_tasks(job, step, task, at_wall_ms)
             return
         if ended.how is specs.RunEnd.FAILED and not step.spec.is_standing:
-            task.failures += 1
-            step.failures += 1
-            failures = step.failures if step.spec.is_gang else task.failures
+            failures = step.count_failure(task, ended.run)
             queue = self.find_queue(job.queue)
             if queue is not None and failures >= max(1, queue.max_attempts):
                 self.end_job(job, specs.JobState.FAILED, at_wall_ms)
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -58,8 +58,8 @@
         unfinished_dependencies: Number of earlier steps that still have to
             complete before this one starts.
         done_count: Number of tasks that have succeeded.
-        failures: Number of failed runs of all its tasks; limits the attempts
-            of a gang.
+        failures: Number of failed runs of a gang; 0 for other steps.
+        last_failed_run: Number of the newest failed run of a gang; 0 for none.
         waiting: Indices of the tasks without a run, in the order in which they
             get one.
     """
@@ -71,6 +71,7 @@
     unfinished_dependencies: int
     done_count: int = 0
     failures: int = 0
+    last_failed_run: int = 0
     waiting: dict[int, None] = dataclasses.field(default_factory=dict)
 
     @property
@@ -78,6 +79,27 @@
         """Whether all tasks of the step have succeeded."""
         return self.done_count == len(self.tasks)
 
+    def count_failure(self, task: Task, run: int) -> int:
+        """Counts a failed run of a task.
+
+        The members of a gang run and fail together, and a new run starts only
+        once the previous one has ended on all workers.
+
+        Args:
+            task: The task.
+            run: Number of the run.
+
+        Returns:
+            Number of failed runs of the task, or of its gang.
+        """
+        task.failures += 1
+        if not self.spec.is_gang:
+            return task.failures
+        if run > self.last_failed_run:
+            self.last_failed_run = run
+            self.failures += 1
+        return self.failures
+
 
 @dataclasses.dataclass(slots=True)
 class Job:
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -28,6 +28,8 @@
 class _SavedStep(msgspec.Struct, array_like=True):
     failures: int
     tasks: list[_SavedTask]
+    # Snapshots of earlier versions end here.
+    last_failed_run: int = 0
 
 
 class _SavedJob(msgspec.Struct):
@@ -136,7 +138,7 @@
             )
             for t in step.tasks
         ]
-        steps.append(_SavedStep(step.failures, tasks))
+        steps.append(_SavedStep(step.failures, tasks, step.last_failed_run))
     admitted = commands.AdmitJob(
         job.job_id, job.queue, job.team, job.spec, job.admitted_wall_ms
     )
@@ -196,6 +198,7 @@
     job.end_reason = saved.end_reason
     for step, saved_step in zip(job.steps.values(), saved.steps):
         step.failures = saved_step.failures
+        step.last_failed_run = saved_step.last_failed_run
         for task, saved_task in zip(step.tasks, saved_step.tasks):
             task.last_run = saved_task.last_run
             task.failures = saved_task.failures
