Keep jobs reachable when their queue or team is renamed

Cause: a job was identified by the names of its queue and team, which callers do not know; they know a host, a path and a key. Evidence: 410 from the leader on all nodes alike. Ruled out: nodes with an older configuration.

Change: a new configuration moves the jobs of renamed queues and teams to their new names and rebuilds the book's indexes. Removed teams are remembered, as removed queues were. Building a job's record moved to book_records.

--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -6,6 +6,7 @@
 """
 
 from bambookeel.configuration import document as configuration
+from bambookeel.configuration import renames
 from bambookeel.core import faults
 from bambookeel.jobs import book_crashes
 from bambookeel.jobs import book_records
@@ -20,8 +21,10 @@
 
     def __init__(self) -> None:
         self.configuration = configuration.EMPTY
-        # Queues that a later configuration removed; their jobs continue.
+        # Queues and teams that a later configuration removed; their jobs
+        # continue.
         self.former_queues: dict[str, configuration.Queue] = {}
+        self.former_teams: dict[str, configuration.Team] = {}
         self.jobs: dict[str, book_records.Job] = {}
         self.instances = instance_records.InstanceRecords()
         self.crashes = book_crashes.CrashRecords()
@@ -49,8 +52,7 @@
         match command:
             case commands.PutConfiguration(document):
                 if document.version > self.configuration.document.version:
-                    self.former_queues.update(self.configuration.queues)
-                    self.configuration = configuration.View(document)
+                    self._configure(configuration.View(document))
             case commands.AdmitJob():
                 self.admit_job(command)
             case commands.CancelJob(job, at_wall_ms):
@@ -73,6 +75,51 @@
                 instance_records.apply_to_instances(self.instances, command)
                 self.crashes.apply(command, self.get_task)
 
+    def _configure(self, view: configuration.View) -> None:
+        """Puts a configuration in force; jobs follow renamed queues and teams.
+
+        Args:
+            view: The configuration.
+        """
+        self.former_queues.update(self.configuration.queues)
+        self.former_teams.update(self.configuration.teams)
+        self.configuration = view
+        queues = renames.find_renamed_queues(self.former_queues, view)
+        teams = renames.find_renamed_teams(self.former_teams, view)
+        moved = [
+            job
+            for job in self.jobs.values()
+            if job.queue in queues or job.team in teams
+        ]
+        for job in moved:
+            job.queue = queues.get(job.queue, job.queue)
+            job.team = teams.get(job.team, job.team)
+        if moved:
+            self._rebuild_indexes()
+
+    def _rebuild_indexes(self) -> None:
+        """Rebuilds the indexes by queue and team."""
+        self.ready = {}
+        self.pending = {}
+        self.open_jobs = {}
+        self.usage = book_use.Usage()
+        for job in self.jobs.values():
+            if not job.is_open:
+                continue
+            self._index_open_job(job)
+        for runs in self.assigned_runs.values():
+            for run in runs.values():
+                job = self.jobs[run.task.job]
+                step = job.steps[run.task.occurrence, run.task.step]
+                self.usage.add(job, step.spec)
+
+    def _index_open_job(self, job: book_records.Job) -> None:
+        if job.state is specs.JobState.WAITING:
+            self.pending[job.queue] = self.pending.get(job.queue, 0) + 1
+        self.open_jobs.setdefault(job.queue, {})[job.job_id] = None
+        for step in job.steps.values():
+            self.update_ready(job, step)
+
     def _apply_run_command(
         self, command: commands.AssignRuns | commands.EndRuns
     ) -> None:
@@ -133,42 +180,9 @@
         """
         if command.job in self.jobs:
             return
-        spec = command.spec
-        steps: dict[tuple[int, int], book_records.Step] = {}
-        for occurrence in range(max(1, spec.occurrences)):
-            due_wall_ms = spec.get_due_wall_ms(occurrence)
-            for i, step in enumerate(spec.steps):
-                key = (command.job, occurrence, i)
-                tasks = [
-                    book_records.Task(
-                        specs.TaskRef(command.job, occurrence, i, index)
-                    )
-                    for index in range(step.count)
-                ]
-                steps[occurrence, i] = book_records.Step(
-                    key,
-                    step,
-                    due_wall_ms,
-                    tasks,
-                    len(set(step.after)),
-                    waiting=dict.fromkeys(range(step.count)),
-                )
-        job = book_records.Job(
-            command.job,
-            command.queue,
-            command.team,
-            spec,
-            command.at_wall_ms,
-            specs.JobState.WAITING,
-            0,
-            steps,
-            len(steps),
-        )
-        self.jobs[command.job] = job
-        self.pending[job.queue] = self.pending.get(job.queue, 0) + 1
-        self.open_jobs.setdefault(job.queue, {})[job.job_id] = None
-        for admitted_step in steps.values():
-            self.update_ready(job, admitted_step)
+        job = book_records.Job.from_command(command)
+        self.jobs[job.job_id] = job
+        self._index_open_job(job)
 
     def update_ready(
         self, job: book_records.Job, step: book_records.Step
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -130,6 +130,45 @@
     incomplete_steps: int
     end_reason: str = ""
 
+    @classmethod
+    def from_command(cls, command: commands.AdmitJob) -> "Job":
+        """Builds a job that has not begun.
+
+        Args:
+            command: Command that admitted it.
+
+        Returns:
+            The job with all its steps and tasks.
+        """
+        spec = command.spec
+        steps: dict[tuple[int, int], Step] = {}
+        for occurrence in range(max(1, spec.occurrences)):
+            due_wall_ms = spec.get_due_wall_ms(occurrence)
+            for i, step in enumerate(spec.steps):
+                tasks = [
+                    Task(specs.TaskRef(command.job, occurrence, i, index))
+                    for index in range(step.count)
+                ]
+                steps[occurrence, i] = Step(
+                    (command.job, occurrence, i),
+                    step,
+                    due_wall_ms,
+                    tasks,
+                    len(set(step.after)),
+                    waiting=dict.fromkeys(range(step.count)),
+                )
+        return cls(
+            command.job,
+            command.queue,
+            command.team,
+            spec,
+            command.at_wall_ms,
+            specs.JobState.WAITING,
+            0,
+            steps,
+            len(steps),
+        )
+
     @property
     def is_open(self) -> bool:
         """Whether the job has neither completed, failed nor been cancelled."""
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -71,6 +71,7 @@
     unexplained_crashes: list[
         tuple[specs.WorkerIncarnation, tuple[tuple[specs.TaskRef, int], ...]]
     ] = []
+    former_teams: list[configuration.Team] = []
 
 
 def encode_book(book: job_book.Book) -> bytes:
@@ -117,6 +118,7 @@
             book.instances.ended_workers,
             list(book.crashes.silent_workers.items()),
             list(book.crashes.unexplained.items()),
+            list(book.former_teams.values()),
         )
     )
 
@@ -163,6 +165,7 @@
     if saved.document.version:
         book.apply(commands.PutConfiguration(saved.document))
     book.former_queues = {queue.name: queue for queue in saved.former_queues}
+    book.former_teams = {team.name: team for team in saved.former_teams}
     for each in saved.jobs:
         _restore_job(book, each)
     for incarnation, runs in saved.held:
