Count a job as pending until a worker has started one of its runs

Cause: a job became active when a run was assigned; when the run was taken back, it stayed so. Evidence: the count was 0 on all nodes from the assignment on, also after the runs had been taken back as never sent. Ruled out: an old view of the nodes.

Change: a job becomes active with the first report that lists one of its runs, or with an end other than a refusal. Deferring still goes by whether a run was assigned.

--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -127,7 +127,10 @@
             case commands.AssignRuns():
                 for assignment in command.runs:
                     self._assign(command, assignment)
-            case commands.EndRuns(incarnation, ends, at_wall_ms):
+            case commands.EndRuns(incarnation, ends, at_wall_ms, begun):
+                for name in begun:
+                    if name in self.jobs:
+                        self.activate_job(self.jobs[name])
                 for ended in ends:
                     self._end_run(incarnation, ended, at_wall_ms)
 
@@ -215,7 +218,7 @@
         """Marks a waiting job as active.
 
         Args:
-            job: Job of which a run was assigned or that has ended.
+            job: Job of which a run has started or that has ended.
         """
         if job.state is specs.JobState.WAITING:
             job.state = specs.JobState.ACTIVE
@@ -275,7 +278,7 @@
             )
         )
         self.usage.add(job, step.spec)
-        self.activate_job(job)
+        job.has_had_run = True
         self.update_ready(job, step)
 
     def _remove_run(
@@ -316,6 +319,8 @@
         if removed is None:
             return
         job, step, task = removed
+        if ended.how is not specs.RunEnd.REFUSED:
+            self.activate_job(job)
         if ended.saved:
             task.checkpoint = ended.saved
         if not job.is_open or task.is_done:
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -117,6 +117,8 @@
         steps: Steps by occurrence and number of the step.
         incomplete_steps: Number of steps that are not complete.
         end_reason: Why the job has failed, for its caller; empty otherwise.
+        has_had_run: Whether a run has been assigned, which may not have
+            started.
     """
 
     job_id: str
@@ -129,6 +131,7 @@
     steps: dict[tuple[int, int], Step]
     incomplete_steps: int
     end_reason: str = ""
+    has_had_run: bool = False
 
     @classmethod
     def from_command(cls, command: commands.AdmitJob) -> "Job":
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -204,6 +204,7 @@
         step.last_failed_run = saved_step.last_failed_run
         for task, saved_task in zip(step.tasks, saved_step.tasks):
             task.last_run = saved_task.last_run
+            job.has_had_run |= task.last_run > 0
             task.failures = saved_task.failures
             task.is_done = saved_task.is_done
             task.checkpoint = saved_task.saved
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -80,11 +80,20 @@
 
 
 class EndRuns(msgspec.Struct, frozen=True, tag="end"):
-    """Records the ends of runs that a worker has reported."""
+    """Records the ends of runs that a worker has reported, and first starts.
+
+    Attributes:
+        life: Incarnation of the worker.
+        ends: The ends.
+        at_wall_ms: Unix time in milliseconds.
+        begun: Jobs whose first run the worker has reported; empty in logs of
+            earlier versions.
+    """
 
     life: specs.WorkerIncarnation
     ends: tuple[EndedRun, ...]
     at_wall_ms: int
+    begun: tuple[str, ...] = ()
 
 
 class LoseRuns(msgspec.Struct, frozen=True, tag="lose"):
--- a/bambookeel/jobs/deferring.py
+++ b/bambookeel/jobs/deferring.py
@@ -4,7 +4,6 @@
 from bambookeel.jobs import deferral
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
-from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
@@ -49,7 +48,7 @@
         slack_ms,
         work,
         measure_chain_ms(term, job),
-        job.state is specs.JobState.ACTIVE,
+        job.has_had_run,
     )
 
 
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -102,13 +102,31 @@
             how=ended.how.value,
             worker=worker.incarnation.worker,
         )
-    if ends:
+    begun = _list_begun_jobs(term, worker)
+    if ends or begun:
         term.decide(
-            commands.EndRuns(worker.incarnation, tuple(ends), now.wall_ms)
+            commands.EndRuns(
+                worker.incarnation, tuple(ends), now.wall_ms, begun
+            )
         )
         _log_ended_jobs(term, ends, now)
 
 
+def _list_begun_jobs(
+    term: term_state.Term, worker: worker_table.Worker
+) -> tuple[str, ...]:
+    """Lists the waiting jobs of which a worker has started a run."""
+    assigned = term.book.assigned_runs.get(worker.incarnation, {})
+    begun: dict[str, None] = {}
+    for run in worker.report.running:
+        found = assigned.get(run.task)
+        if found is None or found.run != run.run:
+            continue
+        if term.book.jobs[run.task.job].state is specs.JobState.WAITING:
+            begun[run.task.job] = None
+    return tuple(begun)
+
+
 def _log_ended_jobs(
     term: term_state.Term,
     ends: list[commands.EndedRun],
