Measure the leader's turns and log the slow ones

What was missing: nothing told whether a leader that assigns little has no room or no time. A turn in which hundreds of steps wait beside many suspects answers no report until it ends.

--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -31,6 +31,7 @@
 from bambookeel.node import outside
 from bambookeel.node import provider_task
 from bambookeel.node import settings as node_settings
+from bambookeel.node import turn_watch
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
 from bambookeel.runtime import mailbox
@@ -75,6 +76,7 @@
         self._scheduler: job_scheduler.Scheduler | None = None
         self._calls: list[call_turn.WaitingCall] = []
         self._plan_due = False
+        self._turns = turn_watch.TurnWatch()
         self.external_services = outside.ExternalServices(
             self.mailbox, self._leads
         )
@@ -283,8 +285,18 @@
             self._repeat_turn(turn)
             return
         waiting = turn.waiting
+        planned_from_ms = clock.read_now_ms()
         scheduler.plan(now)
+        ended_ms = clock.read_now_ms()
         self._plan_due = False
+        self._turns.observe(
+            scheduler,
+            len(accepted_calls),
+            now.steady_ms,
+            planned_from_ms,
+            ended_ms,
+        )
+        self._turns.log_if_due(term, ended_ms)
         for send in self.external_services.send_requests(scheduler, term, now):
             waiting.append((calls.Done, send, now.steady_ms))
         for event, fields in scheduler.take_log_events():
--- a/bambookeel/runtime/metrics.py
+++ b/bambookeel/runtime/metrics.py
@@ -54,6 +54,16 @@
     ["call", "answer"],
     buckets=_DURATION_BUCKETS_S,
 )
+_TURNS = prometheus_client.Histogram(
+    "bambookeel_leader_turn_seconds",
+    "Time of a turn of the scheduling leader, its plan included.",
+    buckets=_DURATION_BUCKETS_S,
+)
+_PLANS = prometheus_client.Histogram(
+    "bambookeel_leader_plan_seconds",
+    "Time in which the scheduling leader assigns waiting tasks, each turn.",
+    buckets=_DURATION_BUCKETS_S,
+)
 _DECISIONS = prometheus_client.Counter(
     "bambookeel_decisions_total",
     "Decisions of the scheduling leader, by the name of their log line.",
@@ -206,3 +216,14 @@
         decision: Name of the log event of the decision.
     """
     _get_decision_child(decision).inc()
+
+
+def observe_leader_turn(turn_ms: int, plan_ms: int) -> None:
+    """Observes the duration of a turn of the scheduling leader.
+
+    Args:
+        turn_ms: Time from the start of the turn to the end of its plan.
+        plan_ms: Time of the plan.
+    """
+    _TURNS.observe(turn_ms / 1000.0)
+    _PLANS.observe(plan_ms / 1000.0)
