Measure the scheduler's processor time in a storm of crashes

No benchmark showed it: bench_jobs has no crashes and one service.

bench_storm simulates 40, 180 and 300 workers in four pools and a spare one, ten jobs a worker within 4 s, a fifth of them with a task that crashes its workers. Only the scheduler's own functions are measured, not the simulation.

--- a/features/fakes/jobs_pools.py
+++ b/features/fakes/jobs_pools.py
@@ -23,7 +23,9 @@
 
 
 class PoolsSimulation(jobs_crashes.CrashingSimulation):
-    """Simulation of three pools and a spare one, each with its instances."""
+    """Simulation of several pools and a spare one, each with its instances."""
+
+    pools = POOLS
 
     def __init__(self, seed, members, spare, faults=False, memory_mb=64_000):
         self._moving = {}
@@ -35,7 +37,8 @@
         # Listed capacity as a multiple of that which the workers report.
         self.listed_factor = 1
         super().__init__(seed, workers=0, faults=faults)
-        for pool, count in (*((p, members) for p in POOLS), (SPARE, spare)):
+        counts = [(pool, members) for pool in self.pools]
+        for pool, count in (*counts, (SPARE, spare)):
             for i in range(count):
                 name = f"{pool}w{i}"
                 labels = ("a" if i % 2 else "b", f"r{i % 3}")
@@ -62,11 +65,11 @@
                     0,
                     max_attempts,
                 )
-                for pool in POOLS
+                for pool in self.pools
             ),
             tuple(
                 configuration.Service(pool, True, pool == SPARE)
-                for pool in (*POOLS, SPARE)
+                for pool in (*self.pools, SPARE)
             ),
             (configuration.Team("coach", ("key-coach",), 2.0),),
             b"{}",
