Search for a worker once in a plan for needs that fit nowhere

Cause: each waiting task had its own search over all workers of the service, although most are like one that has just found none, and the largest free amounts were computed again after each step, although nothing had been placed.

While a plan is made, workers only fill up. So the plan now remembers which needs have fitted on none, by label and isolation, and leaves such searches out. Jobs that may use workers which others may not (suspect tasks of theirs have just started there, or the workers are kept for them) are always searched for. A task that makes its worker less isolated clears the memory. Teams without a cap are no longer summed up.

--- a/bambookeel/jobs/caps.py
+++ b/bambookeel/jobs/caps.py
@@ -25,9 +25,9 @@
     """
     job = term.book.jobs[step.key[0]]
     team = term.book.configuration.teams.get(job.team)
-    if team is None:
-        return True
     nothing = specs.Resources()
+    if team is None or team.cap == nothing:
+        return True
     used = term.book.usage.by_team.get(job.team, nothing)
     used = used + planned.get(job.team, nothing)
     needs = step.spec.needs
--- /dev/null
+++ b/bambookeel/jobs/no_room.py
@@ -0,0 +1,106 @@
+"""Remembers during a plan which needs fit on no worker.
+
+Many waiting tasks are alike. While a plan is made, workers only fill up, so
+that what has fitted on none of them needs no second search.
+"""
+
+import dataclasses
+
+from bambookeel.jobs import book_records
+from bambookeel.jobs import placing
+from bambookeel.jobs import specs
+
+# What excludes a worker for a task of one kind excludes it for later ones too.
+ORDER = (
+    placing.Isolation.NONE,
+    placing.Isolation.PREFERRED,
+    placing.Isolation.REQUIRED,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class NoRoom:
+    """Needs that fit on no worker of a service, in one plan.
+
+    Attributes:
+        found: Needs by label and isolation; none is at least another one.
+        special_jobs: Jobs with a suspect task that has just started, or for
+            which workers are kept. They may use workers that other jobs may
+            not, so that a search by another job says nothing about them.
+    """
+
+    found: dict[tuple[str, placing.Isolation], list[specs.Resources]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    special_jobs: set[str] = dataclasses.field(default_factory=set)
+
+    def note_kept(self, capacities: list[placing.FreeCapacity]) -> None:
+        """Notes the jobs that may use workers which others may not.
+
+        Args:
+            capacities: Free capacities of the workers when the plan begins.
+        """
+        for capacity in capacities:
+            self.special_jobs.update(capacity.isolated_jobs)
+            if capacity.kept_for:
+                self.special_jobs.add(capacity.kept_for)
+
+    def note_placed(
+        self, step: book_records.Step, isolation: placing.Isolation
+    ) -> None:
+        """Notes that a task, or a gang, has been placed.
+
+        Args:
+            step: Step of the task.
+            isolation: How far it must be kept apart.
+        """
+        if isolation is placing.Isolation.NONE:
+            return
+        job = step.key[0]
+        if job in self.special_jobs:
+            # Its worker may be less isolated than before.
+            self.found.clear()
+        self.special_jobs.add(job)
+
+    def add(
+        self, step: book_records.Step, isolation: placing.Isolation
+    ) -> None:
+        """Adds the needs of a task for which no worker was found.
+
+        Args:
+            step: Step of the task, which needs no advice.
+            isolation: How far it must be kept apart.
+        """
+        if step.spec.max_per_instance or isolation not in ORDER:
+            return
+        needs = step.spec.reserved
+        key = (step.spec.label, isolation)
+        known = self.found.get(key, [])
+        self.found[key] = [
+            other for other in known if not needs.fits_in(other)
+        ] + [needs]
+
+    def includes(
+        self, step: book_records.Step, isolation: placing.Isolation
+    ) -> bool:
+        """Returns whether a task is known to fit on no worker.
+
+        Args:
+            step: Step of the task.
+            isolation: How far it must be kept apart.
+
+        Returns:
+            False if it is not known.
+        """
+        if not self.found or step.key[0] in self.special_jobs:
+            return False
+        needs = step.spec.reserved
+        labels = ("", step.spec.label) if step.spec.label else ("",)
+        for each in ORDER:
+            for label in labels:
+                for known in self.found.get((label, each), ()):
+                    if known.fits_in(needs):
+                        return True
+            if each is isolation:
+                break
+        return False
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -17,6 +17,7 @@
 from bambookeel.jobs import deferring
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
+from bambookeel.jobs import no_room
 from bambookeel.jobs import placing
 from bambookeel.jobs import ranking
 from bambookeel.jobs import shares as team_shares
@@ -37,6 +38,7 @@
         shares: The teams' shares of the service; None while all waiting tasks
             fit.
         placed: Tasks that the plan has assigned.
+        too_large: Needs that fit on no worker any more.
     """
 
     capacities: list[placing.FreeCapacity]
@@ -49,6 +51,9 @@
     )
     shares: team_shares.Shares | None = None
     placed: set[specs.TaskRef] = dataclasses.field(default_factory=set)
+    too_large: no_room.NoRoom = dataclasses.field(
+        default_factory=no_room.NoRoom
+    )
 
 
 def plan(term: term_state.Term, now: term_state.Now) -> None:
@@ -116,6 +121,7 @@
     isolated = isolating.list_isolated_jobs(term, now)
     current = _Plan(placing.measure_free(usable, isolated), now)
     kept_workers.keep_workers(term, service, current.capacities, now)
+    current.too_large.note_kept(current.capacities)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
     if current.shares is not None:
@@ -201,6 +207,7 @@
     skipped = []
     shares = current.shares if within_shares else None
     maximum = placing.find_maximum(current.capacities)
+    placed = len(current.placed)
     for step in steps:
         # Most steps of a long queue fit on no worker; they are skipped without
         # a check of every worker.
@@ -227,7 +234,9 @@
             if isolation is placing.Isolation.NONE:
                 # The others of the step fit nowhere either.
                 break
-        maximum = placing.find_maximum(current.capacities)
+        if len(current.placed) != placed:
+            maximum = placing.find_maximum(current.capacities)
+            placed = len(current.placed)
     return skipped
 
 
@@ -251,19 +260,28 @@
     """
     if not caps.allows(term, step, 1, current.team_usage):
         return False
-    avoided = term.list_avoided(task)
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
     isolation = isolating.get_isolation(term, [task], current.now)
-    capacity = placing.choose_worker(
-        current.capacities, step, now_ms, avoided, tickets, isolation
-    )
+    capacity = None
+    if not current.too_large.includes(step, isolation):
+        capacity = placing.choose_worker(
+            current.capacities,
+            step,
+            now_ms,
+            term.list_avoided(task),
+            tickets,
+            isolation,
+        )
+        if capacity is None and tickets is None:
+            current.too_large.add(step, isolation)
     if capacity is None:
         isolating.note_unplaced(term, [task], isolation, now_ms)
         return False
     if capacity.worker.incarnation in task.runs.values():
         return True
     capacity.reserve(step.key, step.spec.reserved, isolation)
+    current.too_large.note_placed(step, isolation)
     _add_assignment(term, current, step, task, capacity, tickets)
     return True
 
@@ -310,12 +328,15 @@
     now_ms = current.now.steady_ms
     tickets = term.list_tickets(step, now_ms)
     isolation = isolating.get_isolation(term, step.tasks, current.now)
-    places = placing.place_gang(
-        current.capacities, step, now_ms, tickets, isolation
-    )
+    places = None
+    if not current.too_large.includes(step, isolation):
+        places = placing.place_gang(
+            current.capacities, step, now_ms, tickets, isolation
+        )
     if places is None:
         isolating.note_unplaced(term, step.tasks, isolation, now_ms)
         return
+    current.too_large.note_placed(step, isolation)
     for task, capacity in zip(step.tasks, places):
         _add_assignment(term, current, step, task, capacity, tickets)
 
--- a/features/fakes/jobs_recounts.py
+++ b/features/fakes/jobs_recounts.py
@@ -52,6 +52,7 @@
     Attributes:
         kinds: Number of committed commands of each kind.
         differences: Indexes that differed from a recount.
+        decisions: All batches.
     """
 
     settings = dataclasses.replace(
@@ -61,6 +62,7 @@
     def __init__(self, seed):
         self.kinds = collections.Counter()
         self.differences = []
+        self.decisions = []
         super().__init__(seed, workers=10, racks=3)
         self.down_ms = 5_000
 
@@ -69,6 +71,7 @@
         batch = self.scheduler.term.batch
         if not batch:
             return super().commit()
+        self.decisions.append(tuple(batch))
         self.kinds.update(type(command).__name__ for command in batch)
         self.differences += find_differences(self.scheduler.book)
         is_committed = super().commit()
