Hear a node again that restarts after its clock was set back

What callers would see, read from the code: each node that has stayed up drops all that the restarted node sends, until that node's next start. If it leads, they find no leader and callers and workers there are refused; if it votes, the others do not hear it.

If a process starts while its clock is ahead, and starts again within that lead after the clock was set back, the second start has the lower number for good. Links between control processes forget a number when its link ends; channels did not.

Change: a process that is told of a lower start than it knows answers with the one that it knows, and drops what the connection brings; the connecting process counts beyond it and connects again. An ended process cannot read the answer, so that its late messages stay dropped.

Tests, on real sockets: messages/channels, 'A process that restarts after its clock was set back reaches the others' (before: nothing of the second start arrived within 2 s) and 'A process that ended is not revived by its delayed messages' (held before, too). messages: 17 of 17.

--- a/bambookeel/net/channels.py
+++ b/bambookeel/net/channels.py
@@ -37,6 +37,8 @@
 _MAX_PENDING_MS = 800
 # After this time without a message to send, a process is not redialled.
 _IDLE_MS = 30_000
+# A peer must not make this process count up to values that cannot be encoded.
+_MAX_INCARNATION = 2**62
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,9 +162,12 @@
         logs.log_event("channel_up", peer=peer)
         writer = gevent.spawn(link.write_frames)
         try:
-            # The other end sends only heartbeats on this connection.
-            for _ in link.read_messages():
-                continue
+            # The other end sends heartbeats, and a hello if it knows a later
+            # incarnation.
+            for message in link.read_messages():
+                if isinstance(message, messages.Hello):
+                    self._count_beyond(message)
+                    break
         except codec.CodecError as error:
             logs.log_event("channel_rejected", peer=peer, error=str(error))
         finally:
@@ -171,6 +176,25 @@
             writer.join()
             logs.log_event("channel_down", peer=peer)
 
+    def _count_beyond(self, known: messages.Hello) -> None:
+        """Makes this incarnation later than one that a peer knows.
+
+        Incarnations are start times. After a clock was set back, an earlier
+        start may have the later time. Only a process that runs can read this,
+        so that the peer never takes an ended process for the later one.
+
+        Args:
+            known: Hello of the incarnation that the peer knows.
+        """
+        own = self._identity
+        is_own = known.process_id == own.process_id
+        if not is_own or known.incarnation >= _MAX_INCARNATION:
+            return
+        if known.incarnation > own.incarnation:
+            later = ids.Incarnation(known.incarnation + 1)
+            self._identity = dataclasses.replace(own, incarnation=later)
+            logs.log_event("incarnation_raised", incarnation=later)
+
     def _connect(self, peer: ids.ProcessId) -> gevent.socket.socket | None:
         try:
             sock = gevent.socket.create_connection(
@@ -227,11 +251,18 @@
             return
         peer = hello.process_id
         generation = (int(hello.incarnation), int(hello.link_number))
-        newest = self._newest.get(peer, generation)
-        self._newest[peer] = max(generation, newest)
+        newest = max(generation, self._newest.get(peer, generation))
+        self._newest[peer] = newest
+        is_outdated = newest[0] > generation[0]
+        if is_outdated:
+            later = ids.Incarnation(newest[0])
+            link.enqueue(dataclasses.replace(hello, incarnation=later))
         self._abort_hanging_dial(peer)
         deliver = functools.partial(self._deliver, peer)
         for message in stream:
+            if is_outdated:
+                # Dropped until the peer, if it still runs, has read the hello.
+                continue
             if self._newest[peer] != generation:
                 return
             deliver(message)
--- a/features/messages/channels.feature
+++ b/features/messages/channels.feature
@@ -21,3 +21,14 @@
     Given a process that another one has connected to twice
     When a message is sent on the first connection and one on the second
     Then only the message of the second connection is delivered
+
+  Scenario: A process that restarts after its clock was set back reaches the others
+    # Incarnations are start times. Others dropped all that the process sent.
+    Given a process that has sent a message from a start at 9000 ms
+    When it restarts at 5000 ms by its clock and sends a message every 50 ms
+    Then a message of the second start arrives within 2000 ms
+
+  Scenario: A process that ended is not revived by its delayed messages
+    Given a process that has sent a message from a start at 9000 ms
+    When a connection of its start at 5000 ms brings a message, unanswered
+    Then no message of the second start arrives within 500 ms
--- a/features/steps/channel_steps.py
+++ b/features/steps/channel_steps.py
@@ -101,7 +101,7 @@
     context.address = f"{address[0]}:{address[1]}"
 
 
-def _build_hello(process, number=0):
+def build_hello(process, number=0):
     return messages.Hello(
         ids.ProcessId(process),
         messages.ProcessRole.CONTROL,
@@ -116,11 +116,11 @@
     " later"
 )
 def send_and_answer(context, ms):
-    own_address = _find_free_address()
+    own_address = find_free_address()
     settings = links.LinkSettings(own_address, {}, 250, 1_000)
     context.received = []
     own = channels.Channels(
-        settings, _build_hello(own_address), lambda peer, message: None
+        settings, build_hello(own_address), lambda peer, message: None
     )
     own.listen()
     own.send(ids.ProcessId(context.address), messages.LeaderQuestion(7))
@@ -141,7 +141,7 @@
     gevent.sleep(0.05)
     sock = gevent.socket.create_connection(addresses.parse_address(own_address))
     link = links.Link(sock, settings)
-    link.enqueue(_build_hello(context.address))
+    link.enqueue(build_hello(context.address))
     writer = gevent.spawn(link.write_frames)
     gevent.sleep(2)
     link.close()
@@ -150,7 +150,7 @@
     context.listener.close()
 
 
-def _find_free_address():
+def find_free_address():
     with plain_socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         return f"127.0.0.1:{probe.getsockname()[1]}"
@@ -163,12 +163,12 @@
 
 @given("a process that another one has connected to twice")
 def connect_twice(context):
-    address = _find_free_address()
+    address = find_free_address()
     settings = links.LinkSettings(address, {}, 250, 1_000)
     context.received = []
     own = channels.Channels(
         settings,
-        _build_hello(address),
+        build_hello(address),
         lambda peer, message: context.received.append(message),
     )
     own.listen()
@@ -177,7 +177,7 @@
     for number in (1, 2):
         sock = gevent.socket.create_connection(addresses.parse_address(address))
         link = links.Link(sock, settings)
-        link.enqueue(_build_hello(_PEER, number))
+        link.enqueue(build_hello(_PEER, number))
         context.add_cleanup(link.close)
         context.links.append(link)
         gevent.spawn(link.write_frames)
