Remember the open work of a job until a task of it is done

Cause: each admission, each choice of deferred jobs and each check of the pools went through all steps of all open jobs of the service, also those that are complete or not standing.

A job now remembers its incomplete steps with what they need, and which of them can run, until a task is done. The sums are the same operations in the same order, so that no figure is rounded differently. The seeded simulations compare it with a recount (the test fails if the end of a task does not clear it).

--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -357,6 +357,7 @@
             each.is_done = True
             step.waiting.pop(each.ref.task_index, None)
         step.done_count += len(completed)
+        job.note_done()
         self.update_ready(job, step)
         if not step.is_complete:
             return
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -1,6 +1,7 @@
 """Records of the job book: jobs, steps, tasks, assigned runs and waves."""
 
 import dataclasses
+import typing
 
 from bambookeel.jobs import commands
 from bambookeel.jobs import specs
@@ -101,6 +102,20 @@
         return self.failures
 
 
+class OpenWork(typing.NamedTuple):
+    """What a job still has to do, without standing tasks.
+
+    Attributes:
+        tasks: Number of tasks that are not done, their declared run time in
+            milliseconds and processor time in thousandths of a core, for each
+            step that is not complete and no filler.
+        numbers: Numbers of the steps that can run now.
+    """
+
+    tasks: tuple[tuple[int, int, int], ...]
+    numbers: tuple[int, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """State of one job.
@@ -119,6 +134,7 @@
         end_reason: Why the job has failed, for its caller; empty otherwise.
         has_had_run: Whether a run has been assigned, which may not have
             started.
+        standing: Specifications of its standing steps.
     """
 
     job_id: str
@@ -132,6 +148,9 @@
     incomplete_steps: int
     end_reason: str = ""
     has_had_run: bool = False
+    standing: tuple[specs.StepSpec, ...] = ()
+    # Known since a step was last changed by the end of a task.
+    _open_work: OpenWork | None = None
 
     @classmethod
     def from_command(cls, command: commands.AdmitJob) -> "Job":
@@ -170,8 +189,35 @@
             0,
             steps,
             len(steps),
+            standing=tuple(step for step in spec.steps if step.is_standing),
         )
 
+    def get_open_work(self) -> OpenWork:
+        """Returns what the job still has to do."""
+        if self._open_work is None:
+            self._open_work = self._list_open_work()
+        return self._open_work
+
+    def note_done(self) -> None:
+        """Notes that tasks are done, so that other steps may be ready."""
+        self._open_work = None
+
+    def _list_open_work(self) -> OpenWork:
+        tasks = []
+        numbers: dict[int, None] = {}
+        for (_, number), step in self.steps.items():
+            if step.spec.is_standing or step.is_complete:
+                continue
+            if not step.unfinished_dependencies:
+                numbers[number] = None
+            if step.spec.is_filler:
+                continue
+            left = len(step.tasks) - step.done_count
+            tasks.append(
+                (left, step.spec.estimate_ms, step.spec.needs.cpu_milli)
+            )
+        return OpenWork(tuple(tasks), tuple(numbers))
+
     @property
     def is_open(self) -> bool:
         """Whether the job has neither completed, failed nor been cancelled."""
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -250,6 +250,7 @@
         book: Book of the job.
         job: Job whose tasks and runs have all been restored.
     """
+    job.note_done()
     job.incomplete_steps = 0
     for step in job.steps.values():
         step.done_count = sum(task.is_done for task in step.tasks)
--- a/bambookeel/jobs/deferring.py
+++ b/bambookeel/jobs/deferring.py
@@ -24,10 +24,7 @@
     return max(
         (
             term.compute_chain_ms(job, number)
-            for (_, number), step in job.steps.items()
-            if not step.spec.is_standing
-            and not step.is_complete
-            and not step.unfinished_dependencies
+            for number in job.get_open_work().numbers
         ),
         default=0.0,
     )
--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -221,13 +221,10 @@
     Returns:
         Work in thousandths of a core times milliseconds.
     """
+    factor = run_times.get_factor(job.queue)
     total = 0.0
-    for step in job.steps.values():
-        if step.spec.is_standing or step.spec.is_filler:
-            continue
-        left = len(step.tasks) - step.done_count
-        each_ms = run_times.estimate_ms(job.queue, step.spec)
-        total += left * each_ms * step.spec.needs.cpu_milli
+    for left, estimate_ms, cpu_milli in job.get_open_work().tasks:
+        total += left * (estimate_ms * factor) * cpu_milli
     return total
 
 
@@ -251,7 +248,7 @@
         if job.spec.is_timed:
             continue
         open_work += estimate_open_work(job, run_times)
-        for step in job.spec.steps:
-            if step.is_standing and (counts_fillers or not step.is_filler):
+        for step in job.standing:
+            if counts_fillers or not step.is_filler:
                 standing_milli += step.count * step.needs.cpu_milli
     return open_work, standing_milli
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -190,8 +190,8 @@
             work, cpu_milli = objectives.measure_ready(job, term.run_times)
             ready_work += work
             ready_milli += cpu_milli
-        for step in job.spec.steps:
-            if not step.is_standing or step.is_filler:
+        for step in job.standing:
+            if step.is_filler:
                 continue
             standing_milli += step.count * step.needs.cpu_milli
             most = step.max_per_instance
--- a/features/fakes/jobs_recounts.py
+++ b/features/fakes/jobs_recounts.py
@@ -43,9 +43,39 @@
         indexed = sorted(book.crashes.list_open_cases(ref))
         if indexed != sorted(cases[ref]):
             differences.append(f"open cases of {ref}")
+    for job in book.jobs.values():
+        if job.get_open_work() != _list_open_work(job):
+            differences.append(f"open work of {job.job_id}")
     return differences
 
 
+def _list_open_work(job):
+    steps = [
+        (number, step)
+        for (_, number), step in job.steps.items()
+        if not step.spec.is_standing and not all(t.is_done for t in step.tasks)
+    ]
+    ready = [
+        number
+        for number, step in steps
+        if all(
+            task.is_done
+            for earlier in step.spec.after
+            for task in job.steps[step.key[1], earlier].tasks
+        )
+    ]
+    tasks = [
+        (
+            sum(not task.is_done for task in step.tasks),
+            step.spec.estimate_ms,
+            step.spec.needs.cpu_milli,
+        )
+        for _, step in steps
+        if not step.spec.is_filler
+    ]
+    return tuple(tasks), tuple(dict.fromkeys(ready))
+
+
 class RecountSimulation(jobs_mixed_crashes.MixedSimulation):
     """Simulation with commands of all kinds, which checks the indexes.
 
