--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -174,9 +174,8 @@
             The step, or None if it does not exist.
         """
         job = self.jobs.get(ref.job)
-        if job is None:
-            return None
-        return job.steps.get((ref.occurrence, ref.step))
+        key = ref.occurrence, ref.step
+        return job.steps.get(key) if job is not None else None
 
     def admit_job(self, command: commands.AdmitJob) -> None:
         """Adds a job that was admitted, unless the book already contains it.
@@ -361,6 +360,7 @@
             step.waiting.pop(each.ref.task_index, None)
         step.done_count += len(completed)
         self.open_work.remove_tasks(job, step.spec, len(completed))
+        job.note_done()
         self.update_ready(job, step)
         if not step.is_complete:
             return
--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -220,11 +220,8 @@
     Returns:
         Work in thousandths of a core times milliseconds.
     """
+    factor = run_times.get_factor(job.queue)
     total = 0.0
-    for step in job.steps.values():
-        if step.spec.is_standing or step.spec.is_filler:
-            continue
-        left = len(step.tasks) - step.done_count
-        each_ms = run_times.estimate_ms(job.queue, step.spec)
-        total += left * each_ms * step.spec.needs.cpu_milli
+    for left, estimate_ms, cpu_milli in job.get_open_work().tasks:
+        total += left * (estimate_ms * factor) * cpu_milli
     return total
