Refuse heartbeats that lack a field or have one of another type

Cause: the record of a heartbeat had only the fields that the node uses, and defaults for some of these, so that what another writer left out was filled in.

Rows of runs in the odd cases are now whole, so that only the tested entry is odd; the reason for a lone surrogate differs, as labels no longer come last.

--- a/features/platform/odd_input.feature
+++ b/features/platform/odd_input.feature
@@ -29,16 +29,72 @@
       | remaining_ms | Infinity                          | malformed     |
       | capacity     | {"cpu":1,"mem_mb":1,"gpu":-1}     | capacity      |
       | capacity     | {"cpu":9223372036854775808,"mem_mb":1} | capacity |
-      | labels       | ["\ud800"]                        | truncated     |
+      | labels       | ["\ud800"]                        | surrogate pair|
       | running      | [["x.0.0.0",1,"",1e308,0]]        | running       |
       | running      | [["x.0.0.0",1,"",0,1e308]]        | running       |
-      | running      | [["x.0.0.0",1180591620717411303424]] | running    |
-      | running      | [["x.1_0.0.5",1]]                 | no task's name |
-      | running      | [["x.٣.0.5",1]]                   | no task's name |
-      | running      | [["x.-1.0.5",1]]                  | no task's name |
-      | running      | [["x.1.0",1]]                     | no task's name |
-      | running      | [["x.9999999999.0.0",1]]          | no task's name |
-      | finished     | [[-1,"x.0.0.0",1,"done"]]         | finished      |
+      | running      | [["x.0.0.0",1180591620717411303424,"",0]] | running    |
+      | running      | [["x.1_0.0.5",1,"",0]]                 | no task's name |
+      | running      | [["x.٣.0.5",1,"",0]]                   | no task's name |
+      | running      | [["x.-1.0.5",1,"",0]]                  | no task's name |
+      | running      | [["x.1.0",1,"",0]]                     | no task's name |
+      | running      | [["x.9999999999.0.0",1,"",0]]          | no task's name |
+      | finished     | [[-1,"x.0.0.0",1,"done",""]]         | finished      |
+
+  Scenario Outline: A heartbeat without one of its fields names no worker
+    When a heartbeat without "<field>" is decoded
+    Then the heartbeat is refused because of "<reason>"
+
+    Examples:
+      | field           | reason       |
+      | service         | service      |
+      | address         | address      |
+      | zone            | zone         |
+      | version         | version      |
+      | slots           | slots        |
+      | state           | state        |
+      | cold_left_ms    | cold_left_ms |
+      | clock_ms        | clock_ms     |
+      | seq_no          | seq_no       |
+      | born            | born         |
+      | capacity        | capacity     |
+      | capacity.cpu    | cpu          |
+      | capacity.mem_mb | mem_mb       |
+      | capacity.gpu    | gpu          |
+      | labels          | labels       |
+      | running         | running      |
+      | finished        | finished     |
+
+  Scenario Outline: A heartbeat with a field of another type names no worker
+    When a heartbeat whose "<field>" is <value> is decoded
+    Then the heartbeat is refused because of "<field>"
+
+    Examples:
+      | field        | value                        |
+      | version      | 1                            |
+      | version      | null                         |
+      | version      | ""                           |
+      | slots        | "8"                          |
+      | slots        | 1.5                          |
+      | slots        | -1                           |
+      | cold_left_ms | "0"                          |
+      | cold_left_ms | null                         |
+      | cold_left_ms | -1                           |
+      | clock_ms     | null                         |
+      | clock_ms     | "482113"                     |
+      | zone         | ""                           |
+      | zone         | 3                            |
+      | labels       | null                         |
+      | running      | null                         |
+      | running      | [["x.0.0.0",1,""]]           |
+      | running      | [["x.0.0.0",1,"",null]]      |
+      | finished     | null                         |
+      | finished     | [[1,"x.0.0.0",1,"done"]]     |
+      | remaining_ms | null                         |
+      | remaining_ms | -1                           |
+
+  Scenario: A heartbeat with all its fields is accepted
+    When a heartbeat with all its fields is decoded
+    Then the heartbeat is accepted
 
   Scenario: Bytes that are not UTF-8, and long lists and names, are refused
     Then a heartbeat whose labels are not UTF-8 is refused
--- a/features/steps/odd_input_steps.py
+++ b/features/steps/odd_input_steps.py
@@ -29,8 +29,13 @@
     "address": "10.0.0.1:80",
     "zone": "north",
     "state": "ready",
+    "version": "v1",
+    "slots": 8,
+    "cold_left_ms": 0,
+    "clock_ms": 482113,
     "seq_no": 4,
     "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 0},
+    "labels": ["a", "r1"],
     "born": 5,
     "running": [],
     "finished": [],
@@ -59,6 +64,19 @@
     context.decoded = _decode("w", body)
 
 
+@when('a heartbeat without "{field}" is decoded')
+def decode_incomplete(context, field):
+    body = {**_HEARTBEAT, "capacity": dict(_HEARTBEAT["capacity"])}
+    part, _, name = field.rpartition(".")
+    del (body[part] if part else body)[name]
+    context.decoded = _decode("w", json.dumps(body).encode())
+
+
+@when("a heartbeat with all its fields is decoded")
+def decode_complete(context):
+    context.decoded = _decode("w", json.dumps(_HEARTBEAT).encode())
+
+
 @then('the heartbeat is refused because of "{reason}"')
 def check_refused(context, reason):
     found = context.decoded
