--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -2,8 +2,8 @@
 
 A goal is a move or an upkeep. An instance with a goal gets no new work. Its
 order is sent to the provider once the instance is empty or may be interrupted.
-It then counts as away until a report or the provider's list shows that it is
-back.
+It then counts as away until the provider's list shows that it is back. A report
+shows that only if it cannot have been sent before the order was carried out.
 """
 
 import dataclasses
@@ -12,6 +12,9 @@
 from bambookeel.jobs import instances
 from bambookeel.jobs import specs
 
+# Before any time of the steady clock.
+_NEVER_MS = -(1 << 40)
+
 
 class GoalPhase(enum.Enum):
     """Progress of a goal."""
@@ -79,15 +82,18 @@
         listed_ms: When the newest list received was requested; 0 before the
             first one.
         is_listing: Whether a request for the list is in flight.
+        return_reported_ms: When a report was last received that suggests that
+            an instance is back from its upkeep, on the steady clock.
     """
 
     statuses: dict[str, InstanceStatus] = dataclasses.field(
         default_factory=dict
     )
     goals: dict[str, Goal] = dataclasses.field(default_factory=dict)
-    requested_ms: int = -(1 << 40)
+    requested_ms: int = _NEVER_MS
     listed_ms: int = 0
     is_listing: bool = False
+    return_reported_ms: int = _NEVER_MS
 
     def find_goal_pool(self, instance: str) -> str:
         """Finds the pool to which an instance is being moved.
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -59,7 +59,7 @@
             instance=report.instance,
             service=report.service,
         )
-    if term.instance_controller.update_from_report(worker):
+    if term.instance_controller.update_from_report(worker, now.steady_ms):
         instance_steps.end_goal(term, report.instance)
     if report.life in term.book.crashes.silent_workers:
         term.decide(commands.WorkerReturned(report.life))
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -11,6 +11,7 @@
 from bambookeel.jobs import instances
 from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
+from bambookeel.jobs import stale_reports
 from bambookeel.jobs import upkeep
 from bambookeel.jobs import workers as worker_table
 
@@ -18,6 +19,8 @@
 # depends on it, and otherwise.
 _ACTIVE_LIST_INTERVAL_MS = 1_000
 _IDLE_LIST_INTERVAL_MS = 8_000
+# Minimum interval between requests that are to confirm reports of a return.
+_CONFIRM_LIST_INTERVAL_MS = 200
 # Pause before the next order for an instance after an order that was refused or
 # got no answer.
 _RETRY_MS = 600
@@ -68,6 +71,8 @@
         interval_ms = (
             _ACTIVE_LIST_INTERVAL_MS if is_needed else _IDLE_LIST_INTERVAL_MS
         )
+        if fleet.return_reported_ms > fleet.requested_ms:
+            interval_ms = _CONFIRM_LIST_INTERVAL_MS
         if now_ms - fleet.requested_ms < interval_ms:
             return False
         fleet.requested_ms = now_ms
@@ -346,11 +351,14 @@
             status.retry_at_ms = now_ms + retry_ms
         return None
 
-    def update_from_report(self, worker: worker_table.Worker) -> bool:
+    def update_from_report(
+        self, worker: worker_table.Worker, now_ms: int
+    ) -> bool:
         """Updates an instance from a report, which may show that it is back.
 
         Args:
             worker: The worker that reports from the instance.
+            now_ms: Steady-clock time in milliseconds.
 
         Returns:
             Whether the goal of the instance has been reached.
@@ -364,12 +372,16 @@
             return False
         if goal.phase is not fleet_view.GoalPhase.AWAY:
             return fleet_view.has_moved_unconfirmed(goal, worker.report.service)
-        if goal.incarnation is not None:
-            return worker.incarnation != goal.incarnation
-        # The report may have been sent before the order was carried out.
+        if worker.incarnation == goal.incarnation:
+            return False
+        # Any other life may also have ended with the order, and its report may
+        # have been sent before.
         match goal.order:
             case instances.Move(_, pool):
                 return worker.report.service == pool
+        if now_ms - goal.since_ms >= stale_reports.MAX_DELAY_MS:
+            return True
+        self.fleet.return_reported_ms = now_ms
         return False
 
     def end_goal(self, name: str) -> list[commands.Command]:
--- a/features/jobs/provider.feature
+++ b/features/jobs/provider.feature
@@ -80,3 +80,56 @@
     And the simulation runs with a provider for 8000 ms
     Then the instance of "w0" serves "other"
     And no instance is moving to another pool
+
+  Scenario Outline: A delayed report of a life that its upkeep has ended does not end the upkeep
+    # The leader had not heard of this life when it ordered the upkeep, and took
+    # it for the worker after the upkeep.
+    When the simulation runs with a provider for 500 ms
+    And worker "w0" is cut off and restarts with a report in flight
+    And a wave of all instances with 1 at once is requested
+    And the simulation runs with a provider until instance "m-w0" is down
+    And the simulation runs with a provider for <delay> ms
+    And the delayed report arrives
+    And the simulation runs with a provider for 40000 ms
+    Then the wave is complete
+    And never more than 1 instance was down at a time
+    And every worker is known to the leader
+
+    Examples:
+      | delay |
+      | 50    |
+      | 400   |
+      | 1900  |
+
+  Scenario Outline: A delayed report of a life that its move has ended does not end the move
+    When the simulation runs with a provider for 500 ms
+    And worker "w0" is cut off and restarts with a report in flight
+    And instance "m-w0" is to move to "other"
+    And the simulation runs with a provider until instance "m-w0" is down
+    And the simulation runs with a provider for <delay> ms
+    And the delayed report arrives
+    Then instance "m-w0" is still away
+    When the simulation runs with a provider for 8000 ms
+    Then the instance of "w0" serves "other"
+    And no instance is moving to another pool
+
+    Examples:
+      | delay |
+      | 50    |
+      | 1900  |
+
+  Scenario: An instance is in use again with its worker's first reports
+    # The provider's list is requested as soon as a report says that it may be.
+    When a wave of all instances with 1 at once is requested
+    And the simulation runs with a provider until instance "m-w0" is down
+    And the simulation runs with a provider for 2300 ms
+    Then instance "m-w0" is in use
+
+  Scenario: A report that cannot be late shows a return while the list fails
+    When a wave of all instances with 1 at once is requested
+    And the simulation runs with a provider until instance "m-w0" is down
+    And the provider no longer lists its instances
+    And the simulation runs with a provider for 50000 ms
+    Then instance "m-w0" is still away
+    When the simulation runs with a provider for 15000 ms
+    Then instance "m-w0" is in use
--- a/features/steps/provider_steps.py
+++ b/features/steps/provider_steps.py
@@ -87,6 +87,7 @@
 
 
 @given("the provider does not list its instances")
+@when("the provider no longer lists its instances")
 def disable_list(context):
     context.provider.fails_lists = True
 
@@ -127,6 +128,19 @@
     controller.set_goal(instances.Move(name, pool), simulation.now_ms)
 
 
+@then('instance "{name}" is still away')
+def check_away(context, name):
+    controller = context.sim.scheduler.term.instance_controller
+    goal = controller.fleet.goals[name]
+    assert goal.phase is fleet_view.GoalPhase.AWAY, goal
+
+
+@then('instance "{name}" is in use')
+def check_in_use(context, name):
+    controller = context.sim.scheduler.term.instance_controller
+    assert controller.is_usable(name), controller.fleet.goals
+
+
 @then('the instance of "{name}" serves "{pool}"')
 def check_service(context, name, pool):
     worker = context.sim.workers[name]
