--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -98,6 +98,24 @@
     return isolation
 
 
+def is_held(
+    term: term_state.Term,
+    tasks: list[book_records.Task],
+    now: term_state.Now,
+) -> bool:
+    """Returns whether tasks wait until it is known whether a worker crashed.
+
+    Args:
+        term: State of the leader's term.
+        tasks: A task that waits for a worker or a copy, or those of a gang.
+        now: Current time.
+
+    Returns:
+        True if one of them will be given up if it has.
+    """
+    return any(_is_held(term, task, now) for task in tasks)
+
+
 def note_unplaced(
     term: term_state.Term,
     tasks: list[book_records.Task],
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -105,6 +105,8 @@
         self.idle_since_ms: dict[str, int] = {}
         self.pools_logged_ms = 0
         self.waiting_logged_ms = 0
+        # Steady-clock time since which standing tasks do not run.
+        self.standing_idle_since_ms: dict[specs.TaskRef, int] = {}
         self.instances_checked_ms = 0
         self.fitting_checked_ms = 0
         # Steady-clock time of the last search for instances for each step that
