Let a job run on workers in doubt rather than wait beside them

What callers saw: jobs had no task at work for more than 3 s, up to the 5 s of a suspicion, while most of a service was idle (LOST). Cause: a plan used workers in doubt only if every worker was in doubt. One trusted worker without room kept all others from work. Change: after the plan, steps that are standing or whose job has no run, and that have waited for 2 s, may use workers in doubt as well, a job that ends with one run at a time; not while half of the service is in use. The list of workers that may get work is a module of its own.

--- a/bambookeel/jobs/advising.py
+++ b/bambookeel/jobs/advising.py
@@ -5,9 +5,9 @@
 
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import advice
-from bambookeel.jobs import planning
 from bambookeel.jobs import ranking
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import usable_workers
 from bambookeel.jobs import workers as worker_table
 
 
@@ -60,7 +60,7 @@
     usable: dict[str, list[worker_table.Worker]] = {}
     for queue in queues:
         if queue.service not in usable:
-            usable[queue.service] = planning.list_usable_workers(
+            usable[queue.service] = usable_workers.list_usable_workers(
                 term, queue.service, now.steady_ms
             )
         jobs = term.book.open_jobs.get(queue.name, {})
--- a/bambookeel/jobs/evictions.py
+++ b/bambookeel/jobs/evictions.py
@@ -17,9 +17,9 @@
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
 from bambookeel.jobs import placing
-from bambookeel.jobs import planning
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import usable_workers
 from bambookeel.jobs import workers as worker_table
 
 # Time for a stopped task to be available again on another instance.
@@ -70,7 +70,9 @@
     queue = term.book.find_queue(term.book.jobs[step.key[0]].queue)
     if queue is None:
         return False
-    usable = planning.list_usable_workers(term, queue.service, now.steady_ms)
+    usable = usable_workers.list_usable_workers(
+        term, queue.service, now.steady_ms
+    )
     capacities = placing.measure_free(usable, {})
     chosen = placing.choose_worker(capacities, step, now.steady_ms)
     return chosen is not None
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -21,7 +21,9 @@
 from bambookeel.jobs import ranking
 from bambookeel.jobs import shares as team_shares
 from bambookeel.jobs import specs
+from bambookeel.jobs import starving
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import usable_workers
 from bambookeel.jobs import workers as worker_table
 
 
@@ -77,32 +79,6 @@
             _plan_service(term, service, steps, tasks_to_copy, now)
 
 
-def list_usable_workers(
-    term: term_state.Term, service: str, now_ms: int
-) -> list[worker_table.Worker]:
-    """Lists the workers of a service that may get work.
-
-    Args:
-        term: State of the leader's term.
-        service: Name of the service.
-        now_ms: Steady-clock time in milliseconds.
-
-    Returns:
-        The workers that are not suspect; all of them if every one is suspect.
-    """
-    usable = [
-        worker
-        for worker in term.workers.by_id.values()
-        if worker.report.service == service
-        and not worker.report.is_leaving
-        and now_ms - worker.last_report_ms
-        <= term.settings.assign_max_silence_ms
-        and term.instance_controller.is_usable(worker.report.instance)
-    ]
-    trusted = [worker for worker in usable if not worker.is_suspect(now_ms)]
-    return trusted or usable
-
-
 def _plan_service(
     term: term_state.Term,
     service: str,
@@ -110,7 +86,10 @@
     tasks_to_copy: list[book_records.Task],
     now: term_state.Now,
 ) -> None:
-    usable = list_usable_workers(term, service, now.steady_ms)
+    trusted, doubtful = usable_workers.list_by_trust(
+        term, service, now.steady_ms
+    )
+    usable = trusted or doubtful
     if not usable:
         return
     isolated = isolating.list_isolated_jobs(term, now)
@@ -131,6 +110,11 @@
         members = [step for _, step in group]
         skipped = _place_steps(term, current, members, within_shares=True)
         _place_steps(term, current, skipped, within_shares=False)
+    if trusted and doubtful:
+        ranked_steps = [step for _, step in ranked]
+        _place_starving(term, current, service, ranked_steps, doubtful)
+    else:
+        term.starving_since_ms.pop(service, None)
     for task in tasks_to_copy:
         copied_step = term.book.get_step(task.ref)
         if copied_step is not None:
@@ -138,6 +122,45 @@
     _assign(term, current)
 
 
+def _place_starving(
+    term: term_state.Term,
+    current: _Plan,
+    service: str,
+    steps: list[book_records.Step],
+    doubtful: list[worker_table.Worker],
+) -> None:
+    """Places tasks of starving steps, on workers in doubt if they must.
+
+    Args:
+        term: State of the leader's term.
+        current: The plan, which is changed.
+        service: Name of the service.
+        steps: Its steps with waiting tasks, by rank.
+        doubtful: Workers whose health is in doubt.
+    """
+    found = starving.list_starving(
+        term, service, steps, current.placed, current.now.steady_ms
+    )
+    if not found or starving.is_half_used(current.capacities, doubtful):
+        return
+    isolated = isolating.list_isolated_jobs(term, current.now)
+    trusted = current.capacities
+    current.capacities = trusted + placing.measure_free(doubtful, isolated)
+    for step in found:
+        if step.spec.is_gang:
+            _plan_gang(term, current, step)
+            continue
+        for index in step.waiting:
+            task = step.tasks[index]
+            if task.ref in current.placed:
+                continue
+            is_placed = _place_task(term, current, step, task)
+            # One run is enough for a job that ends.
+            if is_placed and not step.spec.is_standing:
+                break
+    current.capacities = trusted
+
+
 def _compute_shares(
     term: term_state.Term,
     service: str,
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -112,6 +112,9 @@
         # Steady-clock time of the last search for instances for each step that
         # fitted on none of its pool.
         self.fitting_searched_ms: dict[book_records.StepKey, int] = {}
+        # Steady-clock time since which steps wait for a trusted worker, by
+        # service.
+        self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
         self.planned_ms = 0
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -8,9 +8,9 @@
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
 from bambookeel.jobs import placing
-from bambookeel.jobs import planning
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import usable_workers
 from bambookeel.jobs import workers as worker_table
 
 # Interval between two log lines about each service.
@@ -170,7 +170,7 @@
     needs = step.spec.reserved
     if not any(needs.fits_in(worker.report.capacity) for worker in heard):
         return Reason.TOO_LARGE
-    usable = planning.list_usable_workers(term, service, now_ms)
+    usable = usable_workers.list_usable_workers(term, service, now_ms)
     if not _fits(placing.measure_free(usable, {}), step, tickets, now_ms):
         return _find_room_reason(term, heard, step, tickets, now_ms)
     if isolating.is_held(term, tasks, now):
--- /dev/null
+++ b/features/jobs/waits.feature
@@ -0,0 +1,30 @@
+Feature: Tasks do not wait beside room
+  While less than half of a service is in use, no job stays without a running
+  task for 3 s if there is room for it twice over.
+
+  Scenario Outline: A job runs on workers in doubt if it fits on no other
+    Given a simulation of 4 watched workers
+    And <doubtful> workers are in doubt
+    And the others are full
+    When a job of <kind> is submitted
+    And 6 s pass under the watch
+    Then the watch reports nothing
+    And the job has <state> in less than 3 s
+
+    Examples:
+      | doubtful | kind                       | state     |
+      | 3        | 1 task of 4 cores          | begun     |
+      | 3        | 4 tasks of 4 cores         | begun     |
+      | 3        | a gang of 3 at 4 cores     | begun     |
+      | 3        | a step of 2 spread tasks   | begun     |
+      | 3        | 1 standing task of 4 cores | begun     |
+      | 1        | 1 task of 4 cores          | not begun |
+
+  Scenario: A new leader lets jobs run on workers in doubt, too
+    Given a simulation of 4 watched workers
+    And 3 workers are in doubt
+    And the others are full
+    When a job of 1 task of 4 cores is submitted while the plan stands still
+    And a new leader starts from a snapshot and doubts the same workers
+    And 6 s pass under the watch
+    Then the watch reports nothing
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -19,9 +19,9 @@
 _NEEDS = specs.Resources(1_000, 100, 0)
 
 
-@given("a simulation of 2 watched workers")
-def create_simulation(context):
-    context.sim = jobs_crashes.CrashingSimulation(1, 2)
+@given("a simulation of {count:d} watched workers")
+def create_simulation(context, count):
+    context.sim = jobs_crashes.CrashingSimulation(1, count)
     context.sim.renames = False
     # A new leader then knows their instances.
     context.sim.start_leader()
@@ -33,7 +33,7 @@
 def submit_standing(context):
     step = specs.StepSpec(2, _NEEDS, max_per_instance=1, is_standing=True)
     context.sim.submit(_JOB, specs.JobSpec("body", (step,)))
-    _watch(context, 1_000)
+    watch(context, 1_000)
 
 
 @given("a third worker")
@@ -42,7 +42,8 @@
     context.sim.advance(500)
 
 
-def _watch(context, span_ms):
+def watch(context, span_ms):
+    """Runs the simulation for some time with frequent checks."""
     for _ in range(span_ms // _CHECK_MS):
         context.sim.advance(_CHECK_MS)
         context.watch.check()
@@ -51,7 +52,7 @@
 @when("{seconds:d} s pass under the watch")
 @when("{seconds:d} s passes under the watch")
 def pass_time(context, seconds):
-    _watch(context, seconds * 1_000)
+    watch(context, seconds * 1_000)
 
 
 @when("the plan passes over all tasks")
@@ -117,7 +118,7 @@
 def cut_off(context):
     context.task = _find_task(context)
     context.sim.workers["w1"].is_cut_off = True
-    _watch(context, 2_000)
+    watch(context, 2_000)
 
 
 @when("a worker is cut off and a new leader starts")
@@ -125,7 +126,7 @@
     context.task = _find_task(context)
     context.sim.workers["w1"].is_cut_off = True
     context.sim.start_leader()
-    _watch(context, 2_000)
+    watch(context, 2_000)
 
 
 @when("a worker loses each order to start its new task")
@@ -133,14 +134,14 @@
     context.task = _find_task(context)
     _crash(context, 1_000)
     context.sim.deaf_until_ms = context.sim.now_ms + 60_000
-    _watch(context, 2_000)
+    watch(context, 2_000)
 
 
 @when("a worker is gone for {seconds:d} s")
 def lose_worker(context, seconds):
     context.task = _find_task(context)
     _crash(context, 60_000)
-    _watch(context, seconds * 1_000)
+    watch(context, seconds * 1_000)
 
 
 @when("a worker is gone and the other one has no room")
