Do not take suspects for fresh since the leader's clock is behind

What callers saw: after a new leader no task of any other job, standing or not, was started for up to 6 s on workers that run a suspect (LOST). Cause: for a run that the first report to a leader lists, the time since its start was the difference of two wall clocks. With the new leader's 6 s behind that of the one that assigned it, each run looked as if it had just started, and a worker on which a suspect has just started is closed. Change: such a run has worked at least since the worker's first report to this leader, on the steady clock.

--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -158,8 +158,10 @@
     begun_after_ms = worker.begun_after_ms.get((run.task, run.run))
     if begun_after_ms is not None:
         return worker.last_report_ms - begun_after_ms
+    # The clock of the leader that assigned the run may have been ahead.
+    heard_ms = worker.last_report_ms - worker.first_report_ms
     silent_ms = now.steady_ms - worker.last_report_ms
-    return now.wall_ms - silent_ms - run.assigned_wall_ms
+    return max(heard_ms, now.wall_ms - silent_ms - run.assigned_wall_ms)
 
 
 def _find_other_cause(
--- a/features/jobs/waits.feature
+++ b/features/jobs/waits.feature
@@ -28,3 +28,20 @@
     And a new leader starts from a snapshot and doubts the same workers
     And 6 s pass under the watch
     Then the watch reports nothing
+
+  Scenario Outline: Suspects that run on close no worker under a new leader's clock
+    Given a simulation of 4 watched workers
+    And a suspect runs on each worker for 1 s
+    When a new leader starts whose clock is <ahead> ms ahead
+    And a job of <kind> is submitted
+    And 8 s pass under the watch
+    Then the watch reports nothing
+    And the job has begun in less than 3 s
+
+    Examples:
+      | ahead | kind                       |
+      | 0     | 1 task of 4 cores          |
+      | 6000  | 1 task of 4 cores          |
+      | -6000 | 1 task of 4 cores          |
+      | -6000 | a gang of 3 at 4 cores     |
+      | -6000 | 1 standing task of 4 cores |
--- a/features/steps/waits_steps.py
+++ b/features/steps/waits_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from bambookeel.jobs import book_snapshot
 from bambookeel.jobs import specs
 
 _JOB = "b" * 16
@@ -80,3 +81,27 @@
     )
     has_begun = first_ms - context.submitted_ms < 3_000
     assert has_begun == (state == "begun"), first_ms - context.submitted_ms
+
+
+@given("a suspect runs on each worker for 1 s")
+def run_suspects(context):
+    sim = context.sim
+    sim.run_duration_ms = 60_000
+    book = sim.scheduler.book
+    for number in range(len(sim.workers)):
+        job = f"{number:016x}"
+        step = specs.StepSpec(1, _FOUR_CORES, 600)
+        with mock.patch("bambookeel.jobs.planning.plan"):
+            sim.submit(job, specs.JobSpec("body", (step,)))
+        task = book.get_task(specs.TaskRef(job, 0, 0, 0))
+        task.evidence, task.crashes = 8, 2
+        book.crashes.suspects[task.ref] = None
+    sim.advance(1_000)
+    assert all(worker.running for worker in sim.workers.values())
+    sim.committed = book_snapshot.encode_book(book)
+
+
+@when("a new leader starts whose clock is {ahead_ms:d} ms ahead")
+def start_leader_ahead(context, ahead_ms):
+    context.sim.wall_ahead_ms = ahead_ms
+    context.sim.start_leader()
