--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -92,8 +92,7 @@
         self.stalls: dict[specs.TaskRef, int] = {}
         # Tasks that wait until it is known whether they have crashed a worker.
         self.held: set[specs.TaskRef] = set()
-        # Steady-clock time since which tasks that must run apart have found no
-        # worker.
+        # Steady-clock time since which tasks that must run apart have waited.
         self.apart_since_ms: dict[specs.TaskRef, int] = {}
         self.advice = advice.Advice()
         # Questions to the advisor that the leader has not fetched yet.
@@ -107,11 +106,14 @@
         self.idle_since_ms: dict[str, int] = {}
         self.pools_logged_ms = 0
         self.waiting_logged_ms = 0
+        # Steady-clock time since which standing tasks do not run.
+        self.standing_idle_since_ms: dict[specs.TaskRef, int] = {}
         self.instances_checked_ms = 0
         self.fitting_checked_ms = 0
-        # Steady-clock time of the last search for instances for each step that
-        # fitted on none of its pool.
+        # Steady-clock time of the last search for instances for each step.
         self.fitting_searched_ms: dict[book_records.StepKey, int] = {}
+        # Since when steps wait for a trusted worker, by service; steady clock.
+        self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
         self.planned_ms = 0
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
