Lose two disks of six or eight at random, then all power

A second variant adds ten machines without a disk that know the others only by three changing seeds: views of the leader, announcements and the admission of new disks are the product's own (the gateway's loop body became a method for that).

--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -27,7 +27,8 @@
 _ATTEMPT_TIMEOUT_MS = 1_000
 # Delay before the next attempt while no leader is known or answers.
 _RETRY_DELAY_MS = 40
-_TICK_MS = 50
+# Interval of `ask_and_announce`.
+TICK_MS = 50
 # Interval at which a node with a disk tells its seeds who leads. After a
 # restart of all nodes, seeds without a disk know no process that they could
 # ask.
@@ -200,14 +201,19 @@
     def run(self) -> None:
         """Asks other processes who leads until the task is killed."""
         while True:
-            now_ms = clock.read_now_ms()
-            for peer in leader_finder.choose_peers_to_ask(
-                self.leader_view, now_ms
-            ):
-                self._channels.send(peer, messages.LeaderQuestion(now_ms))
-            if self._announces:
-                self._announce(now_ms)
-            gevent.sleep(_TICK_MS / 1000.0)
+            self.ask_and_announce(clock.read_now_ms())
+            gevent.sleep(TICK_MS / 1000.0)
+
+    def ask_and_announce(self, now_ms: int) -> None:
+        """Asks who leads, and tells the seeds, if either is due.
+
+        Args:
+            now_ms: Steady time in milliseconds.
+        """
+        for peer in leader_finder.choose_peers_to_ask(self.leader_view, now_ms):
+            self._channels.send(peer, messages.LeaderQuestion(now_ms))
+        if self._announces:
+            self._announce(now_ms)
 
     def _announce(self, now_ms: int) -> None:
         view = self.leader_view
--- a/features/fakes/consensus_cluster.py
+++ b/features/fakes/consensus_cluster.py
@@ -55,6 +55,10 @@
         self.memberships = {}
         self.reads = {}
         self.handed_over = 0
+        # Whether leaders are told of new disks without any message.
+        self.announces_disks = True
+        # Told of each start and stop of a core, if set.
+        self.observer = None
         self._read_ids = itertools.count(1)
         self._heap = []
         self._order = itertools.count()
@@ -119,7 +123,8 @@
         self._push(_TICK_MS, self._tick, node)
         if not node.is_up or node.is_frozen:
             return
-        if not records.is_committed_member(node.core):
+        is_member = records.is_committed_member(node.core)
+        if self.announces_disks and not is_member:
             for other in self.nodes.values():
                 if other.leads() and not other.is_frozen:
                     other.run(events.NonMemberSeen(node.member))
--- a/features/fakes/consensus_node.py
+++ b/features/fakes/consensus_node.py
@@ -65,6 +65,8 @@
         self.is_frozen = False
         self.inbox = []
         self.is_syncing = False
+        if self.cluster.observer is not None:
+            self.cluster.observer.handle_start(self)
 
     def _load_state(self, snapshot):
         self.applied, self.digest = _STATE.unpack_from(snapshot.payload)
@@ -75,6 +77,8 @@
         self.is_up = False
         self.core = None
         self.folder.crash(self.cluster.rng)
+        if self.cluster.observer is not None:
+            self.cluster.observer.handle_stop(self)
 
     def wipe(self):
         self.folder = memory_folder.MemoryFolder()
