Judge a run by when its next percent is due

Cause: the time without progress had a fixed limit of 0.9 s, while workers report whole percentages.

Change: the limit follows from the estimate, raised by the queue's observed run times, and once measured from the run's own progress; the fixed limits stay as the least. Further stalled runs of a task get twice the time each. One interval between reports adds at most 0.6 s, as the age of a delayed report is not known. The simulated worker goes on from its checkpoint's percentage after a restore; before, it fell back to nearly none, which no worker does.

--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -202,13 +202,24 @@
         if step.spec.is_filler:
             # The other tasks may leave a filler no processor time at all.
             continue
-        listed.append((run.task, run.run, run.percent))
+        queue = term.book.jobs[run.task.job].queue
+        factor = max(1.0, term.run_times.get_factor(queue))
+        listed.append(
+            health.ListedRun(
+                run.task,
+                run.run,
+                run.percent,
+                step.spec.estimate_ms * factor / 100,
+                term.stalls.get(run.task, 0),
+            )
+        )
     for key in health.find_stalled(
         worker.health, listed, term.settings, now.steady_ms
     ):
         if key in term.withdrawn:
             continue
         term.withdrawn.add(key)
+        term.stalls[key[0]] = term.stalls.get(key[0], 0) + 1
         term.log_event(
             "run_stalled",
             job=key[0].job,
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -88,6 +88,8 @@
         self.refused_on: dict[specs.TaskRef, set[str]] = {}
         # Stalled runs that their workers must stop.
         self.withdrawn: set[tuple[specs.TaskRef, int]] = set()
+        # Number of stalled runs of each task that has any.
+        self.stalls: dict[specs.TaskRef, int] = {}
         # Tasks that wait until it is known whether they have crashed a worker.
         self.held: set[specs.TaskRef] = set()
         # Steady-clock time since which tasks that must run apart have found no
@@ -192,6 +194,11 @@
             job: chains for job, chains in self.chains_ms.items() if job in jobs
         }
         self.withdrawn = {key for key in self.withdrawn if key[0].job in jobs}
+        self.stalls = {
+            task: count
+            for task, count in self.stalls.items()
+            if task.job in jobs
+        }
         self.fitting_searched_ms = {
             key: searched_ms
             for key, searched_ms in self.fitting_searched_ms.items()
--- a/features/fakes/jobs_simulation.py
+++ b/features/fakes/jobs_simulation.py
@@ -261,7 +261,9 @@
             if run.gang is not None:
                 self.run_gang(run)
                 continue
-            if self.now_ms >= run.ends_ms and not worker.stalls_runs:
+            if worker.stalls_runs or run.task in worker.frozen_percents:
+                continue
+            if self.now_ms >= run.ends_ms:
                 self.end_run(worker, run, run.how)
         if self.now_ms >= worker.next_report_ms:
             self.send_report(worker)
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -50,8 +50,10 @@
     is_cut_off: bool = False
     stalls_runs: bool = False
     # Time that each run takes to restore its checkpoint, during which it
-    # reports the percentage of the checkpoint.
+    # reports the percentage of the checkpoint, from which it goes on.
     restoring_ms: int = 0
+    # Percentages at which runs hang, by task.
+    frozen_percents: dict = dataclasses.field(default_factory=dict)
     tail_ms: int = 0
     paces: dict = dataclasses.field(default_factory=dict)
     fails_runs: bool = False
@@ -71,10 +73,15 @@
         if run.ends_ms - run.started_ms > 10**8:
             share = (now_ms - run.started_ms) / _STARTUP_MS
             return min(100, int(100 * share))
-        if now_ms - run.started_ms < self.restoring_ms:
-            return 40
-        share = (now_ms - run.started_ms) / (run.ends_ms - run.started_ms)
-        return 1 if self.stalls_runs else min(99, int(100 * share))
+        if run.task in self.frozen_percents:
+            return self.frozen_percents[run.task]
+        restored = 40 if self.restoring_ms else 0
+        worked_ms = now_ms - run.started_ms - self.restoring_ms
+        if worked_ms < 0:
+            return restored
+        share = worked_ms / (run.ends_ms - run.started_ms - self.restoring_ms)
+        percent = restored + int((100 - restored) * share)
+        return 1 if self.stalls_runs else min(99, percent)
 
     def refuse_run(self, order):
         """Adds the end of a run that it refuses to start."""
