--- a/features/jobs/long_tasks.feature
+++ b/features/jobs/long_tasks.feature
@@ -27,7 +27,7 @@
       | 100  | 1000     |
 
   Scenario Outline: A long task resumes from its checkpoint once
-    Given each run takes 1200 ms to restore its checkpoint
+    Given each run takes 600 ms to restore its checkpoint
     When a task of <s> s with an estimate of <s> s is submitted
     And its time of <s> s passes
     Then job "a" is "completed"
