List the suspect tasks once for a plan, without those of ended jobs

Cause: the plan of each service listed the suspects of all services twice, with those of jobs that had ended, and each waiting task was checked for suspicion in full, although nothing spoke against most of them.

A plan now lists the suspects, and the workers that have just started some, once for all services: assigning runs changes neither for a later service. A lost worker removes the suspects of ended jobs, which never open again, from the list. A task without evidence, runs and open cases is known at once not to need isolation. The list of due work has moved to a module of its own.

--- a/bambookeel/jobs/book_crashes.py
+++ b/bambookeel/jobs/book_crashes.py
@@ -46,11 +46,15 @@
 _NO_CASES: Mapping[specs.WorkerIncarnation, OpenCase] = {}
 
 
+def _is_open(ref: specs.TaskRef, jobs: Mapping[str, book_records.Job]) -> bool:
+    return ref.job in jobs and jobs[ref.job].is_open
+
+
 def _has_open_job(
     suspects: tuple[tuple[specs.TaskRef, int], ...],
     jobs: Mapping[str, book_records.Job],
 ) -> bool:
-    return any(ref.job in jobs and jobs[ref.job].is_open for ref, _ in suspects)
+    return any(_is_open(ref, jobs) for ref, _ in suspects)
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,7 +64,7 @@
     Attributes:
         silent_workers: Workers of which it is open whether they have crashed;
             changed only by this class.
-        suspects: Tasks with evidence against them, also of ended jobs.
+        suspects: Tasks with evidence against them; some may have ended.
         unexplained: Suspects of each crash for which no task has been given
             up, with the weight of the evidence against each.
     """
@@ -152,7 +156,9 @@
                 command.instance, command.suspects, command.at_wall_ms
             ),
         )
-        self.suspects = {ref: None for ref in self.suspects if ref.job in jobs}
+        self.suspects = {
+            ref: None for ref in self.suspects if _is_open(ref, jobs)
+        }
         self.unexplained = {
             life: suspects
             for life, suspects in self.unexplained.items()
--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -281,6 +281,9 @@
         The tasks.
     """
     for ref in term.book.crashes.suspects:
+        job = term.book.jobs.get(ref.job)
+        if job is None or not job.is_open:
+            continue
         task = term.book.get_task(ref)
-        if task is not None and task.evidence and term.is_task_open(ref):
+        if task is not None and task.evidence and not task.is_done:
             yield task
--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -4,6 +4,8 @@
 silent worker turns out to have crashed waits for that.
 """
 
+from collections.abc import Iterable
+
 from bambookeel.jobs import book_records
 from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import crashes
@@ -44,19 +46,22 @@
 
 
 def list_isolated_jobs(
-    term: term_state.Term, now: term_state.Now
+    term: term_state.Term,
+    suspects: Iterable[book_records.Task],
+    now: term_state.Now,
 ) -> dict[specs.WorkerIncarnation, dict[str, placing.Isolation]]:
     """Lists the jobs with suspect tasks that each worker has just started.
 
     Args:
         term: State of the leader's term.
+        suspects: All open tasks with evidence against them.
         now: Current time.
 
     Returns:
         Jobs with their isolation, by worker; workers without any are left out.
     """
     found: dict[specs.WorkerIncarnation, dict[str, placing.Isolation]] = {}
-    for task in crashes.list_suspects(term):
+    for task in suspects:
         for incarnation in task.runs.values():
             worker = term.workers.by_id.get(incarnation.worker)
             run = term.book.assigned_runs[incarnation][task.ref]
@@ -87,6 +92,9 @@
     Returns:
         The isolation; a task whose worker is silent may have crashed it.
     """
+    if not any(_is_doubtful(term, task) for task in tasks):
+        term.held.difference_update(task.ref for task in tasks)
+        return placing.Isolation.NONE
     for task in tasks:
         if _is_held(term, task, now):
             _log_held(term, task)
@@ -145,6 +153,13 @@
     return placing.Isolation.NONE
 
 
+def _is_doubtful(term: term_state.Term, task: book_records.Task) -> bool:
+    """Returns whether anything speaks against a task, or it has a run."""
+    if task.evidence or task.runs:
+        return True
+    return bool(term.book.crashes.list_open_cases(task.ref))
+
+
 def _is_held(
     term: term_state.Term, task: book_records.Task, now: term_state.Now
 ) -> bool:
--- a/bambookeel/jobs/kept_workers.py
+++ b/bambookeel/jobs/kept_workers.py
@@ -5,11 +5,11 @@
 would wait for as long as they do, although most of the pool is idle.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import caps
-from bambookeel.jobs import crashes
 from bambookeel.jobs import isolating
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
@@ -35,20 +35,24 @@
 
 
 def _list_waiting_steps(
-    term: term_state.Term, service: str, now: term_state.Now
+    term: term_state.Term,
+    service: str,
+    suspects: Iterable[book_records.Task],
+    now: term_state.Now,
 ) -> list[book_records.Step]:
     """Lists the ready steps with a waiting task that must run apart.
 
     Args:
         term: State of the leader's term.
         service: Name of the service.
+        suspects: All open tasks with evidence against them.
         now: Current time.
 
     Returns:
         Steps in the order in which their tasks became suspect.
     """
     steps: dict[book_records.StepKey, book_records.Step] = {}
-    for task in crashes.list_suspects(term):
+    for task in suspects:
         queue = term.book.find_queue(term.book.jobs[task.ref.job].queue)
         step = term.book.get_step(task.ref)
         if queue is None or queue.service != service or step is None:
@@ -108,6 +112,7 @@
 def keep_workers(
     term: term_state.Term,
     service: str,
+    suspects: Iterable[book_records.Task],
     capacities: list[placing.FreeCapacity],
     now: term_state.Now,
 ) -> None:
@@ -116,10 +121,11 @@
     Args:
         term: State of the leader's term.
         service: Name of the service.
+        suspects: All open tasks with evidence against them.
         capacities: Free capacities of its workers, which are changed.
         now: Current time.
     """
     left = max(1, int(len(capacities) * _MAX_KEPT_SHARE))
-    for step in _list_waiting_steps(term, service, now):
+    for step in _list_waiting_steps(term, service, suspects, now):
         tickets = term.list_tickets(step, now.steady_ms)
         left -= _keep_for_step(step, capacities, tickets, left)
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -13,8 +13,9 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import caps
 from bambookeel.jobs import commands
-from bambookeel.jobs import copies
+from bambookeel.jobs import crashes
 from bambookeel.jobs import deferring
+from bambookeel.jobs import due_work
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
 from bambookeel.jobs import no_room
@@ -26,6 +27,21 @@
 from bambookeel.jobs import workers as worker_table
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Suspects:
+    """Tasks that may have crashed a worker, of all services.
+
+    Attributes:
+        tasks: Open tasks with evidence against them.
+        isolated_jobs: Jobs of those that have just started on each worker.
+    """
+
+    tasks: list[book_records.Task]
+    isolated_jobs: Mapping[
+        specs.WorkerIncarnation, Mapping[str, placing.Isolation]
+    ]
+
+
 @dataclasses.dataclass(slots=True)
 class _Plan:
     """A plan for one service while it is made.
@@ -63,23 +79,16 @@
         term: State of the leader's term.
         now: Current time.
     """
-    by_service: dict[str, list[book_records.Step]] = {}
-    for name, ready in term.book.ready.items():
-        queue = term.book.find_queue(name)
-        if queue is None or not ready:
-            continue
-        due = [s for s in ready.values() if s.due_wall_ms <= now.wall_ms]
-        by_service.setdefault(queue.service, []).extend(due)
-    copies_by_service: dict[str, list[book_records.Task]] = {}
-    for task in copies.find_tasks_to_copy(term, now.steady_ms):
-        queue = term.book.find_queue(term.book.jobs[task.ref.job].queue)
-        if queue is not None:
-            copies_by_service.setdefault(queue.service, []).append(task)
-    for service in dict.fromkeys((*by_service, *copies_by_service)):
-        steps = by_service.get(service, [])
-        tasks_to_copy = copies_by_service.get(service, [])
-        if steps or tasks_to_copy:
-            _plan_service(term, service, steps, tasks_to_copy, now)
+    by_service = due_work.list_work(term, now)
+    if not by_service:
+        return
+    # The plan assigns no runs that change them for a later service.
+    tasks = list(crashes.list_suspects(term))
+    isolated = isolating.list_isolated_jobs(term, tasks, now)
+    suspects = _Suspects(tasks, isolated)
+    for service, work in by_service.items():
+        if work.steps or work.tasks_to_copy:
+            _plan_service(term, service, work, suspects, now)
 
 
 def list_usable_workers(
@@ -111,25 +120,28 @@
 def _plan_service(
     term: term_state.Term,
     service: str,
-    steps: list[book_records.Step],
-    tasks_to_copy: list[book_records.Task],
+    work: due_work.Work,
+    suspects: _Suspects,
     now: term_state.Now,
 ) -> None:
     usable = list_usable_workers(term, service, now.steady_ms)
     if not usable:
         return
-    isolated = isolating.list_isolated_jobs(term, now)
-    current = _Plan(placing.measure_free(usable, isolated), now)
-    kept_workers.keep_workers(term, service, current.capacities, now)
+    current = _Plan(placing.measure_free(usable, suspects.isolated_jobs), now)
+    kept_workers.keep_workers(
+        term, service, suspects.tasks, current.capacities, now
+    )
     current.too_large.note_kept(current.capacities)
-    current.shares = _compute_shares(term, service, steps, current.capacities)
+    current.shares = _compute_shares(
+        term, service, work.steps, current.capacities
+    )
     deferred: frozenset[str] = frozenset()
     if current.shares is not None:
         deferred = deferring.find_deferred(term, service, usable, now)
     ranked = sorted(
         (
             (ranking.rank_step(term, step, now, deferred), step)
-            for step in steps
+            for step in work.steps
         ),
         key=lambda pair: pair[0],
     )
@@ -137,7 +149,7 @@
         members = [step for _, step in group]
         skipped = _place_steps(term, current, members, within_shares=True)
         _place_steps(term, current, skipped, within_shares=False)
-    for task in tasks_to_copy:
+    for task in work.tasks_to_copy:
         copied_step = term.book.get_step(task.ref)
         if copied_step is not None:
             _place_task(term, current, copied_step, task)
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -4,6 +4,7 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import caps
+from bambookeel.jobs import crashes
 from bambookeel.jobs import isolating
 from bambookeel.jobs import placing
 from bambookeel.jobs import planning
@@ -55,7 +56,8 @@
         return Reason.NO_ROOM
     tasks = [step.tasks[index] for index in step.waiting]
     isolation = isolating.choose_isolation(term, tasks)
-    isolated = isolating.list_isolated_jobs(term, now)
+    suspects = crashes.list_suspects(term)
+    isolated = isolating.list_isolated_jobs(term, suspects, now)
     capacities = placing.measure_free(workers, isolated)
     if not place(
         capacities, step, now_ms, tickets=tickets, isolation=isolation
