Look at fewer runs and jobs in each tick

Cause: each tick looked up the step of each run of a silent worker, although most runs had been reported, and collected the jobs of all assigned runs, although no ended job was old enough to be dropped.

The tests that exclude most runs come first now, and the busy jobs are collected only if there are old ones. The conditions are the same.

--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -286,15 +286,18 @@
         term: State of the leader's term.
         now: Current time.
     """
+    old = [
+        job.job_id
+        for job in term.book.jobs.values()
+        if not job.is_open
+        and now.wall_ms - job.ended_wall_ms > term.settings.keep_ended_ms
+    ]
+    if not old:
+        return
     busy = {
         ref.job for runs in term.book.assigned_runs.values() for ref in runs
     }
-    old = []
-    for job in term.book.jobs.values():
-        if job.is_open or job.job_id in busy:
-            continue
-        if now.wall_ms - job.ended_wall_ms > term.settings.keep_ended_ms:
-            old.append(job.job_id)
+    old = [name for name in old if name not in busy]
     if old:
         term.decide(commands.DropJobs(tuple(old)))
         term.discard_dropped_jobs()
--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -94,15 +94,19 @@
     worker: worker_table.Worker,
     assigned: book_records.AssignedRun,
 ) -> bool:
+    # Most runs of a silent worker have been reported.
+    if (
+        assigned.task in worker.running
+        or (assigned.task, assigned.run) in worker.ordered
+        or assigned.report_number != worker.report.number
+    ):
+        return False
     step = term.book.get_step(assigned.task)
     return (
         step is not None
         and not step.spec.is_gang
         # Of other runs, an earlier leader may have sent the order.
         and (assigned.task, assigned.run) in term.assigned_ms
-        and assigned.report_number == worker.report.number
-        and assigned.task not in worker.running
-        and (assigned.task, assigned.run) not in worker.ordered
     )
 
 
