--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -13,8 +13,10 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import caps
 from bambookeel.jobs import commands
-from bambookeel.jobs import copies
+from bambookeel.jobs import crashes
 from bambookeel.jobs import deferring
+from bambookeel.jobs import due_work
+from bambookeel.jobs import full_services
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
 from bambookeel.jobs import no_room
@@ -28,6 +30,21 @@
 from bambookeel.jobs import workers as worker_table
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Suspects:
+    """Tasks that may have crashed a worker, of all services.
+
+    Attributes:
+        tasks: Open tasks with evidence against them.
+        isolated_jobs: Jobs of those that have just started on each worker.
+    """
+
+    tasks: list[book_records.Task]
+    isolated_jobs: Mapping[
+        specs.WorkerIncarnation, Mapping[str, placing.Isolation]
+    ]
+
+
 @dataclasses.dataclass(slots=True)
 class _Plan:
     """A plan for one service while it is made.
@@ -65,30 +82,23 @@
         term: State of the leader's term.
         now: Current time.
     """
-    by_service: dict[str, list[book_records.Step]] = {}
-    for name, ready in term.book.ready.items():
-        queue = term.book.find_queue(name)
-        if queue is None or not ready:
-            continue
-        due = [s for s in ready.values() if s.due_wall_ms <= now.wall_ms]
-        by_service.setdefault(queue.service, []).extend(due)
-    copies_by_service: dict[str, list[book_records.Task]] = {}
-    for task in copies.find_tasks_to_copy(term, now.steady_ms):
-        queue = term.book.find_queue(term.book.jobs[task.ref.job].queue)
-        if queue is not None:
-            copies_by_service.setdefault(queue.service, []).append(task)
-    for service in dict.fromkeys((*by_service, *copies_by_service)):
-        steps = by_service.get(service, [])
-        tasks_to_copy = copies_by_service.get(service, [])
-        if steps or tasks_to_copy:
-            _plan_service(term, service, steps, tasks_to_copy, now)
+    by_service = due_work.list_work(term, now)
+    if not by_service:
+        return
+    # The plan assigns no runs that change them for a later service.
+    tasks = list(crashes.list_suspects(term))
+    isolated = isolating.list_isolated_jobs(term, tasks, now)
+    suspects = _Suspects(tasks, isolated)
+    for service, work in by_service.items():
+        if work.steps or work.tasks_to_copy:
+            _plan_service(term, service, work, suspects, now)
 
 
 def _plan_service(
     term: term_state.Term,
     service: str,
-    steps: list[book_records.Step],
-    tasks_to_copy: list[book_records.Task],
+    work: due_work.Work,
+    suspects: _Suspects,
     now: term_state.Now,
 ) -> None:
     trusted, doubtful = usable_workers.list_by_trust(
@@ -97,18 +107,21 @@
     usable = trusted or doubtful
     if not usable:
         return
-    isolated = isolating.list_isolated_jobs(term, now)
-    current = _Plan(placing.measure_free(usable, isolated), now)
-    kept_workers.keep_workers(term, service, current.capacities, now)
+    current = _Plan(placing.measure_free(usable, suspects.isolated_jobs), now)
+    kept_workers.keep_workers(
+        term, service, suspects.tasks, current.capacities, now
+    )
     current.too_large.note_kept(current.capacities)
-    current.shares = _compute_shares(term, service, steps, current.capacities)
+    current.shares = full_services.compute_shares(
+        term, service, work.steps, current.capacities
+    )
     deferred: frozenset[str] = frozenset()
     if current.shares is not None:
         deferred = deferring.find_deferred(term, service, usable, now)
     ranked = sorted(
         (
             (ranking.rank_step(term, step, now, deferred), step)
-            for step in steps
+            for step in work.steps
         ),
         key=lambda pair: pair[0],
     )
@@ -118,10 +131,12 @@
         _place_steps(term, current, skipped, within_shares=False)
     if trusted and doubtful:
         ranked_steps = [step for _, step in ranked]
-        _place_starving(term, current, service, ranked_steps, doubtful)
+        _place_starving(
+            term, current, service, ranked_steps, doubtful, suspects
+        )
     else:
         term.starving_since_ms.pop(service, None)
-    for task in tasks_to_copy:
+    for task in work.tasks_to_copy:
         copied_step = term.book.get_step(task.ref)
         if copied_step is not None:
             _place_task(term, current, copied_step, task)
@@ -134,6 +149,7 @@
     service: str,
     steps: list[book_records.Step],
     doubtful: list[worker_table.Worker],
+    suspects: _Suspects,
 ) -> None:
     """Places tasks of starving steps, on workers in doubt if they must.
 
@@ -143,15 +159,17 @@
         service: Name of the service.
         steps: Its steps with waiting tasks, by rank.
         doubtful: Workers whose health is in doubt.
+        suspects: Suspect tasks when the plan began.
     """
     found = starving.list_starving(
         term, service, steps, current.placed, current.now.steady_ms
     )
     if not found or starving.is_half_used(current.capacities, doubtful):
         return
-    isolated = isolating.list_isolated_jobs(term, current.now)
     trusted = current.capacities
-    current.capacities = trusted + placing.measure_free(doubtful, isolated)
+    current.capacities = trusted + placing.measure_free(
+        doubtful, suspects.isolated_jobs
+    )
     # What fits on no trusted worker may fit on the others.
     current.too_large = no_room.NoRoom()
     current.too_large.note_kept(current.capacities)
@@ -170,49 +188,6 @@
     current.capacities = trusted
 
 
-def _compute_shares(
-    term: term_state.Term,
-    service: str,
-    steps: list[book_records.Step],
-    capacities: list[placing.FreeCapacity],
-) -> team_shares.Shares | None:
-    """Computes the teams' shares of a service that is full.
-
-    Args:
-        term: State of the leader's term.
-        service: Name of the service.
-        steps: Steps of the service with waiting tasks.
-        capacities: Free capacities of the service's workers.
-
-    Returns:
-        The shares; None if the free processor time is enough for all waiting
-        tasks.
-    """
-    free_milli = sum(capacity.cpu_milli for capacity in capacities)
-    left_milli = free_milli
-    for step in steps:
-        left_milli -= len(step.waiting) * step.spec.reserved.cpu_milli
-        if left_milli < 0:
-            break
-    if left_milli >= 0:
-        return None
-    used: dict[str, int] = {}
-    for name, teams in term.book.usage.by_queue.items():
-        queue = term.book.find_queue(name)
-        if queue is None or queue.service != service:
-            continue
-        for team, cpu_milli in teams.items():
-            used[team] = used.get(team, 0) + cpu_milli
-    waiting = {term.book.jobs[step.key[0]].team for step in steps}
-    configured = term.book.configuration.teams
-    weights = {
-        team: configured[team].weight if team in configured else 1.0
-        for team in waiting | set(used)
-    }
-    capacity_milli = free_milli + sum(used.values())
-    return team_shares.Shares.from_weights(capacity_milli, weights, used)
-
-
 def _place_steps(
     term: term_state.Term,
     current: _Plan,
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -5,6 +5,7 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import caps
+from bambookeel.jobs import crashes
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
 from bambookeel.jobs import placing
@@ -176,11 +177,12 @@
     if isolating.is_held(term, tasks, now):
         return Reason.HELD
     isolation = isolating.get_isolation(term, tasks, now)
-    isolated = isolating.list_isolated_jobs(term, now)
+    suspects = list(crashes.list_suspects(term))
+    isolated = isolating.list_isolated_jobs(term, suspects, now)
     capacities = placing.measure_free(usable, isolated)
     if not _fits(capacities, step, tickets, now_ms, isolation):
         return Reason.APART
-    kept_workers.keep_workers(term, service, capacities, now)
+    kept_workers.keep_workers(term, service, suspects, capacities, now)
     if not _fits(capacities, step, tickets, now_ms, isolation):
         return Reason.KEPT
     return Reason.ORDER
--- a/features/steps/waiting_steps.py
+++ b/features/steps/waiting_steps.py
@@ -188,7 +188,7 @@
     silent = book_crashes.SilentWorker(
         "m-w1", ((context.task, 4),), context.sim.read_now().wall_ms
     )
-    book.crashes.silent_workers[specs.WorkerIncarnation("w1", 1)] = silent
+    book.crashes.restore_silent([(specs.WorkerIncarnation("w1", 1), silent)])
 
 
 @when("its team is at its cap")
