Bound the calls of a turn, and read waiting reports before judging workers

And each turn let the scheduler's timers run before its reports, so that a worker whose report waited was taken for silent.

Change: a turn handles 200 calls at most; the others wait for the next one. Timers run after the calls, and while more calls wait at least each 500 ms.

--- a/bambookeel/jobs/full_services.py
+++ b/bambookeel/jobs/full_services.py
@@ -1,4 +1,4 @@
-"""Computes the teams' shares of a service whose waiting tasks do not all fit."""
+"""Computes the teams' shares of a service that is full."""
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import placing
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -40,8 +40,11 @@
 from bambookeel.storage import store as replica_store
 
 _TICK_MS = 25
-# Maximum number of calls handled together; others wait for the next entry.
+# Maximum number of calls handled together; others wait for the next entry, so
+# that a long turn does not make the next one longer.
 _MAX_CALLS_PER_BATCH = 200
+# The scheduler's timers run at least this often while further calls wait.
+_MAX_TICK_DELAY_MS = 500
 # Maximum wait of an answer for the leader's lease.
 _MAX_CONFIRM_WAIT_MS = 900
 
@@ -76,6 +79,7 @@
         self._scheduler: job_scheduler.Scheduler | None = None
         self._calls: list[call_turn.WaitingCall] = []
         self._plan_due = False
+        self._ticked_ms = 0
         self._turns = turn_watch.TurnWatch()
         self.external_services = outside.ExternalServices(
             self.mailbox, self._leads
@@ -274,16 +278,15 @@
         if not self._calls and not self._plan_due:
             return
         now = self._read_now()
-        accepted_calls = self._calls
-        self._calls = []
+        accepted_calls = self._calls[:_MAX_CALLS_PER_BATCH]
+        self._calls = self._calls[_MAX_CALLS_PER_BATCH:]
         term = int(self._runner.core.term)
         self.external_services.pass_results(scheduler, term, now)
-        if self._plan_due:
-            scheduler.tick(now)
         turn = call_turn.handle_calls(scheduler, accepted_calls, now)
         if turn.is_broken:
             self._repeat_turn(turn)
             return
+        self._tick_scheduler(scheduler, now)
         waiting = turn.waiting
         planned_from_ms = clock.read_now_ms()
         scheduler.plan(now)
@@ -323,6 +326,22 @@
             self._drop_batch(refusal)
         self._process_outputs()
 
+    def _tick_scheduler(
+        self, scheduler: job_scheduler.Scheduler, now: job_scheduler.Now
+    ) -> None:
+        """Lets the scheduler judge by time, after the reports that wait.
+
+        Workers whose reports are still to be handled are not silent.
+
+        Args:
+            scheduler: Scheduler of the current term.
+            now: Current time.
+        """
+        is_late = now.steady_ms - self._ticked_ms >= _MAX_TICK_DELAY_MS
+        if self._plan_due and (is_late or not self._calls):
+            self._ticked_ms = now.steady_ms
+            scheduler.tick(now)
+
     def _repeat_turn(self, turn: call_turn.Turn) -> None:
         """Drops the decisions of a turn, and handles its other calls again.
 
