Let tasks run on instances whose upkeep gets no answer

What callers saw: a standing task, one at most on each worker, was left without a run for as long as the provider was silent, beside idle workers (LOST). Cause: an instance with a goal gets no work. A move whose orders get no answer is given up after two; an upkeep is repeated until there is an answer, so that all instances that a wave may take at once stayed closed though they work on. Change: workers of such instances join the reserve that steps which have waited for 2 s may use while less than half of the service is in use, as workers in doubt do; not while an order is on its way. A repeated order is sent only if standing tasks allow it, as before.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -36,6 +36,7 @@
             leader, may already have been carried out.
         first_incarnation: Worker on the instance when the first order that may
             have been carried out was sent; None if that is not known.
+        is_unanswered: Whether the last two orders or more got no answer.
     """
 
     order: instances.Order
@@ -45,6 +46,7 @@
     incarnation: specs.WorkerIncarnation | None = None
     has_earlier_order: bool = False
     first_incarnation: specs.WorkerIncarnation | None = None
+    is_unanswered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -153,6 +155,25 @@
     return status.listed_ms > goal.since_ms
 
 
+def works_unanswered(fleet: Fleet, name: str) -> bool:
+    """Returns whether an instance works on although its order was repeated.
+
+    Args:
+        fleet: All instances and their goals.
+        name: Name of the instance.
+
+    Returns:
+        True if the orders of its goal have got no answer, and none is on its
+        way.
+    """
+    goal = fleet.goals.get(name)
+    return (
+        goal is not None
+        and goal.is_unanswered
+        and goal.phase is GoalPhase.DRAINING
+    )
+
+
 def has_moved_unconfirmed(goal: Goal, service: str) -> bool:
     """Returns whether a move was carried out although no answer was received.
 
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -86,18 +86,15 @@
     tasks_to_copy: list[book_records.Task],
     now: term_state.Now,
 ) -> None:
-    trusted, doubtful = usable_workers.list_by_trust(
-        term, service, now.steady_ms
-    )
-    usable = trusted or doubtful
-    if not usable:
+    usable, reserve = usable_workers.list_by_trust(term, service, now.steady_ms)
+    if not usable and not reserve:
         return
     isolated = isolating.list_isolated_jobs(term, now)
     current = _Plan(placing.measure_free(usable, isolated), now)
     kept_workers.keep_workers(term, service, current.capacities, now)
     current.shares = _compute_shares(term, service, steps, current.capacities)
     deferred: frozenset[str] = frozenset()
-    if current.shares is not None:
+    if usable and current.shares is not None:
         deferred = deferring.find_deferred(term, service, usable, now)
     ranked = sorted(
         (
@@ -110,9 +107,9 @@
         members = [step for _, step in group]
         skipped = _place_steps(term, current, members, within_shares=True)
         _place_steps(term, current, skipped, within_shares=False)
-    if trusted and doubtful:
+    if reserve:
         ranked_steps = [step for _, step in ranked]
-        _place_starving(term, current, service, ranked_steps, doubtful)
+        _place_starving(term, current, service, ranked_steps, reserve)
     else:
         term.starving_since_ms.pop(service, None)
     for task in tasks_to_copy:
@@ -127,25 +124,25 @@
     current: _Plan,
     service: str,
     steps: list[book_records.Step],
-    doubtful: list[worker_table.Worker],
+    reserve: list[worker_table.Worker],
 ) -> None:
-    """Places tasks of starving steps, on workers in doubt if they must.
+    """Places tasks of starving steps, on the reserve if they fit on no other.
 
     Args:
         term: State of the leader's term.
         current: The plan, which is changed.
         service: Name of the service.
         steps: Its steps with waiting tasks, by rank.
-        doubtful: Workers whose health is in doubt.
+        reserve: Workers that get only what fits on no other.
     """
     found = starving.list_starving(
         term, service, steps, current.placed, current.now.steady_ms
     )
-    if not found or starving.is_half_used(current.capacities, doubtful):
+    if not found or starving.is_half_used(current.capacities, reserve):
         return
     isolated = isolating.list_isolated_jobs(term, current.now)
-    trusted = current.capacities
-    current.capacities = trusted + placing.measure_free(doubtful, isolated)
+    usable = current.capacities
+    current.capacities = usable + placing.measure_free(reserve, isolated)
     for step in found:
         if step.spec.is_gang:
             _plan_gang(term, current, step)
@@ -158,7 +155,7 @@
             # One run is enough for a job that ends.
             if is_placed and not step.spec.is_standing:
                 break
-    current.capacities = trusted
+    current.capacities = usable
 
 
 def _compute_shares(
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -1,9 +1,11 @@
-"""Finds steps that wait although workers in doubt have room for them.
+"""Finds steps that wait although workers that get no work have room for them.
 
-Load pattern: many workers of a service fail or stall runs, so that few are
-trusted. These are full while most of the service is idle. A job must not be
-without a running task for 3 s then; a run on a worker in doubt is better than
-none. While half of the service is in use, all jobs wait for trusted workers.
+Load pattern: many workers of a service fail or stall runs, or the provider does
+not answer the orders for the upkeep of instances, which work on. Few workers
+get work. These are full, or run all they may of a step, while most of the
+service is idle. A job must not be without a running task for 3 s then; a run on
+another worker is better than none. While half of the service is in use, all
+jobs wait for the workers that get work.
 """
 
 from collections.abc import Iterable
@@ -14,19 +16,19 @@
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
-# Time for which a job waits for a trusted worker.
-_MAX_TRUST_WAIT_MS = 2_000
+# Time for which a job waits for a worker that gets work.
+_MAX_WAIT_MS = 2_000
 
 
 def is_half_used(
     capacities: Iterable[placing.FreeCapacity],
-    doubtful: Iterable[worker_table.Worker],
+    reserve: Iterable[worker_table.Worker],
 ) -> bool:
     """Returns whether half of the capacity of a service is in use.
 
     Args:
-        capacities: Free capacities of the trusted workers.
-        doubtful: Workers whose health is in doubt.
+        capacities: Free capacities of the workers that get work.
+        reserve: Workers that get only what fits on no other.
 
     Returns:
         True if half of the processor time or of the memory is.
@@ -36,7 +38,7 @@
     for capacity in capacities:
         free += specs.Resources(capacity.cpu_milli, capacity.memory_mb, 0)
         total += capacity.worker.report.capacity
-    for worker in doubtful:
+    for worker in reserve:
         free += worker.free
         total += worker.report.capacity
     return (
@@ -52,9 +54,9 @@
     placed: set[specs.TaskRef],
     now_ms: int,
 ) -> list[book_records.Step]:
-    """Lists the steps that have waited for too long for a trusted worker.
+    """Lists the steps that have waited for too long.
 
-    To be called with each plan while workers of the service are in doubt.
+    To be called with each plan while the service has a reserve.
 
     Args:
         term: State of the leader's term.
@@ -79,7 +81,7 @@
         if all(step.tasks[index].ref in placed for index in step.waiting):
             continue
         since_ms[step.key] = earlier_ms.get(step.key, now_ms)
-        if now_ms - since_ms[step.key] >= _MAX_TRUST_WAIT_MS:
+        if now_ms - since_ms[step.key] >= _MAX_WAIT_MS:
             starving.append(step)
     term.starving_since_ms[service] = since_ms
     return starving
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -332,6 +332,7 @@
                 # The order may be in progress; sending it again does no harm.
                 is_repeated = goal.has_earlier_order
                 goal.has_earlier_order = True
+                goal.is_unanswered = is_repeated
                 goal.phase = fleet_view.GoalPhase.DRAINING
                 if is_repeated and isinstance(order, instances.Move):
                     # The provider may be down for long; until it answers, the
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -112,7 +112,7 @@
         # Steady-clock time of the last search for instances for each step that
         # fitted on none of its pool.
         self.fitting_searched_ms: dict[book_records.StepKey, int] = {}
-        # Steady-clock time since which steps wait for a trusted worker, by
+        # Steady-clock time since which steps wait beside a reserve, by
         # service.
         self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
         self.planned_ms = 0
--- a/bambookeel/jobs/usable_workers.py
+++ b/bambookeel/jobs/usable_workers.py
@@ -1,5 +1,6 @@
 """Lists the workers that may get work."""
 
+from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
@@ -17,14 +18,13 @@
     Returns:
         The workers that are not suspect; all of them if every one is suspect.
     """
-    trusted, doubtful = list_by_trust(term, service, now_ms)
-    return trusted or doubtful
+    return list_by_trust(term, service, now_ms)[0]
 
 
 def list_by_trust(
     term: term_state.Term, service: str, now_ms: int
 ) -> tuple[list[worker_table.Worker], list[worker_table.Worker]]:
-    """Lists the workers of a service that report and have no goal, by trust.
+    """Lists the workers of a service that may get work, and a reserve.
 
     Args:
         term: State of the leader's term.
@@ -32,21 +32,29 @@
         now_ms: Steady-clock time in milliseconds.
 
     Returns:
-        The trusted workers, and those whose health is in doubt.
+        The workers that `list_usable_workers` lists, and those that are in
+        doubt or whose instance works on since its upkeep got no answer.
     """
     trusted = []
-    doubtful = []
+    suspect = []
+    unanswered = []
+    controller = term.instance_controller
     for worker in term.workers.by_id.values():
         if (
             worker.report.service != service
             or worker.report.is_leaving
             or now_ms - worker.last_report_ms
             > term.settings.assign_max_silence_ms
-            or not term.instance_controller.is_usable(worker.report.instance)
         ):
             continue
-        if worker.is_suspect(now_ms):
-            doubtful.append(worker)
+        instance = worker.report.instance
+        if not controller.is_usable(instance):
+            if fleet_view.works_unanswered(controller.fleet, instance):
+                unanswered.append(worker)
+        elif worker.is_suspect(now_ms):
+            suspect.append(worker)
         else:
             trusted.append(worker)
-    return trusted, doubtful
+    if not trusted:
+        return suspect, unanswered
+    return trusted, suspect + unanswered
--- a/features/fakes/jobs_scale.py
+++ b/features/fakes/jobs_scale.py
@@ -101,6 +101,10 @@
             self._replica.apply(command)
         return True
 
+    def list_instances(self):
+        """Lists the instances as the provider does; None if it is silent."""
+        return self._list()
+
     def _list(self):
         """Lists the instances, those in upkeep as such."""
         if self.is_provider_silent:
--- a/features/fakes/jobs_scale_runs.py
+++ b/features/fakes/jobs_scale_runs.py
@@ -129,9 +129,11 @@
 class _Run:
     """One random run."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, changes):
         self.plan = Plan.draw(random.Random(seed))
         plan = self.plan
+        for name, value in changes.items():
+            setattr(plan, name, value)
         caps = {}
         if plan.cap_share:
             # Standing jobs of a team need about 24 x 7.5 cores each.
@@ -228,10 +230,8 @@
     Returns:
         The run, whose simulation has the violations.
     """
-    run = _Run(seed)
+    run = _Run(seed, changes or {})
     plan, simulation, source = run.plan, run.simulation, run.source
-    for name, value in (changes or {}).items():
-        setattr(plan, name, value)
     simulation.renames = plan.renames
     simulation.down_ms = plan.down_ms
     simulation.advance(1_000)
