Let a wave go on once the provider answers again

Cause: two instances, each with an order without an answer and a task of the same standing step, counted each other's task as interrupted. Change: a worker that still reports, as the same life, once the last order can no longer arrive (earlier_orders_ms), is not counted as under order.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -11,6 +11,7 @@
 
 from bambookeel.jobs import instances
 from bambookeel.jobs import specs
+from bambookeel.jobs import workers as worker_table
 
 
 class GoalPhase(enum.Enum):
@@ -174,6 +175,32 @@
     )
 
 
+def has_outlasted_order(
+    goal: Goal, worker: worker_table.Worker | None, settled_ms: int
+) -> bool:
+    """Returns whether a worker reports on after orders without an answer.
+
+    It counts as available then. Otherwise two instances that run tasks of one
+    step could each wait for the other one without end.
+
+    Args:
+        goal: Goal of the worker's instance.
+        worker: The worker as last reported; None if it is not known.
+        settled_ms: Time in milliseconds after which an order without an answer
+            does not reach the provider any more.
+
+    Returns:
+        True if it has reported since the last order was settled.
+    """
+    return (
+        goal.is_unanswered
+        and goal.phase is GoalPhase.DRAINING
+        and worker is not None
+        and worker.incarnation == goal.incarnation
+        and worker.last_report_ms >= goal.since_ms + settled_ms
+    )
+
+
 def has_moved_unconfirmed(goal: Goal, service: str) -> bool:
     """Returns whether a move was carried out although no answer was received.
 
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -233,6 +233,11 @@
                 other.has_earlier_order
                 or other.phase is not fleet_view.GoalPhase.DRAINING
             )
+            and not fleet_view.has_outlasted_order(
+                other,
+                table.by_id.get(other.incarnation.worker),
+                self._settings.earlier_orders_ms,
+            )
         )
         if now_ms < self._earlier_orders_until_ms:
             # An order of an earlier leader may have interrupted a worker since
--- a/features/steps/upkeep_wait_steps.py
+++ b/features/steps/upkeep_wait_steps.py
@@ -82,3 +82,25 @@
         for ref in worker.running
     ]
     assert len(running) == count, running
+
+
+@then("for {seconds:d} s at least {count:d} standing tasks run at any time")
+def check_available(context, seconds, count):
+    for _ in range(seconds * 10):
+        context.sim.advance(100)
+        running = sum(
+            len(worker.running) for worker in context.sim.list_workers(_SERVICE)
+        )
+        assert running >= count, (context.sim.now_ms, running)
+
+
+@then("the upkeep of {count:d} instances has ended")
+def check_upkeeps(context, count):
+    wave = context.sim.scheduler.book.instances.waves[1]
+    left = (*wave.waiting, *wave.ordered)
+    assert len(wave.request.instances) - len(left) == count, left
+
+
+@when("the silent provider is back")
+def end_silence(context):
+    context.sim.is_provider_silent = False
