--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -11,6 +11,7 @@
 
 from bambookeel.jobs import instances
 from bambookeel.jobs import specs
+from bambookeel.jobs import workers as worker_table
 
 # Before any time of the steady clock.
 _NEVER_MS = -(1 << 40)
@@ -39,6 +40,7 @@
             leader, may already have been carried out.
         first_incarnation: Worker on the instance when the first order that may
             have been carried out was sent; None if that is not known.
+        is_unanswered: Whether the last two orders or more got no answer.
     """
 
     order: instances.Order
@@ -48,6 +50,7 @@
     incarnation: specs.WorkerIncarnation | None = None
     has_earlier_order: bool = False
     first_incarnation: specs.WorkerIncarnation | None = None
+    is_unanswered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -159,6 +162,51 @@
     return status.listed_ms > goal.since_ms
 
 
+def works_unanswered(fleet: Fleet, name: str) -> bool:
+    """Returns whether an instance works on although its order was repeated.
+
+    Args:
+        fleet: All instances and their goals.
+        name: Name of the instance.
+
+    Returns:
+        True if the orders of its goal have got no answer, and none is on its
+        way.
+    """
+    goal = fleet.goals.get(name)
+    return (
+        goal is not None
+        and goal.is_unanswered
+        and goal.phase is GoalPhase.DRAINING
+    )
+
+
+def has_outlasted_order(
+    goal: Goal, worker: worker_table.Worker | None, settled_ms: int
+) -> bool:
+    """Returns whether a worker reports on after orders without an answer.
+
+    It counts as available then. Otherwise two instances that run tasks of one
+    step could each wait for the other one without end.
+
+    Args:
+        goal: Goal of the worker's instance.
+        worker: The worker as last reported; None if it is not known.
+        settled_ms: Time in milliseconds after which an order without an answer
+            does not reach the provider any more.
+
+    Returns:
+        True if it has reported since the last order was settled.
+    """
+    return (
+        goal.is_unanswered
+        and goal.phase is GoalPhase.DRAINING
+        and worker is not None
+        and worker.incarnation == goal.incarnation
+        and worker.last_report_ms >= goal.since_ms + settled_ms
+    )
+
+
 def has_moved_unconfirmed(goal: Goal, service: str) -> bool:
     """Returns whether a move was carried out although no answer was received.
 
@@ -176,3 +224,18 @@
         case instances.Move(_, pool):
             return service == pool
     return False
+
+
+def find_ended_worker(goal: Goal) -> specs.WorkerIncarnation | None:
+    """Finds the worker that an order has certainly ended.
+
+    Args:
+        goal: Goal whose order has been carried out.
+
+    Returns:
+        The worker; None if it may have started after an earlier order that was
+        carried out.
+    """
+    if goal.has_earlier_order and goal.incarnation != goal.first_incarnation:
+        return None
+    return goal.incarnation
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -101,11 +101,8 @@
     suspects: _Suspects,
     now: term_state.Now,
 ) -> None:
-    trusted, doubtful = usable_workers.list_by_trust(
-        term, service, now.steady_ms
-    )
-    usable = trusted or doubtful
-    if not usable:
+    usable, reserve = usable_workers.list_by_trust(term, service, now.steady_ms)
+    if not usable and not reserve:
         return
     current = _Plan(placing.measure_free(usable, suspects.isolated_jobs), now)
     kept_workers.keep_workers(
@@ -116,7 +113,7 @@
         term, service, work.steps, current.capacities
     )
     deferred: frozenset[str] = frozenset()
-    if current.shares is not None:
+    if usable and current.shares is not None:
         deferred = deferring.find_deferred(term, service, usable, now)
     ranked = sorted(
         (
@@ -129,11 +126,9 @@
         members = [step for _, step in group]
         skipped = _place_steps(term, current, members, within_shares=True)
         _place_steps(term, current, skipped, within_shares=False)
-    if trusted and doubtful:
+    if reserve:
         ranked_steps = [step for _, step in ranked]
-        _place_starving(
-            term, current, service, ranked_steps, doubtful, suspects
-        )
+        _place_starving(term, current, service, ranked_steps, reserve, suspects)
     else:
         term.starving_since_ms.pop(service, None)
     for task in work.tasks_to_copy:
@@ -148,29 +143,29 @@
     current: _Plan,
     service: str,
     steps: list[book_records.Step],
-    doubtful: list[worker_table.Worker],
+    reserve: list[worker_table.Worker],
     suspects: _Suspects,
 ) -> None:
-    """Places tasks of starving steps, on workers in doubt if they must.
+    """Places tasks of starving steps, on the reserve if they fit on no other.
 
     Args:
         term: State of the leader's term.
         current: The plan, which is changed.
         service: Name of the service.
         steps: Its steps with waiting tasks, by rank.
-        doubtful: Workers whose health is in doubt.
+        reserve: Workers that get only what fits on no other.
         suspects: Suspect tasks when the plan began.
     """
     found = starving.list_starving(
         term, service, steps, current.placed, current.now.steady_ms
     )
-    if not found or starving.is_half_used(current.capacities, doubtful):
+    if not found or starving.is_half_used(current.capacities, reserve):
         return
-    trusted = current.capacities
-    current.capacities = trusted + placing.measure_free(
-        doubtful, suspects.isolated_jobs
+    usable = current.capacities
+    current.capacities = usable + placing.measure_free(
+        reserve, suspects.isolated_jobs
     )
-    # What fits on no trusted worker may fit on the others.
+    # What fits on no usable worker may fit on the reserve.
     current.too_large = no_room.NoRoom()
     current.too_large.note_kept(current.capacities)
     for step in found:
@@ -185,7 +180,7 @@
             # One run is enough for a job that ends.
             if is_placed and not step.spec.is_standing:
                 break
-    current.capacities = trusted
+    current.capacities = usable
 
 
 def _place_steps(
--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -238,6 +238,11 @@
                 other.has_earlier_order
                 or other.phase is not fleet_view.GoalPhase.DRAINING
             )
+            and not fleet_view.has_outlasted_order(
+                other,
+                table.by_id.get(other.incarnation.worker),
+                self._settings.earlier_orders_ms,
+            )
         )
         if now_ms < self._earlier_orders_until_ms:
             # An order of an earlier leader may have interrupted a worker since
@@ -323,20 +328,14 @@
             case instances.OrderOutcome.DONE:
                 goal.phase = fleet_view.GoalPhase.AWAY
                 goal.since_ms = now_ms
-                if (
-                    goal.has_earlier_order
-                    and goal.incarnation != goal.first_incarnation
-                ):
-                    # An earlier order may have been carried out before this
-                    # worker started.
-                    return None
-                return goal.incarnation
+                return fleet_view.find_ended_worker(goal)
             case instances.OrderOutcome.IMPOSSIBLE:
                 del self.fleet.goals[order.instance]
             case instances.OrderOutcome.UNKNOWN:
                 # The order may be in progress; sending it again does no harm.
                 is_repeated = goal.has_earlier_order
                 goal.has_earlier_order = True
+                goal.is_unanswered = is_repeated
                 goal.phase = fleet_view.GoalPhase.DRAINING
                 if is_repeated and isinstance(order, instances.Move):
                     # The provider may be down for long; until it answers, the
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -112,7 +112,7 @@
         self.fitting_checked_ms = 0
         # Steady-clock time of the last search for instances for each step.
         self.fitting_searched_ms: dict[book_records.StepKey, int] = {}
-        # Since when steps wait for a trusted worker, by service; steady clock.
+        # Since when steps wait beside a reserve, by service; steady clock.
         self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
         self.planned_ms = 0
 
