--- a/features/fakes/jobs_simulation.py
+++ b/features/fakes/jobs_simulation.py
@@ -261,9 +261,8 @@
             if run.gang is not None:
                 self.run_gang(run)
                 continue
-            if worker.stalls_runs or run.task in worker.frozen_percents:
-                continue
-            if self.now_ms >= run.ends_ms:
+            is_stalled = worker.stalls_runs or run.task in worker.frozen_percents
+            if self.now_ms >= run.ends_ms and not is_stalled:
                 self.end_run(worker, run, run.how)
         if self.now_ms >= worker.next_report_ms:
             self.send_report(worker)
@@ -368,9 +367,8 @@
     def start_run(self, worker, order):
         """Starts a run and checks the guarantees for it."""
         task = order.task
-        if task in worker.running:
-            return
-        if order.run <= worker.last_runs.get(task, 0):
+        last_run = worker.last_runs.get(task, 0)
+        if task in worker.running or order.run <= last_run:
             return
         step = self.specs[task.job].steps[task.step]
         job = self.scheduler.book.jobs[task.job]
