Let a starving job run on workers that suspects have closed

The oldest step waited for over 12 s with the reason apart, while about 25 of 101 workers ran three tasks or fewer.

Cause: a task that must run apart waits for 1.5 s at most, but that bound was on its own demand only. A worker on which a suspect of another job has just started is closed to all others, those too that had waited; in a storm a suspect starts on each worker that comes back. Workers kept free for suspects had no bound either. And the runs of a job on workers that have crashed count as runs until that is known, so that its wait began 3 s late.

Change: steps that have waited for 2 s while less than half of the service is in use (jobs/starving) may use every worker with room, one run a job, whatever has started there. The wait of a job whose runs are all on silent workers begins with their last report; workers that miss reports do not count as used.

Tests: jobs/waits, six scenarios failed before (a task, four, a gang, spread tasks, a standing task; silent workers); a busy pool is left as it is.

--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -126,15 +126,12 @@
         members = [step for _, step in group]
         skipped = _place_steps(term, current, members, within_shares=True)
         _place_steps(term, current, skipped, within_shares=False)
-    if reserve:
-        ranked_steps = [step for _, step in ranked]
-        _place_starving(term, current, service, ranked_steps, reserve, suspects)
-    else:
-        term.starving_since_ms.pop(service, None)
     for task in work.tasks_to_copy:
         copied_step = term.book.get_step(task.ref)
         if copied_step is not None:
             _place_task(term, current, copied_step, task)
+    ranked_steps = [step for _, step in ranked]
+    _place_starving(term, current, service, ranked_steps, reserve)
     _assign(term, current)
 
 
@@ -144,9 +141,11 @@
     service: str,
     steps: list[book_records.Step],
     reserve: list[worker_table.Worker],
-    suspects: _Suspects,
 ) -> None:
-    """Places tasks of starving steps, on the reserve if they fit on no other.
+    """Places tasks of starving steps wherever there is room.
+
+    They may use the reserve, and workers on which suspects of other jobs have
+    just started or that are kept for these. This is the last part of a plan.
 
     Args:
         term: State of the leader's term.
@@ -154,21 +153,20 @@
         service: Name of the service.
         steps: Its steps with waiting tasks, by rank.
         reserve: Workers that get only what fits on no other.
-        suspects: Suspect tasks when the plan began.
     """
-    found = starving.list_starving(
-        term, service, steps, current.placed, current.now.steady_ms
-    )
-    if not found or starving.is_half_used(current.capacities, reserve):
+    now_ms = current.now.steady_ms
+    found = starving.list_starving(term, service, steps, current.placed, now_ms)
+    if not found:
         return
-    usable = current.capacities
-    current.capacities = usable + placing.measure_free(
-        reserve, suspects.isolated_jobs
-    )
-    # What fits on no usable worker may fit on the reserve.
+    current.capacities += placing.measure_free(reserve, {})
+    for capacity in current.capacities:
+        capacity.isolated_jobs.clear()
+        capacity.kept_for = ""
+    # What has fitted on no worker before may fit on one of these.
     current.too_large = no_room.NoRoom()
-    current.too_large.note_kept(current.capacities)
     for step in found:
+        if starving.is_half_used(term, current.capacities, now_ms):
+            return
         if step.spec.is_gang:
             _plan_gang(term, current, step)
             continue
@@ -180,7 +178,6 @@
             # One run is enough for a job that ends.
             if is_placed and not step.spec.is_standing:
                 break
-    current.capacities = usable
 
 
 def _place_steps(
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -1,11 +1,12 @@
-"""Finds steps that wait although workers that get no work have room for them.
-
-Load pattern: many workers of a service fail or stall runs, or the provider does
-not answer the orders for the upkeep of instances, which work on. Few workers
-get work. These are full, or run all they may of a step, while most of the
-service is idle. A job must not be without a running task for 3 s then; a run on
-another worker is better than none. While half of the service is in use, all
-jobs wait for the workers that get work.
+"""Finds steps that wait although there is room for them.
+
+Load pattern: many workers of a service fail or stall runs, the provider does
+not answer the orders for the upkeep of instances, which work on, or many tasks
+may crash their workers, so that most workers are closed to all other jobs. Few
+workers get work. These are full, or run all they may of a step, while most of
+the service is idle. A job must not be without a running task for 3 s then; a
+run on another worker is better than none. While half of the service is in use,
+all jobs wait for the workers that get work.
 """
 
 from collections.abc import Iterable
@@ -14,39 +15,76 @@
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
-from bambookeel.jobs import workers as worker_table
 
 # Time for which a job waits for a worker that gets work.
 _MAX_WAIT_MS = 2_000
+# Number of reports that a worker which counts as idle may have missed.
+_MAX_MISSED_REPORTS = 2
+
+
+# Key of a job in place of one of its steps.
+_WHOLE_JOB = -1
 
 
 def is_half_used(
+    term: term_state.Term,
     capacities: Iterable[placing.FreeCapacity],
-    reserve: Iterable[worker_table.Worker],
+    now_ms: int,
 ) -> bool:
     """Returns whether half of the capacity of a service is in use.
 
     Args:
-        capacities: Free capacities of the workers that get work.
-        reserve: Workers that get only what fits on no other.
+        term: State of the leader's term.
+        capacities: Free capacities of its workers. Those that have missed
+            reports are left out; they may have crashed.
+        now_ms: Steady-clock time in milliseconds.
 
     Returns:
         True if half of the processor time or of the memory is.
     """
+    max_silence_ms = _MAX_MISSED_REPORTS * term.settings.report_ms
     free = specs.Resources()
     total = specs.Resources()
     for capacity in capacities:
+        if now_ms - capacity.worker.last_report_ms > max_silence_ms:
+            continue
         free += specs.Resources(capacity.cpu_milli, capacity.memory_mb, 0)
         total += capacity.worker.report.capacity
-    for worker in reserve:
-        free += worker.free
-        total += worker.report.capacity
     return (
         2 * free.cpu_milli <= total.cpu_milli
         or 2 * free.memory_mb <= total.memory_mb
     )
 
 
+def _list_jobs_at_work(
+    term: term_state.Term, now_ms: int
+) -> tuple[set[str], dict[str, int]]:
+    """Lists the jobs with runs.
+
+    Args:
+        term: State of the leader's term.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        Jobs with a run on a worker that reports; and those with runs on silent
+        workers, with the time of the last report that any of these sent, on the
+        steady clock in milliseconds.
+    """
+    at_work: set[str] = set()
+    silent: dict[str, int] = {}
+    for life, runs in term.book.assigned_runs.items():
+        worker = term.workers.by_id.get(life.worker)
+        heard_ms = now_ms
+        if worker is not None and worker.incarnation == life:
+            heard_ms = worker.last_report_ms
+            if now_ms - heard_ms <= term.settings.assign_max_silence_ms:
+                at_work.update(ref.job for ref in runs)
+                continue
+        for ref in runs:
+            silent[ref.job] = max(heard_ms, silent.get(ref.job, heard_ms))
+    return at_work, silent
+
+
 def list_starving(
     term: term_state.Term,
     service: str,
@@ -56,7 +94,8 @@
 ) -> list[book_records.Step]:
     """Lists the steps that have waited for too long.
 
-    To be called with each plan while the service has a reserve.
+    To be called with each plan. The runs of a job on silent workers may have
+    ended, so that the job waits since they fell silent.
 
     Args:
         term: State of the leader's term.
@@ -68,20 +107,25 @@
     Returns:
         Standing steps and those of jobs without any run, by rank.
     """
-    at_work = {
-        ref.job for runs in term.book.assigned_runs.values() for ref in runs
-    }
+    at_work, silent = _list_jobs_at_work(term, now_ms)
     at_work.update(ref.job for ref in placed)
     earlier_ms = term.starving_since_ms.get(service, {})
     since_ms = {}
+    for job, heard_ms in silent.items():
+        if job not in at_work:
+            key = (job, _WHOLE_JOB, _WHOLE_JOB)
+            since_ms[key] = earlier_ms.get(key, heard_ms)
     starving = []
     for step in steps:
-        if not step.spec.is_standing and step.key[0] in at_work:
-            continue
+        key = step.key
+        if not step.spec.is_standing:
+            if step.key[0] in at_work:
+                continue
+            key = (step.key[0], _WHOLE_JOB, _WHOLE_JOB)
         if all(step.tasks[index].ref in placed for index in step.waiting):
             continue
-        since_ms[step.key] = earlier_ms.get(step.key, now_ms)
-        if now_ms - since_ms[step.key] >= _MAX_WAIT_MS:
+        since_ms[key] = earlier_ms.get(key, now_ms)
+        if now_ms - since_ms[key] >= _MAX_WAIT_MS:
             starving.append(step)
     term.starving_since_ms[service] = since_ms
     return starving
--- a/features/jobs/waits.feature
+++ b/features/jobs/waits.feature
@@ -45,3 +45,39 @@
       | -6000 | 1 task of 4 cores          |
       | -6000 | a gang of 3 at 4 cores     |
       | -6000 | 1 standing task of 4 cores |
+
+  # Hollybrook grown: 1,027 jobs waited beside workers whose room was mostly free.
+  Scenario Outline: Suspects that start on all workers in turn close them to no job for 3 s
+    Given a simulation of 4 watched workers
+    And on each worker a suspect of another job has always just started
+    When a job of <kind> is submitted
+    And 8 s pass under the watch
+    Then the watch reports nothing
+    And the job has begun in less than 3 s
+
+    Examples:
+      | kind                       |
+      | 1 task of 4 cores          |
+      | 4 tasks of 4 cores         |
+      | a gang of 3 at 4 cores     |
+      | a step of 2 spread tasks   |
+      | 1 standing task of 4 cores |
+
+  Scenario: Suspects that start on all workers in turn keep a busy pool to themselves
+    Given a simulation of 4 watched workers
+    And 0 workers are in doubt
+    And each worker is used by three quarters
+    And on each worker a suspect of another job has always just started
+    When a job of 1 task of 4 cores is submitted
+    And 6 s pass under the watch
+    Then the watch reports nothing
+    And the job has not begun in less than 3 s
+
+  Scenario: A job whose workers are silent waits since they fell silent
+    Given a simulation of 4 watched workers
+    And on each worker a suspect of another job has always just started
+    And a job waits that is larger than each worker
+    When a job whose only run is on a worker that crashes is submitted
+    And 8 s pass under the watch
+    Then the watch reports nothing
+    And the job has a second run within 300 ms of the loss of the first
