--- a/features/fakes/jobs_simulation.py
+++ b/features/fakes/jobs_simulation.py
@@ -261,10 +261,8 @@
             if run.gang is not None:
                 self.run_gang(run)
                 continue
-            is_stalled = (
-                worker.stalls_runs or run.task in worker.frozen_percents
-            )
-            if self.now_ms >= run.ends_ms and not is_stalled:
+            hangs = worker.stalls_runs or run.task in worker.frozen_percents
+            if self.now_ms >= run.ends_ms and not hangs:
                 self.end_run(worker, run, run.how)
         if self.now_ms >= worker.next_report_ms:
             self.send_report(worker)
