Count reads of all indexes by job in the test of a submission's cost

The review showed that a walk over the open jobs of a capped team would have passed: the team of the test had no cap, and only reads of the book's jobs were counted.

--- a/features/steps/open_work_steps.py
+++ b/features/steps/open_work_steps.py
@@ -31,10 +31,17 @@
         self.reads += len(self)
         return super().items()
 
+    def __iter__(self):
+        self.reads += len(self)
+        return super().__iter__()
+
 
 @given("a pool of {count:d} workers that is full")
 def create_full_pool(context, count):
-    context.sim = jobs_simulation.JobsSimulation(1, count, faults=False)
+    # The load of a team is measured only if it has a cap.
+    context.sim = jobs_simulation.JobsSimulation(
+        1, count, cap_milli=10**9, faults=False
+    )
     context.sim.advance(500)
     context.submitted = 0
 
@@ -63,11 +70,14 @@
     for count in (few, many):
         while len(book.jobs) < count:
             _submit(context)
-        jobs = book.jobs
-        book.jobs = _CountingDict(jobs)
+        counted = [_CountingDict(book.jobs)]
+        book.jobs = counted[0]
+        for index in (book.open_jobs, book.ready):
+            for queue, found in index.items():
+                index[queue] = _CountingDict(found)
+                counted.append(index[queue])
         _submit(context)
-        context.reads.append(book.jobs.reads)
-        book.jobs = dict(book.jobs)
+        context.reads.append(sum(each.reads for each in counted))
 
 
 @then("both looked at equally many jobs")
