--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -102,7 +102,7 @@
         return self.failures
 
 
-class OpenWork(typing.NamedTuple):
+class RemainingSteps(typing.NamedTuple):
     """What a job still has to do, without standing tasks.
 
     Attributes:
@@ -150,7 +150,7 @@
     has_had_run: bool = False
     standing: tuple[specs.StepSpec, ...] = ()
     # Known since a step was last changed by the end of a task.
-    _open_work: OpenWork | None = None
+    _remaining_steps: RemainingSteps | None = None
 
     @classmethod
     def from_command(cls, command: commands.AdmitJob) -> "Job":
@@ -192,17 +192,17 @@
             standing=tuple(step for step in spec.steps if step.is_standing),
         )
 
-    def get_open_work(self) -> OpenWork:
+    def get_remaining_steps(self) -> RemainingSteps:
         """Returns what the job still has to do."""
-        if self._open_work is None:
-            self._open_work = self._list_open_work()
-        return self._open_work
+        if self._remaining_steps is None:
+            self._remaining_steps = self._list_remaining_steps()
+        return self._remaining_steps
 
     def note_done(self) -> None:
         """Notes that tasks are done, so that other steps may be ready."""
-        self._open_work = None
+        self._remaining_steps = None
 
-    def _list_open_work(self) -> OpenWork:
+    def _list_remaining_steps(self) -> RemainingSteps:
         tasks = []
         numbers: dict[int, None] = {}
         for (_, number), step in self.steps.items():
@@ -216,7 +216,7 @@
             tasks.append(
                 (left, step.spec.estimate_ms, step.spec.needs.cpu_milli)
             )
-        return OpenWork(tuple(tasks), tuple(numbers))
+        return RemainingSteps(tuple(tasks), tuple(numbers))
 
     @property
     def is_open(self) -> bool:
--- a/bambookeel/jobs/deferring.py
+++ b/bambookeel/jobs/deferring.py
@@ -25,7 +25,7 @@
     return max(
         (
             term.compute_chain_ms(job, number)
-            for number in job.get_open_work().numbers
+            for number in job.get_remaining_steps().numbers
         ),
         default=0.0,
     )
--- a/bambookeel/jobs/objectives.py
+++ b/bambookeel/jobs/objectives.py
@@ -222,6 +222,6 @@
     """
     factor = run_times.get_factor(job.queue)
     total = 0.0
-    for left, estimate_ms, cpu_milli in job.get_open_work().tasks:
+    for left, estimate_ms, cpu_milli in job.get_remaining_steps().tasks:
         total += left * (estimate_ms * factor) * cpu_milli
     return total
--- a/features/fakes/jobs_recounts.py
+++ b/features/fakes/jobs_recounts.py
@@ -44,12 +44,12 @@
         if indexed != sorted(cases[ref]):
             differences.append(f"open cases of {ref}")
     for job in book.jobs.values():
-        if job.get_open_work() != _list_open_work(job):
+        if job.get_remaining_steps() != _list_remaining_steps(job):
             differences.append(f"open work of {job.job_id}")
     return differences
 
 
-def _list_open_work(job):
+def _list_remaining_steps(job):
     steps = [
         (number, step)
         for (_, number), step in job.steps.items()
