--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -128,6 +128,21 @@
     return any(_is_held(term, task, now) for task in tasks)
 
 
+def may_share(task: book_records.Task) -> bool:
+    """Returns whether a task may start beside suspects of other jobs.
+
+    Args:
+        task: A waiting task.
+
+    Returns:
+        False if it would be given up should its worker crash: the crash might
+        be that of another task.
+    """
+    weights = [crash_evidence.Evidence.MAY_HAVE_STARTED]
+    evidence = crash_evidence.measure_evidence(task, weights)
+    return not crash_evidence.is_conclusive(task, evidence, weights)
+
+
 def note_unplaced(
     term: term_state.Term,
     tasks: list[book_records.Task],
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -168,11 +168,12 @@
         if starving.is_half_used(term, current.capacities, now_ms):
             return
         if step.spec.is_gang:
-            _plan_gang(term, current, step)
+            if all(isolating.may_share(task) for task in step.tasks):
+                _plan_gang(term, current, step)
             continue
         for index in step.waiting:
             task = step.tasks[index]
-            if task.ref in current.placed:
+            if task.ref in current.placed or not isolating.may_share(task):
                 continue
             is_placed = _place_task(term, current, step, task)
             # One run is enough for a job that ends.
--- a/features/jobs/waits.feature
+++ b/features/jobs/waits.feature
@@ -81,3 +81,11 @@
     And 8 s pass under the watch
     Then the watch reports nothing
     And the job has a second run within 300 ms of the loss of the first
+
+  # It would be given up for the crash of another task.
+  Scenario: A suspect that the next crash would give up shares no worker
+    Given a simulation of 4 watched workers
+    And on each worker a suspect of another job has always just started
+    When a job of 1 task of 4 cores is submitted that two workers have crashed under
+    And 4 s pass under the watch
+    Then the job has not begun in less than 3 s
--- a/features/steps/closed_worker_steps.py
+++ b/features/steps/closed_worker_steps.py
@@ -78,3 +78,19 @@
     started = [at for at, ref, *_ in context.sim.starts if ref.job == _JOB]
     assert len(started) == 2, started
     assert started[1] - lost_ms <= most_ms, (started, lost_ms)
+
+
+@when(
+    "a job of 1 task of 4 cores is submitted that two workers have crashed"
+    " under"
+)
+def submit_suspect(context):
+    sim = context.sim
+    context.submitted_ms = sim.now_ms
+    step = specs.StepSpec(1, specs.Resources(4_000, 100, 0), 600)
+    with mock.patch("bambookeel.jobs.planning.plan"):
+        sim.submit(_JOB, specs.JobSpec("body", (step,)))
+    book = sim.scheduler.book
+    task = book.get_task(specs.TaskRef(_JOB, 0, 0, 0))
+    task.evidence, task.crashes = 8, 2
+    book.crashes.suspects[task.ref] = None
