Count silent workers as capacity that is not in use when jobs starve

Teams above their share came last, and the suspects of the others filled what was open.

Cause: starving jobs may use every worker with room only while less than half of the service is in use, and that was measured on the workers that report. Those that are back fill up at once, so that they count as busy, although most of the service had crashed.

Change: workers that have missed reports count as capacity that is not in use.

Test: jobs/waits, "Workers that have crashed do not make the others count as busy", failed before.

--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -164,8 +164,9 @@
         capacity.kept_for = ""
     # What has fitted on no worker before may fit on one of these.
     current.too_large = no_room.NoRoom()
+    silent = starving.measure_silent(term, service, now_ms)
     for step in found:
-        if starving.is_half_used(term, current.capacities, now_ms):
+        if starving.is_half_used(term, current.capacities, silent, now_ms):
             return
         if step.spec.is_gang:
             if all(isolating.may_share(task) for task in step.tasks):
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -15,10 +15,11 @@
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import workers as worker_table
 
 # Time for which a job waits for a worker that gets work.
 _MAX_WAIT_MS = 2_000
-# Number of reports that a worker which counts as idle may have missed.
+# Number of reports that a worker whose runs count may have missed.
 _MAX_MISSED_REPORTS = 2
 
 
@@ -26,27 +27,58 @@
 _WHOLE_JOB = -1
 
 
+def measure_silent(
+    term: term_state.Term, service: str, now_ms: int
+) -> specs.Resources:
+    """Measures the capacity of a service's workers that have missed reports.
+
+    They may have crashed, so that it counts as capacity that is not in use.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        Sum of their capacities.
+    """
+    total = specs.Resources()
+    for worker in term.workers.by_id.values():
+        if worker.report.service == service and _is_silent(
+            term, worker, now_ms
+        ):
+            total += worker.report.capacity
+    return total
+
+
+def _is_silent(
+    term: term_state.Term, worker: worker_table.Worker, now_ms: int
+) -> bool:
+    max_silence_ms = _MAX_MISSED_REPORTS * term.settings.report_ms
+    return now_ms - worker.last_report_ms > max_silence_ms
+
+
 def is_half_used(
     term: term_state.Term,
     capacities: Iterable[placing.FreeCapacity],
+    silent: specs.Resources,
     now_ms: int,
 ) -> bool:
     """Returns whether half of the capacity of a service is in use.
 
     Args:
         term: State of the leader's term.
-        capacities: Free capacities of its workers. Those that have missed
-            reports are left out; they may have crashed.
+        capacities: Free capacities of its workers.
+        silent: Result of `measure_silent`.
         now_ms: Steady-clock time in milliseconds.
 
     Returns:
         True if half of the processor time or of the memory is.
     """
-    max_silence_ms = _MAX_MISSED_REPORTS * term.settings.report_ms
-    free = specs.Resources()
-    total = specs.Resources()
+    free = silent
+    total = silent
     for capacity in capacities:
-        if now_ms - capacity.worker.last_report_ms > max_silence_ms:
+        if _is_silent(term, capacity.worker, now_ms):
             continue
         free += specs.Resources(capacity.cpu_milli, capacity.memory_mb, 0)
         total += capacity.worker.report.capacity
--- a/features/jobs/waits.feature
+++ b/features/jobs/waits.feature
@@ -89,3 +89,13 @@
     When a job of 1 task of 4 cores is submitted that two workers have crashed under
     And 4 s pass under the watch
     Then the job has not begun in less than 3 s
+
+  # Hollybrook: 365 jobs waited beside the few workers that were back.
+  Scenario: Workers that have crashed do not make the others count as busy
+    Given a simulation of 4 watched workers
+    And each worker is used by three quarters
+    And on each worker a suspect of another job has always just started
+    And 3 workers fall silent
+    When a job of 1 task of 4 cores is submitted
+    And 3 s pass under the watch
+    Then the job has begun in less than 3 s
--- a/features/steps/closed_worker_steps.py
+++ b/features/steps/closed_worker_steps.py
@@ -94,3 +94,10 @@
     task = book.get_task(specs.TaskRef(_JOB, 0, 0, 0))
     task.evidence, task.crashes = 8, 2
     book.crashes.suspects[task.ref] = None
+
+
+@given("{count:d} workers fall silent")
+def silence_workers(context, count):
+    for worker in list(context.sim.workers.values())[:count]:
+        worker.is_cut_off = True
+    context.sim.advance(1_000)
