Let jobs that are not known to be safe share no worker while workers crash

Each live worker had about ten runs of 5 to 11 jobs, of which 4 in 10 were deadly, so that nearly every worker that came back crashed again at once; 3 in 4 of the lost runs had not even been reported. Jobs admitted at 28 s had no run until 51 s.

Cause: only suspects run apart, and before its first crash no job is one. A crash was weak evidence against each of ten jobs, which then crashed the next workers.

Change: storms.py recognises a queue whose jobs crash workers at many moments, from workers that fall silent after starting its runs and from crashes that are known. While it lasts, a job of the queue of which no step has ended is alone on its workers, its tasks together (bulkheads.py); jobs that have begun come first, those that the next crash may show to be deadly last.

--- /dev/null
+++ b/bambookeel/jobs/gang_placing.py
@@ -0,0 +1,70 @@
+"""Chooses workers for gangs, which are placed completely or not at all."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from bambookeel.jobs import book_records
+from bambookeel.jobs import placing
+from bambookeel.jobs import specs
+
+
+def place_gang(
+    capacities: list[placing.FreeCapacity],
+    step: book_records.Step,
+    now_ms: int,
+    tickets: Mapping[specs.WorkerIncarnation, str] | None = None,
+    isolation: placing.Isolation = placing.Isolation.NONE,
+) -> list[placing.FreeCapacity] | None:
+    """Chooses workers for all tasks of a gang and reserves their resources.
+
+    Args:
+        capacities: Free capacities of the service's workers.
+        step: Step of the gang.
+        now_ms: Steady-clock time in milliseconds.
+        tickets: Workers that the advisor allows, with their tickets; None if
+            all are allowed.
+        isolation: How far the gang must be kept apart.
+
+    Returns:
+        Free capacity of the worker of each task; None if they do not all fit.
+    """
+    racks = sorted({capacity.worker.rack for capacity in capacities})
+    groups = [
+        [c for c in capacities if c.worker.rack == rack] for rack in racks
+    ]
+    if not step.spec.wants_one_rack:
+        groups = []
+    groups.append(capacities)
+    for group in groups:
+        trial = [
+            dataclasses.replace(
+                c,
+                placed_by_step=dict(c.placed_by_step),
+                isolated_jobs=dict(c.isolated_jobs),
+                occupants=None if c.occupants is None else dict(c.occupants),
+            )
+            for c in group
+        ]
+        places = []
+        for _ in step.tasks:
+            found = placing.choose_worker(
+                trial, step, now_ms, tickets=tickets, isolation=isolation
+            )
+            if found is None:
+                break
+            found.reserve(
+                step.key, step.spec.reserved, isolation, step.spec.is_standing
+            )
+            places.append(found.worker.incarnation)
+        if len(places) < len(step.tasks):
+            continue
+        by_incarnation = {
+            capacity.worker.incarnation: capacity for capacity in group
+        }
+        chosen = [by_incarnation[incarnation] for incarnation in places]
+        for capacity in chosen:
+            capacity.reserve(
+                step.key, step.spec.reserved, isolation, step.spec.is_standing
+            )
+        return chosen
+    return None
--- a/bambookeel/jobs/giving_up.py
+++ b/bambookeel/jobs/giving_up.py
@@ -9,6 +9,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import specs
+from bambookeel.jobs import storms
 from bambookeel.jobs import term as term_state
 
 # Logs of other versions may contain other weights.
@@ -30,12 +31,14 @@
         now: Current time.
     """
     silent = term.book.crashes.silent_workers[incarnation]
+    storms.note_crash(term, silent.suspects, now.steady_ms)
     term.decide(commands.WorkerCrashed(incarnation))
     term.log_event(
         "worker_crashed",
         worker=incarnation.worker,
         instance=silent.instance,
         suspects=len(silent.suspects),
+        jobs=len({ref.job for ref, _ in silent.suspects}),
     )
     for ref, weight in silent.suspects:
         task = term.book.get_task(ref)
--- a/bambookeel/jobs/isolating.py
+++ b/bambookeel/jobs/isolating.py
@@ -162,6 +162,25 @@
             term.apart_since_ms.setdefault(task.ref, now_ms)
 
 
+def list_culprits(
+    term: term_state.Term, suspects: Iterable[book_records.Task]
+) -> frozenset[str]:
+    """Lists the jobs that the next crash may show to have caused one.
+
+    Args:
+        term: State of the leader's term.
+        suspects: All open tasks with evidence against them.
+
+    Returns:
+        Jobs with a task that must run apart from others.
+    """
+    return frozenset(
+        task.ref.job
+        for task in suspects
+        if choose_isolation(term, [task]) is placing.Isolation.REQUIRED
+    )
+
+
 def choose_isolation(
     term: term_state.Term, tasks: list[book_records.Task]
 ) -> placing.Isolation:
--- a/bambookeel/jobs/no_room.py
+++ b/bambookeel/jobs/no_room.py
@@ -10,12 +10,25 @@
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 
-# What excludes a worker for a task of one kind excludes it for later ones too.
-ORDER = (
-    placing.Isolation.NONE,
-    placing.Isolation.PREFERRED,
-    placing.Isolation.REQUIRED,
-)
+# What excludes a worker for a task of one of these kinds excludes it for a task
+# of the kind under which they are listed too.
+_WEAKER = {
+    placing.Isolation.NONE: (placing.Isolation.NONE,),
+    placing.Isolation.PREFERRED: (
+        placing.Isolation.NONE,
+        placing.Isolation.PREFERRED,
+    ),
+    placing.Isolation.REQUIRED: (
+        placing.Isolation.NONE,
+        placing.Isolation.PREFERRED,
+        placing.Isolation.REQUIRED,
+    ),
+    placing.Isolation.ALONE: (
+        placing.Isolation.NONE,
+        placing.Isolation.ALONE,
+    ),
+}
+ORDER = tuple(_WEAKER)
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,15 +37,18 @@
 
     Attributes:
         found: Needs by label and isolation; none is at least another one.
-        special_jobs: Jobs with a suspect task that has just started, or for
-            which workers are kept. They may use workers that other jobs may
-            not, so that a search by another job says nothing about them.
+        special_jobs: Jobs with a suspect task that has just started, for which
+            workers are kept, or, while workers crash, with any runs. They may
+            use workers that other jobs may not, so that a search by another job
+            says nothing about them.
+        has_occupants: Whether jobs keep others from their workers.
     """
 
     found: dict[tuple[str, placing.Isolation], list[specs.Resources]] = (
         dataclasses.field(default_factory=dict)
     )
     special_jobs: set[str] = dataclasses.field(default_factory=set)
+    has_occupants: bool = False
 
     def note_kept(self, capacities: list[placing.FreeCapacity]) -> None:
         """Notes the jobs that may use workers which others may not.
@@ -42,6 +58,9 @@
         """
         for capacity in capacities:
             self.special_jobs.update(capacity.isolated_jobs)
+            if capacity.occupants is not None:
+                self.has_occupants = True
+                self.special_jobs.update(capacity.occupants)
             if capacity.kept_for:
                 self.special_jobs.add(capacity.kept_for)
 
@@ -71,7 +90,7 @@
             step: Step of the task, which needs no advice.
             isolation: How far it must be kept apart.
         """
-        if step.spec.max_per_instance or isolation not in ORDER:
+        if step.spec.max_per_instance or isolation not in _WEAKER:
             return
         needs = step.spec.reserved
         key = (step.spec.label, isolation)
@@ -94,13 +113,14 @@
         """
         if not self.found or step.key[0] in self.special_jobs:
             return False
+        if self.has_occupants and step.spec.is_standing:
+            # Jobs that must be alone do not keep it from their workers.
+            return False
         needs = step.spec.reserved
         labels = ("", step.spec.label) if step.spec.label else ("",)
-        for each in ORDER:
+        for each in _WEAKER.get(isolation, ()):
             for label in labels:
                 for known in self.found.get((label, each), ()):
                     if known.fits_in(needs):
                         return True
-            if each is isolation:
-                break
         return False
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -3,7 +3,6 @@
 Steps come in the order of their jobs' slack. Each task goes to the worker that
 has the least free processor time of those that it fits on, so that large tasks
 find free capacity and instances stay empty; standing tasks are spread instead.
-Gangs are placed completely or not at all.
 """
 
 import collections
@@ -23,6 +22,9 @@
 # A task that may crash its worker and the tasks of other jobs share one only if
 # they fit on no other.
 _MAY_CRASH_PENALTY_MILLI = 200_000
+# While workers crash, the tasks of a job go together, so that one of them costs
+# few workers.
+_TOGETHER_MILLI = 150_000
 
 
 class Isolation(enum.Enum):
@@ -30,12 +32,14 @@
 
     If it is preferred, the worker gets tasks of other jobs only if they fit
     nowhere else; if it is required, it gets none until the task has started. A
-    task that is held gets no worker for now.
+    task that is alone shares its worker with no other job at any time. A task
+    that is held gets no worker for now.
     """
 
     NONE = "none"
     PREFERRED = "preferred"
     REQUIRED = "required"
+    ALONE = "alone"
     HELD = "held"
 
 
@@ -54,6 +58,9 @@
             may crash it.
         kept_for: Job for which the worker gets no suspect tasks of other jobs;
             empty for none.
+        occupants: Jobs with runs on the worker, and whether each may share it
+            with others; None unless workers crash again and again.
+        is_shared: Whether it may be shared all the same.
     """
 
     worker: worker_table.Worker
@@ -63,6 +70,8 @@
     placed_by_step: dict[book_records.StepKey, int]
     isolated_jobs: dict[str, Isolation]
     kept_for: str = ""
+    occupants: dict[str, bool] | None = None
+    is_shared: bool = False
 
     def list_other_isolations(self, job: str) -> list[Isolation]:
         """Lists the isolation of each other job that has just started a task.
@@ -77,6 +86,64 @@
             other for name, other in self.isolated_jobs.items() if name != job
         ]
 
+    def _count_unsafe(self, job: str) -> int:
+        """Counts the other jobs that may not share the worker.
+
+        Args:
+            job: Job that is left out.
+
+        Returns:
+            Number of jobs.
+        """
+        return sum(
+            not may_share
+            for name, may_share in (self.occupants or {}).items()
+            if name != job
+        )
+
+    def admits(self, step: book_records.Step, isolation: Isolation) -> bool:
+        """Returns whether other jobs let a task use the worker.
+
+        Args:
+            step: Step of the task.
+            isolation: How far the task must be kept apart.
+
+        Returns:
+            False if the task or another job must not share the worker.
+        """
+        job = step.key[0]
+        if isolation is not Isolation.NONE and self.kept_for not in ("", job):
+            return False
+        if self.isolated_jobs:
+            others = self.list_other_isolations(job)
+            if others and Isolation.REQUIRED in (isolation, *others):
+                return False
+        if not self.occupants or self.is_shared or step.spec.is_standing:
+            return True
+        if isolation is Isolation.ALONE:
+            return all(name == job for name in self.occupants)
+        return not self._count_unsafe(job)
+
+    def measure_risk_milli(self, step: book_records.Step) -> int:
+        """Measures the risk of a crash as idle processor time that it is worth.
+
+        Args:
+            step: Step of a task that may use the worker.
+
+        Returns:
+            Thousandths of a core; negative where its job already runs.
+        """
+        job = step.key[0]
+        if self.occupants is None:
+            if not self.isolated_jobs:
+                return 0
+            others = len(self.list_other_isolations(job))
+            return others * _MAY_CRASH_PENALTY_MILLI
+        risk_milli = self._count_unsafe(job) * _MAY_CRASH_PENALTY_MILLI
+        if job in self.occupants and not step.spec.is_standing:
+            risk_milli -= _TOGETHER_MILLI
+        return risk_milli
+
     def fits(self, needs: specs.Resources) -> bool:
         """Returns whether a task fits on the worker.
 
@@ -110,6 +177,7 @@
         key: book_records.StepKey,
         needs: specs.Resources,
         isolation: Isolation = Isolation.NONE,
+        is_standing: bool = False,
     ) -> None:
         """Reserves the resources of a task.
 
@@ -117,9 +185,15 @@
             key: Key of the task's step.
             needs: Resources of the task.
             isolation: How far the task must be kept apart.
+            is_standing: Whether it is a standing task.
         """
         if isolation is not Isolation.NONE:
             self.isolated_jobs[key[0]] = isolation
+        if self.occupants is not None and not is_standing:
+            may_share = isolation is Isolation.NONE
+            self.occupants[key[0]] = may_share and self.occupants.get(
+                key[0], True
+            )
         self.cpu_milli -= needs.cpu_milli
         self.memory_mb -= needs.memory_mb
         self.gpus -= needs.gpus
@@ -257,20 +331,14 @@
             continue
         if not is_allowed(capacity, step, assigned, tickets):
             continue
-        score = capacity.cpu_milli
-        others = capacity.list_other_isolations(step.key[0])
-        if isolation is not Isolation.NONE and capacity.kept_for not in (
-            "",
-            step.key[0],
-        ):
-            continue
-        if others and Isolation.REQUIRED in (isolation, *others):
+        if not capacity.admits(step, isolation):
             continue
+        score = capacity.cpu_milli
         if step.spec.is_standing or isolation is not Isolation.NONE:
             # Spreads standing tasks, so that the loss of one instance
             # interrupts few of them.
             score = -score
-        score += len(others) * _MAY_CRASH_PENALTY_MILLI
+        score += capacity.measure_risk_milli(step)
         if capacity.worker.incarnation.worker in avoided:
             score += _SUSPECT_PENALTY_MILLI
         if data_rack and capacity.worker.rack != data_rack:
@@ -280,60 +348,3 @@
         if best is None or score < best_score:
             best, best_score = capacity, score
     return best
-
-
-def place_gang(
-    capacities: list[FreeCapacity],
-    step: book_records.Step,
-    now_ms: int,
-    tickets: Mapping[specs.WorkerIncarnation, str] | None = None,
-    isolation: Isolation = Isolation.NONE,
-) -> list[FreeCapacity] | None:
-    """Chooses workers for all tasks of a gang and reserves their resources.
-
-    Args:
-        capacities: Free capacities of the service's workers.
-        step: Step of the gang.
-        now_ms: Steady-clock time in milliseconds.
-        tickets: Workers that the advisor allows, with their tickets; None if
-            all are allowed.
-        isolation: How far the gang must be kept apart.
-
-    Returns:
-        Free capacity of the worker of each task; None if they do not all fit.
-    """
-    racks = sorted({capacity.worker.rack for capacity in capacities})
-    groups = [
-        [c for c in capacities if c.worker.rack == rack] for rack in racks
-    ]
-    if not step.spec.wants_one_rack:
-        groups = []
-    groups.append(capacities)
-    for group in groups:
-        trial = [
-            dataclasses.replace(
-                c,
-                placed_by_step=dict(c.placed_by_step),
-                isolated_jobs=dict(c.isolated_jobs),
-            )
-            for c in group
-        ]
-        places = []
-        for _ in step.tasks:
-            found = choose_worker(
-                trial, step, now_ms, tickets=tickets, isolation=isolation
-            )
-            if found is None:
-                break
-            found.reserve(step.key, step.spec.reserved, isolation)
-            places.append(found.worker.incarnation)
-        if len(places) < len(step.tasks):
-            continue
-        by_incarnation = {
-            capacity.worker.incarnation: capacity for capacity in group
-        }
-        chosen = [by_incarnation[incarnation] for incarnation in places]
-        for capacity in chosen:
-            capacity.reserve(step.key, step.spec.reserved, isolation)
-        return chosen
-    return None
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -11,7 +11,7 @@
 import itertools
 
 from bambookeel.jobs import book_records
-from bambookeel.jobs import caps
+from bambookeel.jobs import bulkheads
 from bambookeel.jobs import commands
 from bambookeel.jobs import crashes
 from bambookeel.jobs import deferring
@@ -22,9 +22,10 @@
 from bambookeel.jobs import no_room
 from bambookeel.jobs import placing
 from bambookeel.jobs import ranking
-from bambookeel.jobs import shares as team_shares
+from bambookeel.jobs import service_plan
 from bambookeel.jobs import specs
 from bambookeel.jobs import starving
+from bambookeel.jobs import storms
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import usable_workers
 from bambookeel.jobs import workers as worker_table
@@ -37,42 +38,14 @@
     Attributes:
         tasks: Open tasks with evidence against them.
         isolated_jobs: Jobs of those that have just started on each worker.
+        queues: Queues whose jobs crash their workers, by service.
     """
 
     tasks: list[book_records.Task]
     isolated_jobs: Mapping[
         specs.WorkerIncarnation, Mapping[str, placing.Isolation]
     ]
-
-
-@dataclasses.dataclass(slots=True)
-class _Plan:
-    """A plan for one service while it is made.
-
-    Attributes:
-        capacities: Free capacities of the service's workers.
-        now: Current time.
-        team_usage: Resources that the plan has assigned to each team.
-        assignments: Runs that the plan has assigned, by worker.
-        shares: The teams' shares of the service; None while all waiting tasks
-            fit.
-        placed: Tasks that the plan has assigned.
-        too_large: Needs that fit on no worker any more.
-    """
-
-    capacities: list[placing.FreeCapacity]
-    now: term_state.Now
-    team_usage: dict[str, specs.Resources] = dataclasses.field(
-        default_factory=dict
-    )
-    assignments: dict[specs.WorkerIncarnation, list[commands.Assignment]] = (
-        dataclasses.field(default_factory=dict)
-    )
-    shares: team_shares.Shares | None = None
-    placed: set[specs.TaskRef] = dataclasses.field(default_factory=set)
-    too_large: no_room.NoRoom = dataclasses.field(
-        default_factory=no_room.NoRoom
-    )
+    queues: Mapping[str, frozenset[str]]
 
 
 def plan(term: term_state.Term, now: term_state.Now) -> None:
@@ -88,7 +61,7 @@
     # The plan assigns no runs that change them for a later service.
     tasks = list(crashes.list_suspects(term))
     isolated = isolating.list_isolated_jobs(term, tasks, now)
-    suspects = _Suspects(tasks, isolated)
+    suspects = _Suspects(tasks, isolated, storms.find_queues(term, now))
     for service, work in by_service.items():
         if work.steps or work.tasks_to_copy:
             _plan_service(term, service, work, suspects, now)
@@ -104,10 +77,19 @@
     usable, reserve = usable_workers.list_by_trust(term, service, now.steady_ms)
     if not usable and not reserve:
         return
-    current = _Plan(placing.measure_free(usable, suspects.isolated_jobs), now)
-    kept_workers.keep_workers(
-        term, service, suspects.tasks, current.capacities, now
+    current = service_plan.Plan(
+        placing.measure_free(usable, suspects.isolated_jobs), now
     )
+    current.queues = suspects.queues.get(service, frozenset())
+    culprits: frozenset[str] = frozenset()
+    if current.queues:
+        current.suspected = frozenset(task.ref.job for task in suspects.tasks)
+        culprits = isolating.list_culprits(term, suspects.tasks)
+        bulkheads.note_occupants(term, current.capacities, current.queues)
+    else:
+        kept_workers.keep_workers(
+            term, service, suspects.tasks, current.capacities, now
+        )
     current.too_large.note_kept(current.capacities)
     current.shares = full_services.compute_shares(
         term, service, work.steps, current.capacities
@@ -117,7 +99,10 @@
         deferred = deferring.find_deferred(term, service, usable, now)
     ranked = sorted(
         (
-            (ranking.rank_step(term, step, now, deferred), step)
+            (
+                _rank_step(term, current, step, deferred, culprits),
+                step,
+            )
             for step in work.steps
         ),
         key=lambda pair: pair[0],
@@ -129,15 +114,43 @@
     for task in work.tasks_to_copy:
         copied_step = term.book.get_step(task.ref)
         if copied_step is not None:
-            _place_task(term, current, copied_step, task)
+            service_plan.place_task(term, current, copied_step, task)
     ranked_steps = [step for _, step in ranked]
     _place_starving(term, current, service, ranked_steps, reserve)
     _assign(term, current)
 
 
+def _rank_step(
+    term: term_state.Term,
+    current: service_plan.Plan,
+    step: book_records.Step,
+    deferred: frozenset[str],
+    culprits: frozenset[str],
+) -> tuple[int, bool, float, int]:
+    """Ranks a step by urgency; while workers crash, jobs that have begun first.
+
+    Args:
+        term: State of the leader's term.
+        current: The plan.
+        step: A step with waiting tasks.
+        deferred: Jobs that come after those that can meet their objective.
+        culprits: Jobs that come after all others.
+
+    Returns:
+        Sort key; steps with smaller keys are placed first.
+    """
+    urgency, slack_ms, admitted_wall_ms = ranking.rank_step(
+        term, step, current.now, deferred, culprits
+    )
+    is_new = bool(current.queues) and not bulkheads.has_begun(
+        term.book.jobs[step.key[0]]
+    )
+    return (urgency, is_new, slack_ms, admitted_wall_ms)
+
+
 def _place_starving(
     term: term_state.Term,
-    current: _Plan,
+    current: service_plan.Plan,
     service: str,
     steps: list[book_records.Step],
     reserve: list[worker_table.Worker],
@@ -158,33 +171,71 @@
     found = starving.list_starving(term, service, steps, current.placed, now_ms)
     if not found:
         return
-    current.capacities += placing.measure_free(reserve, {})
+    found.sort(
+        key=lambda step: (
+            not step.spec.is_standing,
+            step.key[0] in current.suspected,
+        )
+    )
+    more = placing.measure_free(reserve, {})
+    bulkheads.note_occupants(term, more, current.queues)
+    current.capacities += more
+    current.is_sharing = True
     for capacity in current.capacities:
-        capacity.isolated_jobs.clear()
+        if not current.queues:
+            capacity.isolated_jobs.clear()
         capacity.kept_for = ""
+        capacity.is_shared = True
     # What has fitted on no worker before may fit on one of these.
     current.too_large = no_room.NoRoom()
     silent = starving.measure_silent(term, service, now_ms)
     for step in found:
-        if starving.is_half_used(term, current.capacities, silent, now_ms):
+        if current.queues:
+            is_full = starving.is_busy(term, current.capacities, now_ms)
+        else:
+            is_full = starving.is_half_used(
+                term, current.capacities, silent, now_ms
+            )
+        if is_full:
             return
-        if step.spec.is_gang:
-            if all(isolating.may_share(task) for task in step.tasks):
-                _plan_gang(term, current, step)
+        _place_starving_step(term, current, step)
+
+
+def _place_starving_step(
+    term: term_state.Term, current: service_plan.Plan, step: book_records.Step
+) -> None:
+    """Places tasks of one starving step.
+
+    Args:
+        term: State of the leader's term.
+        current: The plan, which is changed.
+        step: The step.
+    """
+    # While workers crash, suspects run apart here too.
+    allowed = {
+        task.ref
+        for task in step.tasks
+        if current.queues or isolating.may_share(task)
+    }
+    if step.spec.is_gang:
+        if len(allowed) == len(step.tasks):
+            service_plan.place_gang(term, current, step)
+        return
+    for index in step.waiting:
+        task = step.tasks[index]
+        if task.ref in current.placed or task.ref not in allowed:
             continue
-        for index in step.waiting:
-            task = step.tasks[index]
-            if task.ref in current.placed or not isolating.may_share(task):
-                continue
-            is_placed = _place_task(term, current, step, task)
-            # One run is enough for a job that ends.
-            if is_placed and not step.spec.is_standing:
-                break
+        is_placed = service_plan.place_task(term, current, step, task)
+        if step.spec.is_standing or current.queues:
+            continue
+        # One run is enough for a job that ends.
+        if is_placed:
+            return
 
 
 def _place_steps(
     term: term_state.Term,
-    current: _Plan,
+    current: service_plan.Plan,
     steps: list[book_records.Step],
     within_shares: bool,
 ) -> list[book_records.Step]:
@@ -213,7 +264,7 @@
             if shares is not None and not shares.is_below(team):
                 skipped.append(step)
                 continue
-            _plan_gang(term, current, step)
+            service_plan.place_gang(term, current, step)
             continue
         step_shares = None if step.spec.is_standing else shares
         for index in step.waiting:
@@ -223,10 +274,13 @@
             if step_shares is not None and not step_shares.is_below(team):
                 skipped.append(step)
                 break
-            if _place_task(term, current, step, task):
+            if service_plan.place_task(term, current, step, task):
                 continue
-            isolation = isolating.get_isolation(term, [task], current.now)
-            if isolation is placing.Isolation.NONE:
+            isolation = service_plan.get_isolation(term, current, step, [task])
+            is_unproven = not bulkheads.is_proven(
+                term.book.jobs[step.key[0]], current.queues
+            )
+            if isolation is placing.Isolation.NONE or is_unproven:
                 # The others of the step fit nowhere either.
                 break
         if len(current.placed) != placed:
@@ -235,108 +289,7 @@
     return skipped
 
 
-def _place_task(
-    term: term_state.Term,
-    current: _Plan,
-    step: book_records.Step,
-    task: book_records.Task,
-) -> bool:
-    """Places one task.
-
-    Args:
-        term: State of the leader's term.
-        current: The plan, which is changed.
-        step: Step of the task.
-        task: A waiting task, or one that needs a copy.
-
-    Returns:
-        False if the task exceeds the team's cap or fits on no worker. True if
-        it was placed, or if only a worker that already runs it has room.
-    """
-    if not caps.allows(term, step, 1, current.team_usage):
-        return False
-    now_ms = current.now.steady_ms
-    tickets = term.list_tickets(step, now_ms)
-    isolation = isolating.get_isolation(term, [task], current.now)
-    capacity = None
-    if not current.too_large.includes(step, isolation):
-        capacity = placing.choose_worker(
-            current.capacities,
-            step,
-            now_ms,
-            term.list_avoided(task),
-            tickets,
-            isolation,
-        )
-        if capacity is None and tickets is None:
-            current.too_large.add(step, isolation)
-    if capacity is None:
-        isolating.note_unplaced(term, [task], isolation, now_ms)
-        return False
-    if capacity.worker.incarnation in task.runs.values():
-        return True
-    capacity.reserve(step.key, step.spec.reserved, isolation)
-    current.too_large.note_placed(step, isolation)
-    _add_assignment(term, current, step, task, capacity, tickets)
-    return True
-
-
-def _add_assignment(
-    term: term_state.Term,
-    current: _Plan,
-    step: book_records.Step,
-    task: book_records.Task,
-    capacity: placing.FreeCapacity,
-    tickets: Mapping[specs.WorkerIncarnation, str] | None,
-) -> None:
-    current.placed.add(task.ref)
-    term.apart_since_ms.pop(task.ref, None)
-    job = term.book.jobs[step.key[0]]
-    used = current.team_usage.get(job.team, specs.Resources())
-    current.team_usage[job.team] = used + step.spec.needs
-    if current.shares is not None and not step.spec.is_standing:
-        current.shares.add_use(job.team, step.spec.needs.cpu_milli)
-    run = task.last_run + 1
-    if step.spec.is_gang:
-        run = max(each.last_run for each in step.tasks) + 1
-    incarnation = capacity.worker.incarnation
-    ticket = tickets[incarnation] if tickets is not None else ""
-    current.assignments.setdefault(incarnation, []).append(
-        commands.Assignment(task.ref, run, ticket)
-    )
-
-
-def _plan_gang(
-    term: term_state.Term, current: _Plan, step: book_records.Step
-) -> None:
-    """Places a gang if none of its tasks still has a run.
-
-    Args:
-        term: State of the leader's term.
-        current: The plan, which is changed.
-        step: Step of the gang.
-    """
-    if len(step.waiting) < len(step.tasks):
-        return
-    if not caps.allows(term, step, len(step.tasks), current.team_usage):
-        return
-    now_ms = current.now.steady_ms
-    tickets = term.list_tickets(step, now_ms)
-    isolation = isolating.get_isolation(term, step.tasks, current.now)
-    places = None
-    if not current.too_large.includes(step, isolation):
-        places = placing.place_gang(
-            current.capacities, step, now_ms, tickets, isolation
-        )
-    if places is None:
-        isolating.note_unplaced(term, step.tasks, isolation, now_ms)
-        return
-    current.too_large.note_placed(step, isolation)
-    for task, capacity in zip(step.tasks, places):
-        _add_assignment(term, current, step, task, capacity, tickets)
-
-
-def _assign(term: term_state.Term, current: _Plan) -> None:
+def _assign(term: term_state.Term, current: service_plan.Plan) -> None:
     """Decides on the commands that assign the runs of a plan.
 
     Args:
--- a/bambookeel/jobs/ranking.py
+++ b/bambookeel/jobs/ranking.py
@@ -13,6 +13,7 @@
     FILLING = 1
     IN_TIME = 2
     LATE = 3
+    SUSPECT = 4
 
 
 def rank_step(
@@ -20,14 +21,16 @@
     step: book_records.Step,
     now: term_state.Now,
     deferred: frozenset[str] = frozenset(),
+    suspects: frozenset[str] = frozenset(),
 ) -> tuple[int, float, int]:
-    """Ranks a step: first standing steps, then by slack, late steps last.
+    """Ranks a step: standing steps, then by slack, late ones, suspects last.
 
     Args:
         term: State of the leader's term.
         step: A step with waiting tasks.
         now: Current time.
         deferred: Jobs that come after those that can meet their objective.
+        suspects: Jobs that come after all others.
 
     Returns:
         Sort key; steps with smaller keys are placed first.
@@ -37,6 +40,8 @@
         urgency = _Urgency.FILLING if step.spec.is_filler else _Urgency.STANDING
         return (urgency, 0.0, job.admitted_wall_ms)
     slack_ms = term.compute_objective_wall_ms(job, step) - now.wall_ms
+    if job.job_id in suspects:
+        return (_Urgency.SUSPECT, slack_ms, job.admitted_wall_ms)
     is_late = slack_ms < term.compute_chain_ms(job, step.key[2])
     if is_late or job.job_id in deferred:
         return (_Urgency.LATE, slack_ms, job.admitted_wall_ms)
--- /dev/null
+++ b/bambookeel/jobs/service_plan.py
@@ -0,0 +1,178 @@
+"""A plan for one service while it is made: places tasks on workers."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from bambookeel.jobs import book_records
+from bambookeel.jobs import bulkheads
+from bambookeel.jobs import caps
+from bambookeel.jobs import commands
+from bambookeel.jobs import gang_placing
+from bambookeel.jobs import isolating
+from bambookeel.jobs import no_room
+from bambookeel.jobs import placing
+from bambookeel.jobs import shares as team_shares
+from bambookeel.jobs import specs
+from bambookeel.jobs import term as term_state
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """A plan for one service while it is made.
+
+    Attributes:
+        capacities: Free capacities of the service's workers.
+        now: Current time.
+        team_usage: Resources that the plan has assigned to each team.
+        assignments: Runs that the plan has assigned, by worker.
+        shares: The teams' shares of the service; None while all waiting tasks
+            fit.
+        placed: Tasks that the plan has assigned.
+        too_large: Needs that fit on no worker any more.
+        queues: Queues whose jobs crash their workers.
+        suspected: Jobs with evidence against them, if there are such queues.
+        is_sharing: Whether jobs that should be alone may share workers.
+    """
+
+    capacities: list[placing.FreeCapacity]
+    now: term_state.Now
+    team_usage: dict[str, specs.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    assignments: dict[specs.WorkerIncarnation, list[commands.Assignment]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    shares: team_shares.Shares | None = None
+    placed: set[specs.TaskRef] = dataclasses.field(default_factory=set)
+    too_large: no_room.NoRoom = dataclasses.field(
+        default_factory=no_room.NoRoom
+    )
+    queues: frozenset[str] = frozenset()
+    suspected: frozenset[str] = frozenset()
+    is_sharing: bool = False
+
+
+def get_isolation(
+    term: term_state.Term,
+    current: Plan,
+    step: book_records.Step,
+    tasks: list[book_records.Task],
+) -> placing.Isolation:
+    """Returns how far tasks of a step must be kept apart.
+
+    Args:
+        term: State of the leader's term.
+        current: The plan.
+        step: Step of the tasks.
+        tasks: One task of the step, or those of a gang.
+
+    Returns:
+        The isolation.
+    """
+    isolation = isolating.get_isolation(term, tasks, current.now)
+    if current.is_sharing and isolation is not placing.Isolation.NONE:
+        return isolation
+    return bulkheads.get_isolation(term, step, isolation, current.queues)
+
+
+def place_task(
+    term: term_state.Term,
+    current: Plan,
+    step: book_records.Step,
+    task: book_records.Task,
+) -> bool:
+    """Places one task.
+
+    Args:
+        term: State of the leader's term.
+        current: The plan, which is changed.
+        step: Step of the task.
+        task: A waiting task, or one that needs a copy.
+
+    Returns:
+        False if the task exceeds the team's cap or fits on no worker. True if
+        it was placed, or if only a worker that already runs it has room.
+    """
+    if not caps.allows(term, step, 1, current.team_usage):
+        return False
+    now_ms = current.now.steady_ms
+    tickets = term.list_tickets(step, now_ms)
+    isolation = get_isolation(term, current, step, [task])
+    capacity = None
+    if not current.too_large.includes(step, isolation):
+        capacity = placing.choose_worker(
+            current.capacities,
+            step,
+            now_ms,
+            term.list_avoided(task),
+            tickets,
+            isolation,
+        )
+        if capacity is None and tickets is None:
+            current.too_large.add(step, isolation)
+    if capacity is None:
+        isolating.note_unplaced(term, [task], isolation, now_ms)
+        return False
+    if capacity.worker.incarnation in task.runs.values():
+        return True
+    capacity.reserve(
+        step.key, step.spec.reserved, isolation, step.spec.is_standing
+    )
+    current.too_large.note_placed(step, isolation)
+    _add_assignment(term, current, step, task, capacity, tickets)
+    return True
+
+
+def _add_assignment(
+    term: term_state.Term,
+    current: Plan,
+    step: book_records.Step,
+    task: book_records.Task,
+    capacity: placing.FreeCapacity,
+    tickets: Mapping[specs.WorkerIncarnation, str] | None,
+) -> None:
+    current.placed.add(task.ref)
+    term.apart_since_ms.pop(task.ref, None)
+    job = term.book.jobs[step.key[0]]
+    used = current.team_usage.get(job.team, specs.Resources())
+    current.team_usage[job.team] = used + step.spec.needs
+    if current.shares is not None and not step.spec.is_standing:
+        current.shares.add_use(job.team, step.spec.needs.cpu_milli)
+    run = task.last_run + 1
+    if step.spec.is_gang:
+        run = max(each.last_run for each in step.tasks) + 1
+    incarnation = capacity.worker.incarnation
+    ticket = tickets[incarnation] if tickets is not None else ""
+    current.assignments.setdefault(incarnation, []).append(
+        commands.Assignment(task.ref, run, ticket)
+    )
+
+
+def place_gang(
+    term: term_state.Term, current: Plan, step: book_records.Step
+) -> None:
+    """Places a gang if none of its tasks still has a run.
+
+    Args:
+        term: State of the leader's term.
+        current: The plan, which is changed.
+        step: Step of the gang.
+    """
+    if len(step.waiting) < len(step.tasks):
+        return
+    if not caps.allows(term, step, len(step.tasks), current.team_usage):
+        return
+    now_ms = current.now.steady_ms
+    tickets = term.list_tickets(step, now_ms)
+    isolation = get_isolation(term, current, step, step.tasks)
+    places = None
+    if not current.too_large.includes(step, isolation):
+        places = gang_placing.place_gang(
+            current.capacities, step, now_ms, tickets, isolation
+        )
+    if places is None:
+        isolating.note_unplaced(term, step.tasks, isolation, now_ms)
+        return
+    current.too_large.note_placed(step, isolation)
+    for task, capacity in zip(step.tasks, places):
+        _add_assignment(term, current, step, task, capacity, tickets)
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -19,6 +19,9 @@
 
 # Time for which a job waits for a worker that gets work.
 _MAX_WAIT_MS = 2_000
+# Share of a service that must be in use while its workers crash: half of it,
+# and what is on the way to the workers or back.
+_MIN_STORM_USE = 0.7
 # Number of reports that a worker whose runs count may have missed.
 _MAX_MISSED_REPORTS = 2
 
@@ -58,6 +61,38 @@
     return now_ms - worker.last_report_ms > max_silence_ms
 
 
+def is_busy(
+    term: term_state.Term,
+    capacities: Iterable[placing.FreeCapacity],
+    now_ms: int,
+) -> bool:
+    """Returns whether the workers that report are in use for the most part.
+
+    To be used while workers crash: those that are away cannot take jobs, and
+    the others should run few jobs each. A run counts from its assignment until
+    its end is reported, so that less is in use than the leader counts.
+
+    Args:
+        term: State of the leader's term.
+        capacities: Free capacities of the workers of a service.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        True if seven tenths of the processor time or of the memory are.
+    """
+    free = specs.Resources()
+    total = specs.Resources()
+    for capacity in capacities:
+        if _is_silent(term, capacity.worker, now_ms):
+            continue
+        free += specs.Resources(capacity.cpu_milli, capacity.memory_mb, 0)
+        total += capacity.worker.report.capacity
+    return (
+        free.cpu_milli <= (1 - _MIN_STORM_USE) * total.cpu_milli
+        or free.memory_mb <= (1 - _MIN_STORM_USE) * total.memory_mb
+    )
+
+
 def is_half_used(
     term: term_state.Term,
     capacities: Iterable[placing.FreeCapacity],
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -23,6 +23,7 @@
 from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
 from bambookeel.jobs import steering
+from bambookeel.jobs import storm_state
 from bambookeel.jobs import workers as worker_table
 
 # Returns the answer to a call; called once the decisions so far are committed.
@@ -63,12 +64,11 @@
         self.instance_controller = steering.InstanceController(
             settings, now.steady_ms
         )
-        # Commands, orders and log events that the leader has not fetched yet.
+        # What the leader has not fetched yet.
         self.batch: list[commands.Command] = []
         self.orders: list[instances.Order] = []
         self.log_events: list[tuple[str, dict[str, typing.Any]]] = []
-        # Until then, leases that an earlier leader has granted may be valid; it
-        # may have granted them until this term began.
+        # Until then, leases of an earlier leader's term may be valid.
         self.earlier_leases_until_ms = worker_table.compute_lease_end(
             now.steady_ms, settings.max_lease_ms
         )
@@ -79,8 +79,7 @@
         self.objectives_ms: dict[str, float] = {}
         # Longest chains of dependent steps of each open job, by its steps.
         self.chains_ms: dict[str, tuple[float, ...]] = {}
-        # Jobs that wait until others have met their objectives, by service,
-        # and when they were chosen, on the steady clock.
+        # Jobs that let others go first, by service, and since when (steady).
         self.deferred: dict[str, tuple[int, frozenset[str]]] = {}
         # Workers on which a task has failed.
         self.failed_on: dict[specs.TaskRef, set[str]] = {}
@@ -114,6 +113,7 @@
         self.fitting_searched_ms: dict[book_records.StepKey, int] = {}
         # Since when steps wait beside a reserve, by service; steady clock.
         self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
+        self.storms = storm_state.StormState()
         self.planned_ms = 0
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -4,8 +4,10 @@
 import enum
 
 from bambookeel.jobs import book_records
+from bambookeel.jobs import bulkheads
 from bambookeel.jobs import caps
 from bambookeel.jobs import crashes
+from bambookeel.jobs import gang_placing
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
 from bambookeel.jobs import placing
@@ -46,6 +48,7 @@
     INSTANCE_GOAL = "instance_goal"
     APART = "apart"
     KEPT = "kept"
+    ALONE = "alone"
     ORDER = "order"
 
 
@@ -129,7 +132,9 @@
     place = placing.choose_worker
     if step.spec.is_gang:
         return bool(
-            placing.place_gang(capacities, step, now_ms, tickets, isolation)
+            gang_placing.place_gang(
+                capacities, step, now_ms, tickets, isolation
+            )
         )
     found = place(
         capacities, step, now_ms, tickets=tickets, isolation=isolation
@@ -182,6 +187,12 @@
     capacities = placing.measure_free(usable, isolated)
     if not _fits(capacities, step, tickets, now_ms, isolation):
         return Reason.APART
+    queues = term.storms.queues.get(service, frozenset())
+    if queues:
+        bulkheads.note_occupants(term, capacities, queues)
+        isolation = bulkheads.get_isolation(term, step, isolation, queues)
+        is_alone = not _fits(capacities, step, tickets, now_ms, isolation)
+        return Reason.ALONE if is_alone else Reason.ORDER
     kept_workers.keep_workers(term, service, suspects, capacities, now)
     if not _fits(capacities, step, tickets, now_ms, isolation):
         return Reason.KEPT
