Let standing tasks use workers in doubt in a busy service

Seen: in a simulation of four workers, three of them full and one suspect but empty, a standing task of 4 cores stayed without a run for as long as its only free worker was in doubt. The rule on standing tasks holds however full the service is.

Cause: `_place_starving` returned as soon as half of the service was in use, also for standing steps. Workers in doubt, instances whose upkeep gets no answer and workers that suspects have closed were then open to nothing.

Change: the condition holds for steps that end by themselves only. Standing steps have the first ranks, so that the return still ends the search for all others.

Test: jobs/waits, "A job runs on workers in doubt if it fits on no other", new example; it failed before (1 of 22), all 22 pass. upkeep_waits and waiting pass. Not shown: that the users' play had this cause.

--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -166,7 +166,10 @@
     current.too_large = no_room.NoRoom()
     silent = starving.measure_silent(term, service, now_ms)
     for step in found:
-        if starving.is_half_used(term, current.capacities, silent, now_ms):
+        # Standing steps have the first ranks.
+        if not step.spec.is_standing and starving.is_half_used(
+            term, current.capacities, silent, now_ms
+        ):
             return
         if step.spec.is_gang:
             if all(isolating.may_share(task) for task in step.tasks):
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -6,7 +6,7 @@
 workers get work. These are full, or run all they may of a step, while most of
 the service is idle. A job must not be without a running task for 3 s then; a
 run on another worker is better than none. While half of the service is in use,
-all jobs wait for the workers that get work.
+all tasks but standing ones wait for the workers that get work.
 """
 
 from collections.abc import Iterable
--- a/features/jobs/waits.feature
+++ b/features/jobs/waits.feature
@@ -1,6 +1,7 @@
 Feature: Tasks do not wait beside room
   While less than half of a service is in use, no job stays without a running
-  task for 3 s if there is room for it twice over.
+  task for 3 s if there is room for it twice over. For a standing task that holds
+  however full the service is.
 
   Scenario Outline: A job runs on workers in doubt if it fits on no other
     Given a simulation of 4 watched workers
@@ -19,6 +20,7 @@
       | 3        | a step of 2 spread tasks   | begun     |
       | 3        | 1 standing task of 4 cores | begun     |
       | 1        | 1 task of 4 cores          | not begun |
+      | 1        | 1 standing task of 4 cores | begun     |
 
   Scenario: A new leader lets jobs run on workers in doubt, too
     Given a simulation of 4 watched workers
