Let standing tasks run on instances that may not begin their upkeep

Seen: in a simulation of five workers, two standing jobs run three tasks each, one on a worker at most. The worker that runs one of both is gone for good, and a wave takes all instances at once.

Cause: an instance that drains for its upkeep gets no work. Its upkeep may not begin while a step that it runs misses a task, and that task has room only on instances that drain, too, of which each waits for a task of the other step. Only instances whose orders had got no answer were in the reserve for starving tasks.

Change: `works_on` in place of `works_unanswered`: an instance whose upkeep has been due for as long as an order can be on its way (`earlier_orders_ms`, 3.3 s), and for which none is on its way, is in the reserve, too. Starving jobs and standing tasks that fit nowhere else start there; the upkeeps then begin one after the other. An order of an earlier leader has arrived by then, so that none ends such a run unexpectedly.

Tests: jobs/upkeep_waits, two scenarios, one with a change of leader.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -162,22 +162,31 @@
     return status.listed_ms > goal.since_ms
 
 
-def works_unanswered(fleet: Fleet, name: str) -> bool:
-    """Returns whether an instance works on although its order was repeated.
+def works_on(fleet: Fleet, name: str, now_ms: int, settled_ms: int) -> bool:
+    """Returns whether an instance works on although its upkeep is due.
+
+    Its orders get no answer, or the standing tasks that it runs allow none.
+    They may wait for a task that has room only on this instance.
 
     Args:
         fleet: All instances and their goals.
         name: Name of the instance.
+        now_ms: Steady-clock time in milliseconds.
+        settled_ms: Time in milliseconds after which an order without an answer
+            does not reach the provider any more.
 
     Returns:
-        True if the orders of its goal have got no answer, and none is on its
-        way.
+        True if no order is on its way, and two have got no answer or none has
+        been sent for a while.
     """
     goal = fleet.goals.get(name)
+    if goal is None or goal.phase is not GoalPhase.DRAINING:
+        return False
+    if goal.is_unanswered:
+        return True
     return (
-        goal is not None
-        and goal.is_unanswered
-        and goal.phase is GoalPhase.DRAINING
+        isinstance(goal.order, instances.Upkeep)
+        and now_ms - goal.since_ms >= settled_ms
     )
 
 
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -1,12 +1,13 @@
 """Finds steps that wait although there is room for them.
 
 Load pattern: many workers of a service fail or stall runs, the provider does
-not answer the orders for the upkeep of instances, which work on, or many tasks
-may crash their workers, so that most workers are closed to all other jobs. Few
-workers get work. These are full, or run all they may of a step, while most of
-the service is idle. A job must not be without a running task for 3 s then; a
-run on another worker is better than none. While half of the service is in use,
-all tasks but standing ones wait for the workers that get work.
+not answer the orders for the upkeep of instances, which work on, each of these
+waits since the tasks of its steps that do not run have room only on another, or
+many tasks may crash their workers, so that most workers are closed to all other
+jobs. Few workers get work. These are full, or run all they may of a step, while
+most of the service is idle. A job must not be without a running task for 3 s
+then; a run on another worker is better than none. While half of the service is
+in use, all tasks but standing ones wait for the workers that get work.
 """
 
 from collections.abc import Iterable
--- a/bambookeel/jobs/usable_workers.py
+++ b/bambookeel/jobs/usable_workers.py
@@ -33,11 +33,11 @@
 
     Returns:
         The workers that `list_usable_workers` lists, and those that are in
-        doubt or whose instance works on since its upkeep got no answer.
+        doubt or whose instance works on although its upkeep is due.
     """
     trusted = []
     suspect = []
-    unanswered = []
+    draining = []
     controller = term.instance_controller
     for worker in term.workers.by_id.values():
         if (
@@ -49,12 +49,17 @@
             continue
         instance = worker.report.instance
         if not controller.is_usable(instance):
-            if fleet_view.works_unanswered(controller.fleet, instance):
-                unanswered.append(worker)
+            if fleet_view.works_on(
+                controller.fleet,
+                instance,
+                now_ms,
+                term.settings.earlier_orders_ms,
+            ):
+                draining.append(worker)
         elif worker.is_suspect(now_ms):
             suspect.append(worker)
         else:
             trusted.append(worker)
     if not trusted:
-        return suspect, unanswered
-    return trusted, suspect + unanswered
+        return suspect, draining
+    return trusted, suspect + draining
--- a/features/jobs/upkeep_waits.feature
+++ b/features/jobs/upkeep_waits.feature
@@ -31,3 +31,30 @@
     And the silent provider is back
     Then for 30 s at least 3 standing tasks run at any time
     And the upkeep of 5 instances has ended
+
+  # Each instance waited for tasks for which only the others had room.
+  Scenario: Instances that may not begin their upkeep run tasks that fit nowhere else
+    Given a large simulation of 5 workers a service
+    And a standing job of 3 tasks, one on each worker at most
+    And another standing job of 3 tasks, one on each worker at most
+    When the worker that runs both is gone for good
+    And 2 s pass in the large simulation
+    And a wave of upkeep takes 5 instances at once
+    And 16 s pass in the large simulation
+    Then no task has waited for too long beside room for it
+    And for 30 s at least 4 standing tasks run at any time
+    And the upkeep of 4 instances has ended
+    And 6 standing tasks run
+
+  Scenario: A new leader lets tasks run on instances that may not begin their upkeep
+    Given a large simulation of 5 workers a service
+    And a standing job of 3 tasks, one on each worker at most
+    And another standing job of 3 tasks, one on each worker at most
+    When the worker that runs both is gone for good
+    And 2 s pass in the large simulation
+    And a wave of upkeep takes 5 instances at once
+    And 1 s pass until a new leader starts
+    And 8 s pass in the large simulation
+    Then for 30 s at least 4 standing tasks run at any time
+    And the upkeep of 4 instances has ended
+    And 6 standing tasks run
--- a/features/steps/upkeep_wait_steps.py
+++ b/features/steps/upkeep_wait_steps.py
@@ -20,7 +20,7 @@
 
 
 @given("a standing job of {count:d} tasks, one on each worker at most")
-def submit_standing(context, count):
+def submit_standing(context, count, job=_JOB):
     step = specs.StepSpec(
         count,
         specs.Resources(4_000, 1_000, 0),
@@ -29,10 +29,15 @@
         max_missing=1,
     )
     spec = specs.JobSpec("body", (step,))
-    context.sim.submit_as(jobs_scale.TEAMS[0], _SERVICE, _JOB, spec)
+    context.sim.submit_as(jobs_scale.TEAMS[0], _SERVICE, job, spec)
     context.sim.advance(1_000)
 
 
+@given("another standing job of {count:d} tasks, one on each worker at most")
+def submit_another_standing(context, count):
+    submit_standing(context, count, "b" * 16)
+
+
 @when("a wave of upkeep takes {count:d} instances at once")
 def start_wave(context, count):
     names = tuple(
@@ -74,6 +79,13 @@
     context.sim.crash(running[0])
 
 
+@when("the worker that runs both is gone for good")
+def lose_worker_of_both(context):
+    workers = context.sim.list_workers(_SERVICE)
+    (worker,) = [w for w in workers if len(w.running) == 2]
+    context.sim.crash(worker)
+
+
 @then("{count:d} standing tasks run")
 def check_standing(context, count):
     running = [
