Let standing tasks run on instances that are back while the provider is silent

Seen: in a simulation of four workers, two upkeeps are carried out and the provider falls silent. Both instances are back after 2 s and report; the two standing tasks that ran on them have room nowhere else, and stay without a run for as long as the list does not come, 60 s at most, with the reason `instance_goal`: LOST by the users' words.

Cause: a report does not show that an instance is back from its upkeep, since it may be older than the order, so that its goal ends with the provider's list. Until then it gets no work, and it was not in the reserve for starving tasks either.

Change: `works_on` also holds for an instance whose worker has reported for a second since its upkeep was carried out. Its goal lasts until the list shows it as up, as before, so that the wave counts it as away. If these reports were old ones after all, a task that fits nowhere else loses a lease's time.

Test: jobs/upkeep_waits, "An instance that is back from its upkeep gets tasks while the provider is silent"; failed before with both tasks idle for 3 s beyond the grace of 6 s. Not shown: that the users' play had this cause.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -15,6 +15,9 @@
 
 # Before any time of the steady clock.
 _NEVER_MS = -(1 << 40)
+# Time for which a worker reports after an upkeep until its instance counts as
+# back for tasks that fit nowhere else. Single reports may be older.
+_RETURNED_MS = 1_000
 
 
 class GoalPhase(enum.Enum):
@@ -162,32 +165,40 @@
     return status.listed_ms > goal.since_ms
 
 
-def works_on(fleet: Fleet, name: str, now_ms: int, settled_ms: int) -> bool:
-    """Returns whether an instance works on although its upkeep is due.
+def works_on(
+    fleet: Fleet, worker: worker_table.Worker, now_ms: int, settled_ms: int
+) -> bool:
+    """Returns whether an instance works on although it has a goal.
 
-    Its orders get no answer, or the standing tasks that it runs allow none.
-    They may wait for a task that has room only on this instance.
+    Orders for its upkeep get no answer, or the standing tasks that it runs
+    allow none; they may wait for a task that has room only on this instance.
+    Or it is back from its upkeep, and the provider's list does not come.
 
     Args:
         fleet: All instances and their goals.
-        name: Name of the instance.
+        worker: Worker on the instance.
         now_ms: Steady-clock time in milliseconds.
         settled_ms: Time in milliseconds after which an order without an answer
             does not reach the provider any more.
 
     Returns:
         True if no order is on its way, and two have got no answer or none has
-        been sent for a while.
+        been sent for a while; or if a worker has reported for a while since the
+        order was carried out.
     """
-    goal = fleet.goals.get(name)
-    if goal is None or goal.phase is not GoalPhase.DRAINING:
+    goal = fleet.goals.get(worker.report.instance)
+    if goal is None:
         return False
-    if goal.is_unanswered:
-        return True
-    return (
-        isinstance(goal.order, instances.Upkeep)
-        and now_ms - goal.since_ms >= settled_ms
-    )
+    is_upkeep = isinstance(goal.order, instances.Upkeep)
+    match goal.phase:
+        case GoalPhase.DRAINING:
+            is_settled = now_ms - goal.since_ms >= settled_ms
+            return goal.is_unanswered or (is_upkeep and is_settled)
+        case GoalPhase.AWAY:
+            since_ms = max(worker.first_report_ms, goal.since_ms)
+            is_reporting = worker.last_report_ms - since_ms >= _RETURNED_MS
+            return is_upkeep and is_reporting
+    return False
 
 
 def has_outlasted_order(
--- a/bambookeel/jobs/usable_workers.py
+++ b/bambookeel/jobs/usable_workers.py
@@ -33,11 +33,11 @@
 
     Returns:
         The workers that `list_usable_workers` lists, and those that are in
-        doubt or whose instance works on although its upkeep is due.
+        doubt or whose instance works on although it has a goal.
     """
     trusted = []
     suspect = []
-    draining = []
+    working_on = []
     controller = term.instance_controller
     for worker in term.workers.by_id.values():
         if (
@@ -51,15 +51,15 @@
         if not controller.is_usable(instance):
             if fleet_view.works_on(
                 controller.fleet,
-                instance,
+                worker,
                 now_ms,
                 term.settings.earlier_orders_ms,
             ):
-                draining.append(worker)
+                working_on.append(worker)
         elif worker.is_suspect(now_ms):
             suspect.append(worker)
         else:
             trusted.append(worker)
     if not trusted:
-        return suspect, draining
-    return trusted, suspect + draining
+        return suspect, working_on
+    return trusted, suspect + working_on
--- a/features/jobs/upkeep_waits.feature
+++ b/features/jobs/upkeep_waits.feature
@@ -58,3 +58,12 @@
     Then for 30 s at least 4 standing tasks run at any time
     And the upkeep of 4 instances has ended
     And 6 standing tasks run
+
+  Scenario: An instance that is back from its upkeep gets tasks while the provider is silent
+    Given a large simulation of 4 workers a service
+    And a standing job of 4 tasks that may miss 2 of them
+    When a wave of upkeep takes 2 instances at once
+    And the provider falls silent once 2 upkeeps are carried out
+    And 16 s pass in the large simulation
+    Then no task has waited for too long beside room for it
+    And 4 standing tasks run
--- a/features/steps/upkeep_wait_steps.py
+++ b/features/steps/upkeep_wait_steps.py
@@ -5,6 +5,7 @@
 from behave import when
 
 from bambookeel.jobs import calls
+from bambookeel.jobs import fleet
 from bambookeel.jobs import specs
 from features.fakes import jobs_scale
 
@@ -20,13 +21,13 @@
 
 
 @given("a standing job of {count:d} tasks, one on each worker at most")
-def submit_standing(context, count, job=_JOB):
+def submit_standing(context, count, job=_JOB, max_missing=1):
     step = specs.StepSpec(
         count,
         specs.Resources(4_000, 1_000, 0),
         max_per_instance=1,
         is_standing=True,
-        max_missing=1,
+        max_missing=max_missing,
     )
     spec = specs.JobSpec("body", (step,))
     context.sim.submit_as(jobs_scale.TEAMS[0], _SERVICE, job, spec)
@@ -38,6 +39,28 @@
     submit_standing(context, count, "b" * 16)
 
 
+@given("a standing job of {count:d} tasks that may miss {most:d} of them")
+def submit_missing(context, count, most):
+    submit_standing(context, count, max_missing=most)
+
+
+@when("the provider falls silent once {count:d} upkeeps are carried out")
+def await_upkeeps(context, count):
+    names = [w.instance for w in context.sim.list_workers(_SERVICE)]
+    while True:
+        goals = context.sim.scheduler.term.instance_controller.fleet.goals
+        away = [
+            goal
+            for name, goal in goals.items()
+            if name in names and goal.phase is fleet.GoalPhase.AWAY
+        ]
+        if len(away) == count:
+            break
+        context.sim.advance(25)
+    context.sim.is_provider_silent = True
+    context.sim.watch.note_disturbance()
+
+
 @when("a wave of upkeep takes {count:d} instances at once")
 def start_wave(context, count):
     names = tuple(
