Let starving jobs use instances before any order for their upkeep is sent

Cause: an instance that drains joined the reserve only once an order could not be on its way any more, 3.3 s, also if none had been sent. Where all instances of a service drain, the wait of 2 s for starving jobs began only then.

Change: the time applies to instances for which an earlier leader may have sent an order. Others are in the reserve at once.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -170,9 +170,9 @@
 ) -> bool:
     """Returns whether an instance works on although it has a goal.
 
-    Orders for its upkeep get no answer, or the standing tasks that it runs
-    allow none; they may wait for a task that has room only on this instance.
-    Or it is back from its upkeep, and the provider's list does not come.
+    Orders for its upkeep get no answer, or none has been sent: the standing
+    tasks that it runs may wait for one that has room only on this instance. Or
+    it is back from its upkeep, and the provider's list does not come.
 
     Args:
         fleet: All instances and their goals.
@@ -182,9 +182,8 @@
             does not reach the provider any more.
 
     Returns:
-        True if no order is on its way, and two have got no answer or none has
-        been sent for a while; or if a worker has reported for a while since the
-        order was carried out.
+        True if no order for its upkeep is on its way, or if the worker has
+        reported for a while since the order was carried out.
     """
     goal = fleet.goals.get(worker.report.instance)
     if goal is None:
@@ -192,7 +191,10 @@
     is_upkeep = isinstance(goal.order, instances.Upkeep)
     match goal.phase:
         case GoalPhase.DRAINING:
-            is_settled = now_ms - goal.since_ms >= settled_ms
+            is_settled = (
+                not goal.has_earlier_order
+                or now_ms - goal.since_ms >= settled_ms
+            )
             return goal.is_unanswered or (is_upkeep and is_settled)
         case GoalPhase.AWAY:
             since_ms = max(worker.first_report_ms, goal.since_ms)
--- a/features/jobs/upkeep_waits.feature
+++ b/features/jobs/upkeep_waits.feature
@@ -59,6 +59,16 @@
     And the upkeep of 4 instances has ended
     And 6 standing tasks run
 
+  Scenario: A job does not wait for instances that may not begin their upkeep
+    Given a large simulation of 3 workers a service
+    And a standing job of 3 tasks, one on each worker at most
+    When a worker is gone for good
+    And 2 s pass in the large simulation
+    And a wave of upkeep takes 3 instances at once
+    And a job of 1 short task is submitted once they drain
+    And 5 s pass in the large simulation
+    Then no task has waited for too long beside room for it
+
   Scenario: An instance that is back from its upkeep gets tasks while the provider is silent
     Given a large simulation of 4 workers a service
     And a standing job of 4 tasks that may miss 2 of them
--- a/features/steps/upkeep_wait_steps.py
+++ b/features/steps/upkeep_wait_steps.py
@@ -109,6 +109,20 @@
     context.sim.crash(worker)
 
 
+@when("a worker is gone for good")
+def lose_any_worker(context):
+    workers = context.sim.list_workers(_SERVICE)
+    context.sim.crash(next(w for w in workers if w.running))
+
+
+@when("a job of 1 short task is submitted once they drain")
+def submit_short(context):
+    context.sim.advance(200)
+    step = specs.StepSpec(1, specs.Resources(4_000, 1_000, 0), 600)
+    spec = specs.JobSpec("body", (step,))
+    context.sim.submit_as(jobs_scale.TEAMS[0], _SERVICE, "c" * 16, spec)
+
+
 @then("{count:d} standing tasks run")
 def check_standing(context, count):
     running = [
