--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -190,6 +190,9 @@
     current.too_large = no_room.NoRoom()
     silent = starving.measure_silent(term, service, now_ms)
     for step in found:
+        if step.spec.is_standing:
+            _place_starving_step(term, current, step)
+            continue
         if current.queues:
             is_full = starving.is_busy(term, current.capacities, now_ms)
         else:
--- a/bambookeel/jobs/usable_workers.py
+++ b/bambookeel/jobs/usable_workers.py
@@ -33,11 +33,11 @@
 
     Returns:
         The workers that `list_usable_workers` lists, and those that are in
-        doubt or whose instance works on since its upkeep got no answer.
+        doubt or whose instance works on although it has a goal.
     """
     trusted = []
     suspect = []
-    unanswered = []
+    working_on = []
     controller = term.instance_controller
     for worker in term.workers.by_id.values():
         if (
@@ -49,12 +49,17 @@
             continue
         instance = worker.report.instance
         if not controller.is_usable(instance):
-            if fleet_view.works_unanswered(controller.fleet, instance):
-                unanswered.append(worker)
+            if fleet_view.works_on(
+                controller.fleet,
+                worker,
+                now_ms,
+                term.settings.earlier_orders_ms,
+            ):
+                working_on.append(worker)
         elif worker.is_suspect(now_ms):
             suspect.append(worker)
         else:
             trusted.append(worker)
     if not trusted:
-        return suspect, unanswered
-    return trusted, suspect + unanswered
+        return suspect, working_on
+    return trusted, suspect + working_on
