Let members of gangs fail together in the check of the job interface

Now some members fail and the others break, and workers that run gangs turn grey together. docs/PROOF.md says which sentences are checked.

--- a/features/fakes/interface_actions.py
+++ b/features/fakes/interface_actions.py
@@ -252,12 +252,16 @@
 
 
 def _turn_grey(simulation, source):
-    """Lets workers hang all runs, or fail those that they start."""
+    """Lets workers hang or fail all runs, at best those of a gang."""
     hangs = source.random() < 0.5
     until_ms = simulation.now_ms + source.choice([1_000, 4_000])
-    for name in source.sample(
-        sorted(simulation.workers), source.choice([1, 2])
-    ):
+    names = source.sample(sorted(simulation.workers), source.choice([1, 2]))
+    gangs = {
+        worker.name
+        for worker in simulation.workers.values()
+        if any(run.gang for run in worker.running.values())
+    }
+    for name in sorted(gangs) or names:
         worker = simulation.workers[name]
         simulation.note("", f"{name} {'hangs' if hangs else 'fails'} all")
         worker.stalls_runs = hangs
--- a/features/fakes/interface_run.py
+++ b/features/fakes/interface_run.py
@@ -21,14 +21,11 @@
 from features.fakes import jobs_worker
 
 _WORKERS = 8
-_DOWN_MS = (300, 1_500, 4_000)
 # Time that the disturbances last, and after them until all jobs have ended.
 SPAN_MS = 12_000
-_SETTLE_MS = 60_000
-_SETTLE_STEP_MS = 100
-# Longest chain of tasks that have to be done one after the other.
-_CHAIN_FACTOR = 8
 _FAILURE_RATES = (0.0, 0.0, 0.03)
+# Members of gangs fail more often, so that some fail together.
+_GANG_FAILURES = 5
 KINDS = collections.OrderedDict(
     submit=10,
     configure=5,
@@ -287,7 +284,8 @@
         duration_ms = int(duration_ms * self.random.uniform(0.6, 1.5))
         if step.is_standing:
             duration_ms = 10**9
-        is_failing = self.random.random() < self.failure_rate
+        rate = self.failure_rate * (_GANG_FAILURES if step.is_gang else 1)
+        is_failing = self.random.random() < rate
         how = specs.RunEnd.DONE
         if worker.fails_runs or is_failing:
             how = specs.RunEnd.FAILED
@@ -309,6 +307,26 @@
             step.checkpoints,
         )
 
+    def run_gang(self, run):
+        """Runs one time step of a gang; if members fail, the others break."""
+        members = [
+            (worker, other)
+            for worker in self.workers.values()
+            if worker.is_up
+            for other in worker.running.values()
+            if other.gang == run.gang
+        ]
+        count = self.specs[run.task.job].steps[run.task.step].count
+        is_over = self.now_ms >= max(other.ends_ms for _, other in members)
+        hows = {other.how for _, other in members}
+        if not is_over or len(members) < count or len(hows) == 1:
+            super().run_gang(run)
+            return
+        for worker, other in members:
+            is_failed = other.how is specs.RunEnd.FAILED
+            how = specs.RunEnd.FAILED if is_failed else specs.RunEnd.BROKEN
+            self.end_run(worker, other, how)
+
     def _has_room(self, worker, step):
         used = step.reserved
         for ref in worker.running:
