--- a/dev/run_taken_back.py
+++ b/dev/run_taken_back.py
@@ -86,8 +86,26 @@
     ),
     Fix("long tasks", "d939953"),
     Fix("late report ends an upkeep", "204d869"),
-    Fix("name of a removed queue", "caddd19"),
-    Fix("name of a removed team", "ea236b4"),
+    Fix(
+        "name of a removed queue",
+        edits=(
+            (
+                "bambookeel/configuration/renames.py",
+                "queues[name] = queue.name",
+                "pass",
+            ),
+        ),
+    ),
+    Fix(
+        "name of a removed team",
+        edits=(
+            (
+                "bambookeel/configuration/renames.py",
+                "teams[name] = team.name",
+                "pass",
+            ),
+        ),
+    ),
 )
 
 
--- a/features/fakes/interface_jobs.py
+++ b/features/fakes/interface_jobs.py
@@ -17,9 +17,9 @@
     "long",
 )
 RACKS = 3
-_LONG_S = (100, 150)
+_LONG_MS = 200_000
 # Few jobs are long, as the time that is simulated follows the longest one.
-_LONG_RATE = 0.015
+_LONG_RATE = 0.008
 
 
 def draw_shape(source):
@@ -49,7 +49,7 @@
     is_standing = shape == "standing"
     estimate_ms = int(10 ** source.uniform(1, 3.5))
     if shape == "long":
-        estimate_ms = 1_000 * source.choice(_LONG_S)
+        estimate_ms = _LONG_MS
     after = ()
     if number:
         after = tuple(sorted({number - 1, source.randrange(number)}))
