Judge gangs that wait alone and orders that end two tasks of a step

The check of the job interface had no sentence on gangs, and let an order end two tasks of a step at once. Guards that were never missing are taken back, too.

--- a/dev/run_taken_back.py
+++ b/dev/run_taken_back.py
@@ -106,6 +106,51 @@
             ),
         ),
     ),
+    # Guards that were never missing.
+    Fix(
+        "tasks that may be interrupted",
+        edits=(
+            (
+                f"{_JOBS}/availability.py",
+                "        if unavailable > max(1, step.spec.max_missing):",
+                "        if unavailable > 10_000:",
+            ),
+        ),
+    ),
+    Fix(
+        "caps",
+        edits=((f"{_JOBS}/caps.py", "count * need > cap", "0 > 10**12"),),
+    ),
+    Fix(
+        "labels",
+        edits=(
+            (
+                f"{_JOBS}/placing.py",
+                "if spec.label and spec.label not in",
+                "if not spec.label and spec.label in",
+            ),
+        ),
+    ),
+    Fix(
+        "leases",
+        edits=(
+            (
+                f"{_JOBS}/workers.py",
+                "report_ms + lease_ms + drift_ms + LEASE_MARGIN_MS",
+                "report_ms + (lease_ms + drift_ms) // 2",
+            ),
+        ),
+    ),
+    Fix(
+        "steps that depend",
+        edits=(
+            (
+                f"{_JOBS}/book.py",
+                "and step.unfinished_dependencies == 0",
+                "and step.unfinished_dependencies >= 0",
+            ),
+        ),
+    ),
 )
 
 
--- a/features/fakes/interface_oracle.py
+++ b/features/fakes/interface_oracle.py
@@ -17,6 +17,9 @@
 # Time for which an earlier configuration may still decide.
 _APPLY_MS = 2_000
 _EARLY_MS = 100
+# Time after the disturbances from which no member of a gang may end alone; it
+# waits for 3 s before it does.
+_CALM_MS = 8_000
 # Crashes under a task after which its job may be given up.
 _MIN_CRASHES = 2
 # The same if the orders to start it may have been lost with the workers.
@@ -195,6 +198,10 @@
             known.done[ref] = run
         elif how is specs.RunEnd.FAILED:
             known.failed[known.get_attempt_key(ref)].add(run)
+        elif how is specs.RunEnd.ALONE and known.cancel_sent_ms is None:
+            calm_ms = self._simulation.now_ms - self._simulation.calm_from_ms
+            if calm_ms > _CALM_MS:
+                self.add("GANG", ref.job, f"{ref} run {run} waited alone")
 
     def note_acknowledged(self, end):
         """Notes that an end was taken note of, in the lease of its worker."""
--- a/features/fakes/interface_provider.py
+++ b/features/fakes/interface_provider.py
@@ -187,7 +187,8 @@
         at_work = self._list_at_work()
         for known, number, step in self._list_standing():
             tasks = known.list_tasks(number, step.count)
-            if not any(r in worker.running and r in at_work for r in tasks):
+            ended = [r for r in tasks if r in worker.running and r in at_work]
+            if not ended:
                 continue
             away = [
                 ref
@@ -200,8 +201,8 @@
                     >= _NOTICE_MS
                 )
             ]
-            if len(away) >= step.max_missing:
-                text = f"an order ends a task while {away} are away"
+            if len(away) + len(ended) - 1 >= step.max_missing:
+                text = f"an order ends {ended} while {away} are away"
                 self._simulation.oracle.add("AVAIL", known.job, text)
 
     def check_wave(self, number, is_complete):
--- a/features/fakes/interface_run.py
+++ b/features/fakes/interface_run.py
@@ -123,6 +123,8 @@
         self.back_at_ms = {}
         self.healed_at_ms = {}
         self.quiet_at_ms = 0
+        # When the disturbances ended.
+        self.calm_from_ms = float("inf")
         self.crash_series = []
         self.hunt = Hunt()
         self.provider = interface_provider.Provider(self)
@@ -343,6 +345,7 @@
     def stop_disturbances(self):
         """Ends all disturbances; workers that are down come back at once."""
         self.note("", "all disturbances end")
+        self.calm_from_ms = self.now_ms
         self.next_batch = ""
         self.deaf = {}
         self.crash_series = []
