--- a/features/fakes/interface_site.py
+++ b/features/fakes/interface_site.py
@@ -14,7 +14,7 @@
 HOST = "jobs.example"
 SERVICES = ("pack", "sort")
 _PATHS = ("/a/", "/b/", "/c/", "/d/")
-_CAP_MILLI = 24_000
+_CAP_MILLI = 6_000
 
 
 @dataclasses.dataclass
