Require each isolation by name in the test of searches left out

The check counted the isolations of the searches that were left out and wanted as many as no_room.ORDER has. It now wants each isolation of ORDER, which is stricter: two of them and a held one no longer pass. The comparison of the decisions is as before.

--- a/features/steps/recount_steps.py
+++ b/features/steps/recount_steps.py
@@ -56,7 +56,7 @@
             again.run(context.recount_ms)
             assert again.decisions == simulation.decisions, seed
     isolations = collections.Counter(isolation for _, isolation in left_out)
-    assert len(isolations) == len(no_room.ORDER), isolations
+    assert isolations.keys() >= set(no_room.ORDER), isolations
 
 
 @when("random tasks are placed in {count:d} plans")
