Tell storms from outages, and search again where others may find a worker

- A rack that lost power was taken for a storm in each run, since crashes were noted when the workers came back, at different moments.
They count from the last report now, so that an outage is one moment; crashes of workers that this leader has not heard do not count.
- A held task, or the first task of a standing step, kept the others of its step waiting for 2 s in a storm (2,125 ms, 125 ms without one), since all unplaceable tasks of a job without an ended step ended the search.
Only those that must be alone do now.
- What fits on no worker was remembered too widely: where suspects had just started when starving jobs are placed, and for jobs that the plan itself had placed.
- An instance did not count as away once its provider had answered before it went down: its old worker was taken for one that is back.

--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -199,7 +199,8 @@
         case GoalPhase.AWAY:
             since_ms = max(worker.first_report_ms, goal.since_ms)
             is_reporting = worker.last_report_ms - since_ms >= _RETURNED_MS
-            return is_upkeep and is_reporting
+            is_other_life = worker.incarnation != goal.incarnation
+            return is_upkeep and is_other_life and is_reporting
     return False
 
 
--- a/bambookeel/jobs/giving_up.py
+++ b/bambookeel/jobs/giving_up.py
@@ -31,7 +31,7 @@
         now: Current time.
     """
     silent = term.book.crashes.silent_workers[incarnation]
-    storms.note_crash(term, silent.suspects, now.steady_ms)
+    storms.note_crash(term, silent)
     term.decide(commands.WorkerCrashed(incarnation))
     term.log_event(
         "worker_crashed",
--- a/bambookeel/jobs/no_room.py
+++ b/bambookeel/jobs/no_room.py
@@ -73,9 +73,11 @@
             step: Step of the task.
             isolation: How far it must be kept apart.
         """
+        job = step.key[0]
         if isolation is placing.Isolation.NONE:
+            if self.has_occupants:
+                self.special_jobs.add(job)
             return
-        job = step.key[0]
         if job in self.special_jobs:
             # Its worker may be less isolated than before.
             self.found.clear()
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -188,6 +188,7 @@
         capacity.is_shared = True
     # What has fitted on no worker before may fit on one of these.
     current.too_large = no_room.NoRoom()
+    current.too_large.note_kept(current.capacities)
     silent = starving.measure_silent(term, service, now_ms)
     for step in found:
         if step.spec.is_standing:
@@ -214,7 +215,8 @@
         current: The plan, which is changed.
         step: The step.
     """
-    # While workers crash, suspects run apart here too.
+    # While workers crash, suspects are kept apart from those that have just
+    # started.
     allowed = {
         task.ref
         for task in step.tasks
@@ -283,7 +285,9 @@
             is_unproven = not bulkheads.is_proven(
                 term.book.jobs[step.key[0]], current.queues
             )
-            if isolation is placing.Isolation.NONE or is_unproven:
+            if isolation is placing.Isolation.NONE or (
+                is_unproven and isolation is placing.Isolation.ALONE
+            ):
                 # The others of the step fit nowhere either.
                 break
         if len(current.placed) != placed:
--- a/bambookeel/jobs/storm_state.py
+++ b/bambookeel/jobs/storm_state.py
@@ -10,13 +10,14 @@
     """Crashes of the last seconds, and the queues that cause them.
 
     Attributes:
-        crash_times_ms: When crashes became known, on the steady clock in
-            milliseconds, by queue of the jobs that may have caused them.
+        crash_times_ms: When workers that crashed had reported last, on the
+            steady clock in milliseconds, by queue of the jobs that may have
+            caused it.
         queues: Queues whose jobs crash their workers, by service.
     """
 
-    crash_times_ms: dict[str, collections.deque[int]] = dataclasses.field(
-        default_factory=lambda: collections.defaultdict(collections.deque)
+    crash_times_ms: dict[str, list[int]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
     )
     queues: Mapping[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
--- a/bambookeel/jobs/storms.py
+++ b/bambookeel/jobs/storms.py
@@ -10,13 +10,14 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from bambookeel.jobs import book_crashes
 from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import crashes
-from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 
-# A crash counts for this long after it has become known.
-_WINDOW_MS = 5_000
+# A crash counts for this long after the worker's last report; it is known once
+# the worker is back.
+_WINDOW_MS = 8_000
 # There is a storm from this number of crashes, and this share of the workers.
 _MIN_CRASHES = 3
 _MIN_SHARE = 0.05
@@ -26,21 +27,33 @@
 
 
 def note_crash(
-    term: term_state.Term,
-    suspects: Iterable[tuple[specs.TaskRef, int]],
-    now_ms: int,
+    term: term_state.Term, silent: book_crashes.SilentWorker
 ) -> None:
     """Notes the crash of a worker for the queues of its suspects.
 
+    A worker that has not reported to this leader is passed over.
+
     Args:
         term: State of the leader's term.
-        suspects: Tasks that may have crashed it, with the weight of the
-            evidence against each.
-        now_ms: Steady-clock time in milliseconds.
+        silent: The worker that has crashed.
     """
-    jobs = (term.book.jobs.get(ref.job) for ref, weight in suspects if weight)
-    for queue in {job.queue for job in jobs if job is not None}:
-        term.storms.crash_times_ms[queue].append(now_ms)
+    at_ms = next(
+        (
+            ended.last_report_ms
+            for ended in reversed(term.ended_workers)
+            if ended.instance == silent.instance
+        ),
+        None,
+    )
+    if at_ms is None:
+        return
+    queues = {
+        term.book.jobs[ref.job].queue
+        for ref, weight in silent.suspects
+        if weight and ref.job in term.book.jobs
+    }
+    for queue in queues:
+        term.storms.crash_times_ms[queue].append(at_ms)
 
 
 def find_queues(
@@ -57,11 +70,12 @@
     """
     workers: collections.Counter[str] = collections.Counter()
     times_ms = _list_silent(term, now, workers)
-    for queue, counted_ms in term.storms.crash_times_ms.items():
-        while counted_ms and now.steady_ms - counted_ms[0] > _WINDOW_MS:
-            counted_ms.popleft()
-        if counted_ms:
-            times_ms.setdefault(queue, []).extend(counted_ms)
+    for queue, crashes_ms in term.storms.crash_times_ms.items():
+        crashes_ms[:] = [
+            at_ms for at_ms in crashes_ms if now.steady_ms - at_ms <= _WINDOW_MS
+        ]
+        if crashes_ms:
+            times_ms.setdefault(queue, []).extend(crashes_ms)
     found: dict[str, set[str]] = {}
     for queue, at_ms in times_ms.items():
         configured = term.book.find_queue(queue)
