--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -22,7 +22,7 @@
 _MAX_WAIT_MS = 2_000
 # Share of a service that must be in use while its workers crash: half of it,
 # and what is on the way to the workers or back.
-_MIN_STORM_USE = 0.7
+_MIN_STORM_USE = 0.8
 # Number of reports that a worker whose runs count may have missed.
 _MAX_MISSED_REPORTS = 2
 
@@ -79,7 +79,7 @@
         now_ms: Steady-clock time in milliseconds.
 
     Returns:
-        True if seven tenths of the processor time or of the memory are.
+        True if four fifths of the processor time or of the memory are.
     """
     free = specs.Resources()
     total = specs.Resources()
