Read the task of a run in a report by its reference when occupants are listed

A report may list a task number that its step does not have; in a storm the plan would have ended with an IndexError. Found by reading the change; no run showed it.

--- a/bambookeel/jobs/bulkheads.py
+++ b/bambookeel/jobs/bulkheads.py
@@ -113,6 +113,7 @@
             continue
         if ref.job not in found:
             found[ref.job] = is_proven(job, queues)
-        if found[ref.job] and step.tasks[ref.task_index].evidence:
+        task = term.book.get_task(ref)
+        if found[ref.job] and task is not None and task.evidence:
             found[ref.job] = False
     return found
