--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -125,6 +125,7 @@
     def start(self):
         """Starts the process with the command of the deploy file."""
         port = self._deployment.port
+        advisor = self._deployment.advisor
         seeds = [
             f"{self._deployment.get_ip(i + 1)}:{port + 2}" for i in range(NODES)
         ]
@@ -155,7 +156,7 @@
             "bounds": BOUNDS,
             "config_mode": "highest",
             "control_mode": "heartbeat",
-            "advisor": "",
+            "advisor": advisor.address if advisor is not None else "",
             "cloud_api": {
                 "address": self._deployment.provider_address,
                 "rate_per_s": 64.0,
@@ -438,6 +439,11 @@
         if phase is None:
             self._deployment.record.add(f"UNKNOWN {task} is started")
             return
+        advisor = self._deployment.advisor
+        ticket = row[4] if len(row) > 4 else ""
+        if advisor and not advisor.is_valid(ticket, task, self.name):
+            self._list_end(task, number, "refused")
+            return
         used = sum(run.cpu for run in self.runs.values())
         memory = sum(run.mem_mb for run in self.runs.values())
         cpu, mem_mb = phase.get("cpu", 0), phase.get("mem_mb", 0)
@@ -458,7 +464,7 @@
 class Deployment:
     """Three nodes with disks, and the stand-ins around them."""
 
-    def __init__(self, case_folder, provider=None):
+    def __init__(self, case_folder, provider=None, advisor=None):
         self.record = Record(case_folder)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bambookeel-"))
         self._net = self._find_network()
@@ -476,6 +482,9 @@
         if provider is not None:
             provider.open(self)
             self.provider_address = provider.address
+        self.advisor = advisor
+        if advisor is not None:
+            advisor.open(self)
         self.nodes = [Node(self, i) for i in range(NODES)]
 
     def get_ip(self, number):
