--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -208,11 +208,15 @@
         self.mem_mb = mem_mb
         self.duration_s = duration_s  # None for one that lasts
         self.began = time.monotonic()
+        # When it began to work; None while a gang waits for its members.
+        self.works_since = self.began
         self.stop_at = None
 
     def percent(self, startup_s):
         """Progress in percent; share of full speed for one that lasts."""
-        worked_s = time.monotonic() - self.began
+        if self.works_since is None:
+            return 0
+        worked_s = time.monotonic() - self.works_since
         if self.duration_s is None:
             return 100 if worked_s >= startup_s else 0
         return min(99, int(100 * worked_s / self.duration_s))
@@ -299,11 +303,19 @@
                 self._end(task, "stopped")
             elif now >= self._lease_until:
                 self._end(task, "lapsed")
+            elif run.works_since is None:
+                run.works_since = self._deployment.find_gang_start(
+                    task, run.number
+                )
+                if now >= run.began + BOUNDS["gang_timeout_ms"] / 1000:
+                    self._end(task, "alone")
             elif (
                 run.duration_s is not None
-                and now >= run.began + run.duration_s
+                and now >= run.works_since + run.duration_s
             ):
-                self._end(task, "done")
+                failing = self._deployment.failing
+                is_failing = task.split(".")[0] in failing
+                self._end(task, "failed" if is_failing else "done")
 
     def _end(self, task, how):
         run = self.runs.pop(task)
@@ -457,6 +469,8 @@
         if not phase.get("long_running"):
             duration_s = self._deployment.get_duration_s(task)
         self.runs[task] = Run(number, duration_s, cpu, mem_mb)
+        if phase.get("gang"):
+            self.runs[task].works_since = None
         self._deployment.note_start(self, task, number)
         self._next_ping = min(self._next_ping, time.monotonic() + 0.05)
 
@@ -479,6 +493,8 @@
         self.taken = set()
         self._jobs = {}
         self.durations_s = {}
+        # Jobs whose subtasks all fail.
+        self.failing = set()
         if provider is not None:
             provider.open(self)
             self.provider_address = provider.address
@@ -565,6 +581,18 @@
         )
         return job
 
+    def try_to_submit(self, body, attempts, path="/pack/"):
+        """Submits a job a few times; returns whether it was accepted."""
+        job = secrets.token_hex(8)
+        self._jobs[job] = body
+        self.durations_s[job] = None
+        self.record.add(f"job {job}: {json.dumps(body)}")
+        for _ in range(attempts):
+            if self.call("POST", job, body, path)[0] == 200:
+                return True
+            time.sleep(0.5)
+        return False
+
     def find_phase(self, task):
         """Returns the phase of a subtask; None if nobody submitted it."""
         job, _, step, _ = task.split(".")
@@ -583,6 +611,23 @@
             self.starts.append((time.monotonic(), worker.name, task, number))
         self.record.add(f"worker {worker.name} begins {task} run {number}")
 
+    def find_gang_start(self, task, number):
+        """Returns when the last member of a gang was present, or None."""
+        step = task.rpartition(".")[0]
+        with self.lock:
+            times = {
+                other: at
+                for at, _, other, run in self.starts
+                if other.rpartition(".")[0] == step and run == number
+            }
+            if any(
+                other.rpartition(".")[0] == step and run == number
+                for _, _, other, run, _ in self.ends
+            ):
+                return None
+        complete = len(times) == self.find_phase(task)["count"]
+        return max(times.values()) if complete else None
+
     def note_end(self, worker, task, number, how):
         """Notes the end of a run."""
         with self.lock:
