--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -124,6 +124,8 @@
 
     def start(self):
         """Starts the process with the command of the deploy file."""
+        if self._deployment.has_ended:
+            return
         port = self._deployment.port
         advisor = self._deployment.advisor
         seeds = [
@@ -243,7 +245,8 @@
         self.clock_ahead_ms = 0
         self.is_dark = False
         self.pinging_since = None
-        # Called with each ping before it is sent; returns seconds of delay.
+        # Called with each ping before it is sent; returns seconds of delay,
+        # or a function that returns when the ping may go on.
         self.delay_ping = None
 
     def start(self):
@@ -404,17 +407,24 @@
                     self._step(time.monotonic())
 
     def _send_late(self, address, path, body, delay_s):
-        self._deployment.record.add(
-            f"ping {body['seq_no']} of {self.name} is held up for {delay_s} s"
-        )
-        time.sleep(delay_s)
+        sent = time.monotonic()
+        self._deployment.record.add(f"ping {body['seq_no']} of {self.name} sent")
+        if callable(delay_s):
+            delay_s()
+        else:
+            time.sleep(delay_s)
+        late_s = time.monotonic() - sent
         answer = request(address, "POST", path, body)
         self._deployment.record.add(
-            f"late ping {body['seq_no']} of {self.name} answered"
+            f"ping {body['seq_no']} of {self.name}, late by {late_s:.1f} s,"
+            f" with {body['running']}, answered"
             f" {answer[0] if answer else None}, which nobody reads"
         )
 
     def _obey(self, orders, sent):
+        if self._deployment.crashes_before(self, orders):
+            self.crash()
+            return
         now = time.monotonic()
         self._next_ping = now + orders.get("retry_after_ms", 1500) / 1000
         if "heartbeat_addr" in orders:
@@ -498,6 +508,7 @@
         if provider is not None:
             provider.open(self)
             self.provider_address = provider.address
+        self.has_ended = False
         self.advisor = advisor
         if advisor is not None:
             advisor.open(self)
@@ -641,6 +652,13 @@
         self.taken.add((task, number, how))
         self.record.add(f"end of {task} run {number} {how} acknowledged")
 
+    def crashes_before(self, worker, orders):
+        """Returns whether a worker crashes just before an answer arrives.
+
+        Cases may replace this.
+        """
+        return False
+
     def find_leader(self):
         """Returns the node to which the workers' pings are directed."""
         counts = {}
@@ -665,6 +683,7 @@
 
     def end(self):
         """Ends all processes and removes the folder."""
+        self.has_ended = True
         for worker in self.workers.values():
             worker.is_up = False
         for node in self.nodes:
