Refuse the report of an earlier life while a later one has runs in the book

What callers would see: an upkeep or a move ends standing tasks although another one of the step is unavailable (AVAIL), and new runs are assigned to a worker that has ended.

Cause: a leader compared lives only among the workers that had reported in its own term. When a delayed report of an earlier life is the first that a new leader gets from an instance, the instance counts as known and its assigned runs are looked up under that life: there are none, so it is taken for empty. The book says otherwise, since a later life of the instance has runs in it.

--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -34,17 +34,7 @@
         Function that builds the orders, to be called once the recorded ends
         are committed.
     """
-    context = stale_reports.Context(
-        now.steady_ms,
-        now.wall_ms,
-        term.book.configuration.services,
-        term.instance_controller.fleet.find_goal_pool(report.instance),
-    )
-    stale_reason = stale_reports.find_stale_reason(
-        term.workers, report, context
-    )
-    if term.book.instances.has_ended(report.life, now.wall_ms):
-        stale_reason = "this life of the worker has ended"
+    stale_reason = _find_stale_reason(term, report, now)
     if stale_reason:
         return term_state.make_deferred(calls.BadRequest(stale_reason))
     worker, ended = term.workers.update(report, now.steady_ms)
@@ -82,6 +72,34 @@
     return answer
 
 
+def _find_stale_reason(
+    term: term_state.Term, report: calls.WorkerReport, now: term_state.Now
+) -> str:
+    """Checks a report against the job book and the workers' other reports.
+
+    Args:
+        term: State of the leader's term.
+        report: Report that has been received.
+        now: Current time.
+
+    Returns:
+        One sentence on why the report is refused; empty if it is not.
+    """
+    if term.book.instances.has_ended(report.life, now.wall_ms):
+        return "this life of the worker has ended"
+    known = term.workers.by_id.get(report.life.worker)
+    is_heard = known is not None and known.incarnation == report.life
+    if not is_heard and term.inherited_lives.has_later(report):
+        return "a later life of the worker has runs"
+    context = stale_reports.Context(
+        now.steady_ms,
+        now.wall_ms,
+        term.book.configuration.services,
+        term.instance_controller.fleet.find_goal_pool(report.instance),
+    )
+    return stale_reports.find_stale_reason(term.workers, report, context)
+
+
 def _record_ends(
     term: term_state.Term, worker: worker_table.Worker, now: term_state.Now
 ) -> None:
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -17,6 +17,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import inherited_lives
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
 from bambookeel.jobs import pools
@@ -58,13 +59,14 @@
         self.settings = settings
         self.fencing_token = fencing_token
         self.workers = worker_table.WorkerTable()
+        self.inherited_lives = inherited_lives.InheritedLives(book)
         # Workers that ended lately.
         self.ended_workers: list[worker_table.EndedWorker] = []
         self.run_times = objectives.RunTimes()
         self.instance_controller = steering.InstanceController(
             settings, now.steady_ms
         )
-        # What the leader has not fetched yet.
+        # Not fetched by the leader yet.
         self.batch: list[commands.Command] = []
         self.orders: list[instances.Order] = []
         self.log_events: list[tuple[str, dict[str, typing.Any]]] = []
@@ -74,8 +76,7 @@
         )
         # Steady-clock time of each run's assignment, to measure run times.
         self.assigned_ms: dict[tuple[specs.TaskRef, int], int] = {}
-        # Time within which each open job should complete, from its admission or
-        # its due time.
+        # Time within which each open job should complete once it is due.
         self.objectives_ms: dict[str, float] = {}
         # Longest chains of dependent steps of each open job, by its steps.
         self.chains_ms: dict[str, tuple[float, ...]] = {}
@@ -100,8 +101,7 @@
         self.arrival_rates: dict[str, objectives.ArrivalRate] = {}
         # State of each pool but the spare one at the last check.
         self.pool_states: dict[str, pools.PoolState] = {}
-        # Steady-clock time since which each service has been idle; -1 if it is
-        # not.
+        # Steady-clock time since which each service has been idle, or -1.
         self.idle_since_ms: dict[str, int] = {}
         self.pools_logged_ms = 0
         self.waiting_logged_ms = 0
--- a/features/jobs/late_reports.feature
+++ b/features/jobs/late_reports.feature
@@ -41,3 +41,12 @@
       | a gang          | 4    | 2       |
       | a task          | 1    | 1       |
       | a standing task | 4    | 2       |
+
+  # A leader that knew only the earlier life took the instance for empty.
+  Scenario: A delayed report of an earlier life does not show that an instance is empty
+    Given a standing job of 4 tasks of which 1 may be unavailable
+    When a report of a worker with a standing task is delayed until its next life runs one
+    And a new leader gets the delayed report before any other
+    Then the report is refused
+    When a wave of its instance is requested while another standing task is unavailable
+    Then no order is sent for its instance
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -4,6 +4,7 @@
 from behave import when
 import msgspec
 
+from bambookeel.jobs import calls
 from bambookeel.jobs import specs
 from features.steps import job_steps
 
@@ -141,3 +142,43 @@
 def check_no_first_start(context):
     starts = {(run, worker) for _, _, run, worker in context.sim.starts}
     assert (1, context.target.name) not in starts, context.sim.starts
+
+
+@when(
+    "a report of a worker with a standing task is delayed until its next life"
+    " runs one"
+)
+def delay_report_of_life(context):
+    simulation = context.sim
+    simulation.advance(500)
+    worker = simulation.workers["w0"]
+    assert worker.running, worker
+    context.delayed_report = worker.make_report(simulation.now_ms)
+    simulation.crash(worker)
+    simulation.restart(worker)
+    simulation.advance(2_000)
+    assert simulation.workers["w0"].running, simulation.workers
+    simulation.workers["w1"].is_cut_off = True
+
+
+@when("a new leader gets the delayed report before any other")
+def deliver_report_of_life(context):
+    job_steps.change_leader(context)
+    for name in ("w2", "w3"):
+        context.sim.send_report(context.sim.workers[name])
+    context.answer = context.sim.call(context.delayed_report)
+
+
+@when(
+    "a wave of its instance is requested while another standing task is"
+    " unavailable"
+)
+def request_wave(context):
+    context.sim.call(calls.StartWave(1, ("m-w0",), 30_000, 1))
+    context.sim.workers["w0"].next_report_ms = context.sim.now_ms + 1_000
+    context.provider.advance(500)
+
+
+@then("no order is sent for its instance")
+def check_no_orders(context):
+    assert not context.provider.orders, context.provider.orders
