Count a crash against a run that only an earlier leader may have ordered

What callers would see: a task that crashes its workers starts more often than the evidence allows.

Cause: a run that a worker's last report does not list counted as not begun unless this leader's last answer had ordered it.

Change: such a run may have begun, and is weighed like an order that may have been lost with its worker (UNCONFIRMED).

Test: jobs/late_reports, "A crash counts against a run that only the former leader had ordered", failed before (no evidence).

--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -11,6 +11,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
 from bambookeel.jobs import crash_evidence
+from bambookeel.jobs import delivery
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
@@ -59,7 +60,7 @@
     candidates = []
     for run in runs.values():
         step = term.book.get_step(run.task)
-        if step is None or not _may_have_begun(run, worker):
+        if step is None or not _may_have_begun(term, run, worker):
             continue
         worked_ms = measure_work_ms(run, worker, now)
         task = term.book.get_task(run.task)
@@ -97,11 +98,15 @@
 
 
 def _may_have_begun(
-    run: book_records.AssignedRun, worker: worker_table.Worker | None
+    term: term_state.Term,
+    run: book_records.AssignedRun,
+    worker: worker_table.Worker | None,
 ) -> bool:
     if worker is None or _is_reported(run, worker):
         return True
-    return (run.task, run.run) in worker.ordered
+    if (run.task, run.run) in worker.ordered:
+        return True
+    return delivery.may_run_unheard(term, worker, run)
 
 
 def _has_started_up(
--- a/features/jobs/late_reports.feature
+++ b/features/jobs/late_reports.feature
@@ -50,3 +50,10 @@
     Then the report is refused
     When a wave of its instance is requested while another standing task is unavailable
     Then no order is sent for its instance
+
+  # A deadly task could crash workers without evidence after a change of leader.
+  Scenario: A crash counts against a run that only the former leader had ordered
+    When a task is assigned, and its worker gets the order after 0 lost ones and a delayed report
+    And 1 new leaders get the delayed report, from which the run should not start
+    And its worker crashes and starts again
+    Then the crash counts as evidence against its task
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bambookeel.jobs import calls
+from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import specs
 from features.steps import job_steps
 
@@ -182,3 +183,16 @@
 @then("no order is sent for its instance")
 def check_no_orders(context):
     assert not context.provider.orders, context.provider.orders
+
+
+@when("its worker crashes and starts again")
+def crash_target(context):
+    context.sim.crash(context.target)
+    context.sim.restart(context.target)
+    context.sim.send_report(context.sim.workers[context.target.name])
+
+
+@then("the crash counts as evidence against its task")
+def check_evidence(context):
+    task = context.sim.scheduler.book.get_task(context.task)
+    assert task.evidence == crash_evidence.Evidence.UNCONFIRMED, task
