--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -53,6 +53,7 @@
             continue
         if may_run:
             worker.withheld.add(key)
+            _log_withheld(term, worker, assigned)
             continue
         if is_wanted and step is not None:
             _withdraw_gang(term, worker, assigned, step)
@@ -67,6 +68,8 @@
         term.decide(
             commands.LoseRuns(worker.incarnation, "never told", tuple(lost))
         )
+    for task, number, _ in lost:
+        _log_lost(term, worker, task, number)
 
 
 def _is_wanted(
@@ -106,14 +109,40 @@
         term.decide(commands.LoseRuns(worker.incarnation, "never told", lost))
         term.update_reserved(worker)
         for run in unsent:
-            term.log_event(
-                "run_lost",
-                job=run.task.job,
-                task=run.task.position,
-                run=run.run,
-                worker=worker.incarnation.worker,
-                reported=False,
-            )
+            _log_lost(term, worker, run.task, run.run)
+
+
+def _log_lost(
+    term: term_state.Term,
+    worker: worker_table.Worker,
+    task: specs.TaskRef,
+    run: int,
+) -> None:
+    term.log_event(
+        "run_lost",
+        job=task.job,
+        task=task.position,
+        run=run,
+        worker=worker.incarnation.worker,
+        reported=False,
+    )
+
+
+def _log_withheld(
+    term: term_state.Term,
+    worker: worker_table.Worker,
+    assigned: book_records.AssignedRun,
+) -> None:
+    """Logs a run that is neither ordered nor removed, and what decided it."""
+    term.log_event(
+        "run_withheld",
+        job=assigned.task.job,
+        task=assigned.task.position,
+        run=assigned.run,
+        worker=worker.incarnation.worker,
+        report=worker.report.number,
+        order_limit=assigned.order_limit,
+    )
 
 
 def _is_unsent(
