--- a/features/jobs/late_reports.feature
+++ b/features/jobs/late_reports.feature
@@ -43,14 +43,19 @@
       | a standing task | 4    | 2       |
 
   # A leader that knew only the earlier life took the instance for empty.
-  Scenario: A delayed report of an earlier life does not show that an instance is empty
+  Scenario Outline: A delayed report of an earlier life does not show that an instance is empty
     Given a standing job of 4 tasks of which 1 may be unavailable
     When a report of a worker with a standing task is delayed until its next life runs one
     And a new leader gets the delayed report before any other
     Then the report is refused
-    When a wave of its instance is requested while another standing task is unavailable
+    When <order> of its instance is due while another standing task is unavailable
     Then no order is sent for its instance
 
+    Examples:
+      | order     |
+      | an upkeep |
+      | a move    |
+
   # A deadly task could crash workers without evidence after a change of leader.
   Scenario: A crash counts against a run that only the former leader had ordered
     When a task is assigned, and its worker gets the order after 0 lost ones and a delayed report
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -218,6 +218,10 @@
     known = context.sim.scheduler.book
     assert list(book.assigned_runs) == list(known.assigned_runs)
     assert book.ready == known.ready and book.usage.by_team
+    restored = [
+        run for runs in book.assigned_runs.values() for run in runs.values()
+    ]
+    assert all(run.order_limit == run.report_number + 1 for run in restored)
 
 
 @given("a replica of the former version")
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -8,6 +8,7 @@
 from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import specs
 from features.steps import job_steps
+from features.steps import provider_steps
 
 _KINDS = {
     "a task": {},
@@ -171,11 +172,13 @@
 
 
 @when(
-    "a wave of its instance is requested while another standing task is"
-    " unavailable"
+    "{order} of its instance is due while another standing task is unavailable"
 )
-def request_wave(context):
-    context.sim.call(calls.StartWave(1, ("m-w0",), 30_000, 1))
+def request_order(context, order):
+    if order == "a move":
+        provider_steps.set_move_goal(context, "m-w0", "other")
+    else:
+        context.sim.call(calls.StartWave(1, ("m-w0",), 30_000, 1))
     context.sim.workers["w0"].next_report_ms = context.sim.now_ms + 1_000
     context.provider.advance(500)
 
