--- a/features/jobs/late_reports.feature
+++ b/features/jobs/late_reports.feature
@@ -25,6 +25,18 @@
       | a task that allows copies | 0    | 1       |
       | a task that allows copies | 3    | 2       |
 
+  # Once the run was removed, its instance was free to be moved or taken down.
+  Scenario Outline: A delayed report does not free the instance of a run
+    When a task is assigned, and its worker gets the order after 0 lost ones and a delayed report
+    And 1 new leaders get the delayed report, from which the run should not start
+    And <order> of the worker's instance is due
+    Then no order is sent for its instance
+
+    Examples:
+      | order     |
+      | an upkeep |
+      | a move    |
+
   # The proof has to come soon, or the tasks of the gang wait in vain.
   Scenario Outline: A new leader takes back a run whose orders were lost
     When <kind> is assigned, and all <lost> orders to its worker are lost
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -175,11 +175,21 @@
     "{order} of its instance is due while another standing task is unavailable"
 )
 def request_order(context, order):
+    _request_order(context, order, context.sim.workers["w0"])
+
+
+@when("{order} of the worker's instance is due")
+def request_order_of_target(context, order):
+    _request_order(context, order, context.target)
+
+
+def _request_order(context, order, worker):
+    instance = f"m-{worker.name}"
     if order == "a move":
-        provider_steps.set_move_goal(context, "m-w0", "other")
+        provider_steps.set_move_goal(context, instance, "other")
     else:
-        context.sim.call(calls.StartWave(1, ("m-w0",), 30_000, 1))
-    context.sim.workers["w0"].next_report_ms = context.sim.now_ms + 1_000
+        context.sim.call(calls.StartWave(1, (instance,), 30_000, 1))
+    worker.next_report_ms = context.sim.now_ms + 1_000
     context.provider.advance(500)
 
 
