--- a/bambookeel/tools/explain_job.py
+++ b/bambookeel/tools/explain_job.py
@@ -74,7 +74,7 @@
         waited_ms = assigned[0].stamp.wall_ms - admitted_ms
         parts.append(f"first task given after {waited_ms} ms")
     for name, text in (
-        ("run_lost", "runs were lost with their worker"),
+        ("run_lost", "runs were lost with their worker or not received"),
         ("run_stalled", "runs stood still"),
     ):
         if name in by_name:
--- a/features/timeline/explain_job.feature
+++ b/features/timeline/explain_job.feature
@@ -17,7 +17,7 @@
       at=5700.00000 event=run_lost job=bb task=0.0.0 run=1 worker=w process=n1 data_centre=d
       at=9000.00000 event=job_ended job=bb state=completed took_ms=8000 process=n1 data_centre=d
       """
-    Then job "bb" is explained as "admitted after 0 refusals; first task given after 600 ms; 1 runs were lost with their worker; completed after 8000 ms"
+    Then job "bb" is explained as "admitted after 0 refusals; first task given after 600 ms; 1 runs were lost with their worker or not received; completed after 8000 ms"
 
   Scenario: A job that failed
     Given these lines of a log
@@ -41,7 +41,7 @@
       at=8500.00002 event=job_given_up job=bb task=0.0.0 crashes=2 process=n1 data_centre=d
       at=8500.00003 event=job_ended job=bb state=failed took_ms=7500 process=n1 data_centre=d
       """
-    Then job "bb" is explained as "admitted after 0 refusals; first task given after 100 ms; 2 runs were lost with their worker; 2 workers crashed under its tasks; given up because of task 0.0.0; failed after 7500 ms"
+    Then job "bb" is explained as "admitted after 0 refusals; first task given after 100 ms; 2 runs were lost with their worker or not received; 2 workers crashed under its tasks; given up because of task 0.0.0; failed after 7500 ms"
 
   Scenario: A job whose calls did not reach a leader
     Given these lines of a log
