Log the incarnation in lines about runs, and runs that workers should not have

A worker that listed a run which was assigned to its former life was told to stop it without a line; refused reports did not show of which life they were, and lost runs not why they were lost. No decision changes.

--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -324,5 +324,6 @@
                 task=run.task.position,
                 run=run.run,
                 worker=incarnation.worker,
+                born=incarnation.born_wall_ms,
                 heard_age_ms=now_ms - worker.last_report_ms,
             )
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -58,6 +58,7 @@
     _withdraw_stalled(term, worker, now)
     _adjust_pace(term, worker, now.steady_ms)
     undelivered.settle_unlisted(term, worker)
+    _note_unassigned(term, worker)
     term.update_reserved(worker)
     lease_ms = term.settings.lease_ms
     worker.lease_until_ms = max(
@@ -130,6 +131,29 @@
         _log_ended_jobs(term, ends, now)
 
 
+def _note_unassigned(
+    term: term_state.Term, worker: worker_table.Worker
+) -> None:
+    """Notes and logs the listed runs that are not assigned to their worker."""
+    assigned = term.book.assigned_runs.get(worker.incarnation, {})
+    found = set()
+    for run in worker.report.running:
+        known = assigned.get(run.task)
+        if known is None or known.run != run.run:
+            found.add((run.task, run.run))
+    for task, number in sorted(found - worker.unassigned):
+        term.log_event(
+            "run_unassigned",
+            job=task.job,
+            task=task.position,
+            run=number,
+            worker=worker.incarnation.worker,
+            born=worker.incarnation.born_wall_ms,
+            report=worker.report.number,
+        )
+    worker.unassigned = found
+
+
 def _list_begun_jobs(
     term: term_state.Term, worker: worker_table.Worker
 ) -> tuple[str, ...]:
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -384,7 +384,9 @@
                 task=ref.position,
                 run=run,
                 worker=incarnation.worker,
+                born=incarnation.born_wall_ms,
                 reported=worker is not None and ref in worker.running,
+                reason=reason,
             )
 
 
--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -11,6 +11,9 @@
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
+# Why a run is removed that its worker has not received.
+_NEVER_TOLD = "never told"
+
 
 def settle_unlisted(term: term_state.Term, worker: worker_table.Worker) -> None:
     """Decides on the assigned runs that a worker's report does not list.
@@ -66,7 +69,7 @@
         )
     if lost:
         term.decide(
-            commands.LoseRuns(worker.incarnation, "never told", tuple(lost))
+            commands.LoseRuns(worker.incarnation, _NEVER_TOLD, tuple(lost))
         )
     for task, number, _ in lost:
         _log_lost(term, worker, task, number)
@@ -106,7 +109,7 @@
         if not unsent:
             continue
         lost = tuple((run.task, run.run, "") for run in unsent)
-        term.decide(commands.LoseRuns(worker.incarnation, "never told", lost))
+        term.decide(commands.LoseRuns(worker.incarnation, _NEVER_TOLD, lost))
         term.update_reserved(worker)
         for run in unsent:
             _log_lost(term, worker, run.task, run.run)
@@ -124,7 +127,9 @@
         task=task.position,
         run=run,
         worker=worker.incarnation.worker,
+        born=worker.incarnation.born_wall_ms,
         reported=False,
+        reason=_NEVER_TOLD,
     )
 
 
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -38,6 +38,7 @@
         ordered: Runs that the last answer told it to start.
         withheld: Assigned runs that the answer to the newest report must not
             start.
+        unassigned: Runs of the newest report that are not assigned to it.
         health: Health of the worker, judged by its runs.
         pace: Pace of the filler tasks on the worker.
         is_new: Whether its first report has not been logged yet.
@@ -61,6 +62,9 @@
     withheld: set[tuple[specs.TaskRef, int]] = dataclasses.field(
         default_factory=set
     )
+    unassigned: set[tuple[specs.TaskRef, int]] = dataclasses.field(
+        default_factory=set
+    )
     health: worker_health.HealthRecord = dataclasses.field(
         default_factory=worker_health.HealthRecord
     )
--- a/bambookeel/tools/explain_job.py
+++ b/bambookeel/tools/explain_job.py
@@ -75,6 +75,10 @@
         parts.append(f"first task given after {waited_ms} ms")
     for name, text in (
         ("run_lost", "runs were lost with their worker or not received"),
+        (
+            "run_unassigned",
+            "runs were reported by workers not meant to have them",
+        ),
         ("run_stalled", "runs stood still"),
     ):
         if name in by_name:
