Test answers that reach the next life of their worker

Where the next life stays connected, its next report gets a stop before another worker has the order.

A second kind: an acknowledgement for the former life makes the next one forget an end; its job stays active for ever, as the order is repeated in vain.

--- /dev/null
+++ b/features/jobs/former_lives.feature
@@ -0,0 +1,78 @@
+Feature: Answers that reach the next life of their worker
+
+  Background:
+    Given a simulation of 4 workers without faults
+
+  # Issue 54, TWICE: the next life started a run that the leader had taken for
+  # ended with the former life and had started on another worker.
+  Scenario Outline: A run that the next life starts does not start elsewhere
+    When <kind> is assigned, and its worker restarts before the order arrives
+    And the order arrives at the next life <arrival> its first report
+    And <leaders> new leaders take over before its next report
+    And the next life is cut off after <connected> ms
+    And the simulation runs for 9000 ms
+    Then no guarantee was violated
+
+    Examples:
+      | kind                      | arrival | leaders | connected |
+      | a task                    | after   | 0       | 0         |
+      | a task                    | after   | 0       | 500       |
+      | a task                    | after   | 0       | 8000      |
+      | a task                    | after   | 1       | 0         |
+      | a task                    | after   | 2       | 500       |
+      | a task                    | before  | 0       | 0         |
+      | a task                    | before  | 1       | 500       |
+      | a task with checkpoints   | after   | 0       | 500       |
+      | a gang                    | after   | 0       | 0         |
+      | a gang                    | after   | 1       | 500       |
+      | a gang                    | before  | 2       | 0         |
+      | a standing task           | after   | 0       | 0         |
+      | a standing task           | after   | 1       | 500       |
+      | a standing task           | before  | 0       | 8000      |
+      | a task that allows copies | after   | 0       | 500       |
+
+  Scenario Outline: A run that the next life has ended does not start again
+    When a run of 100 ms is ordered, and its worker restarts before the order arrives
+    And the order arrives at the next life <arrival> its first report
+    And <leaders> new leaders take over before its next report
+    And the simulation runs for 9000 ms
+    Then no guarantee was violated
+
+    Examples:
+      | arrival | leaders |
+      | after   | 0       |
+      | after   | 1       |
+      | before  | 0       |
+
+  Scenario: A run that the life after the next one starts does not start elsewhere
+    When a task is assigned, and its worker restarts before the order arrives
+    And the next life restarts after its first report
+    And the order arrives at the next life after its first report
+    And the next life is cut off after 0 ms
+    And the simulation runs for 9000 ms
+    Then no guarantee was violated
+
+  # An acknowledgement for the former life hid the end from the leader.
+  Scenario: An acknowledgement for the former life forgets no end of the next one
+    When a worker that has ended a run restarts before its end is acknowledged
+    And a task of 100 ms waits for the next life until the acknowledgement arrives
+    And the simulation runs for 9000 ms
+    Then no guarantee was violated
+    And job "b" is "completed"
+
+  # The proof may not cost more than the time in which an answer is obeyed.
+  Scenario Outline: A run whose order was lost with its worker starts again soon
+    When <kind> is assigned, and its worker restarts before the order arrives
+    And the next life reports and the simulation runs for 1500 ms
+    Then its task runs with a higher number
+
+    Examples:
+      | kind                    |
+      | a task                  |
+      | a task with checkpoints |
+      | a standing task         |
+
+  # Only answers of the last second before a crash can be on their way.
+  Scenario: A worker that was silent for long gets work at once when it is back
+    When a worker is back after 2000 ms, and a task is submitted that fits nowhere else
+    Then the task starts within 300 ms
--- /dev/null
+++ b/features/steps/former_life_steps.py
@@ -0,0 +1,170 @@
+"""Steps for answers that reach the next life of their worker."""
+
+from behave import then
+from behave import when
+
+from bambookeel.jobs import specs
+from features.fakes import jobs_simulation
+from features.steps import job_steps
+from features.steps import late_order_steps
+
+_STEP_MS = jobs_simulation.STEP_MS
+
+
+def _restart(context):
+    context.sim.advance(_STEP_MS)
+    name = context.target.name
+    context.sim.crash(context.target)
+    context.sim.restart(context.target)
+    context.target = context.sim.workers[name]
+    context.target.next_report_ms = context.sim.now_ms + 10_000
+
+
+def _report(context):
+    """Lets the worker send a report whose answer is obeyed at once."""
+    context.sim.advance(_STEP_MS)
+    context.target.next_report_ms = 0
+    context.sim.send_report(context.target)
+
+
+def _shrink_others(simulation):
+    """Leaves no room on the workers other than the first."""
+    for worker in list(simulation.workers.values())[1:]:
+        worker.capacity = specs.Resources(500, 50, 0)
+
+
+def _restart_before_order(context, kind, duration_ms):
+    late_order_steps.assign(context, kind, duration_ms)
+    context.sent_ms = context.sim.now_ms
+    context.delayed_answer = context.sim.call(
+        context.target.make_report(context.sim.now_ms)
+    )
+    assert [each.task for each in context.delayed_answer.starts] == [
+        context.task
+    ]
+    for worker in context.sim.workers.values():
+        if worker is not context.target:
+            worker.next_report_ms = 0
+    _restart(context)
+
+
+@when("{kind} is assigned, and its worker restarts before the order arrives")
+def restart_before_order(context, kind):
+    _restart_before_order(context, kind, 4_000)
+
+
+@when(
+    "a run of {duration_ms:d} ms is ordered, and its worker restarts before"
+    " the order arrives"
+)
+def restart_before_short_order(context, duration_ms):
+    _restart_before_order(context, "a task", duration_ms)
+
+
+@when("the next life restarts after its first report")
+def restart_again(context):
+    _report(context)
+    _restart(context)
+
+
+@when("the order arrives at the next life {arrival} its first report")
+def deliver_order(context, arrival):
+    if arrival == "after":
+        _report(context)
+    context.sim.apply_orders(
+        context.target, context.delayed_answer, context.sent_ms
+    )
+    assert context.task in context.target.running, context.target
+    if arrival == "before":
+        _report(context)
+    context.target.next_report_ms = context.sim.now_ms + 100
+
+
+@when("{count:d} new leaders take over before its next report")
+def change_leaders(context, count):
+    for _ in range(count):
+        context.sim.start_leader()
+        for worker in context.sim.workers.values():
+            if worker is not context.target:
+                context.sim.send_report(worker)
+
+
+@when("the next life is cut off after {connected_ms:d} ms")
+def cut_off(context, connected_ms):
+    context.sim.advance(connected_ms)
+    context.target.is_cut_off = True
+
+
+@when("a worker that has ended a run restarts before its end is acknowledged")
+def restart_before_acknowledgement(context):
+    _shrink_others(context.sim)
+    late_order_steps.assign(context, "a task", 100)
+    _report(context)
+    while not context.target.unacknowledged_ends:
+        context.sim.advance(_STEP_MS)
+    context.sent_ms = context.sim.now_ms
+    context.delayed_answer = context.sim.call(
+        context.target.make_report(context.sim.now_ms)
+    )
+    assert context.delayed_answer.acknowledged, context.delayed_answer
+    _restart(context)
+
+
+@when(
+    "a task of {duration_ms:d} ms waits for the next life until the"
+    " acknowledgement arrives"
+)
+def acknowledge_late(context, duration_ms):
+    simulation = context.sim
+    _report(context)
+    simulation.run_duration_ms = duration_ms
+    step = specs.StepSpec(1, specs.Resources(1_000, 100, 0), duration_ms)
+    job_steps.submit_spec(context, "b", specs.JobSpec("body", (step,)))
+    context.target.next_report_ms = 0
+    while simulation.now_ms < context.sent_ms + 900:
+        simulation.advance(_STEP_MS)
+        if context.target.unacknowledged_ends:
+            break
+    simulation.apply_orders(
+        context.target, context.delayed_answer, context.sent_ms
+    )
+
+
+@when("the next life reports and the simulation runs for {span_ms:d} ms")
+def report_and_run(context, span_ms):
+    _report(context)
+    context.sim.advance(span_ms)
+
+
+@then("its task runs with a higher number")
+def check_started_again(context):
+    runs = [
+        worker.running[context.task].run
+        for worker in context.sim.workers.values()
+        if context.task in worker.running
+    ]
+    assert runs and min(runs) > 1, context.sim.workers
+
+
+@when(
+    "a worker is back after {down_ms:d} ms, and a task is submitted that fits"
+    " nowhere else"
+)
+def return_after_silence(context, down_ms):
+    simulation = context.sim
+    simulation.advance(500)
+    target = simulation.workers["w0"]
+    _shrink_others(simulation)
+    simulation.crash(target)
+    simulation.advance(down_ms)
+    simulation.restart(target)
+    simulation.advance(_STEP_MS)
+    context.submitted_ms = simulation.now_ms
+    step = specs.StepSpec(1, specs.Resources(8_000, 100, 0), 1_000)
+    job_steps.submit_spec(context, "a", specs.JobSpec("body", (step,)))
+
+
+@then("the task starts within {span_ms:d} ms")
+def check_started_soon(context, span_ms):
+    context.sim.advance(span_ms)
+    assert context.sim.starts, context.sim.workers
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -15,19 +15,20 @@
     "a gang": {"count": 2, "max_per_instance": 1, "is_gang": True},
     "a standing task": {"is_standing": True},
     "a task that allows copies": {"allows_copies": True},
+    "a task with checkpoints": {"checkpoints": True},
 }
 
 
-def _assign(context, kind):
+def assign(context, kind, duration_ms=4_000):
     """Submits a job and finds the worker of its first task."""
     simulation = context.sim
     simulation.advance(500)
-    simulation.run_duration_ms = 4_000
+    simulation.run_duration_ms = duration_ms
     step = specs.StepSpec(
         **{
             "count": 1,
             "needs": specs.Resources(1_000, 100, 0),
-            "estimate_ms": 4_000,
+            "estimate_ms": duration_ms,
             **_KINDS[kind],
         }
     )
@@ -84,7 +85,7 @@
     " and a delayed report"
 )
 def start_after_delayed_report(context, kind, lost):
-    _assign(context, kind)
+    assign(context, kind)
     _lose_orders(context, lost)
     is_gang = _lose_other_member(context)
     context.delayed_report = _report(context, is_unfit=not is_gang)
@@ -105,7 +106,7 @@
 
 @when("{kind} is assigned, and all {lost:d} orders to its worker are lost")
 def lose_all_orders(context, kind, lost):
-    _assign(context, kind)
+    assign(context, kind)
     _lose_orders(context, lost)
     context.is_gang = _lose_other_member(context)
 
