--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -14,6 +14,7 @@
 from bambookeel.jobs import book_work
 from bambookeel.jobs import commands
 from bambookeel.jobs import instance_records
+from bambookeel.jobs import run_records
 from bambookeel.jobs import specs
 
 
@@ -36,7 +37,7 @@
         # Runs assigned to workers and not known to have ended.
         self.assigned_runs: dict[
             specs.WorkerIncarnation,
-            dict[specs.TaskRef, book_records.AssignedRun],
+            dict[specs.TaskRef, run_records.AssignedRun],
         ] = {}
         self.usage = book_use.Usage()
         self.open_work = book_work.OpenWork()
@@ -71,7 +72,7 @@
                 self._apply_run_command(command)
             case commands.RepeatOrders(incarnation):
                 runs_there = self.assigned_runs.get(incarnation, {})
-                book_records.raise_order_limits(runs_there, command)
+                run_records.raise_order_limits(runs_there, command)
             case commands.LoseRuns(incarnation, _, runs):
                 for task, run, checkpoint in runs:
                     self._lose_run(incarnation, task, run, checkpoint)
@@ -272,7 +273,7 @@
         task.runs[assignment.run] = incarnation
         step.waiting.pop(ref.task_index, None)
         self.assigned_runs.setdefault(incarnation, {})[ref] = (
-            book_records.AssignedRun.from_command(command, assignment)
+            run_records.AssignedRun.from_command(command, assignment)
         )
         self.usage.add(job, step.spec)
         job.has_had_run = True
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -7,6 +7,7 @@
 from bambookeel.jobs import book_crashes
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
+from bambookeel.jobs import run_records
 from bambookeel.jobs import specs
 
 
@@ -234,11 +235,11 @@
     step = job.steps[saved.task.occurrence, saved.task.step]
     step.tasks[saved.task.task_index].runs[saved.run] = incarnation
     book.assigned_runs.setdefault(incarnation, {})[saved.task] = (
-        book_records.AssignedRun(
+        run_records.AssignedRun(
             saved.task,
             saved.run,
             saved.heard,
-            saved.order_limit or book_records.compute_first_limit(saved.heard),
+            saved.order_limit or run_records.compute_first_limit(saved.heard),
             saved.ticket,
             saved.instance,
             saved.assigned_wall_ms,
--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -12,6 +12,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import delivery
+from bambookeel.jobs import run_records
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
@@ -67,7 +68,7 @@
         is_standing = step.spec.is_standing
         if is_standing and _has_started_up(run, worker, worked_ms):
             continue
-        is_reported = worker is not None and _is_reported(run, worker)
+        is_reported = worker is not None and delivery.is_reported(worker, run)
         candidates.append(
             crash_evidence.Candidate(
                 run.task,
@@ -99,18 +100,16 @@
 
 def _may_have_begun(
     term: term_state.Term,
-    run: book_records.AssignedRun,
+    run: run_records.AssignedRun,
     worker: worker_table.Worker | None,
 ) -> bool:
-    if worker is None or _is_reported(run, worker):
+    if worker is None or delivery.is_reported(worker, run):
         return True
-    if (run.task, run.run) in worker.ordered:
-        return True
-    return delivery.may_run_unheard(term, worker, run)
+    return delivery.may_be_on_way(term, worker, run)
 
 
 def _has_started_up(
-    run: book_records.AssignedRun,
+    run: run_records.AssignedRun,
     worker: worker_table.Worker | None,
     worked_ms: int,
 ) -> bool:
@@ -119,15 +118,8 @@
     return _is_at_work(run, worker)
 
 
-def _is_reported(
-    run: book_records.AssignedRun, worker: worker_table.Worker
-) -> bool:
-    listed = worker.running.get(run.task)
-    return listed is not None and listed.run == run.run
-
-
 def _is_at_work(
-    run: book_records.AssignedRun, worker: worker_table.Worker
+    run: run_records.AssignedRun, worker: worker_table.Worker
 ) -> bool:
     """Returns whether a worker has reported that a standing run is at work."""
     listed = worker.running.get(run.task)
@@ -139,7 +131,7 @@
 
 
 def measure_work_ms(
-    run: book_records.AssignedRun,
+    run: run_records.AssignedRun,
     worker: worker_table.Worker | None,
     now: term_state.Now,
 ) -> int:
--- a/bambookeel/jobs/delivery.py
+++ b/bambookeel/jobs/delivery.py
@@ -10,7 +10,7 @@
 received, whichever leader it reaches, until the number is raised.
 """
 
-from bambookeel.jobs import book_records
+from bambookeel.jobs import run_records
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
@@ -18,7 +18,7 @@
 def may_run_unheard(
     term: term_state.Term,
     worker: worker_table.Worker,
-    assigned: book_records.AssignedRun,
+    assigned: run_records.AssignedRun,
 ) -> bool:
     """Returns whether a run may be in progress that the last report omits.
 
@@ -37,9 +37,48 @@
     return worker.report.number <= assigned.order_limit
 
 
+def may_be_on_way(
+    term: term_state.Term,
+    worker: worker_table.Worker,
+    assigned: run_records.AssignedRun,
+) -> bool:
+    """Returns whether an answer that has not arrived may carry a run's order.
+
+    Args:
+        term: State of the leader's term.
+        worker: Worker as last reported.
+        assigned: Run that is assigned to it.
+
+    Returns:
+        False if the worker has received the run, or if no answer to its last
+        report or to a later one can carry the order.
+    """
+    if is_reported(worker, assigned):
+        return False
+    if (assigned.task, assigned.run) in worker.ordered:
+        return True
+    return may_run_unheard(term, worker, assigned)
+
+
+def is_reported(
+    worker: worker_table.Worker, assigned: run_records.AssignedRun
+) -> bool:
+    """Returns whether the last report of a worker lists a run.
+
+    Args:
+        worker: Worker as last reported.
+        assigned: Run that is assigned to it.
+
+    Returns:
+        True if the run is in progress by that report.
+    """
+    listed = worker.running.get(assigned.task)
+    return listed is not None and listed.run == assigned.run
+
+
 def may_send(
     worker: worker_table.Worker,
-    assigned: book_records.AssignedRun,
+    assigned: run_records.AssignedRun,
     report_number: int,
 ) -> bool:
     """Returns whether the answer to a report may carry the order for a run.
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -7,6 +7,7 @@
 from bambookeel.jobs import fitting
 from bambookeel.jobs import fleet as fleet_view
 from bambookeel.jobs import instances
+from bambookeel.jobs import lost_runs
 from bambookeel.jobs import pool_demand
 from bambookeel.jobs import pools
 from bambookeel.jobs import rebalancing
@@ -269,7 +270,9 @@
         return
     worker = term.workers.by_id.get(ended.worker)
     if worker is not None and worker.incarnation == ended:
-        term.lose_all_runs(ended, "its instance was ordered away", worker)
+        lost_runs.lose_runs(
+            term, ended, "its instance was ordered away", worker
+        )
         term.workers.remove_ended(worker, now.steady_ms)
     term.decide(commands.WorkerEnded(ended, now.wall_ms))
 
--- a/bambookeel/jobs/losses.py
+++ b/bambookeel/jobs/losses.py
@@ -2,6 +2,7 @@
 
 from bambookeel.jobs import crashes
 from bambookeel.jobs import giving_up
+from bambookeel.jobs import lost_runs
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
@@ -29,7 +30,8 @@
             suspects = crashes.find_suspects(
                 term, other.incarnation, other, now
             )
-        term.lose_all_runs(
+        lost_runs.lose_runs(
+            term,
             other.incarnation,
             "a later life was heard",
             other,
@@ -39,7 +41,8 @@
         crashes.remember_ended(term, other, now)
     for incarnation, instance in _list_unheard_lives(term, worker):
         suspects = crashes.find_suspects(term, incarnation, None, now)
-        term.lose_all_runs(
+        lost_runs.lose_runs(
+            term,
             incarnation,
             "the worker has started again",
             None,
@@ -118,7 +121,8 @@
         if now.steady_ms < worker.lease_until_ms:
             continue
         suspects = crashes.find_suspects(term, worker.incarnation, worker, now)
-        term.lose_all_runs(
+        lost_runs.lose_runs(
+            term,
             worker.incarnation,
             "its lease ran out",
             worker,
@@ -143,7 +147,8 @@
             runs = term.book.assigned_runs[incarnation].values()
             instance = next((run.instance for run in runs), "")
             suspects = crashes.find_suspects(term, incarnation, None, now)
-            term.lose_all_runs(
+            lost_runs.lose_runs(
+                term,
                 incarnation,
                 "not heard in this term",
                 None,
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -11,6 +11,7 @@
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import losses
+from bambookeel.jobs import lost_runs
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
 from bambookeel.jobs import stale_reports
@@ -317,7 +318,7 @@
         call.born_wall_ms in (0, worker.incarnation.born_wall_ms)
     ):
         life = worker.incarnation
-        term.lose_all_runs(life, "the worker has left", worker)
+        lost_runs.lose_runs(term, life, "the worker has left", worker)
         term.workers.remove_ended(worker, now.steady_ms)
         term.log_event("worker_left", worker=call.worker)
     elif stale_reports.starts_in_future(call.born_wall_ms, now.wall_ms):
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -332,63 +332,6 @@
             total += step.spec.reserved
         worker.reserved = total
 
-    def lose_all_runs(
-        self,
-        incarnation: specs.WorkerIncarnation,
-        reason: str,
-        worker: worker_table.Worker | None,
-        suspects: tuple[tuple[specs.TaskRef, int], ...] = (),
-        instance: str = "",
-        at_wall_ms: int = 0,
-    ) -> None:
-        """Removes all runs of a worker whose runs are known to have ended.
-
-        Args:
-            incarnation: Incarnation of the worker.
-            reason: Why the runs have ended, for the log.
-            worker: The worker as last reported; None if it has not reported.
-            suspects: Tasks that have crashed the worker if it has crashed.
-            instance: Instance of a worker that has not reported; empty if
-                unknown.
-            at_wall_ms: Unix time in milliseconds, if there are suspects.
-        """
-        if worker is not None:
-            instance = worker.report.instance
-        lost = []
-        for assigned in self.book.assigned_runs.get(incarnation, {}).values():
-            listed = worker.running.get(assigned.task) if worker else None
-            checkpoint = listed.saved if listed is not None else ""
-            lost.append((assigned.task, assigned.run, checkpoint))
-        if lost:
-            self.decide(
-                commands.LoseRuns(
-                    incarnation,
-                    reason,
-                    tuple(lost),
-                    instance,
-                    suspects,
-                    at_wall_ms,
-                )
-            )
-            self.log_event(
-                "runs_lost",
-                worker=incarnation.worker,
-                instance=instance,
-                reason=reason,
-                runs=len(lost),
-            )
-        for ref, run, _ in lost:
-            self.log_event(
-                "run_lost",
-                job=ref.job,
-                task=ref.position,
-                run=run,
-                worker=incarnation.worker,
-                born=incarnation.born_wall_ms,
-                reported=worker is not None and ref in worker.running,
-                reason=reason,
-            )
-
 
 def make_deferred(answer: calls.Answer) -> DeferredAnswer:
     """Wraps an answer that is known before the decisions are committed.
--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -7,6 +7,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
 from bambookeel.jobs import delivery
+from bambookeel.jobs import run_records
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
@@ -78,7 +79,7 @@
 def _is_wanted(
     term: term_state.Term,
     worker: worker_table.Worker,
-    assigned: book_records.AssignedRun,
+    assigned: run_records.AssignedRun,
     step: book_records.Step,
 ) -> bool:
     return (
@@ -136,7 +137,7 @@
 def _log_withheld(
     term: term_state.Term,
     worker: worker_table.Worker,
-    assigned: book_records.AssignedRun,
+    assigned: run_records.AssignedRun,
 ) -> None:
     """Logs a run that is neither ordered nor removed, and what decided it."""
     term.log_event(
@@ -153,7 +154,7 @@
 def _is_unsent(
     term: term_state.Term,
     worker: worker_table.Worker,
-    assigned: book_records.AssignedRun,
+    assigned: run_records.AssignedRun,
 ) -> bool:
     # Most runs of a silent worker have been reported.
     if (
@@ -211,7 +212,7 @@
 def _withdraw_gang(
     term: term_state.Term,
     worker: worker_table.Worker,
-    assigned: book_records.AssignedRun,
+    assigned: run_records.AssignedRun,
     step: book_records.Step,
 ) -> None:
     """Withdraws all runs of a gang of which one no longer fits.
