Let a worker end another only while that one is at the same place

Two runs at once, in simulation: a worker came back under its id at another address or on another instance; a worker that then reported from the place which it had left, or the upkeep of that instance, ended the life that ran elsewhere.

The table found rivals by the address and instance of any report of an id, also of a former life. Now the last report of a rival must name the same place.

--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -244,16 +244,21 @@
         Returns:
             Workers with the same instance or address.
         """
-        names = (
-            self._by_instance.get(report.instance),
-            self._by_address.get(report.address),
-        )
         found = []
-        for name in names:
-            if name is None or name == report.life.worker:
+        for other in (
+            self.find_by_instance(report.instance),
+            self._find_by_address(report.address),
+        ):
+            if other is None or other in found:
                 continue
-            if name in self.by_id:
-                found.append(self.by_id[name])
+            if other.incarnation.worker != report.life.worker:
+                found.append(other)
+        return found
+
+    def _find_by_address(self, address: str) -> Worker | None:
+        found = self.by_id.get(self._by_address.get(address, ""))
+        if found is None or found.report.address != address:
+            return None
         return found
 
     def update(
@@ -318,4 +323,8 @@
         Returns:
             The worker, or None if none has reported from there.
         """
-        return self.by_id.get(self._by_instance.get(instance, ""))
+        found = self.by_id.get(self._by_instance.get(instance, ""))
+        if found is None or found.report.instance != instance:
+            # A later life under that id runs on another instance.
+            return None
+        return found
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -69,6 +69,8 @@
     clock_origin_ms: int = 0
     # Empty for the instance that is named after the worker.
     instance: str = ""
+    # Empty for the address that is named after the worker.
+    address: str = ""
 
     def measure_percent(self, run, now_ms):
         """Returns the percentage that a run reports."""
@@ -107,7 +109,7 @@
         return calls.WorkerReport(
             life=specs.WorkerIncarnation(self.name, self.born_wall_ms),
             instance=self.instance or f"m-{self.name}",
-            address=f"{self.name}:1",
+            address=self.address or f"{self.name}:1",
             service=self.service,
             data_centre="dc",
             number=self.report_number,
