Conclude nothing about unlisted runs from a report that is full of ends

Twenty tasks that had ended were started again, in simulation: a worker with 520 ends that were not acknowledged began to leave. A report lists 500 ends; the runs beyond were in neither of its lists, and were removed as never received.

A run that such a report omits may have ended: it is withheld, or ordered again, which its worker rejects, until a shorter list comes.

jobs/late_reports: the example with a leaving worker failed before.

--- a/bambookeel/jobs/delivery.py
+++ b/bambookeel/jobs/delivery.py
@@ -14,6 +14,10 @@
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import workers as worker_table
 
+# A report lists at most this many ends; others follow when these have been
+# acknowledged.
+_MAX_LISTED_ENDS = 500
+
 
 def may_run_unheard(
     term: term_state.Term,
@@ -29,9 +33,12 @@
 
     Returns:
         True if an earlier leader may have sent the order with the answer to
-        that report or to a later one. Orders of this leader are not considered:
-        it has not answered a later report, and its last answer is known.
+        that report or to a later one, or if the report may omit the run's end.
+        Orders of this leader are not considered: it has not answered a later
+        report, and its last answer is known.
     """
+    if len(worker.report.ends) >= _MAX_LISTED_ENDS:
+        return True
     if (assigned.task, assigned.run) in term.assigned_ms:
         return False
     return worker.report.number <= assigned.order_limit
--- a/features/jobs/late_reports.feature
+++ b/features/jobs/late_reports.feature
@@ -74,3 +74,15 @@
     And 1 new leaders get the delayed report, from which the run should not start
     And its worker crashes and starts again
     Then the crash counts as evidence against its task
+
+  # Ends beyond those that fit in a report were taken for runs never received.
+  Scenario Outline: A run whose end does not fit in the report is not started again
+    When a worker has 520 ends that are not acknowledged, and <state>
+    And the simulation runs for 3000 ms
+    Then each task has been started once
+    And no guarantee was violated
+
+    Examples:
+      | state      |
+      | goes on    |
+      | is leaving |
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -1,5 +1,7 @@
 """Steps for reports that are older than the order which their worker got."""
 
+import collections
+
 from behave import then
 from behave import when
 import msgspec
@@ -217,3 +219,33 @@
 def check_evidence(context):
     task = context.sim.scheduler.book.get_task(context.task)
     assert task.evidence == crash_evidence.Evidence.UNCONFIRMED, task
+
+
+@when("a worker has {count:d} ends that are not acknowledged, and {state}")
+def end_many_runs(context, count, state):
+    simulation = context.sim
+    simulation.advance(500)
+    simulation.run_duration_ms = 1_000
+    step = specs.StepSpec(
+        count=count, needs=specs.Resources(10, 1, 0), estimate_ms=1_000
+    )
+    job_steps.submit_spec(context, "a", specs.JobSpec("body", (step,)))
+    simulation.advance(500)
+    worker = max(simulation.workers.values(), key=lambda w: len(w.running))
+    assert len(worker.running) == count, worker
+    worker.is_cut_off = True
+    simulation.advance(1_000)
+    worker.is_cut_off = False
+    assert len(worker.unacknowledged_ends) == count, worker
+    if state == "is leaving":
+        make_report = worker.make_report
+        worker.make_report = lambda now_ms: msgspec.structs.replace(
+            make_report(now_ms), is_leaving=True
+        )
+
+
+@then("each task has been started once")
+def check_starts(context):
+    starts = collections.Counter(task for _, task, _, _ in context.sim.starts)
+    repeated = [task for task, count in starts.items() if count > 1]
+    assert not repeated, (len(repeated), repeated[:3])
