Let no report of a former life end one whose service was removed

A worker stays usable by name once a configuration has named its service. A start in the future gives way as before.

jobs/replaced_workers: the scenario failed before.

--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -40,6 +40,7 @@
     if stale_reason:
         return term_state.make_deferred(calls.BadRequest(stale_reason))
     worker, ended = term.workers.update(report, now.steady_ms)
+    worker.was_named |= report.service in term.book.configuration.services
     if worker.is_new or ended:
         losses.end_earlier_lives(term, worker, ended, now)
     if worker.is_new:
--- a/bambookeel/jobs/stale_reports.py
+++ b/bambookeel/jobs/stale_reports.py
@@ -62,8 +62,11 @@
     return born_wall_ms > wall_ms + _MAX_CLOCK_LEAD_MS
 
 
-def _is_doubtful(report: calls.WorkerReport, context: Context) -> bool:
-    return not context.is_named(report.service) or starts_in_future(
+def _is_doubtful(
+    report: calls.WorkerReport, context: Context, was_named: bool = False
+) -> bool:
+    is_named = was_named or context.is_named(report.service)
+    return not is_named or starts_in_future(
         report.life.born_wall_ms, context.wall_ms
     )
 
@@ -84,7 +87,7 @@
     if context.now_ms - rival.last_report_ms >= MAX_DELAY_MS:
         return ""
     is_doubtful = _is_doubtful(report, context)
-    if is_doubtful != _is_doubtful(rival.report, context):
+    if is_doubtful != _is_doubtful(rival.report, context, rival.was_named):
         return "a worker that can be used is known" if is_doubtful else ""
     if rival.incarnation.born_wall_ms <= report.life.born_wall_ms:
         return ""
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -46,6 +46,8 @@
         pace: Pace of the filler tasks on the worker.
         is_new: Whether its first report has not been logged yet.
         is_lease_expired: Whether its lease has expired without a new report.
+        was_named: Whether a configuration has named its service since it
+            reported.
         settled_clock_ms: Reading of its own clock at which no answer to a
             former life can be obeyed any more; 0 if none was on its way.
     """
@@ -77,6 +79,7 @@
     pace: pacing.Pace = dataclasses.field(default_factory=pacing.Pace)
     is_new: bool = True
     is_lease_expired: bool = False
+    was_named: bool = False
     settled_clock_ms: int = 0
 
     @property
--- a/features/jobs/replaced_workers.feature
+++ b/features/jobs/replaced_workers.feature
@@ -26,3 +26,13 @@
     And the upkeep of instance "m-w0" is ordered and carried out
     And the simulation runs for 3000 ms
     Then no guarantee was violated
+
+  # A service that is removed makes the present life look like another writer.
+  Scenario: A delayed report of a former life does not end one whose service was removed
+    When worker "w0" starts again in service "side" with a report in flight
+    And a new leader takes over
+    And a job of service "side" runs on worker "w0"
+    And service "side" is removed, and its queue is given to service "pack"
+    And the report in flight arrives
+    And the simulation runs for 2000 ms
+    Then no guarantee was violated
--- a/features/steps/replaced_worker_steps.py
+++ b/features/steps/replaced_worker_steps.py
@@ -1,9 +1,12 @@
 """Steps for workers at an address or on an instance that others have left."""
 
 from behave import when
+import msgspec
 
+from bambookeel.configuration import document as configuration
 from bambookeel.jobs import calls
 from bambookeel.jobs import instances
+from features.steps import job_steps
 
 # Too short to wait for the tasks of an instance.
 _WAVE_MS = 1_000
@@ -53,3 +56,60 @@
             )
             return
     raise AssertionError(f"no order for {instance} after {_MAX_ORDER_MS} ms")
+
+
+def _put_services(context, version, names):
+    """Configures services; the last one runs the queue `free`."""
+    document = context.sim.build_document(version)
+    queues = tuple(
+        msgspec.structs.replace(queue, service=names[-1])
+        if queue.name == "free"
+        else queue
+        for queue in document.queues
+    )
+    services = tuple(configuration.Service(name) for name in names)
+    answer = context.sim.put_document(
+        msgspec.structs.replace(document, queues=queues, services=services)
+    )
+    assert isinstance(answer, calls.Done), answer
+
+
+@when(
+    'worker "{name}" starts again in service "{service}" with a report in'
+    " flight"
+)
+def restart_in_service(context, name, service):
+    simulation = context.sim
+    _put_services(context, 2, ("pack", service))
+    simulation.advance(500)
+    worker = simulation.workers[name]
+    context.delayed_report = worker.make_report(simulation.now_ms)
+    simulation.crash(worker)
+    simulation.restart(worker)
+    simulation.workers[name].service = service
+
+
+@when('a job of service "{service}" runs on worker "{name}"')
+def run_in_service(context, service, name):
+    simulation = context.sim
+    simulation.advance(500)
+    simulation.run_duration_ms = 60_000
+    spec = job_steps.build_spec(1, 1)
+    job_steps.submit_spec(context, "a", spec, path="/free/")
+    simulation.advance(500)
+    worker = simulation.workers[name]
+    assert worker.service == service and worker.running, worker
+
+
+@when(
+    'service "{removed}" is removed, and its queue is given to service'
+    ' "{service}"'
+)
+def remove_service(context, removed, service):
+    assert removed != service
+    _put_services(context, 3, (service,))
+
+
+@when("the report in flight arrives")
+def deliver_report(context):
+    context.answer = context.sim.call(context.delayed_report)
