Let an orderly shutdown end a worker's runs only with its lease

Two runs at once, in simulation and over processes: workers send no start with their shutdown, so that a delayed one of a former life ended the present life: its runs began elsewhere, its reports were refused as of an ended life, and its own runs lapsed. A shutdown whose answer was lost did the same to its own life, which is up until it gets the answer, "or some seconds later".

The call is no proof that anything has ended. The worker gets no new runs, its reports are refused, and its runs are lost with its lease or when a later life is heard. Without a start it is taken for that of the present life only if that life has said that it is leaving.

--- a/bambookeel/jobs/losses.py
+++ b/bambookeel/jobs/losses.py
@@ -200,6 +200,9 @@
             suspects,
             at_wall_ms=now.wall_ms,
         )
+        if term.book.instances.has_ended(worker.incarnation, now.wall_ms):
+            term.workers.remove_ended(worker, now.steady_ms)
+            continue
         worker.running = {}
         worker.reserved = specs.Resources()
         if worker.is_lease_expired:
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -12,7 +12,6 @@
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import losses
-from bambookeel.jobs import lost_runs
 from bambookeel.jobs import pacing
 from bambookeel.jobs import specs
 from bambookeel.jobs import stale_reports
@@ -307,6 +306,9 @@
 ) -> calls.Answer:
     """Handles the orderly shutdown of a worker.
 
+    The worker may be up until it gets the answer, or longer if it gets none.
+    Its reports are refused from now on, and its runs are lost with its lease.
+
     Args:
         term: State of the leader's term.
         call: Call that announces the shutdown.
@@ -318,21 +320,20 @@
     """
     worker = term.workers.by_id.get(call.worker)
     life = specs.WorkerIncarnation(call.worker, call.born_wall_ms)
-    if worker is not None and (
-        call.born_wall_ms in (0, worker.incarnation.born_wall_ms)
-    ):
+    if not call.born_wall_ms:
+        if worker is None or not worker.report.is_leaving:
+            # It may have been sent by a former life.
+            return calls.Done()
         life = worker.incarnation
-        lost_runs.lose_runs(term, life, "the worker has left", worker)
-        term.workers.remove_ended(worker, now.steady_ms)
+    if worker is not None and life == worker.incarnation:
+        worker.leave()
         term.log_event("worker_left", worker=call.worker)
     elif stale_reports.starts_in_future(call.born_wall_ms, now.wall_ms):
         return calls.BadRequest("no worker has started then")
     elif worker is not None and now.steady_ms < worker.lease_until_ms:
         if call.born_wall_ms > worker.incarnation.born_wall_ms:
             return calls.BadRequest("an earlier life of the worker reports")
-    if life.born_wall_ms and not term.book.instances.has_ended(
-        life, now.wall_ms
-    ):
+    if not term.book.instances.has_ended(life, now.wall_ms):
         term.decide(commands.WorkerEnded(life, now.wall_ms))
     return calls.Done()
 
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+import msgspec
+
 from bambookeel.jobs import calls
 from bambookeel.jobs import health as worker_health
 from bambookeel.jobs import pacing
@@ -104,6 +106,10 @@
         """Capacity that is not reserved."""
         return self.report.capacity - self.reserved
 
+    def leave(self) -> None:
+        """Notes that the worker shuts down, so that it gets no new runs."""
+        self.report = msgspec.structs.replace(self.report, is_leaving=True)
+
     def note_begun(self, report: calls.WorkerReport) -> None:
         """Notes which runs have begun since the last report.
 
