Check a backend's incarnation again after waiting for a connection

A request that waited for one of its backend server's connections, or whose connection was being opened, was sent to the server's next incarnation even if the entry had learned of the restart meanwhile. The next incarnation then ran one request more than the slots that its dispatcher counts; the request itself ran once.

Cause: `ConnectionPool.take` compared the incarnations only before it waited. They are compared again once there is a new connection, right before it is handed out. The refusal is a true "not run": no byte has been sent.

--- a/bambookeel/net/connection_pool.py
+++ b/bambookeel/net/connection_pool.py
@@ -105,7 +105,7 @@
         """
         backend = self._get_connections(endpoint)
         if endpoint.incarnation < backend.incarnation:
-            return _describe_failure(endpoint, "it has restarted since")
+            return _describe_restart(endpoint)
         max_idle_ms = _MAX_IDLE_MS if idempotent else self._reuse_within_ms
         connection = _take_idle(backend, max_idle_ms)
         if connection is not None:
@@ -125,6 +125,11 @@
         opened = _open_connection(endpoint, until_ms)
         if isinstance(opened, outcomes.NotRun):
             self._end_use(backend)
+            return opened
+        # A later incarnation may have become known while this task waited.
+        if endpoint.incarnation < backend.incarnation:
+            self.discard(opened)
+            return _describe_restart(endpoint)
         return opened
 
     def _get_connections(self, endpoint: Endpoint) -> _BackendConnections:
@@ -277,6 +282,10 @@
     return False
 
 
+def _describe_restart(endpoint: Endpoint) -> outcomes.NotRun:
+    return _describe_failure(endpoint, "it has restarted since")
+
+
 def _describe_failure(endpoint: Endpoint, detail: str) -> outcomes.NotRun:
     return outcomes.NotRun(
         outcomes.Reason.CONNECT_FAILED,
