Tell a job's attempts apart from those of a deleted job of its name

A job that was deleted and created again under its name numbered its attempts from 1 again, so that an attempt of the former job had the id of one of the later job. The success of the former attempt then ended the later job's task, and the order to stop or forget the one met the other.

Cause: the id names job, task and attempt, and nothing told jobs of one name apart. An attempt's number is now the version of the job on which it was placed: versions rise over deletions, and each placement commits a new one. Jobs that are under way go on with higher numbers.

--- a/bambookeel/fleet/jobs.py
+++ b/bambookeel/fleet/jobs.py
@@ -68,7 +68,9 @@
     Attributes:
         index: Number of the task within the job, from 0.
         state: State of the task.
-        attempt: Number of the latest attempt, from 1; 0 before the first.
+        attempt: Version of the job's resource on which the latest attempt was
+            placed, so that attempts are told apart from those of an earlier job
+            of the same name; 0 before the first.
         worker: The worker of the latest attempt.
         incarnation: Incarnation of that worker when the attempt was placed.
         started_ms: Wall time at which the latest attempt was placed.
--- a/bambookeel/fleet/placement.py
+++ b/bambookeel/fleet/placement.py
@@ -316,7 +316,8 @@
         started = dataclasses.replace(
             task,
             state=jobs.TaskState.RUNNING,
-            attempt=task.attempt + 1,
+            # A later job of the same name has a higher version.
+            attempt=int(job.version),
             worker=worker.instance.name,
             incarnation=worker.instance.incarnation,
             started_ms=self._view.wall_ms,
