Count a deleted instance's tasks until its lease has ended

When an operator deleted an instance on which a task ran, the task was started on another worker at once, and ran twice until the first worker was stopped or its lease ended.

Cause: an attempt on a worker that is not in the state counted as lost, although the worker holds a lease. It is lost now when that lease has expired, as for a failed worker; the view therefore names the lease ends of all workers with active attempts.

--- a/bambookeel/control/fleet_view.py
+++ b/bambookeel/control/fleet_view.py
@@ -6,6 +6,7 @@
 as long as an earlier leader may have granted it.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import typing
 
@@ -119,9 +120,11 @@
             current_records[kind][name] = known
         self._known_records = current_records
         tuning = _read_tuning(by_key)
-        leases = self._build_leases(
-            current_records[resources.Kind.INSTANCE], tuning.worker_lease_ms
-        )
+        names = set(current_records[resources.Kind.INSTANCE])
+        # A deleted instance may run tasks until its lease ends.
+        for job in current_records[resources.Kind.JOB].values():
+            names.update(jobs.list_active_workers(job))
+        leases = self._build_leases(names, tuning.worker_lease_ms)
         return records.FleetView(
             now_ms=now_ms,
             wall_ms=wall_ms,
@@ -137,7 +140,7 @@
         )
 
     def _build_leases(
-        self, instances: Mapping[str, records.Instance], lease_ms: int
+        self, names: Iterable[str], lease_ms: int
     ) -> dict[str, int]:
         """Returns the latest possible end of each instance's lease."""
         first_report_ms = self._first_report_ms or 0
@@ -146,7 +149,7 @@
                 self._lease_until_ms.get(name, 0),
                 first_report_ms + lease_ms + _LEASE_MARGIN_MS,
             )
-            for name in instances
+            for name in names
         }
 
 
--- a/bambookeel/fleet/jobs.py
+++ b/bambookeel/fleet/jobs.py
@@ -236,3 +236,15 @@
     tasks = list(job.tasks)
     tasks[task.index] = task
     return dataclasses.replace(job, tasks=tuple(tasks))
+
+
+def list_active_workers(job: Job) -> list[str]:
+    """Lists the workers on which attempts of a job may run.
+
+    Args:
+        job: The job.
+
+    Returns:
+        The worker of each active attempt.
+    """
+    return [task.worker for task in job.tasks if task.state in ACTIVE_STATES]
--- a/bambookeel/fleet/task_steps.py
+++ b/bambookeel/fleet/task_steps.py
@@ -54,11 +54,13 @@
         task: A task with an active attempt.
 
     Returns:
-        Whether the worker has a later incarnation, has failed and its lease
-        has expired, or is no longer in the state.
+        Whether the worker has a later incarnation, or has failed or is no
+        longer in the state and its lease has expired.
     """
     instance = view.instances.get(task.worker)
-    if instance is None or has_worker_restarted(view, instance, task):
+    if instance is None:
+        return observe.has_lease_expired(view, task.worker)
+    if has_worker_restarted(view, instance, task):
         return True
     if records.find_fresh_report(view, instance) is not None:
         return False
