Drain a restarted instance that serves its former pool before it is assigned

An instance that failed on its way to another pool, or that was replaced while it had failed, and restarted in its old pool, counted for a pool that it did not serve: in the first case it was "serving" in the new pool for good, with no order to assign it; in the second it was assigned while it served the old one. So it was in two pools.

Cause: what the former incarnation had shown (confirmed empty, lease ended) was taken for the next one, which serves the pool of the platform's last assignment. An instance now serves only in the pool that it reports; one that reports another pool and isn't confirmed empty is drained before it is assigned.

--- a/bambookeel/fleet/moves.py
+++ b/bambookeel/fleet/moves.py
@@ -110,7 +110,8 @@
     for instance in plan.list_members(""):
         if plan.has_change(instance.name) or instance.state is not _State.EMPTY:
             continue
-        if records.find_fresh_report(plan.view, instance) is None:
+        report = records.find_fresh_report(plan.view, instance)
+        if report is None or observe.may_serve_other_pool(instance, report):
             continue
         target = _choose_target(plan, instance, projected)
         if not target:
--- a/bambookeel/fleet/observe.py
+++ b/bambookeel/fleet/observe.py
@@ -61,6 +61,26 @@
     return report.healthy and report.phase is records.Phase.SERVING
 
 
+def may_serve_other_pool(
+    instance: records.Instance, report: records.Report
+) -> bool:
+    """Returns whether an instance may work for a pool other than its own.
+
+    A restarted instance serves the pool that the platform last assigned it to,
+    also if an earlier incarnation had been confirmed empty.
+
+    Args:
+        instance: The instance.
+        report: A fresh report of it.
+
+    Returns:
+        Whether it reports another pool and is not confirmed empty.
+    """
+    if report.pool in ("", instance.spec.pool):
+        return False
+    return report.phase is not records.Phase.DRAINED or report.running > 0
+
+
 def _observe_serving(
     plan: draft.Draft,
     instance: records.Instance,
@@ -114,10 +134,11 @@
         assert report is not None
         if instance.state is _State.FAILED and not _is_fenced(instance, report):
             return
+        is_member = instance.spec.pool and report.pool == instance.spec.pool
         plan.change(
             instance,
             "proved healthy",
-            state=_State.SERVING if instance.spec.pool else _State.EMPTY,
+            state=_State.SERVING if is_member else _State.EMPTY,
             incarnation=report.incarnation,
             wave="",
             # A new instance counts as maintained when it first proves healthy.
--- a/bambookeel/fleet/orders.py
+++ b/bambookeel/fleet/orders.py
@@ -7,11 +7,21 @@
 
 from bambookeel.core import resources
 from bambookeel.fleet import changes
+from bambookeel.fleet import observe
 from bambookeel.fleet import records
 
 _State = resources.InstanceState
 
 
+def _find_joining_order(
+    instance: records.Instance, report: records.Report | None
+) -> changes.OrderKind | None:
+    """Returns the order that an empty instance needs to join its pool."""
+    if report and observe.may_serve_other_pool(instance, report):
+        return changes.OrderKind.DRAIN
+    return changes.OrderKind.ASSIGN if instance.spec.pool else None
+
+
 def _find_order_kind(
     instance: records.Instance, report: records.Report | None
 ) -> changes.OrderKind | None:
@@ -28,8 +38,8 @@
             # A later incarnation means that the reboot has happened.
             if report is None or report.incarnation <= instance.incarnation:
                 return changes.OrderKind.REBOOT
-        case _State.EMPTY if instance.spec.pool and not instance.wave:
-            return changes.OrderKind.ASSIGN
+        case _State.EMPTY if not instance.wave:
+            return _find_joining_order(instance, report)
         case _State.FAILED if report is not None:
             if report.sequence < instance.version:
                 return changes.OrderKind.RESUME
