Ignore replies to heartbeats that an entry sent before its restart

An entry that restarted took the leader's reply to a heartbeat of its former incarnation for one to its own: it counted its view as confirmed, and its dispatcher was told that the former incarnation's dispatch lease was renewed. With that lease it would grant under the former epoch, without the former incarnation's grants and idempotency records.

Cause: heartbeats were numbered from 1 after each start, and the leader answers from a mailbox over the peer's present link, which may be that of the next incarnation (a leader that was frozen, or busy, while the entry restarted). The numbers now begin at a random one of 48 bits, as the reads of control replicas begin at a base of their start.

Not shown: a run of real processes in which the reply arrives that way.

--- a/bambookeel/entry/follower_task.py
+++ b/bambookeel/entry/follower_task.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import secrets
 
 import gevent
 
@@ -28,6 +29,8 @@
 SendMessage = Callable[[ids.ProcessId, messages.Message], bool]
 # Unanswered heartbeats that are remembered; beyond this the oldest is dropped.
 _MAX_PENDING = 64
+# The number of the first heartbeat is random and below 2 to this power.
+_NONCE_BASE_BITS = 48
 # Every n-th heartbeat goes to all control processes, the others to the leader.
 _ALL_CONTROL_EVERY = 4
 # After more heartbeat periods than this without a reply from the leader,
@@ -68,7 +71,8 @@
             leases.freshness_ms, self._stored_version
         )
         self._subscription = subscription.Subscription(self.view)
-        self._nonce = 0
+        # A reply to a heartbeat from before a restart must match none of these.
+        self._nonce = secrets.randbits(_NONCE_BASE_BITS)
         self._pending: dict[int, _PendingHeartbeat] = {}
         self._stopping = False
         # The process that last replied as the leader, and when it did.
--- a/features/followers/restart.feature
+++ b/features/followers/restart.feature
@@ -26,3 +26,11 @@
     Given an entry with a data folder that follows control-0
     When its version file is corrupted and the entry restarts
     Then the start fails with an error that names the file
+
+  Scenario: A reply to a heartbeat from before the restart renews nothing
+    Given an entry with a data folder that follows control-0
+    When control-0 sends the state of version 4
+    And the entry sends 3 heartbeats, restarts and sends 3 again
+    And control-0 answers the heartbeats from before the restart with a lease
+    Then the entry is not fresh
+    And its dispatcher has heard of no renewed lease
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -156,3 +156,41 @@
 @then("the start fails with an error that names the file")
 def check_failed_start(context):
     assert "applied-version.json" in context.error, context.error
+
+
+def _send_heartbeats(context, number):
+    for _ in range(number):
+        _handle(context, events.Tick())
+    return [m for m in context.sent if isinstance(m, messages.EntryHeartbeat)]
+
+
+@when(
+    "the entry sends {number:d} heartbeats, restarts and sends {again:d} again"
+)
+def restart_between_heartbeats(context, number, again):
+    context.earlier = _send_heartbeats(context, number)
+    assert len(context.earlier) == number
+    _start_entry(context)
+    _send_state(context, 4)
+    assert len(_send_heartbeats(context, again)) == again
+    while context.dispatcher.get_depth():
+        context.dispatcher.get()
+
+
+@when("control-0 answers the heartbeats from before the restart with a lease")
+def answer_earlier_heartbeats(context):
+    lease = messages.HeldLease(ids.ServiceName("orders"), ids.Epoch(1), False)
+    for heartbeat in context.earlier:
+        reply = messages.EntryHeartbeatReply(
+            heartbeat.nonce, True, _CONTROL, 4, 1_000, (lease,)
+        )
+        _handle(context, events.FromPeer(_CONTROL, reply))
+
+
+@then("its dispatcher has heard of no renewed lease")
+def check_no_lease(context):
+    heard = []
+    while context.dispatcher.get_depth():
+        heard.append(context.dispatcher.get())
+    renewed = [e for e in heard if isinstance(e, events.LeaseRenewed)]
+    assert not renewed, renewed
