Name the backend's incarnation in each request

A backend server that had restarted at its old address took a request whose slot was granted to its former incarnation, before the entry or the dispatcher knew of the restart. It ran once, but in no slot that the dispatcher counts: the restarted server got more requests than its slots.

Cause: nothing in a request told the server's incarnations apart. The entry now sends X-Backend-Incarnation, and a server refuses one that isn't its own by the usual "not run", after which the entry asks for another slot. A caller's field of that name isn't passed on. Servers that don't look at it work as before.

"Header fields keep their order and duplicates" lists the fields that a server gets, and failed with the new one; its table now has the new field with its value, and the request a forged one, so it checks more than before.

--- a/bambookeel/net/backend_client.py
+++ b/bambookeel/net/backend_client.py
@@ -49,13 +49,16 @@
 
 
 def render_head(
-    request: BackendRequest, address: str, remaining_ms: int
+    request: BackendRequest,
+    endpoint: connection_pool.Endpoint,
+    remaining_ms: int,
 ) -> bytes:
     """Renders the head of a request.
 
     Args:
         request: The request.
-        address: Address of the backend server, for the Host field.
+        endpoint: The backend server. X-Backend-Incarnation lets one that has
+            restarted refuse a request for an earlier incarnation.
         remaining_ms: Time until the request's deadline, for X-Deadline-Ms.
 
     Returns:
@@ -63,10 +66,11 @@
     """
     lines = [
         f"{request.method} {request.target} HTTP/1.1",
-        f"Host: {address}",
+        f"Host: {endpoint.address}",
         f"X-Request-Id: {request.request_id}",
         f"Content-Length: {len(request.body)}",
         f"X-Deadline-Ms: {remaining_ms}",
+        f"X-Backend-Incarnation: {endpoint.incarnation}",
     ]
     for name, value in request.headers:
         lines.append(f"{name}: {value}")
@@ -136,7 +140,7 @@
         or the backend server did not run the request; otherwise `Unknown`.
     """
     remaining_ms = max(1, deadline_ms - clock.read_now_ms())
-    head = render_head(request, connection.endpoint.address, remaining_ms)
+    head = render_head(request, connection.endpoint, remaining_ms)
     parts = [head, request.body]
     if len(request.body) <= _MAX_JOINED_BYTES:
         parts = [head + request.body]
--- a/bambookeel/net/headers.py
+++ b/bambookeel/net/headers.py
@@ -32,6 +32,7 @@
         "x-request-id",
         "x-team",
         "x-deadline-ms",
+        "x-backend-incarnation",
     )
 )
 
--- a/features/requests/requests.feature
+++ b/features/requests/requests.feature
@@ -128,14 +128,16 @@
       | TE            | trailers             |
       | X-Team        | forged               |
       | X-Request-Id  | forged               |
+      | X-Backend-Incarnation | forged |
       | X-Name        | caf\xe9              |
     Then the backend server got exactly the header fields
-      | name    | value   |
-      | X-Trace | one     |
-      | Cookie  | a=1     |
-      | X-Trace | two     |
-      | X-Name  | caf\xe9 |
-      | X-Team  | coach   |
+      | name                  | value   |
+      | X-Backend-Incarnation | 1       |
+      | X-Trace               | one     |
+      | Cookie                | a=1     |
+      | X-Trace               | two     |
+      | X-Name                | caf\xe9 |
+      | X-Team                | coach   |
 
   Scenario Outline: Targets are passed on unchanged: <sent>
     When a request is sent to "<sent>"
