--- a/bambookeel/jobs/steering.py
+++ b/bambookeel/jobs/steering.py
@@ -193,11 +193,7 @@
             if worker is not None and worker.is_settling:
                 continue
             is_spare = goal.from_pool == book.configuration.find_spare_pool()
-            if (
-                worker is None
-                and not is_spare
-                and now_ms < self._earlier_orders_until_ms
-            ):
+            if worker is None and not is_spare and may_overlap:
                 # This leader does not know yet what runs on the instance.
                 continue
             if worker is not None and not self._may_order(
