--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -14,11 +14,10 @@
 import sys
 import time
 
-import geventhttpclient
-from geventhttpclient import response as http_response
-
 from features.fakes import platform_advisor
+from features.fakes import platform_calls
 from features.fakes import platform_document
+from features.fakes import platform_worker
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _FRONT, _READY, _CONTROL, PEER = range(4)
@@ -29,24 +28,6 @@
 CATCH_UP_S = 4
 
 
-def request(address, method, path, body=None, headers=None, timeout_s=5.0):
-    """Sends a request; returns status, headers and body, or None on failure."""
-    host, port = address
-    client = geventhttpclient.HTTPClient(
-        host, port, connection_timeout=timeout_s, network_timeout=timeout_s
-    )
-    data = body if isinstance(body, bytes) else b""
-    if body is not None and not isinstance(body, bytes):
-        data = json.dumps(body).encode()
-    try:
-        answer = client.request(method, path, data, headers or {})
-        return answer.status_code, dict(answer.headers), bytes(answer.read())
-    except (OSError, http_response.HTTPParseError):
-        return None
-    finally:
-        client.close()
-
-
 class Node:
     """A node that runs as a process."""
 
@@ -66,6 +47,11 @@
         """Returns the host and port of one of its sockets."""
         return self.ip, self._site.base_port + kind
 
+    @property
+    def control_address(self):
+        """Host and port for workers and operators."""
+        return self.get_address(_CONTROL)
+
     def build_settings(self):
         """Builds the content of its settings file."""
         base = self._site.base_port
@@ -146,136 +132,11 @@
             self.process.wait()
 
 
-class FakeWorker:
-    """A simulated worker that sends heartbeats, one call at a time."""
-
-    def __init__(self, site, name, run_s=0.15):
-        self._site = site
-        self.name = name
-        self._run_s = run_s
-        self._born = int(time.time() * 1000)
-        self._sequence_number = 0
-        self._last_node = 0
-        self.running = {}
-        self._finished = []
-        self._last_end_number = 0
-        self._address = None
-        self._lease_until = 0.0
-        self._next_report = 0.0
-        self._fencing_token = 0
-        self._highest_runs = {}
-
-    def step(self):
-        """Ends runs that are done or without a lease, and reports when due."""
-        now = time.monotonic()
-        if now >= self._lease_until:
-            self._lose_ends()
-        for task, (run, ends) in list(self.running.items()):
-            if now >= ends:
-                self._end(task, run, "done")
-            elif now >= self._lease_until:
-                self._end(task, run, "lapsed")
-        if now >= self._next_report:
-            self._report(now)
-
-    def holds(self, task):
-        """Returns whether a task runs here under a valid lease."""
-        return task in self.running and time.monotonic() < self._lease_until
-
-    def restart(self):
-        """Simulates a crash and a restart with the same id and no runs."""
-        self._lose_ends()
-        self._born = max(self._born + 1, int(time.time() * 1000))
-        self._sequence_number = 0
-        self.running = {}
-        self._finished = []
-        self._last_end_number = 0
-        self._lease_until = 0.0
-        self._fencing_token = 0
-        self._highest_runs = {}
-
-    def _lose_ends(self):
-        """Notes unacknowledged ends, whose tasks may run again."""
-        for _, task, run, _, _ in self._finished:
-            self._site.lost_ends.add((task, run))
-
-    def _end(self, task, run, how):
-        del self.running[task]
-        self._last_end_number += 1
-        self._highest_runs[task] = max(run, self._highest_runs.get(task, 0))
-        self._finished.append([self._last_end_number, task, run, how, ""])
-        self._site.ends.append((task, run, how))
-        self._next_report = min(self._next_report, time.monotonic() + 0.05)
-
-    def _report(self, now):
-        self._sequence_number += 1
-        body = {
-            "service": "pack",
-            "address": f"127.0.0.1:{self.name}",
-            "zone": "north",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0},
-            "labels": ["a", "r1"],
-            "clock_ms": int(now * 1000),
-            "seq_no": self._sequence_number,
-            "born": self._born,
-            "machine": f"m-{self.name}",
-            "running": [
-                [t, r, "", 100, 0] for t, (r, _) in self.running.items()
-            ],
-            "finished": self._finished,
-        }
-        address = self._address
-        if address is None:
-            self._last_node += 1
-            nodes = self._site.nodes
-            address = nodes[self._last_node % len(nodes)].get_address(_CONTROL)
-        path = f"/v1/instances/{self.name}/heartbeat"
-        answer = request(address, "POST", path, body, timeout_s=1.0)
-        if self._born != body["born"]:
-            # The connection has ended with the worker that sent the report.
-            return
-        self._next_report = time.monotonic() + 0.1
-        if answer is None or answer[0] != 200:
-            self._address = None
-            return
-        self._apply_orders(json.loads(answer[2]), now)
-
-    def _apply_orders(self, orders, sent_at):
-        if orders.get("fencing_token", 0) < self._fencing_token:
-            return
-        self._fencing_token = orders.get("fencing_token", 0)
-        if "heartbeat_addr" in orders:
-            host, _, port = orders["heartbeat_addr"].rpartition(":")
-            self._address = (host, int(port))
-        self._finished = [
-            end for end in self._finished if end[0] > orders.get("acked_seq", 0)
-        ]
-        if "hold_ms" not in orders:
-            return
-        self._lease_until = max(
-            self._lease_until, sent_at + orders["hold_ms"] / 1000.0
-        )
-        for task, run in orders.get("stop_tasks", ()):
-            if task in self.running and self.running[task][0] == run:
-                self._end(task, run, "stopped")
-        for task, run, _spec, _saved, *ticket in orders.get("start_tasks", ()):
-            if task in self.running or run <= self._highest_runs.get(task, 0):
-                continue
-            if not self._site.is_allowed(ticket, task, self.name):
-                self._site.refused.append((task, run, self.name))
-                continue
-            self._site.record_start(task, run, self.name)
-            self.running[task] = (run, time.monotonic() + self._run_s)
-
-
 class Site:
     """The nodes and workers of a site, and a record of all runs."""
 
     node_class = Node
+    worker_class = platform_worker.FakeWorker
 
     def __init__(self, folder, base_port, net, nodes=4, workers=3):
         self.folder = pathlib.Path(folder)
@@ -285,7 +146,9 @@
         self.nodes = []
         for i in range(nodes):
             self.nodes.append(self.node_class(self, i, has_disk=i < 3))
-        self.workers = [FakeWorker(self, str(9000 + i)) for i in range(workers)]
+        self.workers = [
+            self.worker_class(self, str(9000 + i)) for i in range(workers)
+        ]
         self.starts = []
         self.ends = []
         self.lost_ends = set()
@@ -350,7 +213,9 @@
         for node in self.nodes:
             if node.process.poll() is not None:
                 continue
-            answer = request(node.get_address(_READY), "GET", "/v1/readyz")
+            answer = platform_calls.request(
+                node.get_address(_READY), "GET", "/v1/readyz"
+            )
             if answer is None or answer[0] != 200:
                 return False
         return True
@@ -365,12 +230,12 @@
             "Deadline-Ms": "3000",
         }
         address = self.nodes[number].get_address(_FRONT)
-        return request(address, method, path, body, headers)
+        return platform_calls.request(address, method, path, body, headers)
 
     def call_control(self, number, method, path, body=None):
         """Sends a request to a node as workers and operators do."""
         address = self.nodes[number].get_address(_CONTROL)
-        return request(address, method, path, body)
+        return platform_calls.request(address, method, path, body)
 
     def find_leader(self):
         """Finds the running node that, by the logs, led last."""
