Let workers of the node soak crash, return and be cut off in series

Half of the workers crash while an answer is under way, are back under their ids after 0.05 s to 0.8 s, obey that answer if it arrives within a second of its report, and are cut off soon after. By seed, reports of a cut are lost or arrive when it heals (--late_reports). Some jobs have long tasks.

The settling phase now reads the state of every open job, not only up to the first one that has not ended; otherwise the checks judged old states.

--- a/dev/node_soak_load.py
+++ b/dev/node_soak_load.py
@@ -14,13 +14,16 @@
 import gevent
 
 from dev import node_soak_site
+from dev import node_soak_worker
 from features.fakes import platform_document
-from features.fakes import platform_site
 
 # Time limits of the users' platform for applying a configuration and for
 # cancelling a job.
 APPLY_S = 2.5
 CANCEL_S = 4.0
+# Share of the jobs whose tasks are long, and how long these run.
+_LONG_SHARE = 0.08
+_LONG_RUN_MS = (3_000, 12_000)
 _KEYS = ("key-of-the-team", "key-two")
 _ALLOWED_NEXT_STATES = {
     "queued": {"queued", "active", "completed", "failed", "cancelled"},
@@ -109,7 +112,7 @@
     def _add_count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
-    def _run_worker(self, worker: platform_site.FakeWorker) -> None:
+    def _run_worker(self, worker: node_soak_worker.SoakWorker) -> None:
         while True:
             worker.step()
             gevent.sleep(0.01)
@@ -281,11 +284,12 @@
         """
         generator = random.Random(self._seed)
         completed_tasks = self._list_completed_tasks()
+        are_done = True
         for job in self.jobs:
             if not job.is_accepted:
                 continue
             if not job.cancel_sent and _list_tasks(job) - completed_tasks:
-                return False
+                are_done = False
             # The second key may be withdrawn and then cannot read the state;
             # its jobs are checked by their tasks alone.
             if job.key != _KEYS[0]:
@@ -293,8 +297,8 @@
             if job.state in ("queued", "active"):
                 self._query_state(job, generator)
             if job.state in ("queued", "active"):
-                return False
-        return True
+                are_done = False
+        return are_done
 
     def _list_completed_tasks(self) -> set[str]:
         return {task for task, _, how in self.site.ends if how == "done"}
@@ -328,6 +332,12 @@
                 breaches.append(f"{missing} never ended, but were accepted")
         return breaches
 
+    def count_worker_faults(self) -> None:
+        """Adds the workers' counts of lives, answers and reports."""
+        for worker in self.site.workers:
+            for name, count in worker.counts.items():
+                self.counts[name] = self.counts.get(name, 0) + count
+
 
 def _list_tasks(job: Job) -> set[str]:
     return {
@@ -338,6 +348,8 @@
 
 
 def _build_body(generator: random.Random) -> dict[str, typing.Any]:
+    if generator.random() < _LONG_SHARE:
+        return _build_long_body(generator)
     phases: list[dict[str, typing.Any]] = []
     for phase_index in range(generator.randrange(1, 4)):
         phase = {
@@ -350,3 +362,15 @@
             phase["depends_on"] = [phase_index - 1]
         phases.append(phase)
     return {"spec": "pack it", "phases": phases}
+
+
+def _build_long_body(generator: random.Random) -> dict[str, typing.Any]:
+    run_ms = generator.randrange(*_LONG_RUN_MS)
+    phase = {
+        "count": generator.randrange(1, 5),
+        "cpu": generator.choice((500, 1_000, 2_000)),
+        "mem_mb": 100,
+        "estimate_ms": run_ms,
+    }
+    spec = f"{node_soak_worker.RUN_MS_PREFIX}{run_ms}"
+    return {"spec": spec, "phases": [phase]}
--- a/dev/node_soak_site.py
+++ b/dev/node_soak_site.py
@@ -15,6 +15,7 @@
 
 import gevent
 
+from dev import node_soak_worker
 from dev import relay
 from features.fakes import platform_site
 
@@ -171,6 +172,13 @@
 
 
 class SoakSite(platform_site.Site):
-    """A site whose nodes are behind relays."""
+    """A site with nodes behind relays and workers that can be cut off."""
 
     node_class = SoakNode
+    worker_class = node_soak_worker.SoakWorker
+    workers: list[node_soak_worker.SoakWorker]
+
+    def __init__(self, *arguments: typing.Any) -> None:
+        super().__init__(*arguments)
+        # Number of injected crashes under each task.
+        self.crashes_by_task: dict[str, int] = {}
--- a/dev/run_node_soak.py
+++ b/dev/run_node_soak.py
@@ -26,6 +26,7 @@
 
 from dev import node_soak_load  # noqa: E402
 from dev import node_soak_site  # noqa: E402
+from dev import node_soak_worker  # noqa: E402
 from dev import relay  # noqa: E402
 
 _SEED = flags.DEFINE_integer("seed", 1, "First seed of faults and load.")
@@ -34,6 +35,17 @@
 _BASE_PORT = flags.DEFINE_integer("base_port", 27_000, "First port.")
 _NODES = flags.DEFINE_integer("nodes", 5, "Nodes, of which three have a disk.")
 _WORKERS = flags.DEFINE_integer("workers", 5, "Workers.")
+_FORMER_ANSWERS = flags.DEFINE_bool(
+    "former_answers",
+    True,
+    "Whether workers obey answers that were meant for their former life.",
+)
+_LATE_REPORTS = flags.DEFINE_enum(
+    "late_reports",
+    "seeded",
+    ("seeded", "always", "never"),
+    "Whether reports of a worker that is cut off arrive when the cut heals.",
+)
 _FOLDER = flags.DEFINE_string("folder", "run-output", "Settings and logs.")
 
 # Time after the last fault within which all accepted jobs must end.
@@ -129,6 +141,17 @@
 )
 
 
+def _draw_crash(generator: random.Random) -> node_soak_worker.Crash:
+    down_s = generator.uniform(0.05, 0.8)
+    return node_soak_worker.Crash(
+        wait_s=generator.uniform(0.2, 1.5),
+        down_s=down_s,
+        answer_s=generator.uniform(down_s, node_soak_worker.ANSWER_TIMEOUT_S),
+        cut_after_s=generator.uniform(0.02, 1.5),
+        cut_s=generator.uniform(1.5, 6.0),
+    )
+
+
 class Soak:
     """The run of one seed."""
 
@@ -144,6 +167,13 @@
         self._load = node_soak_load.SoakLoad(self._site, seed)
         self._current_faults: dict[int, str] = {}
         self._last_wipe_s = time.monotonic()
+        self._crash_generator = random.Random(seed + 2)
+        delivers_late = self._crash_generator.random() < 0.5
+        if _LATE_REPORTS.value != "seeded":
+            delivers_late = _LATE_REPORTS.value == "always"
+        for worker in self._site.workers:
+            worker.delivers_late = delivers_late
+            worker.takes_former_answers = _FORMER_ANSWERS.value
 
     def run(self) -> list[str]:
         """Runs the nodes under load and faults, and checks the promises.
@@ -160,6 +190,7 @@
             self._load.stop_requests()
             self._wait_until(self._load.are_jobs_done, _SETTLE_S)
             breaches = self._load.find_breaches()
+            self._load.count_worker_faults()
             for node in site.nodes:
                 if node.has_ended():
                     breaches.append(f"node {node.number} has ended by itself")
@@ -183,12 +214,42 @@
     def _inject_faults(self) -> None:
         started_s = time.monotonic()
         tasks = []
+        generator = self._crash_generator
+        half = (len(self._site.workers) + 1) // 2
+        for worker in generator.sample(self._site.workers, half):
+            worker_generator = random.Random(generator.random())
+            tasks.append(
+                gevent.spawn(
+                    self._crash_in_series, worker, worker_generator, started_s
+                )
+            )
         while time.monotonic() - started_s < _SECONDS.value:
             at_s = time.monotonic() - started_s
             tasks.append(gevent.spawn(self._draw_fault(at_s)))
             gevent.sleep(self._generator.uniform(0.1, 2.0))
         gevent.joinall(tasks)
 
+    def _crash_in_series(
+        self,
+        worker: node_soak_worker.SoakWorker,
+        generator: random.Random,
+        started_s: float,
+    ) -> None:
+        """Crashes a worker and cuts it off, again and again.
+
+        Args:
+            worker: The worker.
+            generator: Draws the times.
+            started_s: When faults began, in seconds of the monotonic clock.
+        """
+        while True:
+            gevent.sleep(generator.uniform(0.2, 3.0))
+            at_s = time.monotonic() - started_s
+            if at_s >= _SECONDS.value:
+                return
+            _print_fault(at_s, "worker crashes and is cut off", worker.name)
+            worker.run_crash(_draw_crash(generator))
+
     def _draw_fault(self, at_s: float) -> Callable[[], None]:
         """Draws the next fault and prints it.
 
