Conclude nothing from the address of a worker on another instance

Two runs at once, over processes and in simulation: a worker whose machine's clock was 3 s ahead had ended, and another one had come up at its address. After a change of leader the one that ran was refused instead, until its runs lapsed.

That two workers have the same address shows that one of them has ended. Their starts are measured by the clocks of two machines and do not show which. Where both instances are known and differ, the runs of each end with its own lease; workers without an instance are compared as before.

jobs/replaced_workers: the example with a clock ahead failed before. The scenario of jobs/crashes on a known worker that takes over an address asserted the same conclusion for two known instances, which was wrong; it now asserts it where it still holds, for a worker whose instance is unknown.

--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -235,8 +235,8 @@
             report: Report of a worker.
 
         Returns:
-            Another life of the same worker, and workers with the same instance
-            or address.
+            Another life of the same worker, and workers with the same instance,
+            or with the same address if an instance is unknown.
         """
         rivals = self._find_conflicting(report)
         known = self.by_id.get(report.life.worker)
@@ -251,12 +251,13 @@
             report: Report of a worker.
 
         Returns:
-            Workers with the same instance or address.
+            Workers with the same instance, or with the same address if an
+            instance is unknown.
         """
         found = []
         for other in (
             self.find_by_instance(report.instance),
-            self._find_by_address(report.address),
+            self._find_by_address(report),
         ):
             if other is None or other in found:
                 continue
@@ -264,9 +265,12 @@
                 found.append(other)
         return found
 
-    def _find_by_address(self, address: str) -> Worker | None:
-        found = self.by_id.get(self._by_address.get(address, ""))
-        if found is None or found.report.address != address:
+    def _find_by_address(self, report: calls.WorkerReport) -> Worker | None:
+        found = self.by_id.get(self._by_address.get(report.address, ""))
+        if found is None or found.report.address != report.address:
+            return None
+        if found.report.instance and report.instance:
+            # The clocks of two instances do not show which one is later.
             return None
         return found
 
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -197,7 +197,7 @@
   Scenario: A known worker that takes over an address ends the worker that had it
     When job "a" of 1 step of 3 tasks of 9000 ms is submitted
     And the simulation runs for 500 ms
-    And worker "w1" reports the address of worker "w0"
+    And worker "w1", whose instance is unknown, reports the address of worker "w0"
     Then no runs are assigned to worker "w0"
 
   Scenario: Logs and snapshots of earlier versions are read
--- a/features/jobs/replaced_workers.feature
+++ b/features/jobs/replaced_workers.feature
@@ -17,6 +17,23 @@
       | an address  |
       | an instance |
 
+  # The wall clock of the other instance was ahead, so that the one that had
+  # ended seemed to be the later one.
+  Scenario Outline: A delayed report from a reused address does not end its present worker
+    Given a worker "w9" at the address of worker "w0", whose clock is ahead by <ahead> ms, has ended
+    When job "a" of 1 step of 56 tasks of 60000 ms is submitted
+    And 1 workers are added
+    And the simulation runs for 1000 ms
+    And the delayed report of the ended worker arrives
+    And the simulation runs for 6000 ms
+    Then no guarantee was violated
+    And worker "w0" has not been refused
+
+    Examples:
+      | ahead |
+      | 0     |
+      | 3000  |
+
   # The upkeep of the instance that a former life had ended the present one.
   Scenario: The upkeep of a former instance does not end the worker that has left it
     When worker "w0" starts again at an instance of its own
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -169,12 +169,15 @@
     assert given_up["task"] == "0.0.0", given_up
 
 
-@when('worker "{name}" reports the address of worker "{other}"')
+@when(
+    'worker "{name}", whose instance is unknown, reports the address of worker'
+    ' "{other}"'
+)
 def take_over_address(context, name, other):
     simulation = context.sim
     assert simulation.workers[other].running, simulation.workers[other]
     report = simulation.workers[name].make_report(simulation.now_ms)
-    taken = msgspec.structs.replace(report, address=f"{other}:1")
+    taken = msgspec.structs.replace(report, address=f"{other}:1", instance="")
     simulation.scheduler.handle(taken, simulation.read_now())
 
 
--- a/features/steps/replaced_worker_steps.py
+++ b/features/steps/replaced_worker_steps.py
@@ -1,5 +1,7 @@
 """Steps for workers at an address or on an instance that others have left."""
 
+from behave import given
+from behave import then
 from behave import when
 import msgspec
 
@@ -38,6 +40,42 @@
     _set_place(simulation.workers[name], place, former)
 
 
+@given(
+    'a worker "{name}" at the address of worker "{other}", whose clock is ahead'
+    " by {ahead_ms:d} ms, has ended"
+)
+def end_worker_at_address(context, name, other, ahead_ms):
+    simulation = context.sim
+    simulation.add_worker(name, "pack")
+    ended = simulation.workers.pop(name)
+    _set_place(ended, "an address", other)
+    ended.born_wall_ms += ahead_ms
+    simulation.advance(500)
+    simulation.crash(simulation.workers[other])
+    simulation.restart(simulation.workers[other])
+    context.delayed_report = ended.make_report(simulation.now_ms)
+    context.refused = []
+    call = simulation.call
+
+    def call_and_note(request):
+        answer = call(request)
+        if isinstance(answer, calls.BadRequest):
+            context.refused.append((request.life.worker, answer.reason))
+        return answer
+
+    simulation.call = call_and_note
+
+
+@when("the delayed report of the ended worker arrives")
+def deliver_ended_report(context):
+    context.sim.call(context.delayed_report)
+
+
+@then('worker "{name}" has not been refused')
+def check_not_refused(context, name):
+    assert name not in dict(context.refused), context.refused
+
+
 @when('the upkeep of instance "{instance}" is ordered and carried out')
 def carry_out_upkeep(context, instance):
     simulation = context.sim
