Let a worker settle also if its former life was settling

An acknowledgement for a worker's first life reached its third one, which forgot an end: the second life had reported once, and its own last answer acknowledged nothing, so that the third one got runs at once.

--- a/bambookeel/jobs/losses.py
+++ b/bambookeel/jobs/losses.py
@@ -108,7 +108,7 @@
         False if the worker has another id, or if no answer that acknowledges
         ends of the former one can be on its way.
     """
-    if not other.acknowledges:
+    if not (other.acknowledges or other.is_settling):
         return False
     answers_until_ms = worker_table.compute_answers_end(other.last_report_ms)
     is_same = other.incarnation.worker == worker.incarnation.worker
--- a/features/jobs/former_lives.feature
+++ b/features/jobs/former_lives.feature
@@ -60,6 +60,14 @@
     Then no guarantee was violated
     And job "b" is "completed"
 
+  Scenario: An acknowledgement forgets no end of the life after the next one
+    When a worker that has ended a run restarts before its end is acknowledged
+    And the next life restarts after its first report
+    And a task of 100 ms waits for the next life until the acknowledgement arrives
+    And the simulation runs for 9000 ms
+    Then no guarantee was violated
+    And job "b" is "completed"
+
   # The proof may not cost more than the time in which an answer is obeyed.
   Scenario Outline: A run whose order was lost with its worker starts again soon
     When <kind> is assigned, and its worker restarts before the order arrives
