Keep copies in doubt like other runs

A worker was given more than its capacity: the order for a run whose task may run twice was on its way to its former life, and it had been filled with other work. Only the rule against two runs at once excepts such tasks, not those on capacity, caps and spreading.

--- a/bambookeel/jobs/former_lives.py
+++ b/bambookeel/jobs/former_lives.py
@@ -31,14 +31,10 @@
 
     Returns:
         Task and number of each run. A run that a report has listed is not among
-        them, since the answer that may be on its way is to a later report, nor
-        one whose task may run twice.
+        them, since the answer that may be on its way is to a later report.
     """
     found = set()
     for run in term.book.assigned_runs.get(life, {}).values():
-        step = term.book.get_step(run.task)
-        if step is not None and step.spec.allows_copies:
-            continue
         if worker is None or delivery.may_be_on_way(term, worker, run):
             found.add((run.task, run.run))
     return frozenset(found)
--- a/features/jobs/former_lives.feature
+++ b/features/jobs/former_lives.feature
@@ -68,6 +68,12 @@
     Then no guarantee was violated
     And job "b" is "completed"
 
+  # A copy may run beside another run, but the next life has to have room for it.
+  Scenario: The next life is not filled while the order for a copy may arrive
+    When a task that allows copies is assigned, and its worker restarts before the order arrives
+    And the next life might be filled by another job before the order arrives
+    Then no guarantee was violated
+
   # The proof may not cost more than the time in which an answer is obeyed.
   Scenario Outline: A run whose order was lost with its worker starts again soon
     When <kind> is assigned, and its worker restarts before the order arrives
--- a/features/steps/former_life_steps.py
+++ b/features/steps/former_life_steps.py
@@ -190,3 +190,23 @@
 @then("some answers have reached a later life")
 def check_crossed(context):
     assert context.crossed
+
+
+@when("the next life might be filled by another job before the order arrives")
+def offer_other_job(context):
+    simulation = context.sim
+    for worker in simulation.workers.values():
+        if worker is not context.target:
+            worker.capacity = specs.Resources(1_500, 64_000, 0)
+            simulation.send_report(worker)
+    # The next run of the copy goes to another worker.
+    refused_on = simulation.scheduler.term.refused_on
+    refused_on[context.task] = {context.target.name}
+    step = specs.StepSpec(1, specs.Resources(16_000, 100, 0), 4_000)
+    job_steps.submit_spec(context, "b", specs.JobSpec("body", (step,)))
+    _report(context)
+    _report(context)
+    assert simulation.now_ms < context.sent_ms + 900
+    simulation.apply_orders(
+        context.target, context.delayed_answer, context.sent_ms
+    )
