Let a worker settle no longer than its lease or the longest delay of a report

The upkeep of an instance was never ordered, and kept a place of its wave: its worker had restarted with a run in doubt and fallen silent, so that it settled for ever. A clock that stands still, or that an odd report has set ahead, kept a worker from getting runs until the leader changed.

With the lease of the worker every earlier answer has expired, too. A report that is heard a minute and a second after the first one was sent a second after it, since no report is delayed for longer.

--- a/bambookeel/jobs/losses.py
+++ b/bambookeel/jobs/losses.py
@@ -205,6 +205,7 @@
             continue
         worker.running = {}
         worker.reserved = specs.Resources()
+        worker.end_settling()
         if worker.is_lease_expired:
             continue
         worker.is_lease_expired = True
--- a/bambookeel/jobs/stale_reports.py
+++ b/bambookeel/jobs/stale_reports.py
@@ -11,8 +11,7 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import workers as worker_table
 
-# A report is not delayed for longer than this.
-MAX_DELAY_MS = 60_000
+MAX_DELAY_MS = worker_table.MAX_REPORT_DELAY_MS
 # Maximum lead of a worker's wall clock over the leader's.
 _MAX_CLOCK_LEAD_MS = 60_000
 # A worker sends at most one report in each millisecond; reports that were
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -18,6 +18,8 @@
 CLOCK_DRIFT_MILLI = 20
 # Covers rounding of the leader's own clock.
 LEASE_MARGIN_MS = 50
+# A report is not delayed for longer than this.
+MAX_REPORT_DELAY_MS = 60_000
 # Time after the sending of a report within which its answer is obeyed.
 _ANSWER_LIFETIME_MS = 1_000
 
@@ -52,6 +54,8 @@
             reported.
         settled_clock_ms: Reading of its own clock at which no answer to a
             former life can be obeyed any more; 0 if none was on its way.
+        settled_ms: Steady-clock time in milliseconds at which the same holds
+            whatever its own clock shows.
     """
 
     report: calls.WorkerReport
@@ -83,11 +87,15 @@
     is_lease_expired: bool = False
     was_named: bool = False
     settled_clock_ms: int = 0
+    settled_ms: int = 0
 
     @property
     def is_settling(self) -> bool:
         """Whether answers to a former life may still have affected it."""
-        return self.report.clock_ms < self.settled_clock_ms
+        return (
+            self.report.clock_ms < self.settled_clock_ms
+            and self.last_report_ms < self.settled_ms
+        )
 
     def begin_settling(self) -> None:
         """Begins to wait until no answer to a former life can be obeyed.
@@ -95,6 +103,13 @@
         Such an answer is to a report that was sent before this life began.
         """
         self.settled_clock_ms = compute_answers_end(self.report.clock_ms)
+        self.settled_ms = compute_answers_end(
+            self.last_report_ms + MAX_REPORT_DELAY_MS
+        )
+
+    def end_settling(self) -> None:
+        """Notes that its lease, and so any earlier answer, has expired."""
+        self.settled_clock_ms = 0
 
     @property
     def incarnation(self) -> specs.WorkerIncarnation:
--- a/features/jobs/former_lives.feature
+++ b/features/jobs/former_lives.feature
@@ -74,6 +74,41 @@
     And the next life might be filled by another job before the order arrives
     Then no guarantee was violated
 
+  # A worker that fell silent held back the upkeep of its instance for good.
+  Scenario Outline: The upkeep of an instance whose worker has fallen silent is ordered
+    When a task is assigned, and its worker restarts <when> the order arrives
+    And the next life reports once and is cut off for 6000 ms
+    And the upkeep of the target's instance is due
+    Then the upkeep is ordered within 6000 ms
+
+    Examples:
+      | when   |
+      | after  |
+      | before |
+
+  # Its clock is that of another writer, or stands still.
+  Scenario: A worker whose clock does not run gets work once no report can be as late
+    When a task is assigned, and its worker restarts before the order arrives
+    And the clock of the next life stands still for 62000 ms
+    Then the next life gets runs when job "b" of 64 tasks is submitted
+
+  Scenario: A run in doubt starts again although the next life does not return
+    When a task is assigned, and its worker restarts before the order arrives
+    And the next life reports once and is cut off for 6000 ms
+    Then its task runs with a higher number
+
+  Scenario: The lease of the next life counts for the runs that it may have received
+    When a task is assigned, and its worker is back 800 ms before the order arrives
+    And the order arrives at the next life after its first report
+    And the next life is cut off after 0 ms
+    And the simulation runs for 9000 ms
+    Then no guarantee was violated
+
+  Scenario: A crash counts once although the leader changes while a run is in doubt
+    When a task is assigned, and its worker restarts before the order arrives
+    And the next life reports once, and to a new leader again
+    Then the crash has counted once
+
   # The proof may not cost more than the time in which an answer is obeyed.
   Scenario Outline: A run whose order was lost with its worker starts again soon
     When <kind> is assigned, and its worker restarts before the order arrives
--- a/features/steps/former_life_steps.py
+++ b/features/steps/former_life_steps.py
@@ -2,7 +2,10 @@
 
 from behave import then
 from behave import when
+import msgspec
 
+from bambookeel.jobs import calls
+from bambookeel.jobs import instances
 from bambookeel.jobs import specs
 from features.fakes import jobs_restarts
 from features.fakes import jobs_simulation
@@ -36,6 +39,12 @@
 
 def _restart_before_order(context, kind, duration_ms):
     late_order_steps.assign(context, kind, duration_ms)
+    _send_order(context)
+    _restart(context)
+
+
+def _send_order(context):
+    """Sends the target's report, the answer to which is on its way."""
     context.sent_ms = context.sim.now_ms
     context.delayed_answer = context.sim.call(
         context.target.make_report(context.sim.now_ms)
@@ -46,7 +55,6 @@
     for worker in context.sim.workers.values():
         if worker is not context.target:
             worker.next_report_ms = 0
-    _restart(context)
 
 
 @when("{kind} is assigned, and its worker restarts before the order arrives")
@@ -210,3 +218,92 @@
     simulation.apply_orders(
         context.target, context.delayed_answer, context.sent_ms
     )
+
+
+@when("a task is assigned, and its worker restarts after the order arrives")
+def restart_after_order(context):
+    late_order_steps.assign(context, "a task")
+    _report(context)
+    _report(context)
+    assert context.task in context.target.running
+    for worker in context.sim.workers.values():
+        if worker is not context.target:
+            worker.next_report_ms = 0
+    _restart(context)
+
+
+@when(
+    "a task is assigned, and its worker is back {down_ms:d} ms before the order"
+    " arrives"
+)
+def return_before_order(context, down_ms):
+    late_order_steps.assign(context, "a task", 30_000)
+    _send_order(context)
+    context.sim.crash(context.target)
+    context.sim.advance(down_ms)
+    _restart(context)
+
+
+@when("the next life reports once and is cut off for {span_ms:d} ms")
+def report_and_cut_off(context, span_ms):
+    _report(context)
+    context.target.is_cut_off = True
+    context.sim.advance(span_ms)
+
+
+@when("the upkeep of the target's instance is due")
+def request_upkeep(context):
+    simulation = context.sim
+    listed = tuple(
+        instances.Instance(
+            f"m-{name}", "pack", instances.InstancePhase.UP, "dc"
+        )
+        for name in simulation.workers
+    )
+    simulation.scheduler.handle_instance_list(listed, simulation.now_ms)
+    name = f"m-{context.target.name}"
+    simulation.call(calls.StartWave(1, (name,), 1_000, 1))
+
+
+@then("the upkeep is ordered within {span_ms:d} ms")
+def check_ordered(context, span_ms):
+    for _ in range(span_ms // _STEP_MS):
+        context.sim.advance(_STEP_MS)
+        if context.sim.scheduler.take_orders():
+            return
+    table = context.sim.scheduler.term.workers
+    raise AssertionError(table.by_id[context.target.name])
+
+
+@when("the clock of the next life stands still for {span_ms:d} ms")
+def stop_clock(context, span_ms):
+    make_report = context.target.make_report
+    context.target.make_report = lambda now_ms: msgspec.structs.replace(
+        make_report(now_ms), clock_ms=0
+    )
+    _report(context)
+    context.sim.advance(span_ms)
+
+
+@then(
+    'the next life gets runs when job "{job}" of {count:d} tasks is submitted'
+)
+def check_used(context, job, count):
+    job_steps.submit_spec(context, job, job_steps.build_spec(1, count))
+    context.sim.advance(500)
+    assert context.target.running, context.target
+
+
+@when("the next life reports once, and to a new leader again")
+def report_to_new_leader(context):
+    _report(context)
+    task = context.sim.scheduler.book.get_task(context.task)
+    context.counted = task.crashes
+    change_leaders(context, 1)
+    _report(context)
+
+
+@then("the crash has counted once")
+def check_counted(context):
+    task = context.sim.scheduler.book.get_task(context.task)
+    assert context.counted == task.crashes == 1, (context.counted, task)
