Count no crash against tasks of a worker that an earlier leader knew to have left

A worker that has shut down keeps its runs until its lease ends. A leader that began meanwhile, and heard the next life, took the end for a crash.

--- a/bambookeel/jobs/crashes.py
+++ b/bambookeel/jobs/crashes.py
@@ -54,6 +54,10 @@
     runs = term.book.assigned_runs.get(incarnation, {})
     if not runs:
         return ()
+    has_ended = term.book.instances.has_ended(incarnation, now.wall_ms)
+    if worker is None and has_ended:
+        # An earlier leader knew of an orderly shutdown or an order.
+        return ()
     cause = _find_other_cause(term, worker) if worker is not None else ""
     if worker is not None and cause:
         _log_other_cause(term, worker, cause)
--- a/features/jobs/shutdowns.feature
+++ b/features/jobs/shutdowns.feature
@@ -34,3 +34,13 @@
       | with a start  | 2000 |
       | without start | 0    |
       | without start | 2000 |
+
+  # The next leader took the shutdown for a crash.
+  Scenario: A worker that has shut down is no evidence against its tasks
+    When job "a" of 1 step of 1 task of 60000 ms is submitted
+    And the simulation runs for 1000 ms
+    And worker "w0" shuts down with a start, and exits 0 ms later
+    And a new leader takes over
+    And worker "w0" starts again
+    And the simulation runs for 1000 ms
+    Then there is no evidence against the tasks of the worker that has shut down
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -49,3 +49,10 @@
         for task in worker.running
     }
     assert running.issuperset(context.left_tasks), context.left_tasks
+
+
+@then("there is no evidence against the tasks of the worker that has shut down")
+def check_no_evidence(context):
+    for ref in context.left_tasks:
+        task = context.sim.scheduler.book.get_task(ref)
+        assert not task.evidence and not task.crashes, task
