--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -71,7 +71,9 @@
             case commands.AssignRuns() | commands.EndRuns():
                 self._apply_run_command(command)
             case commands.RepeatOrders() | commands.AdoptRuns():
-                run_records.apply(self.assigned_runs, self.jobs, command)
+                run_records.apply_to_orders(
+                    self.assigned_runs, self.jobs, command
+                )
             case commands.LoseRuns(incarnation, _, runs):
                 for task, run, checkpoint in runs:
                     self._lose_run(incarnation, task, run, checkpoint)
--- a/bambookeel/jobs/former_lives.py
+++ b/bambookeel/jobs/former_lives.py
@@ -4,8 +4,9 @@
 by the next life under the same id, if it arrives in time. A run whose order may
 have been in it is in doubt: it stays assigned until the present life lists it,
 or sends a report by which no such answer can be obeyed any more and which does
-not list it. The present life gets no other runs until then, since the answer
-may also acknowledge ends, by numbers that the present life uses again.
+not list it. The present life gets no other runs until then: the run may need
+the room, and the answer may acknowledge ends, by numbers that the present life
+uses again.
 """
 
 from bambookeel.jobs import commands
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -325,6 +325,8 @@
             # It may have been sent by a former life.
             return calls.Done()
         life = worker.incarnation
+    if term.book.instances.has_ended(life, now.wall_ms):
+        return calls.Done()
     if worker is not None and life == worker.incarnation:
         worker.leave()
         term.log_event("worker_left", worker=call.worker)
@@ -333,8 +335,7 @@
     elif worker is not None and now.steady_ms < worker.lease_until_ms:
         if call.born_wall_ms > worker.incarnation.born_wall_ms:
             return calls.BadRequest("an earlier life of the worker reports")
-    if not term.book.instances.has_ended(life, now.wall_ms):
-        term.decide(commands.WorkerEnded(life, now.wall_ms))
+    term.decide(commands.WorkerEnded(life, now.wall_ms))
     return calls.Done()
 
 
--- a/bambookeel/jobs/run_records.py
+++ b/bambookeel/jobs/run_records.py
@@ -85,7 +85,7 @@
         )
 
 
-def apply(
+def apply_to_orders(
     assigned_runs: dict[
         specs.WorkerIncarnation, dict[specs.TaskRef, AssignedRun]
     ],
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -204,8 +204,7 @@
     Returns:
         Steady-clock time of the leader in milliseconds.
     """
-    drift_ms = lease_ms * CLOCK_DRIFT_MILLI // 1000
-    return report_ms + lease_ms + drift_ms + LEASE_MARGIN_MS
+    return _compute_latest_end(report_ms, lease_ms)
 
 
 def compute_answers_end(report_ms: int) -> int:
@@ -218,7 +217,21 @@
     Returns:
         Time on the same clock in milliseconds.
     """
-    return compute_lease_end(report_ms, _ANSWER_LIFETIME_MS)
+    return _compute_latest_end(report_ms, _ANSWER_LIFETIME_MS)
+
+
+def _compute_latest_end(start_ms: int, span_ms: int) -> int:
+    """Computes when a span has ended that a worker's clock has measured.
+
+    Args:
+        start_ms: Time in milliseconds that is not before its start.
+        span_ms: Duration of the span in milliseconds.
+
+    Returns:
+        Time in milliseconds.
+    """
+    drift_ms = span_ms * CLOCK_DRIFT_MILLI // 1000
+    return start_ms + span_ms + drift_ms + LEASE_MARGIN_MS
 
 
 class WorkerTable:
--- a/features/steps/former_life_steps.py
+++ b/features/steps/former_life_steps.py
@@ -40,6 +40,9 @@
 def _restart_before_order(context, kind, duration_ms):
     late_order_steps.assign(context, kind, duration_ms)
     _send_order(context)
+    # The next run goes to another worker.
+    refused_on = context.sim.scheduler.term.refused_on
+    refused_on[context.task] = {context.target.name}
     _restart(context)
 
 
@@ -207,9 +210,6 @@
         if worker is not context.target:
             worker.capacity = specs.Resources(1_500, 64_000, 0)
             simulation.send_report(worker)
-    # The next run of the copy goes to another worker.
-    refused_on = simulation.scheduler.term.refused_on
-    refused_on[context.task] = {context.target.name}
     step = specs.StepSpec(1, specs.Resources(16_000, 100, 0), 4_000)
     job_steps.submit_spec(context, "b", specs.JobSpec("body", (step,)))
     _report(context)
