Count the plain restarts of the node soak as crashes under their tasks

Trace: the job was given up after four crashes under task 0.0.0, on 9000, 9004, 9002 and 9004, all injected. The plain fault "worker restarts" did not count towards the two crashes per task which the soak allows, since more may rightly be given up. It now does; the check is unchanged.

--- a/dev/node_soak_worker.py
+++ b/dev/node_soak_worker.py
@@ -83,6 +83,11 @@
         self._answer_due_s = 0.0
         self._next_report = 0.0
 
+    def restart_if_allowed(self) -> None:
+        """Restarts at once, unless its tasks have had enough crashes."""
+        if self._is_up and self._count_crash(set(self.running)):
+            self.restart()
+
     def run_crash(self, crash: Crash) -> None:
         """Crashes while an answer is under way; returns after the cut.
 
@@ -189,8 +194,18 @@
         starts = [row[0] for row in _list_starts(answer)]
         if not starts and time.monotonic() < self._any_answer_from_s:
             return False
+        return self._count_crash({*starts, *self.running})
+
+    def _count_crash(self, tasks: set[str]) -> bool:
+        """Counts a crash under some tasks, unless one has had enough of them.
+
+        Args:
+            tasks: Tasks that run on the worker or are about to.
+
+        Returns:
+            Whether the worker may crash.
+        """
         crashes = self._site.crashes_by_task
-        tasks = {*starts, *self.running}
         if any(crashes.get(t, 0) >= _MAX_CRASHES_PER_TASK for t in tasks):
             return False
         for task in tasks:
--- a/dev/run_node_soak.py
+++ b/dev/run_node_soak.py
@@ -264,7 +264,7 @@
         if chance < 0.08:
             worker = generator.choice(self._site.workers)
             _print_fault(at_s, "worker restarts", worker.name)
-            return worker.restart
+            return worker.restart_if_allowed
         unaffected = [
             n for n in self._site.nodes if n.number not in self._current_faults
         ]
