--- a/dev/run_taken_back.py
+++ b/dev/run_taken_back.py
@@ -136,8 +136,8 @@
         edits=(
             (
                 f"{_JOBS}/workers.py",
-                "report_ms + lease_ms + drift_ms + LEASE_MARGIN_MS",
-                "report_ms + (lease_ms + drift_ms) // 2",
+                "return _compute_latest_end(report_ms, lease_ms)",
+                "return report_ms + lease_ms // 2",
             ),
         ),
     ),
