--- a/bambookeel/jobs/stale_reports.py
+++ b/bambookeel/jobs/stale_reports.py
@@ -147,4 +147,8 @@
         conflict = find_conflict(report, rival, context)
         if conflict:
             return conflict
+    if _is_doubtful(report, context):
+        at_address = table.find_at_address(report)
+        if at_address is not None and at_address is not known:
+            return find_conflict(report, at_address, context)
     return ""
--- a/bambookeel/jobs/workers.py
+++ b/bambookeel/jobs/workers.py
@@ -283,23 +283,29 @@
             instance is unknown.
         """
         found = []
-        for other in (
-            self.find_by_instance(report.instance),
-            self._find_by_address(report),
-        ):
+        at_address = self.find_at_address(report)
+        if at_address and at_address.report.instance and report.instance:
+            # The clocks of two instances do not show which worker is later.
+            at_address = None
+        for other in (self.find_by_instance(report.instance), at_address):
             if other is None or other in found:
                 continue
             if other.incarnation.worker != report.life.worker:
                 found.append(other)
         return found
 
-    def _find_by_address(self, report: calls.WorkerReport) -> Worker | None:
+    def find_at_address(self, report: calls.WorkerReport) -> Worker | None:
+        """Finds the worker that last reported the address of a sender.
+
+        Args:
+            report: Report of a worker.
+
+        Returns:
+            The worker, which may be the sender; None if there is none.
+        """
         found = self.by_id.get(self._by_address.get(report.address, ""))
         if found is None or found.report.address != report.address:
             return None
-        if found.report.instance and report.instance:
-            # The clocks of two instances do not show which one is later.
-            return None
         return found
 
     def update(
