End the process if a sync fails on a full disk

A sync of the log that failed with ENOSPC was repeated by the restarted task. After a failed sync the system may drop what was not written and report success for the next one, so that an entry could be acknowledged which a loss of power removes. A truncation and the sync of the folder after a replacement are treated alike.

--- a/bambookeel/control/replica_disk.py
+++ b/bambookeel/control/replica_disk.py
@@ -2,8 +2,8 @@
 
 Writes and syncs run in threads. Entries may be written while the log is being
 synced; the next sync then covers all of them. A failed sync ends the process,
-as the content of the disk is then unknown. If the disk is full, the caller gets
-a `DiskFullError`.
+also on a full disk, as the content of the disk is then unknown. If a write fails
+on a full disk, the caller gets a `DiskFullError`.
 """
 
 from collections.abc import Callable
@@ -73,7 +73,7 @@
             with self._lock:
                 index = ids.LogIndex(self._store.last_index)
                 synced = core_events.LogSynced(index, self._generation)
-                self._run_in_thread(self._store.sync_log)
+                self._run_in_thread_or_end(self._store.sync_log)
             while not self._target.put(synced):
                 gevent.sleep(_PUT_RETRY_S)
 
@@ -104,6 +104,24 @@
         supervisor.end_process(f"the data folder failed: {error}")
         raise error
 
+    def _run_in_thread_or_end(
+        self, call: Callable[..., typing.Any], *arguments: typing.Any
+    ) -> None:
+        """Runs a blocking call whose failure cannot be undone.
+
+        After a failed sync the system may drop what was not written and report
+        success for the next sync, so that a full disk is no exception.
+
+        Args:
+            call: Function to call.
+            *arguments: Arguments of the call.
+        """
+        try:
+            self._run_in_thread(call, *arguments)
+        except DiskFullError as error:
+            supervisor.end_process(f"the data folder failed: {error}")
+            raise
+
     def carry_out(self, effect: core_effects.Effect) -> None:
         """Carries out one effect on the term or the log.
 
@@ -122,7 +140,7 @@
             case core_effects.TruncateLog(from_index, generation):
                 self._generation = generation
                 with self._lock:
-                    self._run_in_thread(self._store.truncate, from_index)
+                    self._run_in_thread_or_end(self._store.truncate, from_index)
                 # Syncs of the earlier generation no longer count, so the log is
                 # synced again.
                 self._sync_needed.set()
--- a/bambookeel/storage/folder.py
+++ b/bambookeel/storage/folder.py
@@ -4,6 +4,7 @@
 fails a sync, fills the disk or leaves a torn write at the end of a file.
 """
 
+import errno
 import fcntl
 import os
 import pathlib
@@ -147,7 +148,8 @@
             data: New content.
 
         Raises:
-            OSError: If the disk is full or a sync failed.
+            OSError: If the disk is full; the old content then stays. With EIO,
+                which content a crash leaves is unknown.
         """
         temporary = self._path / f"{name}.new"
         file = AppendFile(temporary, is_new=True)
@@ -157,7 +159,14 @@
         finally:
             file.close()
         os.replace(temporary, self._path / name)
-        self.sync_folder()
+        try:
+            self.sync_folder()
+        except OSError as error:
+            # The name already stands for the new content, so that callers must
+            # not go on as after a write that a full disk refuses.
+            raise OSError(
+                errno.EIO, f"the folder was not synced: {error}"
+            ) from error
 
     def sync_folder(self) -> None:
         """Syncs the folder, so that new and replaced files survive a crash."""
--- a/features/fakes/memory_folder.py
+++ b/features/fakes/memory_folder.py
@@ -52,6 +52,7 @@
         self.files = {}
         self.open_files = {}
         self.fail_syncs = False
+        self.sync_errno = errno.EIO
         self.space = None
         self.syncs = 0
         # Duration of each sync.
@@ -92,7 +93,7 @@
         if self.sync_ms:
             time.sleep(self.sync_ms / 1000.0)
         if self.fail_syncs:
-            raise OSError(errno.EIO, "sync failed")
+            raise OSError(self.sync_errno, "sync failed")
 
     def read(self, name):
         if name in self.open_files:
--- a/features/platform/replicas.feature
+++ b/features/platform/replicas.feature
@@ -8,6 +8,16 @@
     Then another replica has answered
     And configuration 2 is read back
 
+  # A full disk must not keep its replica out once it has room.
+  Scenario: A replica whose disk was full takes part again by itself
+    Given three replicas of the book
+    And configuration 1 is in force there
+    When the leader's disk is full
+    And configuration 2 is put there
+    Then another replica has answered
+    When all disks have room again
+    Then configuration 2 is read back at every replica that leads in turn
+
   Scenario: Acknowledged configurations survive a loss of power of all replicas
     Given three replicas of the book
     And configuration 1 is in force there
@@ -41,8 +51,9 @@
     Then configuration 2 is read back
 
   Scenario Outline: A call that fails is refused, and the others go on
-    # More of them than failures of a task end a process.
-    Given three replicas of the book
+    # More of them than failures of a task end a process. The replicas share a
+    # process and lose their leader to a pause of 200 ms with shorter timings.
+    Given three replicas of the book with the timings of separate machines
     And configuration 1 is in force there
     And a call about wave 666 <trouble>
     When the leader gets 30 calls about wave 666 beside configuration 2
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -39,6 +39,12 @@
     context.leader.folder.space = 0
 
 
+@when("all disks have room again")
+def free_disks(context):
+    for member in context.group.members.values():
+        member.folder.space = None
+
+
 @when("the next turn of every replica that decides something fails")
 def fail_next_decision(context):
     for member in context.group.members.values():
--- a/features/steps/replica_steps.py
+++ b/features/steps/replica_steps.py
@@ -1,5 +1,6 @@
 """Steps on replica tasks and on the first start of a deployment."""
 
+import errno
 from unittest import mock
 
 from behave import given
@@ -86,6 +87,12 @@
     context.follower.folder.space = None
 
 
+@when('syncs fail as the disk is full and team "{name}" is put')
+def put_with_sync_on_full_disk(context, name):
+    context.replica.folder.sync_errno = errno.ENOSPC
+    put_with_failing_sync(context, name)
+
+
 @when('syncs fail and team "{name}" is put')
 def put_with_failing_sync(context, name):
     context.ended = []
--- a/features/storage/replica.feature
+++ b/features/storage/replica.feature
@@ -25,6 +25,13 @@
     And syncs fail and team "two" is put
     Then the process ends with an error about the data folder
 
+  # The failed sync was repeated, and its success acknowledged what may be lost.
+  Scenario: A sync that fails on a full disk ends the process
+    Given 1 running replica
+    When team "one" is put
+    And syncs fail as the disk is full and team "two" is put
+    Then the process ends with an error about the data folder
+
   Scenario: A command that is sent again after a leader change gets its first outcome
     Given 3 running replicas
     When command "c1" puts team "one" at a follower
