Tell a call that never left its node as refused, not as unknown

An attempt that waited for a connection until its time was up counted as one that may have had an effect, so that its caller got 504. Such a message is now cancelled, and the call gets 503. The new scenario failed before.

--- a/bambookeel/net/channels.py
+++ b/bambookeel/net/channels.py
@@ -41,6 +41,33 @@
 _MAX_INCARNATION = 2**62
 
 
+@dataclasses.dataclass(slots=True)
+class Sending:
+    """A message that was handed to a channel.
+
+    Attributes:
+        message: The message.
+        sent_ms: When it was handed over, in ms on this process's clock.
+        is_queued: Whether it was queued on a connection or delivered directly,
+            so that its receiver may have got it.
+        is_cancelled: Whether it must not be sent any more.
+    """
+
+    message: messages.Message
+    sent_ms: int
+    is_queued: bool = False
+    is_cancelled: bool = False
+
+    def cancel(self) -> bool:
+        """Cancels the message unless it was queued on a connection.
+
+        Returns:
+            Whether its receiver certainly does not get it.
+        """
+        self.is_cancelled = True
+        return not self.is_queued
+
+
 @dataclasses.dataclass(slots=True)
 class _Outgoing:
     """The connection to one process and the messages that wait for it.
@@ -49,15 +76,14 @@
         link: The connection in use, if any.
         dial: Task of the dial in progress, if any.
         dialled_ms: When the last dial began, in ms on this process's clock.
-        pending: Messages that wait for a connection, each with the time at
-            which it was sent.
+        pending: Messages that wait for a connection.
         sent_ms: When a message to the process was last sent.
     """
 
     link: links.Link | None = None
     dial: gevent.Greenlet | None = None
     dialled_ms: int = 0
-    pending: deque[tuple[int, messages.Message]] = dataclasses.field(
+    pending: deque[Sending] = dataclasses.field(
         default_factory=lambda: deque(maxlen=_MAX_PENDING)
     )
     sent_ms: int = 0
@@ -106,20 +132,38 @@
             Whether it was queued on a connection or delivered immediately;
             False if it waits for a connection.
         """
+        return self.begin_sending(peer, message).is_queued
+
+    def begin_sending(
+        self, peer: ids.ProcessId, message: messages.Message
+    ) -> Sending:
+        """Sends a message like `send`.
+
+        Args:
+            peer: The process.
+            message: The message.
+
+        Returns:
+            The message as handed over, which can be cancelled while it waits
+            for a connection.
+        """
+        now_ms = clock.read_now_ms()
+        sending = Sending(message, now_ms)
         if peer == self._identity.process_id:
+            sending.is_queued = True
             self._deliver(peer, message)
-            return True
+            return sending
         outgoing = self._outgoing.get(peer)
-        now_ms = clock.read_now_ms()
         if outgoing is None:
             outgoing = _Outgoing()
             self._outgoing[peer] = outgoing
             gevent.spawn(self._keep_dialling, peer, outgoing)
         outgoing.sent_ms = now_ms
-        if outgoing.link is not None and outgoing.link.enqueue(message):
-            return True
-        outgoing.pending.append((now_ms, message))
-        return False
+        if outgoing.link is not None:
+            sending.is_queued = outgoing.link.enqueue(message)
+        if not sending.is_queued:
+            outgoing.pending.append(sending)
+        return sending
 
     def _keep_dialling(self, peer: ids.ProcessId, outgoing: _Outgoing) -> None:
         pause_ms = _FIRST_REDIAL_MS
@@ -157,7 +201,9 @@
         link.enqueue(dataclasses.replace(self._identity, link_number=number))
         self._drop_expired(outgoing)
         while outgoing.pending:
-            link.enqueue(outgoing.pending.popleft()[1])
+            sending = outgoing.pending.popleft()
+            if not sending.is_cancelled:
+                sending.is_queued = link.enqueue(sending.message)
         outgoing.link = link
         logs.log_event("channel_up", peer=peer)
         writer = gevent.spawn(link.write_frames)
@@ -229,7 +275,7 @@
 
     def _drop_expired(self, outgoing: _Outgoing) -> None:
         oldest_ms = clock.read_now_ms() - _MAX_PENDING_MS
-        while outgoing.pending and outgoing.pending[0][0] < oldest_ms:
+        while outgoing.pending and outgoing.pending[0].sent_ms < oldest_ms:
             outgoing.pending.popleft()
 
     def _accept(self, sock: typing.Any, _address: typing.Any) -> None:
--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -6,6 +6,7 @@
 after that, the answer says so.
 """
 
+import enum
 import itertools
 import secrets
 
@@ -37,6 +38,14 @@
 _MAX_CHARS = 200
 
 
+class _NoAnswer(enum.Enum):
+    """Why an attempt has no answer."""
+
+    # It waited in vain for a connection, so that the call has no effect.
+    NOT_SENT = "not_sent"
+    MAY_HAVE_ARRIVED = "may_have_arrived"
+
+
 class Gateway:
     """Calls that wait for an answer, and the node's view of the leader."""
 
@@ -123,8 +132,8 @@
             answer = self._send_once(
                 leader, payload, min(remaining_ms, _ATTEMPT_TIMEOUT_MS)
             )
-            if answer is None:
-                may_have_effect = True
+            if isinstance(answer, _NoAnswer):
+                may_have_effect |= answer is _NoAnswer.MAY_HAVE_ARRIVED
                 leader_finder.mark_unconfirmed(self.leader_view, leader)
                 continue
             if not isinstance(answer, calls.NotLeading):
@@ -138,15 +147,19 @@
 
     def _send_once(
         self, leader: ids.ProcessId, payload: bytes, timeout_ms: int
-    ) -> calls.Answer | None:
+    ) -> "calls.Answer | _NoAnswer":
         number = next(self._call_numbers)
         reply = gevent.event.AsyncResult()
         self._replies[number] = reply
+        sending = self._channels.begin_sending(
+            leader, messages.LeaderCall(number, payload)
+        )
         try:
-            self._channels.send(leader, messages.LeaderCall(number, payload))
             return reply.get(timeout=timeout_ms / 1000.0)
         except gevent.Timeout:
-            return None
+            if sending.cancel():
+                return _NoAnswer.NOT_SENT
+            return _NoAnswer.MAY_HAVE_ARRIVED
         finally:
             del self._replies[number]
 
--- a/features/platform/leaderless.feature
+++ b/features/platform/leaderless.feature
@@ -15,3 +15,15 @@
     Given a leader that was confirmed at 10000 ms
     When the leader does not answer a call
     Then at 12500 ms the outage has lasted 2500 ms
+
+  # Callers were told that the outcome is unknown, and may not submit such a job
+  # elsewhere.
+  Scenario: A job that never left its node has certainly not been stored
+    Given a process whose machine does not answer dials
+    When a node passes a job to it as the leader for 1200 ms
+    Then the answer is that the job has not been stored
+
+  Scenario: A job that a leader may have got has an unknown outcome
+    Given a process that accepts connections and answers nothing
+    When a node passes a job to it as the leader for 1200 ms
+    Then the answer is that the outcome is unknown
--- a/features/steps/leaderless_steps.py
+++ b/features/steps/leaderless_steps.py
@@ -3,11 +3,18 @@
 from behave import given
 from behave import then
 from behave import when
+import gevent.server
 
 from bambookeel.core import ids
 from bambookeel.core import messages
+from bambookeel.jobs import calls
+from bambookeel.net import channels
+from bambookeel.net import links
+from bambookeel.node import gateway
 from bambookeel.node import leader_finder
 from bambookeel.node import leaderless
+from bambookeel.runtime import clock
+from features.steps import channel_steps
 
 _LEADER = ids.ProcessId("10.0.0.1:7000")
 
@@ -65,3 +72,42 @@
 @then("at {now_ms:d} ms the outage has lasted {ms:d} ms")
 def check_outage(context, now_ms, ms):
     assert context.view.measure_outage_ms(now_ms) == ms
+
+
+@given("a process that accepts connections and answers nothing")
+def start_silent_process(context):
+    server = gevent.server.StreamServer(
+        ("127.0.0.1", 0), lambda sock, _: sock.recv(1)
+    )
+    server.start()
+    context.add_cleanup(server.stop, 0)
+    context.address = f"127.0.0.1:{server.server_port}"
+
+
+@when("a node passes a job to it as the leader for {ms:d} ms")
+def pass_job(context, ms):
+    own = ids.ProcessId(channel_steps.find_free_address())
+    settings = links.LinkSettings(own, {}, 250, 1_000)
+    node_channels = channels.Channels(
+        settings, channel_steps.build_hello(own), lambda *_: None
+    )
+    context.add_cleanup(node_channels.close)
+    view = leader_finder.LeaderView(own, ())
+    leader = ids.ProcessId(context.address)
+    known = messages.LeaderKnown(0, leader, ids.Term(1), True, ())
+    leader_finder.update_view(view, leader, known, clock.read_now_ms())
+    job = calls.SubmitJob("h", "/p/", "", "00", None, "no job")
+    node_gateway = gateway.Gateway(view, node_channels, False)
+    context.answer = node_gateway.call(job, ms, 0)
+
+
+@then("the answer is that the job has not been stored")
+def check_not_stored(context):
+    assert isinstance(context.answer, calls.NotLeading), context.answer
+    assert not context.answer.is_unknown, context.answer
+
+
+@then("the answer is that the outcome is unknown")
+def check_unknown(context):
+    assert isinstance(context.answer, calls.NotLeading), context.answer
+    assert context.answer.is_unknown, context.answer
