--- a/bambookeel/control/replica_disk.py
+++ b/bambookeel/control/replica_disk.py
@@ -2,8 +2,8 @@
 
 Writes and syncs run in threads. Entries may be written while the log is being
 synced; the next sync then covers all of them. A failed sync ends the process,
-also on a full disk, as the content of the disk is then unknown. If a write fails
-on a full disk, the caller gets a `DiskFullError`.
+also on a full disk, as the content of the disk is then unknown. If a write
+fails on a full disk, the caller gets a `DiskFullError`.
 """
 
 from collections.abc import Callable
