Admit a job that meets its objective behind what goes before it

The sum of all open work decided on admission, whatever the order in which it is placed: with large jobs behind their objective in the queue, small ones were refused although their tasks would have been placed first, and none of those that were admitted was late. The last choice of deferred jobs now also tells the work before each objective; a job that is in time behind it is admitted. Nothing changes while no service is full, or where the sum admits the job. No loop over the jobs is added to a submission.

--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -5,10 +5,12 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import deferring
 from bambookeel.jobs import loads
 from bambookeel.jobs import objectives
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import work_ahead
 
 
 def _identify_caller(
@@ -65,7 +67,7 @@
         return calls.BadRequest("the id is that of another job")
     if call.spec is None:
         return calls.BadRequest(call.fault)
-    retry_ms = _compute_retry_ms(term, queue, team, call.spec, now.steady_ms)
+    retry_ms = _compute_retry_ms(term, queue, team, call.spec, now)
     if retry_ms is not None:
         reason = f"{queue.service} cannot end it in time"
         term.log_event(
@@ -83,7 +85,12 @@
         rate = term.arrival_rates.setdefault(
             queue.service, objectives.ArrivalRate()
         )
-        rate.add(term.estimate_work(queue, call.spec), now.steady_ms)
+        work = term.estimate_work(queue, call.spec)
+        rate.add(work, now.steady_ms)
+        ahead = deferring.find_work_ahead(term, queue.service, now.steady_ms)
+        if ahead is not None:
+            objective_ms = objectives.compute_objective_ms(queue, call.spec)
+            ahead.add(work_ahead.Entry(now.wall_ms + objective_ms, work))
     term.log_event(
         "job_admitted",
         job=call.job,
@@ -101,7 +108,7 @@
     queue: configuration.Queue,
     team: str,
     spec: specs.JobSpec,
-    now_ms: int,
+    now: term_state.Now,
 ) -> int | None:
     """Decides whether a job is admitted, by its service's and its team's load.
 
@@ -112,7 +119,7 @@
         queue: Queue of the job.
         team: Name of the job's team.
         spec: Specification of the job.
-        now_ms: Steady-clock time in milliseconds.
+        now: Current time.
 
     Returns:
         None if the job is admitted; otherwise the delay in milliseconds after
@@ -121,15 +128,20 @@
     if any(step.is_standing for step in spec.steps) or spec.is_timed:
         return None
     work = term.estimate_work(queue, spec)
-    limit_ms = objectives.USEFUL_FACTOR * objectives.compute_objective_ms(
-        queue, spec
-    )
+    objective_ms = objectives.compute_objective_ms(queue, spec)
+    limit_ms = objectives.USEFUL_FACTOR * objective_ms
+    load = loads.measure_load(term, queue.service, now.steady_ms)
     delay_ms = admission.compute_retry_ms(
-        loads.measure_load(term, queue.service, now_ms),
+        load,
         loads.measure_shared_load(term, queue.service),
         work,
         limit_ms,
     )
+    if delay_ms is not None and _is_in_time(
+        term, queue, spec, load.capacity_milli, now
+    ):
+        delay_ms = None
+        term.log_event("admitted_ahead", queue=queue.name, team=team)
     cap_load = loads.measure_cap_load(term, team)
     if cap_load is None:
         return delay_ms
@@ -138,6 +150,40 @@
     return max(delays, default=None)
 
 
+def _is_in_time(
+    term: term_state.Term,
+    queue: configuration.Queue,
+    spec: specs.JobSpec,
+    capacity_milli: int,
+    now: term_state.Now,
+) -> bool:
+    """Returns whether a job meets its objective behind what goes before it.
+
+    Args:
+        term: State of the leader's term.
+        queue: Queue of the job.
+        spec: Specification of the job.
+        capacity_milli: Processor time of the service without that of standing
+            tasks, in thousandths of a core.
+        now: Current time.
+
+    Returns:
+        False also if the service has not been full lately.
+    """
+    ahead = deferring.find_work_ahead(term, queue.service, now.steady_ms)
+    if ahead is None:
+        return False
+    objective_ms = objectives.compute_objective_ms(queue, spec)
+    factor = term.run_times.get_factor(queue.name)
+    return work_ahead.is_in_time(
+        ahead.sum_before(now.wall_ms + objective_ms),
+        term.estimate_work(queue, spec),
+        objectives.compute_critical_path_ms(spec) * factor,
+        objective_ms,
+        capacity_milli,
+    )
+
+
 def _find_job(
     term: term_state.Term, call: calls.AskJob | calls.CancelJob
 ) -> book_records.Job | calls.Answer:
--- a/bambookeel/jobs/deferral.py
+++ b/bambookeel/jobs/deferral.py
@@ -13,10 +13,10 @@
 # A job that has not begun must be able to end this long before its objective;
 # estimates are too rough for less, and what a late job has used is lost to the
 # others.
-_MARGIN_MS = 300
+MARGIN_MS = 300
 # Share of the capacity that tasks use while a service is full; the rest is idle
 # between the end of a task and the start of the next one, or too small for one.
-_USED_SHARE = 0.8
+USED_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,7 +53,7 @@
         Ids of the jobs to defer.
     """
     deferred = []
-    used_milli = capacity_milli * _USED_SHARE
+    used_milli = capacity_milli * USED_SHARE
     work_ahead = 0.0
     ordered = sorted(
         candidates,
@@ -70,7 +70,7 @@
             ends_ms = ahead_ms + max(
                 candidate.work / used_milli, candidate.chain_ms
             )
-        margin_ms = 0.0 if candidate.has_begun else _MARGIN_MS
+        margin_ms = 0.0 if candidate.has_begun else MARGIN_MS
         if ends_ms + margin_ms > candidate.slack_ms:
             deferred.append(candidate.job)
             continue
--- a/bambookeel/jobs/deferring.py
+++ b/bambookeel/jobs/deferring.py
@@ -2,14 +2,18 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import deferral
+from bambookeel.jobs import deferred_jobs
 from bambookeel.jobs import instances
 from bambookeel.jobs import loads
 from bambookeel.jobs import objectives
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import work_ahead
 from bambookeel.jobs import workers as worker_table
 
 # Interval between two choices for a service; each looks at all its open jobs.
 _CHOICE_INTERVAL_MS = 200
+# A choice that is older was made before the service had room for all tasks.
+_MAX_CHOICE_AGE_MS = 600
 
 
 def measure_chain_ms(term: term_state.Term, job: book_records.Job) -> float:
@@ -92,8 +96,11 @@
         Ids of the jobs; chosen again at intervals.
     """
     known = term.deferred.get(service)
-    if known is not None and now.steady_ms - known[0] < _CHOICE_INTERVAL_MS:
-        return known[1]
+    if (
+        known is not None
+        and now.steady_ms - known.chosen_ms < _CHOICE_INTERVAL_MS
+    ):
+        return known.jobs
     candidates = []
     for job in term.list_open_jobs(service):
         candidate = _measure_candidate(term, job, now)
@@ -101,5 +108,32 @@
             candidates.append(candidate)
     capacity_milli = _measure_capacity_milli(term, service, usable)
     chosen = deferral.choose_deferred(candidates, capacity_milli)
-    term.deferred[service] = (now.steady_ms, chosen)
+    ahead = work_ahead.WorkAhead(
+        work_ahead.Entry(now.wall_ms + candidate.slack_ms, candidate.work)
+        for candidate in candidates
+        if candidate.job not in chosen
+    )
+    term.deferred[service] = deferred_jobs.DeferredJobs(
+        now.steady_ms, chosen, ahead
+    )
     return chosen
+
+
+def find_work_ahead(
+    term: term_state.Term, service: str, now_ms: int
+) -> work_ahead.WorkAhead | None:
+    """Finds the work of a service's jobs that are not deferred.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        The work at the last choice; None if the service has not been full
+        lately.
+    """
+    known = term.deferred.get(service)
+    if known is None or now_ms - known.chosen_ms > _MAX_CHOICE_AGE_MS:
+        return None
+    return known.ahead
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -17,6 +17,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import deferred_jobs
 from bambookeel.jobs import inherited_lives
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
@@ -86,8 +87,8 @@
         self.objectives_ms: dict[str, float] = {}
         # Longest chains of dependent steps of each open job, by its steps.
         self.chains_ms: dict[str, tuple[float, ...]] = {}
-        # Jobs that let others go first, by service, and since when (steady).
-        self.deferred: dict[str, tuple[int, frozenset[str]]] = {}
+        # Jobs that let others go first, by service.
+        self.deferred: dict[str, deferred_jobs.DeferredJobs] = {}
         # Workers on which a task has failed.
         self.failed_on: dict[specs.TaskRef, set[str]] = {}
         # Workers that have refused to start a task.
