Place jobs that are too late to be of use after those that still are

Late jobs are placed in the order of their objectives, so that the one which is furthest beyond its own came first, also when it could no longer end within the three objectives in which it is of some use. Others then became useless behind it. Such jobs now come after all other late ones.

Where nothing is that late the plan is as before.

--- a/bambookeel/jobs/ranking.py
+++ b/bambookeel/jobs/ranking.py
@@ -1,8 +1,14 @@
-"""Ranks steps with waiting tasks by urgency."""
+"""Ranks steps with waiting tasks by urgency.
+
+Load pattern: more arrives for many seconds than can be completed while it is
+of use. By slack alone, the jobs that are too late to be of use would come first
+of all late ones, and others would become useless behind them.
+"""
 
 import enum
 
 from bambookeel.jobs import book_records
+from bambookeel.jobs import objectives
 from bambookeel.jobs import term as term_state
 
 
@@ -13,7 +19,8 @@
     FILLING = 1
     IN_TIME = 2
     LATE = 3
-    SUSPECT = 4
+    USELESS = 4
+    SUSPECT = 5
 
 
 def rank_step(
@@ -23,7 +30,7 @@
     deferred: frozenset[str] = frozenset(),
     suspects: frozenset[str] = frozenset(),
 ) -> tuple[int, float, int]:
-    """Ranks a step: standing steps, then by slack, late ones, suspects last.
+    """Ranks a step: standing, by slack, late, of no use, suspects.
 
     Args:
         term: State of the leader's term.
@@ -42,7 +49,13 @@
     slack_ms = term.compute_objective_wall_ms(job, step) - now.wall_ms
     if job.job_id in suspects:
         return (_Urgency.SUSPECT, slack_ms, job.admitted_wall_ms)
-    is_late = slack_ms < term.compute_chain_ms(job, step.key[2])
+    chain_ms = term.compute_chain_ms(job, step.key[2])
+    is_late = slack_ms < chain_ms
+    if is_late:
+        objective_ms = term.objectives_ms[job.job_id]
+        useful_ms = slack_ms + (objectives.USEFUL_FACTOR - 1) * objective_ms
+        if useful_ms < chain_ms:
+            return (_Urgency.USELESS, slack_ms, job.admitted_wall_ms)
     if is_late or job.job_id in deferred:
         return (_Urgency.LATE, slack_ms, job.admitted_wall_ms)
     return (_Urgency.IN_TIME, slack_ms, job.admitted_wall_ms)
--- a/features/fakes/jobs_competition_loads.py
+++ b/features/fakes/jobs_competition_loads.py
@@ -82,11 +82,11 @@
     leader_at_ms: int | None = None
 
 
-def _build_burst(factor, leader_at_ms=None):
-    # Five teams of equal weight need 1.5 times the pool; one of them sends
+def _build_burst(factor, leader_at_ms=None, total=1.5):
+    # Five teams of equal weight need `total` times the pool; one of them sends
     # several times that.
     teams = [f"t{i}" for i in range(5)]
-    share = 20 * CORES * 1.5 / len(teams)
+    share = 20 * CORES * total / len(teams)
     return Pattern(
         {"s0": 20, "s1": 3, "s2": 3, "s3": 3},
         0,
@@ -117,6 +117,8 @@
     # A pool has nearly enough capacity: nothing is to change.
     "calm": _build_burst(0.0),
     "burst": _build_burst(4.9),
+    # Not all can be completed while it is of use.
+    "burst-long": _build_burst(4.9, total=3.0),
     "burst-leader": _build_burst(4.9, 3_000),
     # Many small jobs come with a few large ones.
     "sizes": Pattern(
--- a/features/steps/competing_steps.py
+++ b/features/steps/competing_steps.py
@@ -68,3 +68,20 @@
 def check_share_served(context, percent, kind):
     share = _measure_share(context, kind, _SERVED)
     assert share >= percent / 100, share
+
+
+@then('at most {percent:d} % of the "{kind}" jobs were in time')
+def check_share_at_most(context, percent, kind):
+    share = _measure_share(context, kind, ("in_time",))
+    assert share <= percent / 100, share
+
+
+@then(
+    'at least {percent:d} % of the jobs of each team but "{name}" were in time'
+)
+def check_other_teams(context, percent, name):
+    others = {caller.stream.team for caller in context.callers} - {name}
+    shares = {
+        team: _measure_share(context, team, ("in_time",)) for team in others
+    }
+    assert min(shares.values()) >= percent / 100, shares
