--- a/bambookeel/jobs/work_ahead.py
+++ b/bambookeel/jobs/work_ahead.py
@@ -32,17 +32,15 @@
     """Work of the jobs of a service that are not deferred."""
 
     def __init__(self, entries: Iterable[Entry]) -> None:
-        """Sorts the work by objective.
+        """Takes the work, which is sorted once it is needed.
 
         Args:
-            entries: One for each job.
+            entries: One for each job; read at the first submission that needs
+                them, as most choices are followed by none.
         """
-        ordered = sorted(entries, key=lambda entry: entry.objective_wall_ms)
-        self._objectives = [entry.objective_wall_ms for entry in ordered]
-        self._sums = [
-            0.0,
-            *itertools.accumulate(entry.work for entry in ordered),
-        ]
+        self._entries: Iterable[Entry] | None = entries
+        self._objectives: list[float] = []
+        self._sums = [0.0]
         # Jobs that were admitted since; few, until the next choice.
         self._added: list[Entry] = []
 
@@ -63,6 +61,7 @@
         Returns:
             Work in thousandths of a core times milliseconds.
         """
+        self._sort()
         count = bisect.bisect_right(self._objectives, objective_wall_ms)
         return self._sums[count] + sum(
             entry.work
@@ -70,6 +69,17 @@
             if entry.objective_wall_ms <= objective_wall_ms
         )
 
+    def _sort(self) -> None:
+        if self._entries is None:
+            return
+        ordered = sorted(
+            self._entries, key=lambda entry: entry.objective_wall_ms
+        )
+        self._entries = None
+        self._objectives = [entry.objective_wall_ms for entry in ordered]
+        works = (entry.work for entry in ordered)
+        self._sums = [0.0, *itertools.accumulate(works)]
+
 
 def is_in_time(
     work_ahead: float,
