Forecast the turns of queues from their admissions

Arrivals of a queue were kept nowhere across turns, so that each turn met a pool of minimum size. The forecaster learns turns, their level and what they follow; a new leader learns the same from the jobs of the book. Forecasts are logged and judged; nothing follows them yet.

--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -5,6 +5,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import forecasting
 from bambookeel.jobs import loads
 from bambookeel.jobs import objectives
 from bambookeel.jobs import specs
@@ -84,6 +85,7 @@
             queue.service, objectives.ArrivalRate()
         )
         rate.add(term.estimate_work(queue, call.spec), now.steady_ms)
+    forecasting.learn_admission(term, queue, call.spec, now.wall_ms)
     term.log_event(
         "job_admitted",
         job=call.job,
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -6,6 +6,7 @@
 from bambookeel.jobs import evictions
 from bambookeel.jobs import fitting
 from bambookeel.jobs import fleet as fleet_view
+from bambookeel.jobs import forecasting
 from bambookeel.jobs import instances
 from bambookeel.jobs import lost_runs
 from bambookeel.jobs import pool_demand
@@ -65,6 +66,7 @@
     spare_pool = term.book.configuration.find_spare_pool()
     if not spare_pool:
         return
+    forecasting.update(term, now)
     states = []
     for service in term.book.configuration.services:
         if service == spare_pool:
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -12,6 +12,7 @@
 from bambookeel.jobs import callers
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import forecasting
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import instances
 from bambookeel.jobs import losses
@@ -43,6 +44,7 @@
         now: Now,
     ) -> None:
         self.term = term_state.Term(book, settings, fencing_token, now)
+        forecasting.learn_from_book(self.term)
 
     @property
     def book(self) -> job_book.Book:
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -17,6 +17,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import demand_forecast
 from bambookeel.jobs import inherited_lives
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
@@ -105,6 +106,7 @@
         self.questions: list[advice.Question] = []
         # Rate of arriving work, by service.
         self.arrival_rates: dict[str, objectives.ArrivalRate] = {}
+        self.forecaster = demand_forecast.DemandForecaster()
         # State of each pool but the spare one at the last check.
         self.pool_states: dict[str, pools.PoolState] = {}
         # Steady-clock time since which each service has been idle, or -1.
