Bring instances into a pool shortly before a forecast turn

When a turn began its pool had its minimum size, and an instance takes 1.6 s to come. Only what no pool with work needs is moved, and it goes back once the forecast has failed.

--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from bambookeel.jobs import commands
+from bambookeel.jobs import early_instances
 from bambookeel.jobs import evictions
 from bambookeel.jobs import fitting
 from bambookeel.jobs import fleet as fleet_view
@@ -85,7 +86,10 @@
         term.instance_controller.fleet, spare_pool, now_ms
     )
     required, states, spare = _choose_required(term, states, spare, now)
+    expected = early_instances.measure_expected(term, now)
+    states = early_instances.keep_instances(states, expected)
     moves = required + pools.choose_moves(states, spare_pool, spare, now_ms)
+    moves += early_instances.choose_moves(states, expected, spare, moves)
     if not moves and not spare:
         moves = _choose_hand_overs(term, states, now_ms)
     for name, pool in moves:
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -128,7 +128,7 @@
     return compute_duration_ms(work, capacity_milli)
 
 
-def _count_missing(state: PoolState) -> int:
+def count_missing(state: PoolState) -> int:
     """Counts the instances that a pool is short of.
 
     Args:
@@ -157,7 +157,7 @@
     return count
 
 
-def _list_released(state: PoolState) -> list[str]:
+def list_released(state: PoolState) -> list[str]:
     """Lists the instances that an idle pool gives back.
 
     Args:
@@ -237,7 +237,7 @@
             # without waiting until that pool gives them back.
             supply = [*state.empty[: state.count_givable()], *supply]
             continue
-        count = _count_missing(state)
+        count = count_missing(state)
         if count:
             growing.append((count, state))
     moves = _divide_supply(growing, supply)
@@ -251,5 +251,5 @@
         ):
             continue
         if moved.isdisjoint(state.empty):
-            moves.extend((name, spare_pool) for name in _list_released(state))
+            moves.extend((name, spare_pool) for name in list_released(state))
     return moves
--- a/features/jobs/forecasts.feature
+++ b/features/jobs/forecasts.feature
@@ -43,9 +43,44 @@
     Then no turn is forecast
     And the last outcome of "a" is a failure
 
+  Scenario: Instances for a turn come from the spare pool and from idle pools
+    Given pools
+      | pool    | ready_s | members | needed | empty    | idle_ms |
+      | coaches | 0       | 2       | 2      |          |         |
+      | clubs   | 0       | 6       | 4      | c1,c2,c3 | 0       |
+    And 1 spare instances
+    And a turn of 500 cores is expected for "coaches"
+    Then 3 instances move early to "coaches"
+
+  Scenario: No pool that has work gives instances for a turn that may not come
+    Given pools
+      | pool    | ready_s | members | needed | empty    | idle_ms |
+      | coaches | 0       | 2       | 2      |          |         |
+      | clubs   | 300     | 6       | 4      | c1,c2,c3 |         |
+    And a turn of 500 cores is expected for "coaches"
+    Then 0 instances move early to "coaches"
+
+  Scenario: Work that is there gets instances before a turn that is expected
+    Given pools
+      | pool    | ready_s | members | needed | empty | idle_ms |
+      | coaches | 0       | 2       | 2      |       |         |
+      | clubs   | 3000    | 4       | 4      |       |         |
+    And 3 spare instances
+    And a turn of 500 cores is expected for "coaches"
+    Then 0 instances move early to "coaches"
+
+  Scenario: Pools grow before a turn that recurs, and shrink if it does not come
+    Given a replay of regular turns
+    When it has run for 81500 ms
+    Then the pool "s0" has got instances before its turn
+    When all callers fall silent for 15000 ms
+    Then the pool "s0" has its smallest size
+
   Scenario: A new leader within a turn goes on with the forecasts
     # The book is restored from a snapshot; nothing else is stored.
     Given a replay of regular turns
     When it has run for 64000 ms
     And the leader changes
     Then the new leader expects the same turns
+    When it has run for 17500 ms
+    Then the pool "s0" has got instances before its turn
--- a/features/steps/forecast_steps.py
+++ b/features/steps/forecast_steps.py
@@ -7,6 +7,8 @@
 from behave import when
 
 from bambookeel.jobs import demand_forecast
+from bambookeel.jobs import early_instances
+from bambookeel.jobs import pools
 from features.fakes import jobs_turns
 
 _BEGIN_MS = 1_000_000
@@ -141,6 +143,22 @@
     assert last.error_ms is None and not last.has_come_true
 
 
+@given('a turn of {cores:d} cores is expected for "{pool}"')
+def set_expected(context, cores, pool):
+    context.expected = {pool: cores * 1_000.0}
+
+
+@then('{count:d} instances move early to "{pool}"')
+def check_early(context, count, pool):
+    moves = pools.choose_moves(context.states, "spare", context.spare, 100_000)
+    early = early_instances.choose_moves(
+        context.states, context.expected, context.spare, moves
+    )
+    assert [to for _, to in early] == [pool] * count, (moves, early)
+    names = [name for name, _ in (*moves, *early)]
+    assert len(set(names)) == len(names), names
+
+
 @given("a replay of regular turns")
 def set_replay(context):
     context.replay = jobs_turns.Replay("regular", 1)
@@ -151,6 +169,30 @@
     context.replay.advance(ms)
 
 
+@when("all callers fall silent for {ms:d} ms")
+def run_silent(context, ms):
+    context.replay.advance(ms, False)
+
+
+def _count_members(context, pool):
+    states = context.replay.simulation.scheduler.term.pool_states
+    return states[pool].members
+
+
+@then('the pool "{pool}" has got instances before its turn')
+def check_grown(context, pool):
+    members = _count_members(context, pool)
+    state = context.replay.simulation.scheduler.term.pool_states[pool]
+    assert members > state.min_members, state
+    assert not state.ready_work, state
+
+
+@then('the pool "{pool}" has its smallest size')
+def check_smallest(context, pool):
+    state = context.replay.simulation.scheduler.term.pool_states[pool]
+    assert state.members == state.min_members, state
+
+
 @when("the leader changes")
 def change_leader(context):
     simulation = context.replay.simulation
