Give instances back at once between forecast turns

An idle pool kept its instances for 2.3 s in case demand returns. Where the next turn is forecast to be further away than a move costs, 0.5 s are enough, so that a pool does not give single instances while others end.

--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -12,6 +12,7 @@
 from bambookeel.jobs import lost_runs
 from bambookeel.jobs import pool_demand
 from bambookeel.jobs import pools
+from bambookeel.jobs import quiet_pools
 from bambookeel.jobs import rebalancing
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import upkeep
@@ -79,7 +80,7 @@
             term.idle_since_ms[service] = -1
         elif state.idle_since_ms < 0:
             term.idle_since_ms[service] = now_ms
-        states.append(state)
+        states.append(quiet_pools.shorten_idle_time(term, state, now))
     term.pool_states = {state.pool: state for state in states}
     _log_pools(term, states, now_ms)
     spare = pool_demand.list_spare_instances(
--- a/features/fakes/jobs_turns.py
+++ b/features/fakes/jobs_turns.py
@@ -24,7 +24,7 @@
 POOLS = ("s0", "s1", "s2", "s3")
 _MEMBERS = 6
 _SPARE = 36
-_CAPACITY = specs.Resources(32_000, 262_144, 0)
+CAPACITY = specs.Resources(32_000, 262_144, 0)
 _STANDING = 4
 # Arrivals of a queue in a second, within its turn and between turns.
 _BUSY_PER_S = 6.0
@@ -48,7 +48,7 @@
         self.ended = []
         super().__init__(seed, members, spare)
         for worker in self.workers.values():
-            worker.capacity = _CAPACITY
+            worker.capacity = CAPACITY
 
     def start_leader(self):
         """Starts a new leader from a snapshot of the committed commands."""
--- a/features/jobs/forecasts.feature
+++ b/features/jobs/forecasts.feature
@@ -84,3 +84,15 @@
     Then the new leader expects the same turns
     When it has run for 17500 ms
     Then the pool "s0" has got instances before its turn
+
+  Scenario: An idle pool gives instances back at once only between turns
+    # The turns of the pool's queue begin at 2, 22, 42, 62 and 82 s. Before two
+    # of them have been seen nothing is known of the next.
+    Given a replay of regular turns
+    When it has run for 10000 ms
+    Then the pool "s0" keeps what has been empty for 600 ms
+    When it has run for 63000 ms
+    Then the pool "s0" gives back what has been empty for 600 ms
+    And the pool "s0" keeps what has been empty for 400 ms
+    When it has run for 6500 ms
+    Then the pool "s0" keeps what has been empty for 600 ms
--- a/features/steps/forecast_steps.py
+++ b/features/steps/forecast_steps.py
@@ -1,5 +1,6 @@
 """Steps for forecasts of the turns of queues."""
 
+import dataclasses
 import random
 
 from behave import given
@@ -9,6 +10,7 @@
 from bambookeel.jobs import demand_forecast
 from bambookeel.jobs import early_instances
 from bambookeel.jobs import pools
+from bambookeel.jobs import quiet_pools
 from features.fakes import jobs_turns
 
 _BEGIN_MS = 1_000_000
@@ -211,3 +213,32 @@
     for queue in awaited:
         quiet_ms = forecaster.compute_quiet_ms(queue, now_ms)
         assert quiet_ms == context.earlier.compute_quiet_ms(queue, now_ms)
+
+
+def _is_given_back(context, pool, idle_ms):
+    simulation = context.replay.simulation
+    now = simulation.read_now()
+    state = dataclasses.replace(
+        simulation.scheduler.term.pool_states[pool],
+        idle_since_ms=now.steady_ms - idle_ms,
+        members=6,
+        min_members=4,
+        incoming=0,
+        ready_milli=0,
+        arriving_milli=0.0,
+        empty=("e1", "e2"),
+        capacity_milli=6 * jobs_turns.CAPACITY.cpu_milli,
+    )
+    state = quiet_pools.shorten_idle_time(simulation.scheduler.term, state, now)
+    moves = pools.choose_moves([state], "spare", (), now.steady_ms)
+    return len(moves) == 2
+
+
+@then('the pool "{pool}" gives back what has been empty for {ms:d} ms')
+def check_given_back(context, pool, ms):
+    assert _is_given_back(context, pool, ms)
+
+
+@then('the pool "{pool}" keeps what has been empty for {ms:d} ms')
+def check_kept(context, pool, ms):
+    assert not _is_given_back(context, pool, ms)
