--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -6,6 +6,7 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
 from bambookeel.jobs import deferring
+from bambookeel.jobs import forecasting
 from bambookeel.jobs import loads
 from bambookeel.jobs import objectives
 from bambookeel.jobs import specs
@@ -91,6 +92,7 @@
         if ahead is not None:
             objective_ms = objectives.compute_objective_ms(queue, call.spec)
             ahead.add(work_ahead.Entry(now.wall_ms + objective_ms, work))
+    forecasting.learn_admission(term, queue, call.spec, now.wall_ms)
     term.log_event(
         "job_admitted",
         job=call.job,
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -3,13 +3,16 @@
 import dataclasses
 
 from bambookeel.jobs import commands
+from bambookeel.jobs import early_instances
 from bambookeel.jobs import evictions
 from bambookeel.jobs import fitting
 from bambookeel.jobs import fleet as fleet_view
+from bambookeel.jobs import forecasting
 from bambookeel.jobs import instances
 from bambookeel.jobs import lost_runs
 from bambookeel.jobs import pool_demand
 from bambookeel.jobs import pools
+from bambookeel.jobs import quiet_pools
 from bambookeel.jobs import rebalancing
 from bambookeel.jobs import term as term_state
 from bambookeel.jobs import upkeep
@@ -65,6 +68,7 @@
     spare_pool = term.book.configuration.find_spare_pool()
     if not spare_pool:
         return
+    forecasting.update(term, now)
     states = []
     for service in term.book.configuration.services:
         if service == spare_pool:
@@ -76,14 +80,17 @@
             term.idle_since_ms[service] = -1
         elif state.idle_since_ms < 0:
             term.idle_since_ms[service] = now_ms
-        states.append(state)
+        states.append(quiet_pools.shorten_idle_time(term, state, now))
     term.pool_states = {state.pool: state for state in states}
     _log_pools(term, states, now_ms)
     spare = pool_demand.list_spare_instances(
         term.instance_controller.fleet, spare_pool, now_ms
     )
     required, states, spare = _choose_required(term, states, spare, now)
+    expected = early_instances.measure_expected(term, now)
+    states = early_instances.keep_instances(states, expected)
     moves = required + pools.choose_moves(states, spare_pool, spare, now_ms)
+    moves += early_instances.choose_moves(states, expected, spare, moves)
     if not moves and not spare:
         moves = _choose_hand_overs(term, states, now_ms)
     for name, pool in moves:
