Read how much longer tasks take in a remote rack

The settings' bounds name a remote_factor, which the adapter ignored, so that the scheduler could not weigh a wait for a rack against the time lost in another. It now reaches SchedulerSettings; absent or below 1 it counts as 1.

--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -38,9 +38,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """Time limits that the deployment guarantees or tolerates, in milliseconds.
+    """Limits that the deployment guarantees or tolerates.
 
-    Values may have fractions.
+    Times are in milliseconds. Values may have fractions.
 
     Attributes:
         longest_lease_ms: Longest lease that workers honour.
@@ -53,6 +53,8 @@
             serving task over its target.
         restore_ms: How long a run takes to resume from its checkpoint.
         upkeep_ms: How long an instance is down for its upkeep.
+        remote_factor: How many times as long a task takes in another rack than
+            its data, or in a group that is on several racks.
     """
 
     longest_lease_ms: float
@@ -62,11 +64,12 @@
     over_target_ms: float
     restore_ms: float
     upkeep_ms: float
+    remote_factor: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SchedulerSettings:
-    """Time limits of the scheduler, in milliseconds.
+    """Limits of the scheduler; times are in milliseconds.
 
     Attributes:
         lease_ms: How long runs may continue without a report.
@@ -90,6 +93,9 @@
         wave_round_ms: Duration of one round of a wave. A wave with less time
             for each remaining round takes instances down without waiting for
             their tasks to end.
+        remote_factor: How many times as long a task takes in another rack than
+            its data, or in a group that is on several racks; 1 if racks do not
+            matter.
     """
 
     lease_ms: int
@@ -104,6 +110,7 @@
     stall_ms: int
     stall_at_start_ms: int
     wave_round_ms: int
+    remote_factor: float = 1.0
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -146,4 +153,5 @@
             # On a slow worker the restore takes longer, too.
             stall_at_start_ms=max(_STALL_AT_START_MS, 2 * restored_ms),
             wave_round_ms=math.ceil(bounds.upkeep_ms) + _ROUND_MS,
+            remote_factor=max(1.0, bounds.remote_factor),
         )
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -89,6 +89,20 @@
       | stall_ms                 | 1500  |
       | wave_round_ms            | 6000  |
 
+  # A factor that is lost on the way would let no task wait for its rack.
+  Scenario Outline: The factor for remote racks is taken from the bounds
+    When the settings with these bounds are converted
+      | bound   | value   |
+      | <bound> | <value> |
+    Then tasks take <factor> times as long in a remote rack
+
+    Examples:
+      | bound         | value | factor |
+      | remote_factor | 1.5   | 1.5    |
+      | remote_factor | 3     | 3      |
+      | remote_factor | 0     | 1      |
+      | lease_ms      | 3000  | 1      |
+
   Scenario: Callers are told why a job has failed
     Then a caller is told that a job is "failed" with the reason "task 0.0.0 failed 3 times"
     And a caller is told that a job is "completed" without a reason
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -322,6 +322,12 @@
         assert getattr(found, row["time"]) == int(row["ms"]), (row, found)
 
 
+@then("tasks take {factor:g} times as long in a remote rack")
+def check_remote_factor(context, factor):
+    found = context.converted.node.scheduling
+    assert found.remote_factor == factor, found
+
+
 @then('a caller is told that a job is "{state}" with the reason "{reason}"')
 def check_failed_reason(context, state, reason):
     answer = calls.JobIs(specs.JobState(state), reason)
