Let tasks and gangs wait for their rack where that pays

Tasks whose data is in a full rack were placed elsewhere at once, where they take remote_factor times as long; an idle core or two also outweighed the rack. With the factor known, a task or a whole gang waits if its rack should have room sooner than half of the time that it would lose, by the ends of the runs there and what already waits for it. Waits last a second at most, and a plan lets 300 wait.

--- a/bambookeel/jobs/gang_placing.py
+++ b/bambookeel/jobs/gang_placing.py
@@ -14,6 +14,7 @@
     now_ms: int,
     tickets: Mapping[specs.WorkerIncarnation, str] | None = None,
     isolation: placing.Isolation = placing.Isolation.NONE,
+    rack: str = "",
 ) -> list[placing.FreeCapacity] | None:
     """Chooses workers for all tasks of a gang and reserves their resources.
 
@@ -24,13 +25,16 @@
         tickets: Workers that the advisor allows, with their tickets; None if
             all are allowed.
         isolation: How far the gang must be kept apart.
+        rack: Rack that is used before others; empty if none is.
 
     Returns:
         Free capacity of the worker of each task; None if they do not all fit.
     """
     racks = sorted({capacity.worker.rack for capacity in capacities})
+    if rack:
+        racks.sort(key=lambda name: name != rack)
     groups = [
-        [c for c in capacities if c.worker.rack == rack] for rack in racks
+        [c for c in capacities if c.worker.rack == name] for name in racks
     ]
     if not step.spec.wants_one_rack:
         groups = []
@@ -48,7 +52,12 @@
         places = []
         for _ in step.tasks:
             found = placing.choose_worker(
-                trial, step, now_ms, tickets=tickets, isolation=isolation
+                trial,
+                step,
+                now_ms,
+                tickets=tickets,
+                isolation=isolation,
+                rack=rack,
             )
             if found is None:
                 break
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -17,6 +17,10 @@
 # A task runs longer in another rack than its data. Avoiding that is worth this
 # much idle processor time.
 _REMOTE_DATA_PENALTY_MILLI = 20_000
+# Where the time that is lost there is known, all that a worker may have free.
+_REMOTE_PENALTY_MILLI = 100_000
+# Room for which tasks of that rack wait is the last that others use.
+_AWAITED_PENALTY_MILLI = 100_000
 # A suspect worker is used only if the task fits on no other one.
 _SUSPECT_PENALTY_MILLI = 1_000_000
 # A task that may crash its worker and the tasks of other jobs share one only if
@@ -295,6 +299,31 @@
     return counts
 
 
+def _rate_other_rack(
+    found: str, wanted: str, rack: str, awaited: frozenset[str]
+) -> int:
+    """Rates a worker in another rack than the one that a task wants.
+
+    Args:
+        found: Rack of the worker.
+        wanted: Rack that the task wants; empty for none.
+        rack: The same, where the time that is lost elsewhere is known.
+        awaited: Racks for which tasks wait.
+
+    Returns:
+        Idle processor time that it is worth to avoid the worker, in thousandths
+        of a core.
+    """
+    penalty_milli = 0
+    if wanted:
+        penalty_milli = (
+            _REMOTE_PENALTY_MILLI if rack else _REMOTE_DATA_PENALTY_MILLI
+        )
+    if found in awaited:
+        penalty_milli += _AWAITED_PENALTY_MILLI
+    return penalty_milli
+
+
 def choose_worker(
     capacities: list[FreeCapacity],
     step: book_records.Step,
@@ -302,6 +331,8 @@
     avoided: frozenset[str] = frozenset(),
     tickets: Mapping[specs.WorkerIncarnation, str] | None = None,
     isolation: Isolation = Isolation.NONE,
+    rack: str = "",
+    awaited: frozenset[str] = frozenset(),
 ) -> FreeCapacity | None:
     """Chooses the worker for one task of a step.
 
@@ -314,6 +345,9 @@
         tickets: Workers that the advisor allows, with their tickets; None if
             all are allowed.
         isolation: How far the task must be kept apart.
+        rack: Rack that is used if the task fits there at all; empty if none is.
+        awaited: Other racks, for which tasks wait; they are used only if the
+            task fits in no other.
 
     Returns:
         Free capacity of the worker; None if the task fits on no worker or is
@@ -322,7 +356,7 @@
     if isolation is Isolation.HELD:
         return None
     needs = step.spec.reserved
-    data_rack = step.spec.data_rack
+    wanted_rack = rack or step.spec.data_rack
     assigned = count_assigned(step)
     best: FreeCapacity | None = None
     best_score = 0
@@ -341,8 +375,12 @@
         score += capacity.measure_risk_milli(step)
         if capacity.worker.incarnation.worker in avoided:
             score += _SUSPECT_PENALTY_MILLI
-        if data_rack and capacity.worker.rack != data_rack:
-            score += _REMOTE_DATA_PENALTY_MILLI
+        if wanted_rack or awaited:
+            found_rack = capacity.worker.rack
+            if found_rack != wanted_rack:
+                score += _rate_other_rack(
+                    found_rack, wanted_rack, rack, awaited
+                )
         if capacity.worker.is_suspect(now_ms):
             score += _SUSPECT_PENALTY_MILLI
         if best is None or score < best_score:
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -20,7 +20,9 @@
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
 from bambookeel.jobs import no_room
+from bambookeel.jobs import place_waits
 from bambookeel.jobs import placing
+from bambookeel.jobs import rack_choice
 from bambookeel.jobs import ranking
 from bambookeel.jobs import service_plan
 from bambookeel.jobs import specs
@@ -90,6 +92,9 @@
         kept_workers.keep_workers(
             term, service, suspects.tasks, current.capacities, now
         )
+        current.racks = rack_choice.begin(
+            term, service, work.steps, current.capacities, now
+        )
     current.too_large.note_kept(current.capacities)
     current.shares = full_services.compute_shares(
         term, service, work.steps, current.capacities
@@ -117,6 +122,7 @@
             service_plan.place_task(term, current, copied_step, task)
     ranked_steps = [step for _, step in ranked]
     _place_starving(term, current, service, ranked_steps, reserve)
+    place_waits.finish(term, service, current.racks, current.placed, now)
     _assign(term, current)
 
 
@@ -177,6 +183,8 @@
             step.key[0] in current.suspected,
         )
     )
+    if current.racks is not None:
+        current.racks.may_wait = False
     more = placing.measure_free(reserve, {})
     bulkheads.note_occupants(term, more, current.queues)
     current.capacities += more
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -232,6 +232,8 @@
     if assigned_ms is None:
         return
     took_ms = now.steady_ms - assigned_ms - term.settings.report_ms
+    if (end.task, end.run) in term.place_waits.remote_runs:
+        took_ms = round(took_ms / term.settings.remote_factor)
     queue = term.book.jobs[end.task.job].queue
     term.run_times.observe(queue, step.spec.estimate_ms, max(1, took_ms))
 
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -89,6 +89,18 @@
         self.term.log_events = []
         return log_events
 
+    def take_ended_waits(self) -> dict[str, tuple[int, int]]:
+        """Takes the waits for a rack that have ended and are not counted yet.
+
+        Returns:
+            Number of their tasks and the time that these waited, in
+            milliseconds, by outcome.
+        """
+        return {
+            outcome.value: (ended.tasks, ended.waited_ms)
+            for outcome, ended in self.term.place_waits.take_ended().items()
+        }
+
     def begin_list_if_due(self, now_ms: int) -> bool:
         """Marks the provider's list as requested if a new one is due.
 
--- a/bambookeel/jobs/service_plan.py
+++ b/bambookeel/jobs/service_plan.py
@@ -10,7 +10,9 @@
 from bambookeel.jobs import gang_placing
 from bambookeel.jobs import isolating
 from bambookeel.jobs import no_room
+from bambookeel.jobs import place_waits
 from bambookeel.jobs import placing
+from bambookeel.jobs import rack_choice
 from bambookeel.jobs import shares as team_shares
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -32,6 +34,7 @@
         queues: Queues whose jobs crash their workers.
         suspected: Jobs with evidence against them, if there are such queues.
         is_sharing: Whether jobs that should be alone may share workers.
+        racks: What the plan knows of racks; None if they do not matter to it.
     """
 
     capacities: list[placing.FreeCapacity]
@@ -50,6 +53,7 @@
     queues: frozenset[str] = frozenset()
     suspected: frozenset[str] = frozenset()
     is_sharing: bool = False
+    racks: rack_choice.RackChoice | None = None
 
 
 def get_isolation(
@@ -91,7 +95,8 @@
 
     Returns:
         False if the task exceeds the team's cap or fits on no worker. True if
-        it was placed, or if only a worker that already runs it has room.
+        it was placed, if it waits for room in its rack, or if only a worker
+        that already runs it has room.
     """
     if not caps.allows(term, step, 1, current.team_usage):
         return False
@@ -99,7 +104,12 @@
     tickets = term.list_tickets(step, now_ms)
     isolation = get_isolation(term, current, step, [task])
     capacity = None
+    rack = _find_rack(term, current, step)
     if not current.too_large.includes(step, isolation):
+        choice = _get_choice(current, tickets, isolation)
+        if choice is not None and rack and not task.runs:
+            if place_waits.must_task_wait(term, choice, step, task, rack):
+                return True
         capacity = placing.choose_worker(
             current.capacities,
             step,
@@ -107,6 +117,8 @@
             term.list_avoided(task),
             tickets,
             isolation,
+            rack,
+            current.racks.awaited if current.racks else frozenset(),
         )
         if capacity is None and tickets is None:
             current.too_large.add(step, isolation)
@@ -119,10 +131,51 @@
         step.key, step.spec.reserved, isolation, step.spec.is_standing
     )
     current.too_large.note_placed(step, isolation)
+    _note_places(current, step, [task], [capacity])
     _add_assignment(term, current, step, task, capacity, tickets)
     return True
 
 
+def _find_rack(
+    term: term_state.Term, current: Plan, step: book_records.Step
+) -> str:
+    """Finds the rack in which a step's tasks take least time."""
+    if current.racks is None or not rack_choice.prefers_rack(step):
+        return ""
+    return rack_choice.find_rack(term, current.racks, step)
+
+
+def _get_choice(
+    current: Plan,
+    tickets: Mapping[specs.WorkerIncarnation, str] | None,
+    isolation: placing.Isolation,
+) -> rack_choice.RackChoice | None:
+    """Returns what the plan knows of racks if tasks may wait for one.
+
+    Args:
+        current: The plan.
+        tickets: Workers that the advisor allows; None if all are allowed.
+        isolation: How far the tasks must be kept apart.
+
+    Returns:
+        None if racks do not matter, or if a forecast would not hold.
+    """
+    if tickets is not None or isolation is not placing.Isolation.NONE:
+        return None
+    choice = current.racks
+    return choice if choice is not None and choice.may_wait else None
+
+
+def _note_places(
+    current: Plan,
+    step: book_records.Step,
+    tasks: list[book_records.Task],
+    places: list[placing.FreeCapacity],
+) -> None:
+    if current.racks is not None and rack_choice.prefers_rack(step):
+        rack_choice.note_places(current.racks, step, tasks, places)
+
+
 def _add_assignment(
     term: term_state.Term,
     current: Plan,
@@ -141,6 +194,8 @@
     run = task.last_run + 1
     if step.spec.is_gang:
         run = max(each.last_run for each in step.tasks) + 1
+    if current.racks is not None and task.ref in current.racks.remote:
+        term.place_waits.remote_runs.add((task.ref, run))
     incarnation = capacity.worker.incarnation
     ticket = tickets[incarnation] if tickets is not None else ""
     current.assignments.setdefault(incarnation, []).append(
@@ -167,12 +222,22 @@
     isolation = get_isolation(term, current, step, step.tasks)
     places = None
     if not current.too_large.includes(step, isolation):
+        choice = _get_choice(current, tickets, isolation)
+        if choice is not None and rack_choice.prefers_rack(step):
+            if place_waits.must_gang_wait(term, choice, step):
+                return
         places = gang_placing.place_gang(
-            current.capacities, step, now_ms, tickets, isolation
+            current.capacities,
+            step,
+            now_ms,
+            tickets,
+            isolation,
+            _find_rack(term, current, step),
         )
     if places is None:
         isolating.note_unplaced(term, step.tasks, isolation, now_ms)
         return
     current.too_large.note_placed(step, isolation)
+    _note_places(current, step, step.tasks, places)
     for task, capacity in zip(step.tasks, places):
         _add_assignment(term, current, step, task, capacity, tickets)
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -153,6 +153,25 @@
     return at_work, silent
 
 
+def get_since_ms(
+    term: term_state.Term, service: str, job: str, now_ms: int
+) -> int:
+    """Returns since when a job waits without any run.
+
+    Args:
+        term: State of the leader's term.
+        service: Service of the job.
+        job: Id of the job.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        Steady-clock time in milliseconds at the first plan that left it so; now
+        if the last plan did not.
+    """
+    known = term.starving_since_ms.get(service, {})
+    return known.get((job, _WHOLE_JOB, _WHOLE_JOB), now_ms)
+
+
 def list_starving(
     term: term_state.Term,
     service: str,
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -20,6 +20,7 @@
 from bambookeel.jobs import inherited_lives
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
+from bambookeel.jobs import place_wait_state
 from bambookeel.jobs import pools
 from bambookeel.jobs import settings as job_settings
 from bambookeel.jobs import specs
@@ -120,6 +121,7 @@
         # Since when steps wait beside a reserve, by service; steady clock.
         self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
         self.storms = storm_state.StormState()
+        self.place_waits = place_wait_state.PlaceWaits(now.steady_ms)
         self.planned_ms = 0
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
@@ -218,6 +220,7 @@
             for ref, since_ms in self.apart_since_ms.items()
             if ref.job in jobs
         }
+        self.place_waits.discard_dropped(jobs)
         self.advice.retain_jobs(jobs)
 
     def list_tickets(
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -10,6 +10,7 @@
 from bambookeel.jobs import gang_placing
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
+from bambookeel.jobs import place_waits
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -49,6 +50,8 @@
     APART = "apart"
     KEPT = "kept"
     ALONE = "alone"
+    NEAR_DATA = "near_data"
+    NEAR_GROUP = "near_group"
     ORDER = "order"
 
 
@@ -77,6 +80,9 @@
     if queue is None:
         return Reason.NO_WORKER
     tasks = step.tasks if step.spec.is_gang else [task]
+    wait = place_waits.find_wait(term, queue.service, tasks[0].ref)
+    if wait is not None:
+        return Reason(wait.reason.value)
     return _find_wait_reason(term, queue.service, step, tasks, now)
 
 
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -305,6 +305,7 @@
         for event, fields in scheduler.take_log_events():
             logs.log_event(event, term=term, **fields)
             metrics.count_decision(event)
+        metrics.count_place_waits(scheduler.take_ended_waits())
         batch = scheduler.take_batch()
         if not batch:
             self._unconfirmed.extend(waiting)
--- a/bambookeel/runtime/metrics.py
+++ b/bambookeel/runtime/metrics.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import functools
 
 import prometheus_client
@@ -69,6 +70,16 @@
     "Decisions of the scheduling leader, by the name of their log line.",
     ["decision"],
 )
+_PLACE_WAITS = prometheus_client.Counter(
+    "bambookeel_place_waits_total",
+    "Tasks that waited for a rack, by outcome; those of `paid` gained time.",
+    ["outcome"],
+)
+_PLACE_WAIT_SECONDS = prometheus_client.Counter(
+    "bambookeel_place_wait_seconds_total",
+    "Time that tasks waited for a rack; all but `paid` is lost.",
+    ["outcome"],
+)
 _REFUSALS = prometheus_client.Counter(
     "bambookeel_refusals_total",
     "Requests without an answer, by reason.",
@@ -218,6 +229,17 @@
     _get_decision_child(decision).inc()
 
 
+def count_place_waits(ended: Mapping[str, tuple[int, int]]) -> None:
+    """Counts tasks that have waited for a rack.
+
+    Args:
+        ended: Number of tasks and the time in milliseconds, by outcome.
+    """
+    for outcome, (tasks, waited_ms) in ended.items():
+        _PLACE_WAITS.labels(outcome).inc(tasks)
+        _PLACE_WAIT_SECONDS.labels(outcome).inc(waited_ms / 1000.0)
+
+
 def observe_leader_turn(turn_ms: int, plan_ms: int) -> None:
     """Observes the duration of a turn of the scheduling leader.
 
