Wait for the whole of the lost time where little capacity is free

Remote runs cost others capacity that half of the lost time leaves out: at full load with spread data the decision was behind fixed waits. Below a fifth free, a task may wait for all of the time that it would lose, also beside a remote task of its step.

--- a/bambookeel/jobs/place_waits.py
+++ b/bambookeel/jobs/place_waits.py
@@ -69,7 +69,7 @@
         # elsewhere.
         slack_ms -= loss_ms
     longest_ms = MAX_WAIT_MS - waited_ms
-    gain_ms = _WAITED_SHARE * loss_ms
+    gain_ms = loss_ms if choice.is_scarce else _WAITED_SHARE * loss_ms
     return min(gain_ms, slack_ms, longest_ms), loss_ms
 
 
@@ -142,7 +142,7 @@
     """
     if len(choice.waiting) >= _MAX_WAITS:
         return False
-    if _has_remote_task(term, choice, step):
+    if not choice.is_scarce and _has_remote_task(term, choice, step):
         return False
     earlier = _get_earlier(term, choice, task.ref)
     limit_ms, loss_ms = _compute_limit_ms(term, choice, step, earlier)
--- a/bambookeel/jobs/rack_choice.py
+++ b/bambookeel/jobs/rack_choice.py
@@ -17,6 +17,8 @@
 # A new leader lets nothing wait for this long: it does not know for how long
 # jobs have waited, nor the progress of the runs.
 _FIRST_WAIT_MS = 1_000
+# Free share of a service's processor time below which capacity is scarce.
+_SCARCE_SHARE = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +30,8 @@
         service: Name of the service.
         now: Current time.
         may_wait: Whether tasks may wait.
+        is_scarce: Whether little of the service is free, so that the longer
+            runs of remote tasks cost others time.
         awaited: Racks for which the last plan let tasks wait.
         by_rack: Free capacities by rack.
         forecasts: Forecasts by rack, where one was needed.
@@ -42,6 +46,7 @@
     service: str
     now: term_state.Now
     may_wait: bool
+    is_scarce: bool
     awaited: frozenset[str]
     by_rack: dict[str, list[placing.FreeCapacity]]
     forecasts: dict[str, rack_forecasts.RackForecast] = dataclasses.field(
@@ -110,11 +115,21 @@
         service,
         now,
         age_ms >= _FIRST_WAIT_MS,
+        _is_scarce(capacities),
         frozenset(wait.rack for wait in waits.values() if wait.is_current),
         by_rack,
     )
 
 
+def _is_scarce(capacities: list[placing.FreeCapacity]) -> bool:
+    """Returns whether little of the workers' processor time is free."""
+    free_milli = sum(capacity.cpu_milli for capacity in capacities)
+    total_milli = sum(
+        capacity.worker.report.capacity.cpu_milli for capacity in capacities
+    )
+    return free_milli < _SCARCE_SHARE * total_milli
+
+
 def prefers_rack(step: book_records.Step) -> bool:
     """Returns whether tasks of a step take longer in some racks.
 
--- a/features/jobs/place_waits.feature
+++ b/features/jobs/place_waits.feature
@@ -15,6 +15,19 @@
       | 1      | 400  | 1500 | r1   | 0     | 250  |
       | 3      | 2500 | 3000 | r1   | 0     | 250  |
 
+  # Remote runs would take the time of others, which half of the loss leaves out.
+  Scenario Outline: A task waits longer where little of the service is free
+    Given racks of one worker each: r0, r1; tasks take 2 times as long elsewhere
+    And <used> cores of rack r1 are used for 3000 ms more
+    And rack r0 is full for 550 ms more
+    When a task of 4 cores and 1000 ms with data in r0 is submitted
+    Then it starts in <rack> after <least> to <most> ms
+
+    Examples:
+      | used | rack | least | most |
+      | 26   | r0   | 450   | 1000 |
+      | 16   | r1   | 0     | 250  |
+
   Scenario: A task that must start now to be in time does not wait
     Given racks of one worker each: r0, r1; tasks take 2 times as long elsewhere
     And rack r0 is full for 400 ms more
