Start no task in a data centre that operators evacuate

Operators may take a data centre out of use. Instances there are no supply and count neither for pool sizes nor for admission.

--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -75,6 +75,8 @@
         tuple[specs.WorkerIncarnation, tuple[tuple[specs.TaskRef, int], ...]]
     ] = []
     former_teams: list[configuration.Team] = []
+    evacuations: dict[str, int] = {}
+    former_evacuations: list[str] = []
 
 
 def encode_book(book: job_book.Book) -> bytes:
@@ -123,6 +125,8 @@
             list(book.crashes.silent_workers.items()),
             list(book.crashes.unexplained.items()),
             list(book.former_teams.values()),
+            book.instances.evacuations,
+            list(book.instances.former_evacuations),
         )
     )
 
@@ -182,6 +186,8 @@
     book.instances.base_sizes = saved.base_sizes
     book.instances.ordered_wall_ms = saved.ordered_wall_ms
     book.instances.ended_workers = saved.ended_workers
+    book.instances.evacuations = saved.evacuations
+    book.instances.former_evacuations = dict.fromkeys(saved.former_evacuations)
     for wave in saved.waves:
         restored = book_records.Wave(wave.request, dict.fromkeys(wave.waiting))
         restored.ordered = dict.fromkeys(wave.ordered)
--- a/bambookeel/jobs/calls.py
+++ b/bambookeel/jobs/calls.py
@@ -102,6 +102,7 @@
         ends: Ended runs whose ends the leader has not acknowledged.
         clock_ms: Steady clock of the worker in milliseconds at the sending of
             the report; its origin is arbitrary.
+        cold_left_ms: Time in milliseconds for which its runs may be slow.
     """
 
     life: specs.WorkerIncarnation
@@ -117,6 +118,7 @@
     running: tuple[RunningRun, ...]
     ends: tuple[ListedEnd, ...]
     clock_ms: int
+    cold_left_ms: int = 0
 
 
 class WorkerLeft(msgspec.Struct, frozen=True, tag="left"):
@@ -151,6 +153,22 @@
     wave: int
 
 
+class BeginEvacuation(msgspec.Struct, frozen=True, tag="evacuate"):
+    """An operator begins the evacuation of a data centre."""
+
+    data_centre: str
+
+
+class EndEvacuation(msgspec.Struct, frozen=True, tag="evacuated"):
+    """An operator ends the evacuation of a data centre."""
+
+    data_centre: str
+
+
+class ListEvacuations(msgspec.Struct, frozen=True, tag="evacuations"):
+    """Requests the evacuations in force."""
+
+
 Call = (
     SubmitJob
     | AskJob
@@ -162,6 +180,9 @@
     | GetDocument
     | StartWave
     | AskWave
+    | BeginEvacuation
+    | EndEvacuation
+    | ListEvacuations
 )
 
 
@@ -202,6 +223,10 @@
     """The job or wave does not exist."""
 
 
+class UnknownDataCentre(msgspec.Struct, frozen=True, tag="nocentre"):
+    """The deployment has no data centre of this name."""
+
+
 class JobIs(msgspec.Struct, frozen=True, tag="jobis"):
     """State of a job.
 
@@ -271,6 +296,12 @@
     is_complete: bool
 
 
+class EvacuationsAre(msgspec.Struct, frozen=True, tag="evacuationsare"):
+    """Evacuated data centres, each with the Unix time in ms of the begin."""
+
+    begun: tuple[tuple[str, int], ...]
+
+
 class NotLeading(msgspec.Struct, frozen=True, tag="notleading"):
     """Another process leads, or none does; the call may have taken effect.
 
@@ -298,6 +329,8 @@
     | DocumentIs
     | Invalid
     | WaveIs
+    | UnknownDataCentre
+    | EvacuationsAre
     | NotLeading
 )
 
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -250,6 +250,24 @@
     at_wall_ms: int
 
 
+class BeginEvacuation(msgspec.Struct, frozen=True, tag="evacuate"):
+    """Begins the evacuation of a data centre, unless it is in force.
+
+    Attributes:
+        data_centre: Name of the data centre.
+        at_wall_ms: Unix time in milliseconds of the begin.
+    """
+
+    data_centre: str
+    at_wall_ms: int
+
+
+class EndEvacuation(msgspec.Struct, frozen=True, tag="evacuated"):
+    """Ends the evacuation of a data centre, if one is in force."""
+
+    data_centre: str
+
+
 Command = (
     PutConfiguration
     | AdmitJob
@@ -270,6 +288,8 @@
     | RecordPoolSizes
     | RecordOrder
     | WorkerEnded
+    | BeginEvacuation
+    | EndEvacuation
 )
 
 _DECODER = msgspec.msgpack.Decoder(tuple[Command, ...])
--- a/bambookeel/jobs/deferring.py
+++ b/bambookeel/jobs/deferring.py
@@ -2,7 +2,6 @@
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import deferral
-from bambookeel.jobs import instances
 from bambookeel.jobs import loads
 from bambookeel.jobs import objectives
 from bambookeel.jobs import term as term_state
@@ -64,11 +63,7 @@
         Thousandths of a core, with those of instances that are moving to it.
     """
     each_milli = max(worker.report.capacity.cpu_milli for worker in usable)
-    goals = term.instance_controller.fleet.goals.values()
-    incoming = sum(
-        isinstance(goal.order, instances.Move) and goal.order.pool == service
-        for goal in goals
-    )
+    incoming = loads.count_incoming(term, service)
     total = sum(worker.report.capacity.cpu_milli for worker in usable)
     _, standing_milli = loads.sum_open_work(term, service)
     return total + incoming * each_milli - standing_milli
--- a/bambookeel/jobs/fitting.py
+++ b/bambookeel/jobs/fitting.py
@@ -76,21 +76,24 @@
 def list_members(
     term: term_state.Term, service: str
 ) -> Iterator[worker_table.Worker]:
-    """Lists the workers that belong to a pool and do not move away.
+    """Lists the workers of a pool that do not move away and may get work.
 
     Args:
         term: State of the leader's term.
         service: Service of the pool.
 
     Yields:
-        Workers, also those whose instance waits for its upkeep.
+        Workers, also those whose instance waits for its upkeep; none in a data
+        centre that is evacuated.
     """
+    evacuated = term.book.instances.evacuations
     goals = term.instance_controller.fleet.goals
     for worker in term.workers.by_id.values():
         report = worker.report
         if (
             report.service != service
             or report.is_leaving
+            or report.data_centre in evacuated
             or worker.is_lease_expired
         ):
             continue
@@ -133,7 +136,10 @@
     rooms = [_measure_room(term, worker) for worker in members]
     reporting = {worker.report.instance for worker in members}
     unreported = loads.list_unreported_instances(term, service, now_ms)
+    evacuated = term.book.instances.evacuations
     for name, status in fleet.statuses.items():
+        if status.data_centre in evacuated:
+            continue
         goal = fleet.goals.get(name)
         match goal.order if goal is not None else None:
             case instances.Move(_, pool):
--- a/bambookeel/jobs/fleet.py
+++ b/bambookeel/jobs/fleet.py
@@ -67,6 +67,7 @@
         retry_at_ms: Earliest time of the next order after a failed one.
         capacity: Resources of a worker on it.
         labels: Labels of a worker on it.
+        data_centre: Data centre of the instance; empty if unknown.
     """
 
     pool: str
@@ -75,6 +76,7 @@
     retry_at_ms: int = 0
     capacity: specs.Resources = specs.Resources()
     labels: tuple[str, ...] = ()
+    data_centre: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,6 +143,7 @@
             retry_at_ms,
             instance.capacity,
             instance.labels,
+            instance.data_centre,
         )
     for name in list(fleet.statuses):
         if name not in names:
--- a/bambookeel/jobs/instance_records.py
+++ b/bambookeel/jobs/instance_records.py
@@ -1,4 +1,4 @@
-"""Replicated records of instances: pool sizes, orders and upkeep waves."""
+"""Replicated records of instances: pools, orders, upkeep and evacuations."""
 
 import dataclasses
 
@@ -8,6 +8,9 @@
 
 # A report is not delayed for longer than this.
 _KEEP_ENDED_MS = 60_000
+# Maximum number of data centres whose evacuation has ended that are kept; more
+# than a deployment has.
+_MAX_FORMER = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,6 +24,10 @@
             provider for each instance.
         ended_workers: Last incarnation of each worker that is known to have
             ended: Unix time in milliseconds of its start and of its end.
+        evacuations: Data centres whose evacuation is in force, with the Unix
+            time in milliseconds of its begin.
+        former_evacuations: Data centres whose evacuation has ended, the last
+            ones at the end.
     """
 
     waves: dict[int, book_records.Wave] = dataclasses.field(
@@ -31,6 +38,10 @@
     ended_workers: dict[str, tuple[int, int]] = dataclasses.field(
         default_factory=dict
     )
+    evacuations: dict[str, int] = dataclasses.field(default_factory=dict)
+    former_evacuations: dict[str, None] = dataclasses.field(
+        default_factory=dict
+    )
 
     def has_ended(self, life: specs.WorkerIncarnation, at_wall_ms: int) -> bool:
         """Returns whether an incarnation of a worker has ended lately.
@@ -64,6 +75,19 @@
             if at_wall_ms - ended[1] < _KEEP_ENDED_MS
         }
 
+    def end_evacuation(self, data_centre: str) -> None:
+        """Ends an evacuation, if it is in force.
+
+        Args:
+            data_centre: Name of the data centre.
+        """
+        if self.evacuations.pop(data_centre, None) is None:
+            return
+        self.former_evacuations.pop(data_centre, None)
+        self.former_evacuations[data_centre] = None
+        while len(self.former_evacuations) > _MAX_FORMER:
+            del self.former_evacuations[next(iter(self.former_evacuations))]
+
 
 def apply_to_instances(
     records: InstanceRecords, command: commands.Command
@@ -80,6 +104,10 @@
             records.ordered_wall_ms[instance] = at_wall_ms
         case commands.WorkerEnded(life, at_wall_ms):
             records.record_ended(life, at_wall_ms)
+        case commands.BeginEvacuation(data_centre, at_wall_ms):
+            records.evacuations.setdefault(data_centre, at_wall_ms)
+        case commands.EndEvacuation(data_centre):
+            records.end_evacuation(data_centre)
         case commands.RecordPoolSizes(sizes):
             records.base_sizes = dict(sizes)
         case commands.StartWave():
--- a/bambookeel/jobs/instance_steps.py
+++ b/bambookeel/jobs/instance_steps.py
@@ -80,7 +80,10 @@
     term.pool_states = {state.pool: state for state in states}
     _log_pools(term, states, now_ms)
     spare = pool_demand.list_spare_instances(
-        term.instance_controller.fleet, spare_pool, now_ms
+        term.instance_controller.fleet,
+        term.book.instances.evacuations,
+        spare_pool,
+        now_ms,
     )
     required, states, spare = _choose_required(term, states, spare, now)
     moves = required + pools.choose_moves(states, spare_pool, spare, now_ms)
--- a/bambookeel/jobs/loads.py
+++ b/bambookeel/jobs/loads.py
@@ -13,12 +13,16 @@
         service: Service of the pool.
 
     Returns:
-        Number of instances that move to the pool or are in the spare pool.
+        Number of instances that move to the pool or are in the spare pool,
+        without those in a data centre that is evacuated.
     """
+    evacuated = term.book.instances.evacuations
     fleet = term.instance_controller.fleet
     spare_pool = term.book.configuration.find_spare_pool()
     count = 0
     for name, status in fleet.statuses.items():
+        if status.data_centre in evacuated:
+            continue
         goal = fleet.goals.get(name)
         if goal is None:
             is_up = status.phase is instances.InstancePhase.UP
@@ -30,6 +34,29 @@
     return count
 
 
+def count_incoming(term: term_state.Term, service: str) -> int:
+    """Counts the instances that move to a pool and will get work there.
+
+    Args:
+        term: State of the leader's term.
+        service: Service of the pool.
+
+    Returns:
+        Number of instances outside evacuated data centres.
+    """
+    fleet = term.instance_controller.fleet
+    evacuated = term.book.instances.evacuations
+    count = 0
+    for name, goal in fleet.goals.items():
+        if (
+            isinstance(goal.order, instances.Move)
+            and goal.order.pool == service
+        ):
+            status = fleet.statuses.get(name)
+            count += status is None or status.data_centre not in evacuated
+    return count
+
+
 def list_unreported_instances(
     term: term_state.Term, service: str, now_ms: int
 ) -> frozenset[str]:
@@ -45,11 +72,13 @@
 
     Returns:
         Names of instances that the provider lists for the service as up or
-        moving and that have neither a worker nor a goal; none after that time.
+        moving and that have neither a worker nor a goal; none after that time,
+        and none in a data centre that is evacuated.
     """
     if now_ms >= term.earlier_leases_until_ms:
         return frozenset()
     fleet = term.instance_controller.fleet
+    evacuated = term.book.instances.evacuations
     expected_phases = (
         instances.InstancePhase.UP,
         instances.InstancePhase.MOVING,
@@ -59,6 +88,7 @@
         for name, status in fleet.statuses.items()
         if status.pool == service
         and status.phase in expected_phases
+        and status.data_centre not in evacuated
         and name not in fleet.goals
         and term.workers.find_by_instance(name) is None
     )
@@ -105,12 +135,13 @@
     """
     capacity = 0
     each_milli = 0
+    evacuated = term.book.instances.evacuations
     for worker in term.workers.by_id.values():
         worker_milli = worker.report.capacity.cpu_milli
         each_milli = max(each_milli, worker_milli)
         if worker.report.service != service or worker.report.is_leaving:
             continue
-        if worker.is_lease_expired:
+        if worker.is_lease_expired or worker.report.data_centre in evacuated:
             continue
         capacity += worker_milli
     absent = len(list_unreported_instances(term, service, now_ms))
--- a/bambookeel/jobs/operators.py
+++ b/bambookeel/jobs/operators.py
@@ -1,10 +1,14 @@
-"""Handles calls of operators: configurations and waves of upkeep."""
+"""Handles calls of operators: configurations, upkeep and evacuations."""
 
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import term as term_state
 
+# Limit of the name of a data centre, like that of other names.
+_MAX_NAME_CHARS = 200
+
 
 def put_document(
     term: term_state.Term, document: configuration.Document
@@ -85,3 +89,50 @@
     if found is None:
         return calls.NoSuchJob()
     return calls.WaveIs(found.is_complete)
+
+
+def change_evacuation(
+    term: term_state.Term,
+    call: calls.BeginEvacuation | calls.EndEvacuation,
+    now: term_state.Now,
+) -> calls.Answer:
+    """Begins or ends the evacuation of a data centre.
+
+    Args:
+        term: State of the leader's term.
+        call: Order of the operator.
+        now: Current time.
+
+    Returns:
+        `Done`, also if nothing changes, or the refusal.
+    """
+    name = call.data_centre
+    if not 0 < len(name) <= _MAX_NAME_CHARS:
+        return calls.BadRequest("no data centre has a name of this length")
+    records = term.book.instances
+    if not evacuations.is_known(name, records, term.settings.data_centres):
+        return calls.UnknownDataCentre()
+    is_begin = isinstance(call, calls.BeginEvacuation)
+    if is_begin == (name in records.evacuations):
+        return calls.Done()
+    if is_begin:
+        term.decide(commands.BeginEvacuation(name, now.wall_ms))
+        term.log_event("evacuation_begun", data_centre=name)
+        return calls.Done()
+    lasted_ms = now.wall_ms - records.evacuations[name]
+    term.decide(commands.EndEvacuation(name))
+    term.log_event("evacuation_ended", data_centre=name, lasted_ms=lasted_ms)
+    return calls.Done()
+
+
+def list_evacuations(term: term_state.Term) -> calls.Answer:
+    """Lists the evacuations in force.
+
+    Args:
+        term: State of the leader's term.
+
+    Returns:
+        The data centres, in the order in which their evacuations began.
+    """
+    begun = term.book.instances.evacuations
+    return calls.EvacuationsAre(tuple(begun.items()))
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -1,5 +1,6 @@
 """Measures the demand and capacity of each pool, to decide on its size."""
 
+from collections.abc import Container
 import math
 
 from bambookeel.jobs import deferring
@@ -25,12 +26,16 @@
 
 
 def list_spare_instances(
-    fleet: fleet_view.Fleet, spare_pool: str, now_ms: int
+    fleet: fleet_view.Fleet,
+    evacuated: Container[str],
+    spare_pool: str,
+    now_ms: int,
 ) -> tuple[str, ...]:
     """Lists the instances of the spare pool that may be moved.
 
     Args:
         fleet: All instances and their goals.
+        evacuated: Data centres that are evacuated.
         spare_pool: Name of the pool whose instances are off.
         now_ms: Steady-clock time in milliseconds.
 
@@ -42,6 +47,7 @@
         for name, status in sorted(fleet.statuses.items())
         if status.pool == spare_pool
         and status.phase is instances.InstancePhase.UP
+        and status.data_centre not in evacuated
         and name not in fleet.goals
         and now_ms >= status.retry_at_ms
     )
@@ -90,6 +96,7 @@
         first.
     """
     fleet = term.instance_controller.fleet
+    evacuated = term.book.instances.evacuations
     ranked = []
     for worker in term.workers.by_id.values():
         report = worker.report
@@ -97,6 +104,7 @@
             report.service != service
             or report.is_leaving
             or worker.is_lease_expired
+            or report.data_centre in evacuated
         ):
             continue
         name = report.instance
@@ -156,10 +164,7 @@
             continue
         if now_ms >= status.retry_at_ms:
             empty.append(report.instance)
-    incoming = sum(
-        isinstance(goal.order, instances.Move) and goal.order.pool == service
-        for goal in fleet.goals.values()
-    )
+    incoming = loads.count_incoming(term, service)
     unreported = loads.list_unreported_instances(term, service, now_ms)
     absent = incoming + len(unreported)
     total_milli += absent * instance_milli
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -138,6 +138,10 @@
                 return operators.start_wave(term, call, now)
             case calls.AskWave(wave):
                 return operators.get_wave_state(term, wave)
+            case calls.BeginEvacuation() | calls.EndEvacuation():
+                return operators.change_evacuation(term, call, now)
+            case calls.ListEvacuations():
+                return operators.list_evacuations(term)
         return calls.BadRequest(f"{type(call).__name__} has no answer")
 
     def handle_order_outcome(
--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -53,6 +53,7 @@
             serving task over its target.
         restore_ms: How long a run takes to resume from its checkpoint.
         upkeep_ms: How long an instance is down for its upkeep.
+        data_centres: Names of the data centres; empty if they are unknown.
     """
 
     longest_lease_ms: float
@@ -62,11 +63,12 @@
     over_target_ms: float
     restore_ms: float
     upkeep_ms: float
+    data_centres: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SchedulerSettings:
-    """Time limits of the scheduler, in milliseconds.
+    """Time limits of the scheduler, in milliseconds, and known data centres.
 
     Attributes:
         lease_ms: How long runs may continue without a report.
@@ -90,6 +92,8 @@
         wave_round_ms: Duration of one round of a wave. A wave with less time
             for each remaining round takes instances down without waiting for
             their tasks to end.
+        data_centres: Names of the data centres that may be evacuated; empty if
+            any may.
     """
 
     lease_ms: int
@@ -104,6 +108,7 @@
     stall_ms: int
     stall_at_start_ms: int
     wave_round_ms: int
+    data_centres: frozenset[str] = frozenset()
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -146,4 +151,5 @@
             # On a slow worker the restore takes longer, too.
             stall_at_start_ms=max(_STALL_AT_START_MS, 2 * restored_ms),
             wave_round_ms=math.ceil(bounds.upkeep_ms) + _ROUND_MS,
+            data_centres=bounds.data_centres,
         )
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 
 from bambookeel.jobs import book_records
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -36,7 +37,8 @@
 ) -> specs.Resources:
     """Measures the capacity of a service's workers that have missed reports.
 
-    They may have crashed, so that it counts as capacity that is not in use.
+    They may have crashed, so that it counts as capacity that is not in use,
+    except in a data centre that is evacuated.
 
     Args:
         term: State of the leader's term.
@@ -48,6 +50,8 @@
     """
     total = specs.Resources()
     for worker in term.workers.by_id.values():
+        if evacuations.is_evacuated(term.book.instances, worker):
+            continue
         if worker.report.service == service and _is_silent(
             term, worker, now_ms
         ):
--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -1,12 +1,14 @@
 """Takes back runs that a worker has not received and should not start.
 
-A worker may have shrunk since it was given a run, or be about to leave. A gang
-is taken back as a whole, since its tasks would wait for the missing ones.
+A worker may have shrunk since it was given a run, be about to leave, or be in a
+data centre that is evacuated. A gang is taken back as a whole, since its tasks
+would wait for the missing ones.
 """
 
 from bambookeel.jobs import book_records
 from bambookeel.jobs import commands
 from bambookeel.jobs import delivery
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import run_records
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -21,8 +23,9 @@
 
     Runs that should start are ordered with the answer. The others are of tasks
     that no longer have to run or that were withdrawn, those that no longer fit
-    on the worker, and all of them if it is draining. They are removed if the
-    worker has not received them, and otherwise wait for the next report.
+    on the worker, and all of them if it is draining or evacuated. They are
+    removed if the worker has not received them, and otherwise wait for the next
+    report.
 
     Args:
         term: State of the leader's term.
@@ -59,7 +62,8 @@
             worker.withheld.add(key)
             _log_withheld(term, worker, assigned)
             continue
-        if is_wanted and step is not None:
+        is_evacuated = evacuations.is_evacuated(term.book.instances, worker)
+        if step is not None and (is_wanted or is_evacuated):
             _withdraw_gang(term, worker, assigned, step)
         lost.append((*key, ""))
     if repeated:
@@ -85,6 +89,7 @@
     return (
         term.is_task_open(assigned.task)
         and not worker.report.is_leaving
+        and not evacuations.is_evacuated(term.book.instances, worker)
         and (assigned.task, assigned.run) not in term.withdrawn
         and _is_gang_complete(step, assigned.run)
     )
--- a/bambookeel/jobs/usable_workers.py
+++ b/bambookeel/jobs/usable_workers.py
@@ -39,10 +39,12 @@
     suspect = []
     working_on = []
     controller = term.instance_controller
+    evacuated = term.book.instances.evacuations
     for worker in term.workers.by_id.values():
         if (
             worker.report.service != service
             or worker.report.is_leaving
+            or worker.report.data_centre in evacuated
             or worker.is_settling
             or now_ms - worker.last_report_ms
             > term.settings.assign_max_silence_ms
--- a/bambookeel/jobs/worker_orders.py
+++ b/bambookeel/jobs/worker_orders.py
@@ -5,6 +5,7 @@
 from bambookeel.jobs import checkpoints
 from bambookeel.jobs import crash_evidence
 from bambookeel.jobs import delivery
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import isolating
 from bambookeel.jobs import specs
 from bambookeel.jobs import term as term_state
@@ -73,8 +74,12 @@
         stops.append((run.task, run.run))
     starts = []
     listed = {(run.task, run.run) for run in report.running}
+    # An evacuation may have begun after the report was handled.
+    gets_none = report.is_leaving or evacuations.is_evacuated(
+        term.book.instances, worker
+    )
     for each in assigned.values():
-        if (each.task, each.run) in listed or report.is_leaving:
+        if (each.task, each.run) in listed or gets_none:
             continue
         if not term.is_task_open(each.task):
             continue
--- a/bambookeel/node/leader_finder.py
+++ b/bambookeel/node/leader_finder.py
@@ -52,6 +52,20 @@
         """
         return now_ms - self.known_ms
 
+    def find_other(self, now_ms: int) -> str:
+        """Finds another process that leads.
+
+        Args:
+            now_ms: Steady time in milliseconds.
+
+        Returns:
+            Its process id; empty if no leader is confirmed or this process
+            leads.
+        """
+        if not self.is_confirmed(now_ms) or self.leader == self.own:
+            return ""
+        return self.leader
+
     def is_confirmed(self, now_ms: int) -> bool:
         """Returns whether the leader has recently said that it leads.
 
--- a/bambookeel/node/settings.py
+++ b/bambookeel/node/settings.py
@@ -6,6 +6,13 @@
 from bambookeel.core import settings as core_settings
 from bambookeel.jobs import scheduler
 
+# Time without a leader's message before an election; well above the pauses of
+# a busy node.
+_ELECTION_MIN_MS = 900
+_ELECTION_MAX_MS = 1_500
+_HEARTBEAT_MS = 150
+_SNAPSHOT_EVERY = 2_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeSettings:
@@ -40,5 +47,30 @@
     data_folder: str
     consensus: core_settings.ConsensusTimings
     scheduling: scheduler.SchedulerSettings
-    channel_heartbeat_ms: int
-    channel_timeout_ms: int
+    channel_heartbeat_ms: int = 250
+    channel_timeout_ms: int = 1_000
+
+
+def derive_timings(
+    tolerated_losses: int, catch_up_ms: int
+) -> core_settings.ConsensusTimings:
+    """Derives the timings of the replicated log from a deployment's bounds.
+
+    Args:
+        tolerated_losses: Number of nodes whose loss must be tolerated.
+        catch_up_ms: Time in milliseconds from a new node's start until it no
+            longer counts as lost.
+
+    Returns:
+        Timings with which the log keeps the bounds.
+    """
+    return core_settings.ConsensusTimings(
+        heartbeat_ms=_HEARTBEAT_MS,
+        election_min_ms=_ELECTION_MIN_MS,
+        election_max_ms=_ELECTION_MAX_MS,
+        snapshot_every=_SNAPSHOT_EVERY,
+        max_voters=2 * tolerated_losses + 1,
+        lost_voter_ms=core_settings.compute_lost_voter_ms(
+            catch_up_ms, _ELECTION_MAX_MS
+        ),
+    )
--- a/features/fakes/jobs_checks.py
+++ b/features/fakes/jobs_checks.py
@@ -39,9 +39,22 @@
             simulation.snapshot_difference = (simulation.committed, encoded)
 
 
+def check_data_centre(simulation, worker, task):
+    """Checks that no task starts in a data centre that is evacuated.
+
+    An answer of the simulation arrives at once, so that none that was sent
+    before the acknowledgement can arrive after it.
+    """
+    if worker.data_centre in simulation.evacuated:
+        simulation.violations.append(
+            f"{task} starts in {worker.data_centre}, which is evacuated"
+        )
+
+
 def check_start(simulation, worker, order, step):
     """Checks all guarantees for one start."""
     task = order.task
+    check_data_centre(simulation, worker, task)
     check_checkpoint(simulation, order, step)
     if task in simulation.acknowledged_tasks:
         simulation.violations.append(
--- a/features/fakes/jobs_pools.py
+++ b/features/fakes/jobs_pools.py
@@ -122,6 +122,7 @@
                 worker.labels,
                 jobs_simulation.WALL_START_MS + self.now_ms,
                 instance=name,
+                data_centre=worker.data_centre,
             )
         if scheduler.begin_list_if_due(self.now_ms):
             self._list_due = (self.now_ms, scheduler)
@@ -146,7 +147,7 @@
                 name,
                 pool,
                 phase,
-                "dc",
+                w.data_centre,
                 "",
                 specs.Resources(
                     w.capacity.cpu_milli * self.listed_factor,
--- a/features/fakes/jobs_provider.py
+++ b/features/fakes/jobs_provider.py
@@ -57,7 +57,11 @@
             phase = instances.InstancePhase.UP
             if name in self._down:
                 phase = instances.InstancePhase.UPKEEP
-            listed.append(instances.Instance(name, worker.service, phase, "dc"))
+            listed.append(
+                instances.Instance(
+                    name, worker.service, phase, worker.data_centre
+                )
+            )
         return tuple(listed)
 
     def advance(self, ms):
--- a/features/fakes/jobs_simulation.py
+++ b/features/fakes/jobs_simulation.py
@@ -50,6 +50,10 @@
         self.specs = {}
         self.in_flight = []
         self.complete_gangs = set()
+        # Gangs of which members waited in vain for the others.
+        self.alone_gangs = set()
+        # Data centres whose evacuation has been acknowledged.
+        self.evacuated = set()
         self.snapshot_difference = None
         book = job_book.Book()
         self.committed = book_snapshot.encode_book(book)
@@ -126,7 +130,10 @@
         self.scheduler.handle_instance_list(
             tuple(
                 instances.Instance(
-                    f"m-{w.name}", w.service, instances.InstancePhase.UP, "dc"
+                    f"m-{w.name}",
+                    w.service,
+                    instances.InstancePhase.UP,
+                    w.data_centre,
                 )
                 for w in self.workers.values()
             ),
@@ -226,6 +233,7 @@
             worker.capacity,
             worker.labels,
             WALL_START_MS + self.now_ms,
+            data_centre=worker.data_centre,
         )
 
     def stop_faults(self):
@@ -274,6 +282,7 @@
                 for worker, other in members:
                     self.end_run(worker, other, specs.RunEnd.BROKEN)
             elif self.now_ms >= first_end_ms + 3_000:
+                self.alone_gangs.add(run.gang)
                 for worker, other in members:
                     self.end_run(worker, other, specs.RunEnd.ALONE)
             return
--- a/features/fakes/jobs_worker.py
+++ b/features/fakes/jobs_worker.py
@@ -71,6 +71,8 @@
     instance: str = ""
     # Empty for the address that is named after the worker.
     address: str = ""
+    data_centre: str = "dc"
+    cold_left_ms: int = 0
 
     def measure_percent(self, run, now_ms):
         """Returns the percentage that a run reports."""
@@ -111,7 +113,7 @@
             instance=self.instance or f"m-{self.name}",
             address=self.address or f"{self.name}:1",
             service=self.service,
-            data_centre="dc",
+            data_centre=self.data_centre,
             number=self.report_number,
             capacity=self.capacity,
             labels=self.labels,
@@ -129,4 +131,5 @@
             ),
             ends=tuple(self.unacknowledged_ends[:500]),
             clock_ms=self.clock_origin_ms + now_ms,
+            cold_left_ms=self.cold_left_ms,
         )
--- a/features/fakes/platform_site.py
+++ b/features/fakes/platform_site.py
@@ -59,6 +59,7 @@
             "node_name": f"node-{self.number}",
             "ip": self.ip,
             "zone": "north",
+            "zones": {"north": "r1", "south east": "r1"},
             "bind_addrs": {
                 "frontend": f"{self.ip}:{base + _FRONT}",
                 "ready": f"{self.ip}:{base + _READY}",
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -92,3 +92,13 @@
   Scenario: Callers are told why a job has failed
     Then a caller is told that a job is "failed" with the reason "task 0.0.0 failed 3 times"
     And a caller is told that a job is "completed" without a reason
+
+  Scenario: The known data centres are those of the settings
+    When the settings with these bounds are converted
+      | bound    | value |
+      | lease_ms | 3000  |
+    Then "north,south" can be evacuated
+
+  Scenario: A heartbeat tells for how long the worker may be slow
+    When a heartbeat that says 1500.5 ms of "cold_left_ms" is decoded
+    Then the worker may be slow for 1500 ms
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -52,7 +52,7 @@
     )
 
 
-_HEARTBEAT = {
+HEARTBEAT = {
     "service": "pack",
     "address": "10.0.0.1:80",
     "zone": "north",
@@ -104,8 +104,8 @@
 def check_heartbeats(_context):
     _check_any_json(
         lambda body: adapter_workers.decode_heartbeat("w", body),
-        _HEARTBEAT,
-        [*_HEARTBEAT, "labels", "machine", "remaining_ms"],
+        HEARTBEAT,
+        [*HEARTBEAT, "labels", "machine", "remaining_ms"],
         calls.WorkerReport,
     )
 
@@ -200,7 +200,7 @@
 def decode_lists(context):
     row = context.table[0]
     body = {
-        **_HEARTBEAT,
+        **HEARTBEAT,
         "running": [json.loads(row["running"])],
         "finished": [json.loads(row["finished"])],
     }
@@ -293,6 +293,7 @@
         "node_name": "n",
         "ip": "127.0.0.1",
         "zone": "north",
+        "zones": {"north": "r1", "south": "r1"},
         "bind_addrs": {},
         "port_range": [7_000, 7_015],
         "seed_nodes": [],
