Withdraw gangs, move standing tasks and replace capacity in evacuations

A gang across two data centres waited for the member that could not start any more until it ended as alone; it is now withdrawn as a whole, also by a leader that knows only from the book that it is not complete. Standing tasks of which some may be missing move one at a time, where there is room. A pool gets instances for the evacuated ones as far as it keeps or uses them, before its work waits, and refuses jobs while all its capacity is there.

--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -66,14 +66,18 @@
     if call.spec is None:
         return calls.BadRequest(call.fault)
     retry_ms = _compute_retry_ms(term, queue, team, call.spec, now.steady_ms)
+    reason = f"{queue.service} cannot end it in time"
+    if loads.has_only_evacuated(term, queue.service, now.steady_ms):
+        retry_ms = admission.MAX_RETRY_MS
+        reason = f"the data centres of {queue.service} are evacuated"
     if retry_ms is not None:
-        reason = f"{queue.service} cannot end it in time"
         term.log_event(
             "job_refused",
             job=call.job,
             queue=queue.name,
             team=team,
             retry_ms=retry_ms,
+            reason=reason,
         )
         return calls.NotStored(reason, retry_ms, is_overload=True)
     term.decide(
--- a/bambookeel/jobs/evacuations.py
+++ b/bambookeel/jobs/evacuations.py
@@ -5,10 +5,14 @@
 pool. From then on no task starts there; tasks that run there go on.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
+import dataclasses
 import enum
 
+from bambookeel.jobs import book_records
 from bambookeel.jobs import instance_records
+from bambookeel.jobs import specs
 from bambookeel.jobs import workers as worker_table
 
 
@@ -23,6 +27,51 @@
     EMPTY = "empty"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """What is left in a data centre that is evacuated.
+
+    Attributes:
+        tasks: Number of runs.
+        undelivered: Number of runs that have not been reported, so that they
+            may still start.
+        standing: Number of runs of standing tasks.
+        empty_in_ms: Estimated time in milliseconds until no task is left; -1 if
+            one does not end by itself.
+    """
+
+    tasks: int = 0
+    undelivered: int = 0
+    standing: int = 0
+    empty_in_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class TermState:
+    """What a leader knows of evacuations besides the job book.
+
+    Attributes:
+        checked_ms: Steady-clock time of the last check.
+        measured_ms: Steady-clock time of the last measurement of what is left.
+        logged_ms: Steady-clock time of the last log line about each evacuation.
+        phases: How far each evacuation is, by data centre.
+        progress: What is left in each data centre, by its name.
+        moving: Standing tasks that were stopped and have no other run yet.
+        no_room_until_ms: Steady-clock time until which no room is looked for,
+            by step of a standing task.
+    """
+
+    checked_ms: int = 0
+    measured_ms: int = 0
+    logged_ms: int = 0
+    phases: dict[str, Phase] = dataclasses.field(default_factory=dict)
+    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
+    moving: set[specs.TaskRef] = dataclasses.field(default_factory=set)
+    no_room_until_ms: dict[tuple[str, int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 def is_known(
     data_centre: str,
     records: instance_records.InstanceRecords,
@@ -86,20 +135,56 @@
     )
 
 
-def find_phase(earlier: Phase, undelivered: int, left: int) -> Phase:
-    """Finds how far an evacuation is; it never goes back.
+def list_reached(earlier: Phase, progress: Progress) -> list[Phase]:
+    """Lists the phases that an evacuation has reached; it never goes back.
 
     Args:
         earlier: Phase in which it was.
-        undelivered: Number of runs in the data centre that have not been
-            reported, so that they may still start.
-        left: Number of runs that are left there, including these.
+        progress: What is left in the data centre.
+
+    Returns:
+        The new phases in their order; empty if it is still in the earlier one.
+    """
+    reached = []
+    if earlier is Phase.BEGUN and not progress.undelivered:
+        reached.append(Phase.IN_FORCE)
+    if earlier is not Phase.EMPTY and not progress.tasks:
+        reached.append(Phase.EMPTY)
+    return reached
+
+
+def is_movable(step: book_records.Step) -> bool:
+    """Returns whether the tasks of a step are moved to other data centres.
+
+    Args:
+        step: A step of an open job.
+
+    Returns:
+        True for standing tasks of which some may be missing. Fillers and gangs
+        stay, since a gang would have to be stopped as a whole.
+    """
+    spec = step.spec
+    if not spec.is_standing or spec.is_filler or spec.is_gang:
+        return False
+    return spec.max_missing > 0
+
+
+def may_move(
+    step: book_records.Step,
+    ref: specs.TaskRef,
+    is_available: Callable[[book_records.Task], bool],
+) -> bool:
+    """Returns whether a standing task may be stopped to run elsewhere.
+
+    The tasks of a step are moved one at a time, each once all others are
+    available.
+
+    Args:
+        step: A step whose tasks are moved.
+        ref: The task.
+        is_available: Returns whether a task of the step is available.
 
     Returns:
-        Its phase.
+        False if another task of the step is missing.
     """
-    if not left:
-        return Phase.EMPTY
-    if not undelivered and earlier is Phase.BEGUN:
-        return Phase.IN_FORCE
-    return earlier
+    return all(is_available(task) for task in step.tasks if task.ref != ref)
--- a/bambookeel/jobs/loads.py
+++ b/bambookeel/jobs/loads.py
@@ -1,8 +1,10 @@
 """Measures the load of services and teams, on which admission is based."""
 
 from bambookeel.jobs import admission
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import instances
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import workers as worker_table
 
 
 def _count_obtainable_instances(term: term_state.Term, service: str) -> int:
@@ -34,6 +36,72 @@
     return count
 
 
+def list_evacuated_workers(
+    term: term_state.Term, service: str
+) -> list[worker_table.Worker]:
+    """Lists the workers of a service in evacuated data centres.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+
+    Returns:
+        Those that report and do not leave.
+    """
+    if not term.book.instances.evacuations:
+        return []
+    return [
+        worker
+        for worker in term.workers.by_id.values()
+        if worker.report.service == service
+        and not worker.report.is_leaving
+        and not worker.is_lease_expired
+        and evacuations.is_evacuated(term.book.instances, worker)
+    ]
+
+
+def has_only_evacuated(
+    term: term_state.Term, service: str, now_ms: int
+) -> bool:
+    """Returns whether all capacity of a service is in evacuated data centres.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        False also if other instances belong to its pool or could be moved to
+        it, or if their workers may not have reported to this leader yet.
+    """
+    if not list_evacuated_workers(term, service):
+        return False
+    evacuated = term.book.instances.evacuations
+    fleet = term.instance_controller.fleet
+    if now_ms < term.earlier_leases_until_ms and not fleet.listed_ms:
+        return False
+    has_worker = any(
+        worker.report.service == service
+        and not worker.is_lease_expired
+        and worker.report.data_centre not in evacuated
+        for worker in term.workers.by_id.values()
+    )
+    has_instance = any(
+        status.pool == service and status.data_centre not in evacuated
+        for status in fleet.statuses.values()
+    )
+    if has_worker or has_instance or _count_obtainable_instances(term, service):
+        return False
+    if not fleet.listed_ms or not term.book.configuration.find_spare_pool():
+        # No instance is moved between pools.
+        return True
+    # Without states, the pools are still to be measured.
+    return bool(term.pool_states) and not any(
+        pool != service and state.count_givable() > 0
+        for pool, state in term.pool_states.items()
+    )
+
+
 def count_incoming(term: term_state.Term, service: str) -> int:
     """Counts the instances that move to a pool and will get work there.
 
--- a/bambookeel/jobs/operators.py
+++ b/bambookeel/jobs/operators.py
@@ -3,6 +3,7 @@
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import evacuation_steps
 from bambookeel.jobs import evacuations
 from bambookeel.jobs import term as term_state
 
@@ -115,9 +116,13 @@
     is_begin = isinstance(call, calls.BeginEvacuation)
     if is_begin == (name in records.evacuations):
         return calls.Done()
+    # The pools are measured again before any of them counts as having others.
+    term.pool_states = {}
+    term.instances_checked_ms = 0
     if is_begin:
         term.decide(commands.BeginEvacuation(name, now.wall_ms))
         term.log_event("evacuation_begun", data_centre=name)
+        evacuation_steps.withdraw_gangs(term)
         return calls.Done()
     lasted_ms = now.wall_ms - records.evacuations[name]
     term.decide(commands.EndEvacuation(name))
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -53,7 +53,7 @@
     )
 
 
-def _compute_drain_ms(
+def compute_drain_ms(
     term: term_state.Term, worker: worker_table.Worker
 ) -> float:
     """Estimates when a worker would be empty if it got no new runs.
@@ -111,7 +111,7 @@
         status = fleet.statuses.get(name)
         if name in fleet.goals or status is None or now_ms < status.retry_at_ms:
             continue
-        drain_ms = _compute_drain_ms(term, worker)
+        drain_ms = compute_drain_ms(term, worker)
         if drain_ms <= _MAX_DRAIN_MS:
             ranked.append((drain_ms, name))
     return [name for _, name in sorted(ranked)]
@@ -260,6 +260,11 @@
         term, service
     )
     open_work = _weigh_open_work(term, service, now)
+    evacuated = loads.list_evacuated_workers(term, service)
+    for worker in evacuated:
+        # A pool whose instances are all evacuated has no others to judge by.
+        each_milli = worker.report.capacity.cpu_milli
+        instance_milli = max(instance_milli, each_milli)
     base = term.book.instances.base_sizes.get(service, 0)
     kept = _KEPT_NUMERATOR * base // _KEPT_DENOMINATOR
     if _has_upkeep(term, service):
@@ -278,4 +283,5 @@
         empty=empty,
         idle_since_ms=idle_since_ms,
         incoming=incoming,
+        evacuated=len(evacuated),
     )
--- a/bambookeel/jobs/pools.py
+++ b/bambookeel/jobs/pools.py
@@ -58,6 +58,8 @@
         incoming: Number of members that are moving to the pool or have not
             reported yet. They may never arrive, so that the pool gives away
             others only beside the instances that it keeps.
+        evacuated: Number of instances in evacuated data centres, which are no
+            members.
     """
 
     pool: str
@@ -72,6 +74,7 @@
     empty: tuple[str, ...]
     idle_since_ms: int
     incoming: int = 0
+    evacuated: int = 0
 
     def count_givable(self) -> int:
         """Counts the instances that the pool may give away."""
@@ -128,6 +131,30 @@
     return compute_duration_ms(work, capacity_milli)
 
 
+def _count_replaced(state: PoolState) -> int:
+    """Counts the instances that replace those in evacuated data centres.
+
+    They are needed although no task has waited yet: those that the pool keeps,
+    and the capacity for the work that is there.
+
+    Args:
+        state: State of the pool.
+
+    Returns:
+        At most the number of evacuated instances.
+    """
+    if not state.evacuated or not state.instance_milli:
+        return 0
+    wanted_milli = max(state.ready_milli, state.arriving_milli)
+    short_milli = wanted_milli - state.capacity_milli
+    count = max(
+        state.min_members - state.members,
+        math.ceil(short_milli / state.instance_milli),
+        0,
+    )
+    return min(count, state.evacuated, MAX_GROWTH)
+
+
 def _count_missing(state: PoolState) -> int:
     """Counts the instances that a pool is short of.
 
@@ -135,26 +162,28 @@
         state: State of the pool.
 
     Returns:
-        How many more instances the pool needs to complete its work in time.
+        How many more instances the pool needs to complete its work in time,
+        and at least those that replace evacuated ones.
     """
+    replaced = _count_replaced(state)
     capacity_milli = state.capacity_milli
     if (
         not state.instance_milli
         or forecast_ms(state, capacity_milli) < GROW_AT_MS
     ):
-        return 0
+        return replaced
     wanted_milli = max(state.ready_milli, state.arriving_milli)
     if wanted_milli <= capacity_milli:
         # No task waits for capacity, and more instances do not make long tasks
         # shorter.
-        return 0
+        return replaced
     count = 0
     while count < MAX_GROWTH:
         if forecast_ms(state, capacity_milli) <= GROW_TO_MS:
             break
         count += 1
         capacity_milli += state.instance_milli
-    return count
+    return max(count, replaced)
 
 
 def _list_released(state: PoolState) -> list[str]:
--- a/bambookeel/jobs/reports.py
+++ b/bambookeel/jobs/reports.py
@@ -8,6 +8,7 @@
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
 from bambookeel.jobs import crashes
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import former_lives
 from bambookeel.jobs import health
 from bambookeel.jobs import instance_steps
@@ -229,7 +230,9 @@
         return
     health.record_success(worker.health)
     assigned_ms = term.assigned_ms.get((end.task, end.run))
-    if assigned_ms is None:
+    if assigned_ms is None or evacuations.may_be_cold(
+        term.book.instances, worker
+    ):
         return
     took_ms = now.steady_ms - assigned_ms - term.settings.report_ms
     queue = term.book.jobs[end.task.job].queue
@@ -241,7 +244,8 @@
 ) -> None:
     """Withdraws runs that make no progress although their worker reports."""
     listed = []
-    for run in worker.report.running:
+    is_cold = evacuations.may_be_cold(term.book.instances, worker)
+    for run in worker.report.running if not is_cold else ():
         step = term.book.get_step(run.task)
         if step is None or step.spec.is_standing or step.spec.is_gang:
             continue
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -12,6 +12,7 @@
 from bambookeel.jobs import callers
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import evacuation_steps
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import instances
 from bambookeel.jobs import losses
@@ -196,6 +197,7 @@
         undelivered.lose_unsent(self.term, now)
         reports.drop_old_jobs(self.term, now)
         instance_steps.control_instances(self.term, now)
+        evacuation_steps.carry_out(self.term, now)
         waiting.log_waiting_steps(self.term, now)
 
     def plan(self, now: Now) -> None:
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -17,6 +17,7 @@
 from bambookeel.jobs import book_records
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import inherited_lives
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
@@ -120,6 +121,7 @@
         # Since when steps wait beside a reserve, by service; steady clock.
         self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
         self.storms = storm_state.StormState()
+        self.evacuations = evacuations.TermState()
         self.planned_ms = 0
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -64,7 +64,7 @@
             continue
         is_evacuated = evacuations.is_evacuated(term.book.instances, worker)
         if step is not None and (is_wanted or is_evacuated):
-            _withdraw_gang(term, worker, assigned, step)
+            withdraw_gang(term, worker, assigned, step)
         lost.append((*key, ""))
     if repeated:
         term.decide(
@@ -91,7 +91,7 @@
         and not worker.report.is_leaving
         and not evacuations.is_evacuated(term.book.instances, worker)
         and (assigned.task, assigned.run) not in term.withdrawn
-        and _is_gang_complete(step, assigned.run)
+        and is_gang_complete(step, assigned.run)
     )
 
 
@@ -198,7 +198,7 @@
     return free
 
 
-def _is_gang_complete(step: book_records.Step, run: int) -> bool:
+def is_gang_complete(step: book_records.Step, run: int) -> bool:
     """Returns whether no member of a gang has lost its part of a run.
 
     The checkpoint of the gang may have changed with the loss, so that another
@@ -214,18 +214,18 @@
     return not step.spec.is_gang or all(run in task.runs for task in step.tasks)
 
 
-def _withdraw_gang(
+def withdraw_gang(
     term: term_state.Term,
     worker: worker_table.Worker,
     assigned: run_records.AssignedRun,
     step: book_records.Step,
 ) -> None:
-    """Withdraws all runs of a gang of which one no longer fits.
+    """Withdraws all runs of a gang of which one cannot start.
 
     Args:
         term: State of the leader's term.
-        worker: Worker that has shrunk.
-        assigned: Run that no longer fits on it.
+        worker: Worker that has shrunk, or whose data centre is evacuated.
+        assigned: Run that cannot start there, or that waits for another one.
         step: Step of the run.
     """
     term.log_event(
--- a/bambookeel/jobs/waiting.py
+++ b/bambookeel/jobs/waiting.py
@@ -7,6 +7,7 @@
 from bambookeel.jobs import bulkheads
 from bambookeel.jobs import caps
 from bambookeel.jobs import crashes
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import gang_placing
 from bambookeel.jobs import isolating
 from bambookeel.jobs import kept_workers
@@ -46,6 +47,7 @@
     SPREAD = "spread"
     WORKERS_SUSPECT = "workers_suspect"
     INSTANCE_GOAL = "instance_goal"
+    EVACUATED = "evacuated"
     APART = "apart"
     KEPT = "kept"
     ALONE = "alone"
@@ -165,6 +167,9 @@
     heard = _list_heard_workers(term, service, now_ms)
     if not heard:
         return Reason.NO_WORKER
+    records = term.book.instances
+    if all(evacuations.is_evacuated(records, worker) for worker in heard):
+        return Reason.EVACUATED
     count = len(step.tasks) if step.spec.is_gang else 1
     if step.spec.is_gang and len(step.waiting) < count:
         return Reason.GANG_ENDS
@@ -210,7 +215,7 @@
 
     Args:
         term: State of the leader's term.
-        heard: All workers of its service that report.
+        heard: All workers of its service that report, also evacuated ones.
         step: The step.
         tickets: Workers that the advisor allows; None if all are allowed.
         now_ms: Steady-clock time in milliseconds.
@@ -219,14 +224,21 @@
         What keeps it from the workers that have room.
     """
     controller = term.instance_controller
-    without_goals = [
+    records = term.book.instances
+    usable = [
         worker
         for worker in heard
+        if not evacuations.is_evacuated(records, worker)
+    ]
+    without_goals = [
+        worker
+        for worker in usable
         if controller.is_usable(worker.report.instance)
     ]
     for workers, reason in (
         (without_goals, Reason.WORKERS_SUSPECT),
-        (heard, Reason.INSTANCE_GOAL),
+        (usable, Reason.INSTANCE_GOAL),
+        (heard, Reason.EVACUATED),
     ):
         if _fits(placing.measure_free(workers, {}), step, tickets, now_ms):
             return reason
