Evacuate data centres in the node soak

An operator begins and ends evacuations beside kills, cuts and wipes, and the soak checks that no task starts there 2 s after the acknowledgement. The soak has no provider, so that no waves overlap them.

--- a/dev/node_soak_site.py
+++ b/dev/node_soak_site.py
@@ -23,6 +23,7 @@
 # Difference between the port of a node's socket and that of the relay in front
 # of it.
 _NODE_PORT_OFFSET = 40
+DATA_CENTRES = ("north", "south", "east")
 FRONT, READY, CONTROL, PEER = range(4)
 # Bytes by which files can still grow on a disk that is simulated as full.
 _FREE_BYTES_ON_FULL_DISK = 4_096
@@ -73,6 +74,7 @@
         settings["bind_addrs"]["control_plane"] = self._get_node_address(
             CONTROL
         )
+        settings["zones"] = dict.fromkeys(DATA_CENTRES, "region")
         count = len(self._site.nodes) or 3
         settings["seed_nodes"] = [
             f"127.0.{self._site.net}.{(self.first_seed_node + i) % count + 1}:1"
@@ -182,3 +184,5 @@
         super().__init__(*arguments)
         # Number of injected crashes under each task.
         self.crashes_by_task: dict[str, int] = {}
+        for i, worker in enumerate(self.workers):
+            worker.data_centre = DATA_CENTRES[i % len(DATA_CENTRES)]
--- a/dev/node_soak_worker.py
+++ b/dev/node_soak_worker.py
@@ -55,6 +55,7 @@
             the life before.
         delivers_late: Whether reports sent during a cut arrive when it heals;
             otherwise they are lost.
+        data_centre: Data centre of the worker.
         counts: Number of crashes, answers to a former life and late reports.
     """
 
@@ -62,6 +63,7 @@
         super().__init__(site, name, run_s)
         self.takes_former_answers = True
         self.delivers_late = True
+        self.data_centre = "north"
         self.counts: dict[str, int] = {}
         # When each of its runs was first listed, by task and run number.
         self._listed_s: dict[tuple[str, int], float] = {}
@@ -139,6 +141,7 @@
 
     def _build_report(self, now: float) -> dict[str, typing.Any]:
         body: dict[str, typing.Any] = super()._build_report(now)
+        body["zone"] = self.data_centre
         listed_s = {}
         for row in body["running"]:
             key = row[0], row[1]
--- a/dev/run_node_soak.py
+++ b/dev/run_node_soak.py
@@ -24,6 +24,7 @@
 from absl import flags  # noqa: E402
 import gevent  # noqa: E402
 
+from dev import node_soak_evacuations  # noqa: E402
 from dev import node_soak_load  # noqa: E402
 from dev import node_soak_site  # noqa: E402
 from dev import node_soak_worker  # noqa: E402
@@ -46,6 +47,9 @@
     ("seeded", "always", "never"),
     "Whether reports of a worker that is cut off arrive when the cut heals.",
 )
+_EVACUATIONS = flags.DEFINE_bool(
+    "evacuations", True, "Whether data centres are evacuated."
+)
 _FOLDER = flags.DEFINE_string("folder", "run-output", "Settings and logs.")
 
 # Time after the last fault within which all accepted jobs must end.
@@ -165,6 +169,9 @@
             folder, _BASE_PORT.value, network, _NODES.value, _WORKERS.value
         )
         self._load = node_soak_load.SoakLoad(self._site, seed)
+        self._evacuations = node_soak_evacuations.SoakEvacuations(
+            self._site, seed
+        )
         self._current_faults: dict[int, str] = {}
         self._last_wipe_s = time.monotonic()
         self._crash_generator = random.Random(seed + 2)
@@ -186,17 +193,24 @@
             site.start()
             self._wait_until(site.are_ready, 30)
             self._load.start()
+            if _EVACUATIONS.value:
+                self._evacuations.start()
             self._inject_faults()
             self._load.stop_requests()
+            if _EVACUATIONS.value:
+                self._evacuations.stop(_SETTLE_S)
             self._wait_until(self._load.are_jobs_done, _SETTLE_S)
             breaches = self._load.find_breaches()
+            breaches += self._evacuations.find_breaches()
             self._load.count_worker_faults()
+            self._load.counts["evacuations"] = self._evacuations.count()
             for node in site.nodes:
                 if node.has_ended():
                     breaches.append(f"node {node.number} has ended by itself")
             return breaches
         finally:
             self._load.kill_tasks()
+            self._evacuations.kill()
             site.end()
 
     def describe(self) -> str:
