Show evacuations in metrics, and describe them

The leader shows the evacuations in force, the runs that are left and the time until none is. The random simulations tell waves from other causes: an upkeep may end a member of a gang that has not started, evacuation or not.

--- a/bambookeel/jobs/evacuation_steps.py
+++ b/bambookeel/jobs/evacuation_steps.py
@@ -23,10 +23,9 @@
 from bambookeel.jobs import usable_workers
 from bambookeel.jobs import workers as worker_table
 
-# Interval between two checks; a worker reports twice in that time at most.
-_CHECK_INTERVAL_MS = 100
-# Interval between two measurements of what is left; each looks at all runs.
-_MEASURE_INTERVAL_MS = 300
+# Interval between two checks, each of which looks at all runs. It is well below
+# the time for which members of a gang wait, and that of a move.
+_CHECK_INTERVAL_MS = 250
 # Interval between two log lines about each evacuation.
 _LOG_INTERVAL_MS = 1_000
 # Time after which room is looked for again for a standing task without any.
@@ -53,9 +52,7 @@
     withdraw_gangs(term)
     _drop_moves(term)
     _move_standing_tasks(term, now)
-    if now.steady_ms - state.measured_ms >= _MEASURE_INTERVAL_MS:
-        state.measured_ms = now.steady_ms
-        _note_progress(term, now)
+    _note_progress(term, now)
 
 
 def _list_known_runs(
--- a/bambookeel/jobs/evacuations.py
+++ b/bambookeel/jobs/evacuations.py
@@ -52,7 +52,6 @@
 
     Attributes:
         checked_ms: Steady-clock time of the last check.
-        measured_ms: Steady-clock time of the last measurement of what is left.
         logged_ms: Steady-clock time of the last log line about each evacuation.
         phases: How far each evacuation is, by data centre.
         progress: What is left in each data centre, by its name.
@@ -62,7 +61,6 @@
     """
 
     checked_ms: int = 0
-    measured_ms: int = 0
     logged_ms: int = 0
     phases: dict[str, Phase] = dataclasses.field(default_factory=dict)
     progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
--- a/bambookeel/jobs/loads.py
+++ b/bambookeel/jobs/loads.py
@@ -209,7 +209,9 @@
         each_milli = max(each_milli, worker_milli)
         if worker.report.service != service or worker.report.is_leaving:
             continue
-        if worker.is_lease_expired or worker.report.data_centre in evacuated:
+        if worker.is_lease_expired:
+            continue
+        if evacuated and worker.report.data_centre in evacuated:
             continue
         capacity += worker_milli
     absent = len(list_unreported_instances(term, service, now_ms))
--- a/bambookeel/jobs/starving.py
+++ b/bambookeel/jobs/starving.py
@@ -50,10 +50,10 @@
     """
     total = specs.Resources()
     for worker in term.workers.by_id.values():
-        if evacuations.is_evacuated(term.book.instances, worker):
-            continue
-        if worker.report.service == service and _is_silent(
-            term, worker, now_ms
+        if (
+            worker.report.service == service
+            and _is_silent(term, worker, now_ms)
+            and not evacuations.is_evacuated(term.book.instances, worker)
         ):
             total += worker.report.capacity
     return total
--- a/bambookeel/jobs/usable_workers.py
+++ b/bambookeel/jobs/usable_workers.py
@@ -44,12 +44,13 @@
         if (
             worker.report.service != service
             or worker.report.is_leaving
-            or worker.report.data_centre in evacuated
             or worker.is_settling
             or now_ms - worker.last_report_ms
             > term.settings.assign_max_silence_ms
         ):
             continue
+        if evacuated and worker.report.data_centre in evacuated:
+            continue
         instance = worker.report.instance
         if not controller.is_usable(instance):
             if fleet_view.works_on(
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -254,6 +254,7 @@
     def _stop_leading(self) -> None:
         self._machine.drop_uncommitted()
         self._scheduler = None
+        self._turns.hide_evacuations()
         waiting = self._unconfirmed
         self._unconfirmed = []
         if self._in_flight is not None:
--- a/bambookeel/node/turn_watch.py
+++ b/bambookeel/node/turn_watch.py
@@ -4,6 +4,7 @@
 it answers for is the number of calls, workers and ready steps.
 """
 
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import scheduler as job_scheduler
 from bambookeel.runtime import logs
 from bambookeel.runtime import metrics
@@ -22,6 +23,8 @@
         self._slowest: dict[str, int] = {}
         self._count = 0
         self._logged_ms = 0
+        # What the metrics show of evacuations.
+        self._shown: dict[str, evacuations.Progress] = {}
 
     def observe(
         self,
@@ -43,6 +46,7 @@
         plan_ms = ended_ms - planned_from_ms
         took_ms = ended_ms - begun_ms
         metrics.observe_leader_turn(took_ms, plan_ms)
+        self._show_evacuations(scheduler)
         if took_ms < _SLOW_TURN_MS:
             return
         self._count += 1
@@ -58,6 +62,23 @@
                 "suspects": len(scheduler.book.crashes.suspects),
             }
 
+    def _show_evacuations(self, scheduler: job_scheduler.Scheduler) -> None:
+        progress = scheduler.term.evacuations.progress
+        if progress is not self._shown:
+            self._shown = progress
+            metrics.set_evacuations(
+                {
+                    name: (left.tasks, left.empty_in_ms)
+                    for name, left in progress.items()
+                }
+            )
+
+    def hide_evacuations(self) -> None:
+        """Clears the metrics of evacuations of a node that no longer leads."""
+        if self._shown:
+            self._shown = {}
+            metrics.set_evacuations({})
+
     def log_if_due(self, term: int, now_ms: int) -> None:
         """Logs the slowest turn since the last line, at most once a second.
 
--- a/bambookeel/runtime/metrics.py
+++ b/bambookeel/runtime/metrics.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import functools
 
 import prometheus_client
@@ -69,6 +70,20 @@
     "Decisions of the scheduling leader, by the name of their log line.",
     ["decision"],
 )
+_EVACUATIONS = prometheus_client.Gauge(
+    "bambookeel_evacuations",
+    "Evacuations of data centres in force, at the scheduling leader.",
+)
+_EVACUATION_TASKS = prometheus_client.Gauge(
+    "bambookeel_evacuation_tasks",
+    "Runs left in a data centre that is evacuated.",
+    ["data_centre"],
+)
+_EVACUATION_SECONDS = prometheus_client.Gauge(
+    "bambookeel_evacuation_seconds_until_empty",
+    "Estimated time until no run is left; -1 if one does not end by itself.",
+    ["data_centre"],
+)
 _REFUSALS = prometheus_client.Counter(
     "bambookeel_refusals_total",
     "Requests without an answer, by reason.",
@@ -227,3 +242,20 @@
     """
     _TURNS.observe(turn_ms / 1000.0)
     _PLANS.observe(plan_ms / 1000.0)
+
+
+def set_evacuations(left: Mapping[str, tuple[int, int]]) -> None:
+    """Sets the gauges of the evacuations in force.
+
+    Args:
+        left: Number of runs that are left in each data centre, and the
+            estimated time in milliseconds until it is empty, -1 for never;
+            empty on a node that does not lead.
+    """
+    _EVACUATIONS.set(len(left))
+    _EVACUATION_TASKS.clear()
+    _EVACUATION_SECONDS.clear()
+    for data_centre, (tasks, empty_in_ms) in left.items():
+        seconds = empty_in_ms / 1000.0 if empty_in_ms >= 0 else -1.0
+        _EVACUATION_TASKS.labels(data_centre).set(tasks)
+        _EVACUATION_SECONDS.labels(data_centre).set(seconds)
--- a/features/fakes/jobs_evacuations.py
+++ b/features/fakes/jobs_evacuations.py
@@ -3,12 +3,15 @@
 import msgspec
 
 from bambookeel.jobs import calls
+from features.fakes import jobs_provider
 from features.fakes import jobs_runs
 from features.fakes import jobs_simulation
 
 DATA_CENTRES = ("north", "south", "west")
 _WORKERS = 9
 _JOBS = 24
+# Numbers of the jobs after which a wave of all instances is requested.
+_WAVE_AT = (5, 15)
 
 
 def place_workers(simulation, data_centres=DATA_CENTRES):
@@ -42,16 +45,18 @@
     return msgspec.structs.replace(spec, steps=(step,))
 
 
-def simulate(seed, faults=True):
+def simulate(seed, has_waves, faults):
     """Runs a random simulation and returns the violations of guarantees.
 
-    Evacuations begin and end beside crashes, cut links and changes of leader.
-    Without faults, no gang may wait for members that cannot start.
+    Evacuations begin and end beside changes of leader, and as asked beside
+    waves of upkeep, crashes and cut links. Without these, no gang may wait for
+    members that cannot start.
     """
     simulation = jobs_simulation.JobsSimulation(
         seed, workers=_WORKERS, faults=faults
     )
     place_workers(simulation)
+    provider = jobs_provider.FakeProvider(simulation)
     source = simulation.random
     jobs = {}
     for number in range(_JOBS):
@@ -69,13 +74,18 @@
             )
         if not faults and source.random() < 0.2:
             simulation.start_leader()
-        simulation.advance(1_000)
+            provider.discard_answers()
+        if has_waves and number in _WAVE_AT:
+            names = tuple(f"m-{name}" for name in simulation.workers)
+            while not simulation.call(calls.StartWave(number, names, 9_000, 2)):
+                pass
+        provider.advance(1_000)
     simulation.stop_faults()
     for data_centre in DATA_CENTRES:
         change(simulation, data_centre, False)
-    simulation.advance(40_000)
+    provider.advance(40_000)
     jobs_runs.check_ends(simulation, jobs, set())
-    if not faults and simulation.alone_gangs:
+    if not (has_waves or faults) and simulation.alone_gangs:
         simulation.violations.append(
             f"members of {simulation.alone_gangs} waited in vain"
         )
--- a/features/jobs/evacuations.feature
+++ b/features/jobs/evacuations.feature
@@ -111,10 +111,12 @@
     And the evacuation begins between a report of its worker and the answer
     Then the answer starts nothing
 
-  Scenario Outline: Evacuations beside faults keep the guarantees
-    When random simulations of evacuations with seeds <first> to <last> are run
+  Scenario Outline: Evacuations beside <faults> keep the guarantees
+    When random simulations of evacuations beside <faults> with seeds <first> to <last> are run
     Then no run has violated a guarantee
 
     Examples:
-      | first | last |
-      | 0     | 14   |
+      | faults           | first | last |
+      | waves and faults | 0     | 14   |
+      | waves            | 100   | 104  |
+      | other leaders    | 200   | 209  |
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -180,7 +180,15 @@
 
 
 @when(
-    "random simulations of evacuations with seeds {first:d} to {last:d} are run"
+    "random simulations of evacuations beside {kind} with seeds {first:d} to"
+    " {last:d} are run"
 )
-def simulate(context, first, last):
-    job_steps.simulate_each(context, first, last, jobs_evacuations.simulate)
+def simulate(context, kind, first, last):
+    job_steps.simulate_each(
+        context,
+        first,
+        last,
+        lambda seed: jobs_evacuations.simulate(
+            seed, "waves" in kind, "faults" in kind
+        ),
+    )
