--- a/features/jobs/evacuated_capacity.feature
+++ b/features/jobs/evacuated_capacity.feature
@@ -145,3 +145,13 @@
       | judged      | when                      | begin                               |
       | not suspect | after an evacuation       | the north was evacuated for 1000 ms |
       | suspect     | without one               | the simulation runs for 1000 ms     |
+
+  # A node that no longer leads would show an evacuation for ever.
+  Scenario: The metrics show what is left, until the node no longer leads
+    Given pools of 3 instances, 2 of them in the north, and 0 spare ones, 0 of them in the north
+    When tasks run in the north, and the north is evacuated
+    And the pools run for 300 ms
+    And the turns of the leader are observed
+    Then the metrics show 1 evacuation and the tasks in the north
+    When the node no longer leads
+    Then the metrics show 0 evacuations
