--- a/bambookeel/jobs/loads.py
+++ b/bambookeel/jobs/loads.py
@@ -1,8 +1,10 @@
 """Measures the load of services and teams, on which admission is based."""
 
 from bambookeel.jobs import admission
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import instances
 from bambookeel.jobs import term as term_state
+from bambookeel.jobs import workers as worker_table
 
 
 def _count_obtainable_instances(term: term_state.Term, service: str) -> int:
@@ -13,12 +15,16 @@
         service: Service of the pool.
 
     Returns:
-        Number of instances that move to the pool or are in the spare pool.
+        Number of instances that move to the pool or are in the spare pool,
+        without those in a data centre that is evacuated.
     """
+    evacuated = term.book.instances.evacuations
     fleet = term.instance_controller.fleet
     spare_pool = term.book.configuration.find_spare_pool()
     count = 0
     for name, status in fleet.statuses.items():
+        if status.data_centre in evacuated:
+            continue
         goal = fleet.goals.get(name)
         if goal is None:
             is_up = status.phase is instances.InstancePhase.UP
@@ -30,6 +36,95 @@
     return count
 
 
+def list_evacuated_workers(
+    term: term_state.Term, service: str
+) -> list[worker_table.Worker]:
+    """Lists the workers of a service in evacuated data centres.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+
+    Returns:
+        Those that report and do not leave.
+    """
+    if not term.book.instances.evacuations:
+        return []
+    return [
+        worker
+        for worker in term.workers.by_id.values()
+        if worker.report.service == service
+        and not worker.report.is_leaving
+        and not worker.is_lease_expired
+        and evacuations.is_evacuated(term.book.instances, worker)
+    ]
+
+
+def has_only_evacuated(
+    term: term_state.Term, service: str, now_ms: int
+) -> bool:
+    """Returns whether all capacity of a service is in evacuated data centres.
+
+    Args:
+        term: State of the leader's term.
+        service: Name of the service.
+        now_ms: Steady-clock time in milliseconds.
+
+    Returns:
+        False also if other instances belong to its pool or could be moved to
+        it, or if their workers may not have reported to this leader yet.
+    """
+    if not list_evacuated_workers(term, service):
+        return False
+    evacuated = term.book.instances.evacuations
+    fleet = term.instance_controller.fleet
+    if now_ms < term.earlier_leases_until_ms and not fleet.listed_ms:
+        return False
+    has_worker = any(
+        worker.report.service == service
+        and not worker.is_lease_expired
+        and worker.report.data_centre not in evacuated
+        for worker in term.workers.by_id.values()
+    )
+    has_instance = any(
+        status.pool == service and status.data_centre not in evacuated
+        for status in fleet.statuses.values()
+    )
+    if has_worker or has_instance or _count_obtainable_instances(term, service):
+        return False
+    if not fleet.listed_ms or not term.book.configuration.find_spare_pool():
+        # No instance is moved between pools.
+        return True
+    # Without states, the pools are still to be measured.
+    return bool(term.pool_states) and not any(
+        pool != service and state.count_givable() > 0
+        for pool, state in term.pool_states.items()
+    )
+
+
+def count_incoming(term: term_state.Term, service: str) -> int:
+    """Counts the instances that move to a pool and will get work there.
+
+    Args:
+        term: State of the leader's term.
+        service: Service of the pool.
+
+    Returns:
+        Number of instances outside evacuated data centres.
+    """
+    fleet = term.instance_controller.fleet
+    evacuated = term.book.instances.evacuations
+    count = 0
+    for name, goal in fleet.goals.items():
+        if (
+            isinstance(goal.order, instances.Move)
+            and goal.order.pool == service
+        ):
+            status = fleet.statuses.get(name)
+            count += status is None or status.data_centre not in evacuated
+    return count
+
+
 def list_unreported_instances(
     term: term_state.Term, service: str, now_ms: int
 ) -> frozenset[str]:
@@ -45,11 +140,13 @@
 
     Returns:
         Names of instances that the provider lists for the service as up or
-        moving and that have neither a worker nor a goal; none after that time.
+        moving and that have neither a worker nor a goal; none after that time,
+        and none in a data centre that is evacuated.
     """
     if now_ms >= term.earlier_leases_until_ms:
         return frozenset()
     fleet = term.instance_controller.fleet
+    evacuated = term.book.instances.evacuations
     expected_phases = (
         instances.InstancePhase.UP,
         instances.InstancePhase.MOVING,
@@ -59,6 +156,7 @@
         for name, status in fleet.statuses.items()
         if status.pool == service
         and status.phase in expected_phases
+        and status.data_centre not in evacuated
         and name not in fleet.goals
         and term.workers.find_by_instance(name) is None
     )
@@ -105,6 +203,7 @@
     """
     capacity = 0
     each_milli = 0
+    evacuated = term.book.instances.evacuations
     for worker in term.workers.by_id.values():
         worker_milli = worker.report.capacity.cpu_milli
         each_milli = max(each_milli, worker_milli)
@@ -112,6 +211,8 @@
             continue
         if worker.is_lease_expired:
             continue
+        if evacuated and worker.report.data_centre in evacuated:
+            continue
         capacity += worker_milli
     absent = len(list_unreported_instances(term, service, now_ms))
     absent += _count_obtainable_instances(term, service)
--- a/bambookeel/jobs/pool_demand.py
+++ b/bambookeel/jobs/pool_demand.py
@@ -1,5 +1,6 @@
 """Measures the demand and capacity of each pool, to decide on its size."""
 
+from collections.abc import Container
 import math
 
 from bambookeel.jobs import deferring
@@ -25,12 +26,16 @@
 
 
 def list_spare_instances(
-    fleet: fleet_view.Fleet, spare_pool: str, now_ms: int
+    fleet: fleet_view.Fleet,
+    evacuated: Container[str],
+    spare_pool: str,
+    now_ms: int,
 ) -> tuple[str, ...]:
     """Lists the instances of the spare pool that may be moved.
 
     Args:
         fleet: All instances and their goals.
+        evacuated: Data centres that are evacuated.
         spare_pool: Name of the pool whose instances are off.
         now_ms: Steady-clock time in milliseconds.
 
@@ -42,12 +47,13 @@
         for name, status in sorted(fleet.statuses.items())
         if status.pool == spare_pool
         and status.phase is instances.InstancePhase.UP
+        and status.data_centre not in evacuated
         and name not in fleet.goals
         and now_ms >= status.retry_at_ms
     )
 
 
-def _compute_drain_ms(
+def compute_drain_ms(
     term: term_state.Term, worker: worker_table.Worker
 ) -> float:
     """Estimates when a worker would be empty if it got no new runs.
@@ -90,6 +96,7 @@
         first.
     """
     fleet = term.instance_controller.fleet
+    evacuated = term.book.instances.evacuations
     ranked = []
     for worker in term.workers.by_id.values():
         report = worker.report
@@ -97,13 +104,14 @@
             report.service != service
             or report.is_leaving
             or worker.is_lease_expired
+            or report.data_centre in evacuated
         ):
             continue
         name = report.instance
         status = fleet.statuses.get(name)
         if name in fleet.goals or status is None or now_ms < status.retry_at_ms:
             continue
-        drain_ms = _compute_drain_ms(term, worker)
+        drain_ms = compute_drain_ms(term, worker)
         if drain_ms <= _MAX_DRAIN_MS:
             ranked.append((drain_ms, name))
     return [name for _, name in sorted(ranked)]
@@ -156,10 +164,7 @@
             continue
         if now_ms >= status.retry_at_ms:
             empty.append(report.instance)
-    incoming = sum(
-        isinstance(goal.order, instances.Move) and goal.order.pool == service
-        for goal in fleet.goals.values()
-    )
+    incoming = loads.count_incoming(term, service)
     unreported = loads.list_unreported_instances(term, service, now_ms)
     absent = incoming + len(unreported)
     total_milli += absent * instance_milli
@@ -255,6 +260,11 @@
         term, service
     )
     open_work = _weigh_open_work(term, service, now)
+    evacuated = loads.list_evacuated_workers(term, service)
+    for worker in evacuated:
+        # A pool whose instances are all evacuated has no others to judge by.
+        each_milli = worker.report.capacity.cpu_milli
+        instance_milli = max(instance_milli, each_milli)
     base = term.book.instances.base_sizes.get(service, 0)
     kept = _KEPT_NUMERATOR * base // _KEPT_DENOMINATOR
     if _has_upkeep(term, service):
@@ -273,4 +283,5 @@
         empty=empty,
         idle_since_ms=idle_since_ms,
         incoming=incoming,
+        evacuated=len(evacuated),
     )
--- a/bambookeel/jobs/scheduler.py
+++ b/bambookeel/jobs/scheduler.py
@@ -12,6 +12,7 @@
 from bambookeel.jobs import callers
 from bambookeel.jobs import calls
 from bambookeel.jobs import commands
+from bambookeel.jobs import evacuation_steps
 from bambookeel.jobs import forecasting
 from bambookeel.jobs import instance_steps
 from bambookeel.jobs import instances
@@ -152,6 +153,10 @@
                 return operators.start_wave(term, call, now)
             case calls.AskWave(wave):
                 return operators.get_wave_state(term, wave)
+            case calls.BeginEvacuation() | calls.EndEvacuation():
+                return operators.change_evacuation(term, call, now)
+            case calls.ListEvacuations():
+                return operators.list_evacuations(term)
         return calls.BadRequest(f"{type(call).__name__} has no answer")
 
     def handle_order_outcome(
@@ -206,6 +211,7 @@
         undelivered.lose_unsent(self.term, now)
         reports.drop_old_jobs(self.term, now)
         instance_steps.control_instances(self.term, now)
+        evacuation_steps.carry_out(self.term, now)
         waiting.log_waiting_steps(self.term, now)
 
     def plan(self, now: Now) -> None:
--- a/bambookeel/jobs/settings.py
+++ b/bambookeel/jobs/settings.py
@@ -55,6 +55,7 @@
         upkeep_ms: How long an instance is down for its upkeep.
         remote_factor: How many times as long a task takes in another rack than
             its data, or in a group that is on several racks.
+        data_centres: Names of the data centres; empty if they are unknown.
     """
 
     longest_lease_ms: float
@@ -65,11 +66,12 @@
     restore_ms: float
     upkeep_ms: float
     remote_factor: float = 1.0
+    data_centres: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SchedulerSettings:
-    """Limits of the scheduler; times are in milliseconds.
+    """Limits of the scheduler, and known data centres; times are in ms.
 
     Attributes:
         lease_ms: How long runs may continue without a report.
@@ -96,6 +98,8 @@
         remote_factor: How many times as long a task takes in another rack than
             its data, or in a group that is on several racks; 1 if racks do not
             matter.
+        data_centres: Names of the data centres that may be evacuated; empty if
+            any may.
     """
 
     lease_ms: int
@@ -111,6 +115,7 @@
     stall_at_start_ms: int
     wave_round_ms: int
     remote_factor: float = 1.0
+    data_centres: frozenset[str] = frozenset()
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "SchedulerSettings":
@@ -154,4 +159,5 @@
             stall_at_start_ms=max(_STALL_AT_START_MS, 2 * restored_ms),
             wave_round_ms=math.ceil(bounds.upkeep_ms) + _ROUND_MS,
             remote_factor=max(1.0, bounds.remote_factor),
+            data_centres=bounds.data_centres,
         )
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -19,6 +19,7 @@
 from bambookeel.jobs import commands
 from bambookeel.jobs import deferred_jobs
 from bambookeel.jobs import demand_forecast
+from bambookeel.jobs import evacuations
 from bambookeel.jobs import inherited_lives
 from bambookeel.jobs import instances
 from bambookeel.jobs import objectives
@@ -125,6 +126,7 @@
         self.starving_since_ms: dict[str, dict[book_records.StepKey, int]] = {}
         self.storms = storm_state.StormState()
         self.place_waits = place_wait_state.PlaceWaits(now.steady_ms)
+        self.evacuations = evacuations.TermState()
         self.planned_ms = 0
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
--- a/bambookeel/jobs/usable_workers.py
+++ b/bambookeel/jobs/usable_workers.py
@@ -39,6 +39,7 @@
     suspect = []
     working_on = []
     controller = term.instance_controller
+    evacuated = term.book.instances.evacuations
     for worker in term.workers.by_id.values():
         if (
             worker.report.service != service
@@ -48,6 +49,8 @@
             > term.settings.assign_max_silence_ms
         ):
             continue
+        if evacuated and worker.report.data_centre in evacuated:
+            continue
         instance = worker.report.instance
         if not controller.is_usable(instance):
             if fleet_view.works_on(
