Test that a node outlasts clients that nobody controls

Cause: nothing bounds what callers, workers, operators or strangers make a node buffer or open.

The folder uncontrolled runs alone after all others.

--- a/features/run_features.py
+++ b/features/run_features.py
@@ -1,9 +1,10 @@
 """Runs the features and prints `N passed, N failed, N skipped` at the end.
 
 Each folder below `features/` runs in its own behave process, several of them in
-parallel. Scenarios listed in KNOWN-RED.txt are run and printed, but their
-failure does not fail the run. A listed scenario that passes must be removed
-from the list.
+parallel. The folder `uncontrolled`, whose crowds load the machine, runs alone
+after all others have ended. Scenarios listed in KNOWN-RED.txt are run and
+printed, but their failure does not fail the run. A listed scenario that passes
+must be removed from the list.
 """
 
 from concurrent import futures
@@ -20,6 +21,8 @@
 _KNOWN_RED = _ROOT.parent / "KNOWN-RED.txt"
 _EXCLUDED_FOLDERS = ("steps", "fakes", "__pycache__")
 _PARALLEL_FOLDERS = 4
+# Runs after all other folders have ended, one scenario at a time.
+_LAST_FOLDER = "uncontrolled"
 # A folder that takes longer than this counts as failed.
 _FOLDER_TIMEOUT_S = 600
 
@@ -139,9 +142,12 @@
     if wanted:
         folders = [name for name in folders if name in wanted]
     results: list[ScenarioResult] = []
+    together = [name for name in folders if name != _LAST_FOLDER]
     with futures.ThreadPoolExecutor(_PARALLEL_FOLDERS) as pool:
-        for found in pool.map(lambda name: run_folder(name, []), folders):
+        for found in pool.map(lambda name: run_folder(name, []), together):
             results.extend(found)
+    if _LAST_FOLDER in folders:
+        results.extend(run_folder(_LAST_FOLDER, []))
     sys.exit(_report(results))
 
 
