Bound what clients that nobody controls can use of a node

Cause: a node read up to 4 MiB for each of up to 1,000 connections a port, and nothing counted the sum (2,809 MB were seen).

Change: a ClientGuard for each process bounds the connections of each port and the bytes of unfinished heads, bodies, answers and frames between nodes, from limits.memory_mb and limits.max_fds of the settings. A body reserves its bytes before it is read; those that stall lose them to those that wait. At a bound idle and slow connections are closed first. The limits for callers are those of the configuration in force, which reach every node with LeaderKnown. Lists of a job and of a configuration are counted before they are decoded. The entry and the control process use the same server without a guard, as before.

--- a/bambookeel/configuration/document.py
+++ b/bambookeel/configuration/document.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bambookeel.core import client_limits
 from bambookeel.core import faults
 from bambookeel.jobs import specs
 
@@ -88,6 +89,7 @@
         services: All services.
         teams: All teams.
         original: The bytes as submitted; reads return them unchanged.
+        limits: Limits for callers.
     """
 
     version: typing.Annotated[int, msgspec.Meta(ge=0)]
@@ -95,6 +97,31 @@
     services: tuple[Service, ...]
     teams: tuple[Team, ...]
     original: bytes = b""
+    limits: client_limits.ClientLimits = client_limits.DEFAULT
+
+
+def check_ranges(document: Document) -> Document:
+    """Checks the ranges of all fields, which constructors do not check.
+
+    The parts are checked one by one, since they are converted to dictionaries,
+    which take several times the memory of the document.
+
+    Args:
+        document: A document whose fields have the right types.
+
+    Returns:
+        The same document.
+
+    Raises:
+        ValueError: If a field is out of its range.
+    """
+    for part in (*document.queues, *document.services, *document.teams):
+        msgspec.convert(msgspec.to_builtins(part), type(part))
+    bare = msgspec.structs.replace(
+        document, queues=(), services=(), teams=(), original=b""
+    )
+    msgspec.convert(msgspec.to_builtins(bare), Document)
+    return document
 
 
 def find_faults(document: Document) -> tuple[faults.Fault, ...]:
--- a/bambookeel/core/json_input.py
+++ b/bambookeel/core/json_input.py
@@ -22,6 +22,9 @@
 _MAX_ENTRY_DEPTH = 64
 # Depth of an entry: it is in an array that is a member of an object.
 _ENTRY_DEPTH = 3
+# One object in 32 bytes of the largest configuration; sound ones have 45 or
+# more bytes each. Decoded objects take some 500 bytes each.
+_MAX_OBJECTS = 131_072
 # A larger document is not searched for such entries, which takes time.
 _MAX_BLANKED_BYTES = 1024 * 1024
 # A string without an end is matched, too, so that it is read only once.
@@ -31,6 +34,7 @@
 
 Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Whole = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+WholeAboveZero = typing.Annotated[int, msgspec.Meta(gt=0, le=MAX_INTEGER)]
 Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_AMOUNT)]
 AmountAboveZero = typing.Annotated[float, msgspec.Meta(gt=0, le=_MAX_AMOUNT)]
 Name = typing.Annotated[
@@ -64,6 +68,48 @@
         return str(error)[:_MAX_REASON_CHARS] or type(error).__name__
 
 
+def read_large(
+    body: bytes,
+    record_type: type[_Record],
+    convert: Callable[[_Record], _Converted],
+) -> _Converted | str:
+    """Reads and converts a record, unless it has very many objects.
+
+    Args:
+        body: JSON from another process; may be any bytes.
+        record_type: Type to decode; its integers and numbers need a range.
+        convert: Converts the decoded record; may raise a `ValueError`.
+
+    Returns:
+        The converted record, or one sentence on why there is none.
+    """
+    if body.count(b"{") > _MAX_OBJECTS:
+        return f"more than {_MAX_OBJECTS} objects"
+    return read(body, record_type, convert)
+
+
+def has_more_entries(body: bytes, name: str, most: int) -> bool:
+    """Checks the length of a list before its entries are decoded.
+
+    Decoded entries may take many times the memory of the JSON.
+
+    Args:
+        body: JSON from another process; may be any bytes.
+        name: Name of the list, which is a member of an object.
+        most: Number of entries that are still decoded.
+
+    Returns:
+        Whether there are more; False if the list cannot be read.
+    """
+    if body.count(b"{") <= most:
+        return False
+    found = decode(body, dict[str, msgspec.Raw])
+    if isinstance(found, str) or name not in found:
+        return False
+    entries = decode(found[name], tuple[msgspec.Raw, ...])
+    return not isinstance(entries, str) and len(entries) > most
+
+
 def decode(
     body: bytes | msgspec.Raw, record_type: type[_Record]
 ) -> _Record | str:
--- a/bambookeel/core/messages.py
+++ b/bambookeel/core/messages.py
@@ -16,6 +16,7 @@
 import enum
 import typing
 
+from bambookeel.core import client_limits
 from bambookeel.core import ids
 from bambookeel.core import outcomes
 
@@ -727,6 +728,8 @@
         is_certain: Whether the answering process itself leads and holds the
             leader lease.
         voters: Processes of the last known voters.
+        limits: The limits for callers in force; empty if the process does not
+            lead.
     """
 
     nonce: int
@@ -734,6 +737,7 @@
     term: ids.Term
     is_certain: bool
     voters: tuple[ids.ProcessId, ...]
+    limits: tuple[client_limits.ClientLimits, ...] = ()
 
 
 # A message's position is its number on the wire: append only.
@@ -792,6 +796,7 @@
     IdempotencyRecord,
     AnswerHeader,
     ServiceReport,
+    client_limits.ClientLimits,
 )
 
 # An instance of any class in MESSAGE_TYPES; `match` distinguishes them.
--- a/bambookeel/net/admin_app.py
+++ b/bambookeel/net/admin_app.py
@@ -7,8 +7,12 @@
 from collections.abc import Callable
 import typing
 
+from bambookeel.runtime import clock
 from bambookeel.runtime import metrics
 
+# How long rendered metrics are sent to further clients.
+_KEPT_MS = 250
+
 
 class AdminApp:
     """The WSGI application of a daemon's admin address.
@@ -18,6 +22,8 @@
 
     def __init__(self, find_unready_reason: Callable[[], str]) -> None:
         self._find_unready_reason = find_unready_reason
+        self._rendered = b""
+        self._rendered_ms = -_KEPT_MS
 
     def __call__(
         self, environ: dict[str, typing.Any], start_response: typing.Any
@@ -40,7 +46,9 @@
             status = "503 Service Unavailable" if reason else "200 OK"
             body = (reason or "ready").encode() + b"\n"
         elif path == "/metrics":
-            status, body = "200 OK", metrics.render_metrics()
+            status, body = "200 OK", self._render(
+                "bambookeel.client" in environ
+            )
         start_response(
             status,
             [
@@ -49,3 +57,19 @@
             ],
         )
         return [body]
+
+    def _render(self, is_bounded: bool) -> bytes:
+        """Renders the metrics.
+
+        Args:
+            is_bounded: Whether clients are bounded, so that many of them get
+                the same copy; rendering takes some milliseconds.
+
+        Returns:
+            The metrics in the Prometheus text format.
+        """
+        now_ms = clock.read_now_ms()
+        if not is_bounded or now_ms - self._rendered_ms >= _KEPT_MS:
+            self._rendered = metrics.render_metrics()
+            self._rendered_ms = now_ms
+        return self._rendered
--- a/bambookeel/net/channels.py
+++ b/bambookeel/net/channels.py
@@ -23,8 +23,11 @@
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.net import addresses
+from bambookeel.net import client_guard
 from bambookeel.net import codec
+from bambookeel.net import frame_room
 from bambookeel.net import links
+from bambookeel.runtime import client_metrics
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
 
@@ -63,6 +66,28 @@
     sent_ms: int = 0
 
 
+class _Server(gevent.server.StreamServer):
+    """A server that counts connections before their tasks start."""
+
+    port: client_guard.Port | None = None
+    max_accept = client_guard.MAX_ACCEPT
+
+    def do_handle(self, *args: typing.Any) -> None:
+        """Starts the task of an accepted connection, if there is room.
+
+        Args:
+            *args: The accepted socket and the peer's address.
+        """
+        if self.port is None:
+            super().do_handle(*args)
+            return
+        client = self.port.open(args[0], args[1][0])
+        if client is None:
+            args[0].close()
+            return
+        super().do_handle(*args, client)
+
+
 class Channels:
     """Sends messages to processes and delivers the messages they send.
 
@@ -74,8 +99,11 @@
         settings: links.LinkSettings,
         identity: messages.Hello,
         deliver: Callable[[ids.ProcessId, messages.Message], typing.Any],
+        port: client_guard.Port | None = None,
     ) -> None:
         self._settings = settings
+        # Bounds the connections of others; None for no bounds.
+        self._port = port
         self._identity = identity
         self._deliver = deliver
         self._outgoing: dict[ids.ProcessId, _Outgoing] = {}
@@ -91,7 +119,8 @@
     def listen(self) -> None:
         """Opens the listening socket and accepts in the background."""
         address = addresses.parse_address(self._settings.listen)
-        self._server = gevent.server.StreamServer(address, self._accept)
+        self._server = _Server(address, self._accept)
+        self._server.port = self._port
         self._server.start()
 
     def send(self, peer: ids.ProcessId, message: messages.Message) -> bool:
@@ -232,23 +261,46 @@
         while outgoing.pending and outgoing.pending[0][0] < oldest_ms:
             outgoing.pending.popleft()
 
-    def _accept(self, sock: typing.Any, _address: typing.Any) -> None:
+    def _accept(
+        self,
+        sock: typing.Any,
+        _address: typing.Any,
+        client: client_guard.Client | None = None,
+    ) -> None:
+        try:
+            self._serve(sock, client)
+        finally:
+            if client is not None:
+                client.port.end(client)
+
+    def _serve(
+        self, sock: typing.Any, client: client_guard.Client | None
+    ) -> None:
         sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
-        link = links.Link(sock, self._settings)
+        room = frame_room.FrameRoom(client) if client is not None else None
+        link = links.Link(sock, self._settings, room)
         writer = gevent.spawn(link.write_frames)
         try:
-            self._read(link)
+            self._read(link, client)
         except codec.CodecError as error:
-            logs.log_event("channel_rejected", error=str(error))
+            # Lines about processes without a hello would have no bound.
+            if client is None or client.requests:
+                logs.log_event("channel_rejected", error=str(error))
+            else:
+                client_metrics.count_closed("first_frame_invalid")
         finally:
             link.close()
             writer.join()
 
-    def _read(self, link: links.Link) -> None:
+    def _read(
+        self, link: links.Link, client: client_guard.Client | None
+    ) -> None:
         stream = link.read_messages()
         hello = next(stream, None)
         if not isinstance(hello, messages.Hello):
             return
+        if client is not None:
+            client.requests = 1
         peer = hello.process_id
         generation = (int(hello.incarnation), int(hello.link_number))
         newest = max(generation, self._newest.get(peer, generation))
--- a/bambookeel/net/http_handler.py
+++ b/bambookeel/net/http_handler.py
@@ -16,9 +16,12 @@
 import gevent.pywsgi
 
 from bambookeel.core import outcomes
+from bambookeel.net import body_rest
+from bambookeel.net import client_guard
 from bambookeel.net import headers
 from bambookeel.net import problem
 from bambookeel.net import request_heads
+from bambookeel.runtime import client_metrics
 from bambookeel.runtime import logs
 
 # Limits of a lingering close: for how long and how much is read from a caller
@@ -38,6 +41,8 @@
     _refusal: outcomes.NotRun | None = None
     _fields: headers.Fields = ()
     _lingers = False
+    # Set by servers that bound what their clients can use.
+    client: client_guard.Client | None = None
 
     def read_requestline(self) -> typing.Any:
         """Reads the request line within the time limit of the head.
@@ -45,25 +50,30 @@
         Returns:
             The request line, or empty if the connection must be closed.
         """
-        if not self._wait_for_first_byte():
+        received = self._wait_for_first_byte()
+        if not received:
             return ""
+        self.server.apply_limits()
+        if self.client is not None:
+            self.client.begin_request(received, self.server.max_header_bytes)
         self._head_deadline_s = time.monotonic() + self.server.head_timeout_s
         with gevent.Timeout(self.server.head_timeout_s, False):
             return super().read_requestline()
         self._refuse_slow_head()
         return ""
 
-    def _wait_for_first_byte(self) -> bool:
+    def _wait_for_first_byte(self) -> bytes:
         """Waits for a request on an idle connection.
 
         Returns:
-            True if a request has begun, False if the caller has closed the
-            connection.
+            The bytes of the request that have arrived; empty if the caller has
+            closed the connection.
         """
         idle = self.server.idle_handlers
         idle.add(self)
         try:
-            return bool(self.rfile.peek(1))
+            received: bytes = self.rfile.peek(1)
+            return received
         finally:
             idle.discard(self)
 
@@ -159,7 +169,11 @@
             True if the connection may be used for another request, else None.
         """
         self._refusal = None
-        result = super().handle_one_request()
+        try:
+            result = super().handle_one_request()
+        finally:
+            if self.client is not None:
+                self.client.end_request()
         if not isinstance(result, tuple):
             return result
         refusal = self._refusal or outcomes.NotRun(
@@ -174,6 +188,9 @@
         Args:
             refusal: Outcome that is sent to the caller.
         """
+        if self.client is not None:
+            client_metrics.count_refused(refusal.reason.name.lower())
+            self.client.begin(client_guard.Phase.ANSWERING)
         response = problem.build_problem(refusal, "")
         lines = [f"HTTP/1.1 {response.status}", "Connection: close"]
         lines += [f"{name}: {value}" for name, value in response.headers]
@@ -187,6 +204,8 @@
     def handle_one_response(self) -> None:
         """Answers one request; lingers if its body was not read completely."""
         self._lingers = False
+        if self.client is not None:
+            self.client.end_head()
         super().handle_one_response()
         if self._lingers:
             self._linger()
@@ -204,7 +223,8 @@
             v: The exception.
             tb: Traceback of the exception.
         """
-        if issubclass(t, gevent.GreenletExit):
+        is_cut_off = self.client is not None and self.client.is_closed
+        if is_cut_off or issubclass(t, gevent.GreenletExit):
             self.close_connection = True
             return
         lines = traceback.format_exception(t, v, tb, limit=-8)
@@ -222,6 +242,41 @@
         except OSError:
             pass
 
+    def run_application(self) -> None:
+        """Answers the request, and reads a short rest of its body."""
+        try:
+            super().run_application()
+        finally:
+            stream = self.wsgi_input
+            is_short = (stream.content_length or 0) <= stream.position
+            if self.client is not None and (
+                stream.chunked_input or not is_short
+            ):
+                if not body_rest.discard(stream, self.client):
+                    self.close_unread()
+
+    def _sendall(self, data: bytes) -> None:
+        """Sends a part of the answer, and counts it until it has been taken.
+
+        Args:
+            data: The part.
+        """
+        if self.client is None:
+            super()._sendall(data)
+            return
+        self.client.mark_answering()
+        if len(data) <= client_guard.UNCOUNTED_ANSWER_BYTES:
+            super()._sendall(data)
+            return
+        answers = self.client.port.guard.answers
+        answers.begin(self.client, len(data))
+        try:
+            for start in range(0, len(data), _MAX_JOINED_BYTES):
+                super()._sendall(data[start : start + _MAX_JOINED_BYTES])
+                self.client.note_progress()
+        finally:
+            answers.end(self.client)
+
     def close_unread(self) -> None:
         """Closes the connection after this answer if the body is unread."""
         stream = self.wsgi_input
@@ -292,15 +347,18 @@
         Returns:
             The environment. `bambookeel.target` is the undecoded target,
             `bambookeel.fields` the header fields in order with duplicates,
-            `bambookeel.socket` the caller's connection, and
+            `bambookeel.socket` the caller's connection,
             `bambookeel.close_unread` a function that closes the connection
-            after this answer if the body is unread.
+            after this answer if the body is unread, and `bambookeel.client`
+            the `Client` if the server bounds its clients.
         """
         environ = super().get_environ()
         environ["bambookeel.target"] = self.path
         environ["bambookeel.fields"] = self._fields
         environ["bambookeel.socket"] = self.socket
         environ["bambookeel.close_unread"] = self.close_unread
+        if self.client is not None:
+            environ["bambookeel.client"] = self.client
         return environ
 
 
--- a/bambookeel/net/json_answers.py
+++ b/bambookeel/net/json_answers.py
@@ -22,6 +22,10 @@
 _MIN_DEADLINE_MS = 2 * REPLY_TIME_MS
 _DEFAULT_DEADLINE_MS = 3_000
 _MAX_DEADLINE_MS = 30_000
+_REFUSED_STATUS = {
+    outcomes.Reason.BODY_TOO_LARGE: 413,
+    outcomes.Reason.OVERLOADED: 503,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,7 +134,7 @@
 
 
 def read_body(
-    environ: Environ, max_bytes: int, timeout_ms: int
+    environ: Environ, max_bytes: int, timeout_ms: int, pool: str = ""
 ) -> bytes | Response:
     """Reads a request's body.
 
@@ -138,15 +142,16 @@
         environ: WSGI environment.
         max_bytes: Size limit of the body.
         timeout_ms: Time limit for receiving the complete body.
+        pool: Pool in which a large body is reserved, as in `bodies.read_body`.
 
     Returns:
         The body, or the error response.
     """
-    body = bodies.read_body(environ, max_bytes, timeout_ms)
+    body = bodies.read_body(environ, max_bytes, timeout_ms, pool)
     if isinstance(body, bytes):
         return body
-    is_large = body.reason is outcomes.Reason.BODY_TOO_LARGE
-    return build_error(413 if is_large else 400, body.detail)
+    status = _REFUSED_STATUS.get(body.reason, 400)
+    return build_error(status, body.detail, body.retry_after_ms)
 
 
 def parse_deadline_ms(text: str) -> int:
--- a/bambookeel/net/links.py
+++ b/bambookeel/net/links.py
@@ -24,6 +24,7 @@
 from bambookeel.core import messages
 from bambookeel.net import addresses
 from bambookeel.net import codec
+from bambookeel.net import frame_room
 from bambookeel.runtime import clock
 from bambookeel.runtime import link_metrics
 from bambookeel.runtime import logs
@@ -92,8 +93,14 @@
 class Link:
     """One connection to one peer, with the queue of frames to write."""
 
-    def __init__(self, sock: typing.Any, settings: LinkSettings) -> None:
+    def __init__(
+        self,
+        sock: typing.Any,
+        settings: LinkSettings,
+        room: frame_room.FrameRoom | None = None,
+    ) -> None:
         self._socket = sock
+        self._room = room  # Bounds what an accepted connection can use.
         self._settings = settings
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
@@ -178,9 +185,10 @@
             link_metrics.RECEIVED_BYTES.inc(len(data))
             buffer += data
             for message in _decode_frames(buffer):
-                if isinstance(message, messages.LinkHeartbeat):
-                    continue
-                yield message
+                if not isinstance(message, messages.LinkHeartbeat):
+                    yield message
+            if self._room is not None and not self._room.reserve(buffer):
+                return
 
     def close(self) -> None:
         """Closes the connection; later calls have no effect."""
@@ -287,9 +295,7 @@
             ends.
         """
         link = self._links.get(peer)
-        if link is None:
-            return False
-        return link.enqueue(message)
+        return link is not None and link.enqueue(message)
 
     def dial_forever(self, peer: ids.ProcessId) -> None:
         """Dials a peer again whenever its link has ended; runs as a task.
--- a/bambookeel/net/messages.capnp
+++ b/bambookeel/net/messages.capnp
@@ -342,6 +342,7 @@
   term @2 :Int64;
   isCertain @3 :Bool;
   voters @4 :List(Text);
+  limits @5 :List(ClientLimits);
 }
 
 struct ReplicaLeaving {
@@ -411,3 +412,10 @@
   epoch @1 :Int64;
   complete @2 :Bool;
 }
+
+struct ClientLimits {
+  maxHeaderBytes @0 :Int64;
+  maxBodyBytes @1 :Int64;
+  headerTimeoutMs @2 :Int64;
+  idleTimeoutMs @3 :Int64;
+}
--- a/bambookeel/node/gateway.py
+++ b/bambookeel/node/gateway.py
@@ -6,6 +6,7 @@
 after that, the answer says so.
 """
 
+import dataclasses
 import itertools
 import secrets
 
@@ -13,6 +14,7 @@
 import gevent.event
 from returns import result
 
+from bambookeel.core import client_limits
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.jobs import calls
@@ -53,6 +55,8 @@
         self._call_numbers = itertools.count(secrets.randbits(40) << 20)
         self._replies: dict[int, gevent.event.AsyncResult] = {}
         self._leader_answered = gevent.event.Event()
+        # Limits for callers in the configuration that the leader last named.
+        self.client_limits = client_limits.DEFAULT
 
     def call(
         self,
@@ -165,6 +169,8 @@
             case messages.LeaderKnown():
                 now_ms = clock.read_now_ms()
                 view = self.leader_view
+                if message.is_certain and message.term >= view.term:
+                    self._take_limits(message)
                 if leader_finder.update_view(view, peer, message, now_ms):
                     logs.log_event(
                         "leader_believed",
@@ -174,6 +180,12 @@
                     )
                 self._leader_answered.set()
 
+    def _take_limits(self, message: messages.LeaderKnown) -> None:
+        for limits in message.limits:
+            if limits != self.client_limits:
+                self.client_limits = limits
+                logs.log_event("client_limits", **dataclasses.asdict(limits))
+
     def _take_answer(
         self, peer: ids.ProcessId, number: int, payload: bytes
     ) -> None:
@@ -187,6 +199,19 @@
                 # The call is sent again when its attempt has timed out.
                 logs.log_event("answer_malformed", peer=peer, error=error)
 
+    def find_other_leader_host(self) -> str:
+        """Finds the host of the leader, if it is another process.
+
+        Returns:
+            The host; empty if no leader is known or this process leads.
+        """
+        view = self.leader_view
+        if view.leader == view.own or not view.is_confirmed(
+            clock.read_now_ms()
+        ):
+            return ""
+        return view.leader.rpartition(":")[0]
+
     def describe_leader(self) -> messages.LeaderKnown:
         """Builds the message that tells other processes the known leader.
 
--- a/bambookeel/node/process.py
+++ b/bambookeel/node/process.py
@@ -5,17 +5,21 @@
 from returns import result
 
 from bambookeel.control import events
+from bambookeel.core import client_limits
 from bambookeel.core import ids
 from bambookeel.core import messages
 from bambookeel.jobs import advice
 from bambookeel.jobs import calls
 from bambookeel.jobs import instances
 from bambookeel.net import channels
+from bambookeel.net import client_guard
+from bambookeel.net import http_server
 from bambookeel.net import links
 from bambookeel.node import gateway
 from bambookeel.node import leader_finder
 from bambookeel.node import replica
 from bambookeel.node import settings as node_settings
+from bambookeel.runtime import client_metrics
 from bambookeel.runtime import clock
 from bambookeel.runtime import logs
 from bambookeel.runtime import supervisor
@@ -45,8 +49,14 @@
             settings.channel_heartbeat_ms,
             settings.channel_timeout_ms,
         )
+        self.clients = client_guard.ClientGuard(
+            settings.machine.memory_mb, settings.machine.max_fds
+        )
+        client_metrics.register_buffered_bytes(
+            self.clients.count_buffered_bytes
+        )
         self._channels = channels.Channels(
-            link_settings, identity, self._deliver
+            link_settings, identity, self._deliver, self.clients.ports["peers"]
         )
         view = leader_finder.LeaderView(
             settings.address, settings.seeds, known_ms=clock.read_now_ms()
@@ -144,6 +154,30 @@
             case messages.LeaderQuestion():
                 self._channels.send(peer, self.gateway.describe_leader())
 
+    def build_server(
+        self, port: str, listen: str, app: http_server.WsgiApp
+    ) -> http_server.Server:
+        """Builds a server that bounds what its clients can use.
+
+        Args:
+            port: Name of the port in `client_guard`.
+            listen: Address of the server, `ip:port`.
+            app: Its application.
+
+        Returns:
+            The server, not yet started.
+        """
+        is_for_callers = port == "callers"
+        return http_server.Server(
+            listen,
+            app,
+            port=self.clients.ports[port],
+            read_limits=self._read_limits if is_for_callers else None,
+        )
+
+    def _read_limits(self) -> client_limits.ClientLimits:
+        return self.gateway.client_limits
+
     def change_seeds(self, seeds: tuple[ids.ProcessId, ...]) -> None:
         """Replaces the seeds with those of changed settings.
 
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -188,6 +188,7 @@
             core.term,
             self._holds_lease(),
             voters,
+            (self._machine.book.configuration.document.limits,),
         )
 
     def _holds_lease(self) -> bool:
--- a/bambookeel/node/settings.py
+++ b/bambookeel/node/settings.py
@@ -3,10 +3,25 @@
 import dataclasses
 
 from bambookeel.core import ids
+from bambookeel.core import json_input
 from bambookeel.core import settings as core_settings
 from bambookeel.jobs import scheduler
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Machine:
+    """Sizes of a node's machine.
+
+    Attributes:
+        memory_mb: Memory in MB; 0 if it is not known.
+        max_fds: Number of descriptors that the process may open; 0 if it is
+            not known.
+    """
+
+    memory_mb: json_input.Amount = 0
+    max_fds: json_input.Whole = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeSettings:
     """Settings of a node.
@@ -29,6 +44,7 @@
             channel.
         channel_timeout_ms: Time in milliseconds without a message after which
             a channel is replaced.
+        machine: The machine of the node.
     """
 
     name: str
@@ -42,3 +58,4 @@
     scheduling: scheduler.SchedulerSettings
     channel_heartbeat_ms: int
     channel_timeout_ms: int
+    machine: Machine = Machine()
--- a/features/steps/uncontrolled_steps.py
+++ b/features/steps/uncontrolled_steps.py
@@ -13,8 +13,8 @@
 from features.fakes import platform_calls
 from features.fakes import platform_document
 
-_NET = os.getpid() % 250 + 1
-_BASE_PORT = 28_100
+NET = os.getpid() % 250 + 1
+BASE_PORT = 28_100
 _FRONT, _READY, _CONTROL, _PEER = range(4)
 _PORTS = {
     "callers": _FRONT,
@@ -34,7 +34,7 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     site = limited_site.LimitedSite(
-        folder.name, _BASE_PORT, _NET, nodes=3, workers=1
+        folder.name, BASE_PORT, NET, nodes=3, workers=1
     )
     context.site = site
     context.add_cleanup(site.end)
@@ -124,7 +124,7 @@
         "a job is accepted",
     )
     site.wait_until(
-        lambda: is_ok(site.call_control(number, "POST", *_build_heartbeat())),
+        lambda: is_ok(site.call_control(number, "POST", *build_heartbeat())),
         "a heartbeat is answered",
     )
     for address, target in (
@@ -140,7 +140,8 @@
     assert not node.has_ended() and node.process.pid == context.pid
 
 
-def _build_heartbeat():
+def build_heartbeat():
+    """Returns path and content of a worker's first heartbeat."""
     now_ms = int(time.time() * 1000)
     return (
         "/v1/instances/9500/heartbeat",
