--- a/review/stand3/site3.py
+++ b/review/stand3/site3.py
@@ -73,14 +73,18 @@
 
 
 def find_base_port(net):
-    """Finds ports that are free on the addresses of a site."""
+    """Finds ports that are free on the addresses of a site.
+
+    Sites that run side by side need different addresses, as a node also listens
+    on a port of the project's own settings.
+    """
     for _ in range(200):
         base = random.randrange(20_000, 30_000, 20)
         try:
             for offset in (FRONT, READY, CONTROL, PEERS):
                 for number in range(1, 5):
                     with socket.socket() as trial:
-                        trial.bind((f"127.{net}.0.{number}", base + offset))
+                        trial.bind((f"127.{net}.{number}", base + offset))
             return base
         except OSError:
             continue
@@ -93,7 +97,7 @@
     def __init__(self, site, number, has_disk):
         self.site = site
         self.number = number
-        self.ip = f"127.{site.net}.0.{number + 1}"
+        self.ip = f"127.{site.net}.{number + 1}"
         self.folder = site.folder / f"node-{number}"
         self.folder.mkdir()
         self.has_disk = has_disk
@@ -122,7 +126,7 @@
             },
             "port_range": [base + PEERS, base + LAST_PEER],
             "seed_nodes": [
-                f"127.{self.site.net}.0.{i + 1}:{base + CONTROL}"
+                f"127.{self.site.net}.{i + 1}:{base + CONTROL}"
                 for i in range(3)
             ],
             "bootstrap": self.starts == 0,
@@ -419,13 +423,13 @@
 
     def __init__(self, case_folder, net, nodes=4, has_provider=False):
         self.record = Record(case_folder)
-        self.net = net
+        self.net = f"{net}.{random.randrange(1, 250)}"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         deploy = tomllib.loads(
             (ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
         )
         self.command = deploy["roles"]["node"]["run"].split()
-        self.base = find_base_port(net)
+        self.base = find_base_port(self.net)
         self.provider_address = ""
         self.nodes = [Node(self, i, i < 3) for i in range(nodes)]
         self.executors = []
@@ -553,7 +557,7 @@
 
     # --- Operator ---
 
-    def operate(self, method, path, body, timeout_s=4.0, attempts=20):
+    def operate(self, method, path, body, timeout_s=4.0, attempts=60):
         """Makes a call of the operator, at any node, until it is answered."""
         address = None
         for attempt in range(attempts):
@@ -561,6 +565,12 @@
                 node = self.nodes[attempt % len(self.nodes)]
                 address = node.get_address(CONTROL)
             answer = call(address, method, path, body, {}, timeout_s)
+            if answer is None or answer[0] // 100 not in (2, 3):
+                text = answer[1][:80] if answer else ""
+                self.record.write(
+                    f"operator: {method} {path} at {address}:"
+                    f" {answer[0] if answer else None} {text}"
+                )
             address = None
             if answer is not None and answer[0] == 307:
                 place = answer[2]["Location"].removeprefix("http://")
