--- a/review/13/case.py
+++ b/review/13/case.py
@@ -15,10 +15,10 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 EXECUTORS = 6
 STANDING = 6
-SUBTASKS = 8_000
-CPU = 45
+SUBTASKS = 10_000
+CPU = 36
 # At most so many subtasks of the step on one executor; all of them have room.
-PER_EXECUTOR = 1_350
+PER_EXECUTOR = 1_700
 TRAFFIC_S = 6
 WATCH_S = 20
 # A client's deadline and the retries of the site's clients.
