--- a/bambookeel/configuration/document.py
+++ b/bambookeel/configuration/document.py
@@ -4,6 +4,8 @@
 whole and all its faults are reported; a document with a fault is never stored.
 """
 
+import collections
+from collections.abc import Iterable
 import typing
 
 import msgspec
@@ -48,6 +50,11 @@
     is_open: bool = False
     ticket_ms: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
+    @property
+    def place(self) -> tuple[str, str]:
+        """Host and start of the path, by which callers know the queue."""
+        return self.host, self.path_prefix
+
 
 class Service(msgspec.Struct, frozen=True):
     """A service and its pool of instances.
@@ -80,6 +87,9 @@
     cap: specs.Resources = specs.Resources()
 
 
+_Entry = typing.TypeVar("_Entry", Queue, Team)
+
+
 class Document(msgspec.Struct, frozen=True):
     """A complete configuration.
 
@@ -147,40 +157,85 @@
             found.append(
                 faults.Fault(f"{queue_place}.timeout_ms", "must be above 0")
             )
-        route = (queue.host, queue.path_prefix)
-        if route in routes:
-            message = f"another queue has the place {route}"
+        if queue.place in routes:
+            message = f"another queue has the place {queue.place}"
             found.append(faults.Fault(f"{queue_place}.path_prefix", message))
-        routes.add(route)
+        routes.add(queue.place)
     found.extend(_find_key_faults(document.teams))
     return tuple(found)
 
 
 def _find_key_faults(teams: tuple[Team, ...]) -> list[faults.Fault]:
     found = []
-    owners: dict[str, str] = {}
+    owners: dict[str, Team] = {}
     for team in teams:
         for key in team.keys:
-            owner = owners.setdefault(key, team.name)
-            if owner != team.name:
-                message = f"shares a key with {owner}"
+            owner = owners.setdefault(key, team)
+            if owner is not team:
+                message = f"shares a key with {owner.name}"
                 found.append(faults.Fault(f"teams.{team.name}.keys", message))
     return found
 
 
+class UnusedNames:
+    """Finds names that no other queue, or no other team, has."""
+
+    def __init__(self, taken: Iterable[str]) -> None:
+        self._taken = set(taken)
+        self._numbers: collections.Counter[str] = collections.Counter()
+
+    def find(self, name: str) -> str:
+        """Finds an unused name, which then counts as used.
+
+        Args:
+            name: Name that is taken.
+
+        Returns:
+            The name with a number.
+        """
+        unused = name
+        while unused in self._taken:
+            self._numbers[name] += 1
+            unused = f"{name} ({self._numbers[name] + 1})"
+        self._taken.add(unused)
+        return unused
+
+
+def _index_by_name(entries: Iterable[_Entry]) -> dict[str, _Entry]:
+    """Indexes queues or teams by name, of which several may share one.
+
+    Args:
+        entries: The queues or teams, which are told apart by their places or
+            keys.
+
+    Returns:
+        The entries; of those that share a name, all but the first have got
+        another one.
+    """
+    entries = tuple(entries)
+    unused = UnusedNames(entry.name for entry in entries)
+    by_name: dict[str, _Entry] = {}
+    for entry in entries:
+        if entry.name in by_name:
+            name = unused.find(entry.name)
+            entry = msgspec.structs.replace(entry, name=name)
+        by_name[entry.name] = entry
+    return by_name
+
+
 class View:
     """A document with indexes for look-ups by name, key, host and path."""
 
     def __init__(self, document: Document) -> None:
         self.document = document
-        self.queues = {queue.name: queue for queue in document.queues}
+        self.queues = _index_by_name(document.queues)
         self.services = {s.name: s for s in document.services}
-        self.teams = {team.name: team for team in document.teams}
+        self.teams = _index_by_name(document.teams)
         self._team_of_key = {
-            key: team.name for team in document.teams for key in team.keys
+            key: team.name for team in self.teams.values() for key in team.keys
         }
         self._queues_by_host: dict[str, list[Queue]] = {}
-        for queue in document.queues:
+        for queue in self.queues.values():
             self._queues_by_host.setdefault(queue.host, []).append(queue)
         for queues in self._queues_by_host.values():
             queues.sort(key=lambda queue: -len(queue.path_prefix))
--- a/bambookeel/configuration/renames.py
+++ b/bambookeel/configuration/renames.py
@@ -1,163 +1,174 @@
-"""Finds the queues and teams that a new configuration has renamed.
+"""Finds the queues and teams of a new configuration that are known already.
 
-Callers know a queue by its host and path and identify a team by a key; neither
-contains the name. Jobs that were submitted under the earlier name must stay
-reachable.
+Callers know the place of a queue (host and path) and the keys of a team, but no
+names. So an entry of a configuration is the queue that had its place, or the
+team that had one of its keys, whatever their names. The name alone decides only
+in the version that gives an entry a new place, or exchanges all its keys: there
+is no other link to the entry of that name which was in force until then.
 """
 
+from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import Set
+import dataclasses
+import typing
 
 import msgspec
 
 from bambookeel.configuration import document as configuration
 
+Entry = typing.TypeVar("Entry", bound=configuration.Queue | configuration.Team)
+# What a caller knows an entry by: the place of a queue or a key of a team.
+Mark = tuple[str, str] | str
 
-def replace_configuration(
-    former_queues: dict[str, configuration.Queue],
-    former_teams: dict[str, configuration.Team],
-    before: configuration.View,
-    view: configuration.View,
-) -> tuple[dict[str, str], dict[str, str]]:
-    """Adds a replaced configuration to the former ones, and finds the renames.
 
-    Args:
-        former_queues: Queues of earlier configurations, by name; changed.
-        former_teams: Teams of earlier configurations, by name; changed.
-        before: The configuration that is replaced.
-        view: The new configuration.
-
-    Returns:
-        New names of the renamed queues and of the renamed teams, by their
-        earlier names.
-    """
-    former_queues.update(before.queues)
-    former_teams.update(before.teams)
-    queues = find_renamed_queues(former_queues, view)
-    for name, queue in find_displaced_queues(
-        former_queues, before, view
-    ).items():
-        queues[name] = queue.name
-        former_queues[queue.name] = queue
-    teams = find_renamed_teams(former_teams, view)
-    for name, team in find_displaced_teams(former_teams, before, view).items():
-        teams[name] = team.name
-        former_teams[team.name] = team
-    return queues, teams
-
-
-def find_renamed_queues(
-    known: Mapping[str, configuration.Queue], view: configuration.View
-) -> dict[str, str]:
-    """Finds the queues whose place has a queue of another name.
+def _list_marks(entry: configuration.Queue | configuration.Team) -> list[Mark]:
+    """Lists what callers know a queue or a team by.
 
     Args:
-        known: All queues so far, by name.
-        view: The new configuration.
+        entry: The queue or team.
 
     Returns:
-        New name of each renamed queue, by its earlier name.
+        The place of the queue, or the keys of the team.
     """
-    names = {
-        (queue.host, queue.path_prefix): name
-        for name, queue in view.queues.items()
-    }
-    renamed = {}
-    for name, queue in known.items():
-        later = names.get((queue.host, queue.path_prefix), name)
-        if later != name:
-            renamed[name] = later
-    return renamed
+    match entry:
+        case configuration.Queue():
+            return [entry.place]
+        case configuration.Team():
+            return list(entry.keys)
 
 
-def find_displaced_queues(
-    known: Mapping[str, configuration.Queue],
-    before: configuration.View,
-    view: configuration.View,
-) -> dict[str, configuration.Queue]:
-    """Finds the queues without a place whose name another queue has taken.
+@dataclasses.dataclass(slots=True)
+class Former:
+    """Queues and teams with jobs that are not configured any more.
 
-    A queue that keeps its name at a new place has moved. If another queue was
-    at that place before, it is that one under a new name.
+    Attributes:
+        queues: The queues, by names that no configured queue has.
+        teams: The teams, by names that no configured team has.
+    """
+
+    queues: dict[str, configuration.Queue] = dataclasses.field(
+        default_factory=dict
+    )
+    teams: dict[str, configuration.Team] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def follow(
+        self,
+        before: configuration.View,
+        after: configuration.View,
+        used_queues: Set[str],
+        used_teams: Set[str],
+    ) -> tuple[dict[str, str], dict[str, str]]:
+        """Updates the former queues and teams, and finds the renamed ones.
+
+        Args:
+            before: The configuration that is replaced.
+            after: The new configuration.
+            used_queues: Names of the queues that have jobs.
+            used_teams: Names of the teams that have jobs.
+
+        Returns:
+            New names of the renamed queues and of the renamed teams, by their
+            earlier names.
+        """
+        queues, self.queues = _follow_entries(
+            self.queues, before.queues, after.queues, used_queues
+        )
+        teams, self.teams = _follow_entries(
+            self.teams, before.teams, after.teams, used_teams
+        )
+        return queues, teams
+
+
+def _follow_entries(
+    former: Mapping[str, Entry],
+    before: Mapping[str, Entry],
+    after: Mapping[str, Entry],
+    used: Set[str],
+) -> tuple[dict[str, str], dict[str, Entry]]:
+    """Names the entries that are known after a change of the configuration.
 
     Args:
-        known: All queues so far, by name.
-        before: The configuration before the new one.
-        view: The new configuration.
+        former: Entries that are no longer configured, by name.
+        before: Entries of the configuration that is replaced, by name.
+        after: Entries of the new configuration, by name.
+        used: Names of the entries that have jobs; others are forgotten once
+            they are no longer configured.
 
     Returns:
-        The displaced queues under unused names, by their earlier names.
+        New names of the entries that were renamed, by their earlier names; and
+        the entries that are not configured now, by names that no other has.
     """
-    places = {(queue.host, queue.path_prefix) for queue in view.queues.values()}
-    names_before = {
-        (queue.host, queue.path_prefix): name
-        for name, queue in before.queues.items()
-    }
-    displaced = {}
-    for name, queue in known.items():
-        taker = view.queues.get(name)
-        if taker is None or (queue.host, queue.path_prefix) in places:
-            continue
-        place = (taker.host, taker.path_prefix)
-        if names_before.get(place, name) == name:
+    renamed = {}
+    later_former: dict[str, Entry] = {}
+    continued = _find_continued(former, before, after)
+    unused = configuration.UnusedNames({*before, *after, *former})
+    for name, entry in (*former.items(), *before.items()):
+        later = continued.get(name)
+        if later is None and name not in used:
             continue
-        unused = f"{name} at {queue.host}{queue.path_prefix}"
-        while unused in view.queues or unused in known:
-            unused += "'"
-        displaced[name] = msgspec.structs.replace(queue, name=unused)
-    return displaced
+        if later is None:
+            later = unused.find(name) if name in after else name
+            later_former[later] = msgspec.structs.replace(entry, name=later)
+        if later != name:
+            renamed[name] = later
+    return renamed, later_former
 
 
-def find_renamed_teams(
-    known: Mapping[str, configuration.Team], view: configuration.View
+def _find_continued(
+    former: Mapping[str, Entry],
+    before: Mapping[str, Entry],
+    after: Mapping[str, Entry],
 ) -> dict[str, str]:
-    """Finds the teams whose keys belong to a team of another name.
-
-    A team keeps its name while it keeps a key, or if no team has its keys.
+    """Finds as which entries of a new configuration the known ones continue.
 
     Args:
-        known: All teams so far, by name.
-        view: The new configuration.
+        former: Entries that are no longer configured, by name.
+        before: Entries of the configuration that is replaced, by name.
+        after: Entries of the new configuration, by name.
 
     Returns:
-        New name of each renamed team, by its earlier name.
+        Name in the new configuration, by known name; each at most once.
     """
-    renamed = {}
-    for name, team in known.items():
-        found = (view.find_team(key) for key in team.keys)
-        holders = [holder.name for holder in found if holder is not None]
-        if holders and name not in holders:
-            renamed[name] = holders[0]
-    return renamed
-
-
-def find_displaced_teams(
-    known: Mapping[str, configuration.Team],
-    before: configuration.View,
-    view: configuration.View,
-) -> dict[str, configuration.Team]:
-    """Finds the teams without keys whose name another team has taken.
-
-    A team that keeps its name has got other keys. If one of these was that of
-    another team before, it is that one under a new name.
+    # Entries that were in force come first.
+    holders: dict[Mark, list[str]] = {}
+    for name, entry in (*before.items(), *former.items()):
+        for mark in _list_marks(entry):
+            holders.setdefault(mark, []).append(name)
+    continued: dict[str, str] = {}
+    left = dict(after)
+    # Keys may have been divided between entries, of which one has kept the
+    # name.
+    for later, entry in after.items():
+        if later in _list_holders(holders, entry):
+            continued[later] = later
+            del left[later]
+    for later, entry in list(left.items()):
+        for name in _list_holders(holders, entry):
+            if name not in continued:
+                continued[name] = later
+                del left[later]
+                break
+    for later, entry in left.items():
+        is_new = not any(True for _ in _list_holders(holders, entry))
+        if is_new and later in before and later not in continued:
+            continued[later] = later
+    return continued
+
+
+def _list_holders(
+    holders: Mapping[Mark, list[str]], entry: Entry
+) -> Iterator[str]:
+    """Lists the known entries that have a mark of another one.
 
     Args:
-        known: All teams so far, by name.
-        before: The configuration before the new one.
-        view: The new configuration.
+        holders: Names of the known entries by mark.
+        entry: An entry of the new configuration.
 
-    Returns:
-        The displaced teams under unused names, by their earlier names.
+    Yields:
+        Their names, in the order of the marks.
     """
-    displaced = {}
-    for name, team in known.items():
-        taker = view.teams.get(name)
-        if taker is None or any(view.find_team(key) for key in team.keys):
-            continue
-        owners = [before.find_team(key) for key in taker.keys]
-        if all(owner is None or owner.name == name for owner in owners):
-            continue
-        unused = f"{name}, former"
-        while unused in view.teams or unused in known:
-            unused += "'"
-        displaced[name] = msgspec.structs.replace(team, name=unused)
-    return displaced
+    for mark in _list_marks(entry):
+        yield from holders.get(mark, ())
--- a/bambookeel/jobs/advising.py
+++ b/bambookeel/jobs/advising.py
@@ -20,9 +20,14 @@
     """
     if not term.advice.may_ask(now.steady_ms):
         return
+    book = term.book
+    # Jobs of removed queues continue.
     queues = [
         queue
-        for queue in term.book.configuration.document.queues
+        for queue in (
+            *book.configuration.queues.values(),
+            *book.former.queues.values(),
+        )
         if queue.ticket_ms
     ]
     if not queues:
--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -23,10 +23,7 @@
 
     def __init__(self) -> None:
         self.configuration = configuration.EMPTY
-        # Queues and teams that a later configuration removed; their jobs
-        # continue.
-        self.former_queues: dict[str, configuration.Queue] = {}
-        self.former_teams: dict[str, configuration.Team] = {}
+        self.former = renames.Former()
         self.jobs: dict[str, book_records.Job] = {}
         self.instances = instance_records.InstanceRecords()
         self.crashes = book_crashes.CrashRecords()
@@ -88,8 +85,11 @@
         Args:
             view: The configuration.
         """
-        queues, teams = renames.replace_configuration(
-            self.former_queues, self.former_teams, self.configuration, view
+        queues, teams = self.former.follow(
+            self.configuration,
+            view,
+            {job.queue for job in self.jobs.values()},
+            {job.team for job in self.jobs.values()},
         )
         self.configuration = view
         moved = [
@@ -150,7 +150,7 @@
         Returns:
             The queue, or None if it was never configured.
         """
-        return self.configuration.queues.get(name) or self.former_queues.get(
+        return self.configuration.queues.get(name) or self.former.queues.get(
             name
         )
 
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -122,8 +122,12 @@
 
     Attributes:
         job_id: Id that the caller chose.
-        queue: Name of the queue.
-        team: Name of the team; empty where the queue is open to all callers.
+        queue: Name of the queue; changes with the configuration.
+        team: Name of the team; empty where the queue is open to all callers;
+            changes with the configuration.
+        place: Host and path of the queue at which it was submitted; None if
+            unknown.
+        key: Key with which it was submitted; empty if unknown.
         spec: What the caller submitted.
         admitted_wall_ms: Unix time in milliseconds of its admission.
         state: State that callers are told.
@@ -140,6 +144,8 @@
     job_id: str
     queue: str
     team: str
+    place: tuple[str, str] | None
+    key: str
     spec: specs.JobSpec
     admitted_wall_ms: int
     state: specs.JobState
@@ -183,6 +189,8 @@
             command.job,
             command.queue,
             command.team,
+            command.place,
+            command.key,
             spec,
             command.at_wall_ms,
             specs.JobState.WAITING,
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -111,7 +111,7 @@
         _SavedWave(wave.request, list(wave.waiting), list(wave.ordered))
         for wave in book.instances.waves.values()
     ]
-    former = list(book.former_queues.values())
+    former = list(book.former.queues.values())
     return msgspec.msgpack.encode(
         _SavedBook(
             book.configuration.document,
@@ -124,7 +124,7 @@
             book.instances.ended_workers,
             list(book.crashes.silent_workers.items()),
             list(book.crashes.unexplained.items()),
-            list(book.former_teams.values()),
+            list(book.former.teams.values()),
             book.instances.evacuations,
             list(book.instances.former_evacuations),
         )
@@ -150,7 +150,13 @@
         ]
         steps.append(_SavedStep(step.failures, tasks, step.last_failed_run))
     admitted = commands.AdmitJob(
-        job.job_id, job.queue, job.team, job.spec, job.admitted_wall_ms
+        job.job_id,
+        job.queue,
+        job.team,
+        job.spec,
+        job.admitted_wall_ms,
+        job.place,
+        job.key,
     )
     return _SavedJob(
         admitted, job.state, job.ended_wall_ms, steps, job.end_reason
@@ -172,8 +178,8 @@
     saved = msgspec.msgpack.decode(payload, type=_SavedBook)
     if saved.document.version:
         book.apply(commands.PutConfiguration(saved.document))
-    book.former_queues = {queue.name: queue for queue in saved.former_queues}
-    book.former_teams = {team.name: team for team in saved.former_teams}
+    book.former.queues = {queue.name: queue for queue in saved.former_queues}
+    book.former.teams = {team.name: team for team in saved.former_teams}
     for each in saved.jobs:
         _restore_job(book, each)
     for incarnation, runs in saved.held:
--- a/bambookeel/jobs/callers.py
+++ b/bambookeel/jobs/callers.py
@@ -1,5 +1,7 @@
 """Handles calls of callers: to submit, query, cancel and count jobs."""
 
+import dataclasses
+
 from bambookeel.configuration import document as configuration
 from bambookeel.jobs import admission
 from bambookeel.jobs import book_records
@@ -14,9 +16,51 @@
 from bambookeel.jobs import work_ahead
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Caller:
+    """What a call shows of its caller.
+
+    Attributes:
+        queue: Queue that the call addresses.
+        team: Name of the team that has the key; empty if none has it.
+        key: The key; empty if no team has it.
+    """
+
+    queue: configuration.Queue
+    team: str
+    key: str
+
+    def has_submitted(self, job: book_records.Job) -> bool:
+        """Returns whether a job is one of the caller's team in the queue.
+
+        A caller also finds what was submitted at the same place with the same
+        key, to whatever queue and team it belongs now.
+
+        Args:
+            job: The job.
+
+        Returns:
+            False for jobs of other callers.
+        """
+        return self.addresses(job) and (
+            job.team == self.team or bool(self.key) and job.key == self.key
+        )
+
+    def addresses(self, job: book_records.Job) -> bool:
+        """Returns whether a job is in the queue, or was submitted at its place.
+
+        Args:
+            job: The job.
+
+        Returns:
+            False for jobs of other queues.
+        """
+        return job.queue == self.queue.name or job.place == self.queue.place
+
+
 def _identify_caller(
     term: term_state.Term, host: str, path: str, key: str, job: str = ""
-) -> tuple[configuration.Queue, str] | calls.Answer:
+) -> _Caller | calls.Answer:
     """Finds the queue that a call addresses and the team that its key allows.
 
     Args:
@@ -27,8 +71,8 @@
         job: Job id that the path ends with; empty for the queue itself.
 
     Returns:
-        The queue and the name of the team, which is empty without a known key
-        on a queue that is open to all; otherwise the refusal.
+        The caller, who has no known key only on a queue that is open to all;
+        otherwise the refusal.
     """
     view = term.book.configuration
     if not view.document.version:
@@ -38,9 +82,9 @@
         return calls.UnknownQueue()
     team = view.find_team(key)
     if team is not None:
-        return queue, team.name
+        return _Caller(queue, team.name, key)
     if queue.is_open:
-        return queue, ""
+        return _Caller(queue, "", "")
     return calls.BadKey()
 
 
@@ -57,13 +101,13 @@
     Returns:
         `Done` if the job is admitted, now or earlier; otherwise the refusal.
     """
-    found = _identify_caller(term, call.host, call.path, call.key, call.job)
-    if not isinstance(found, tuple):
-        return found
-    queue, team = found
+    caller = _identify_caller(term, call.host, call.path, call.key, call.job)
+    if not isinstance(caller, _Caller):
+        return caller
+    queue, team = caller.queue, caller.team
     known = term.book.jobs.get(call.job)
     if known is not None:
-        if known.queue == queue.name and known.team == team:
+        if caller.has_submitted(known):
             return calls.Done()
         return calls.BadRequest("the id is that of another job")
     if call.spec is None:
@@ -84,7 +128,15 @@
         )
         return calls.NotStored(reason, retry_ms, is_overload=True)
     term.decide(
-        commands.AdmitJob(call.job, queue.name, team, call.spec, now.wall_ms)
+        commands.AdmitJob(
+            call.job,
+            queue.name,
+            team,
+            call.spec,
+            now.wall_ms,
+            queue.place,
+            caller.key,
+        )
     )
     if not call.spec.is_timed:
         rate = term.arrival_rates.setdefault(
@@ -193,14 +245,15 @@
 def _find_job(
     term: term_state.Term, call: calls.AskJob | calls.CancelJob
 ) -> book_records.Job | calls.Answer:
-    found = _identify_caller(term, call.host, call.path, call.key, call.job)
-    if not isinstance(found, tuple):
-        return found
-    queue, team = found
+    caller = _identify_caller(term, call.host, call.path, call.key, call.job)
+    if not isinstance(caller, _Caller):
+        return caller
     job = term.book.jobs.get(call.job)
-    if job is None or job.queue != queue.name:
+    if job is None or not caller.addresses(job):
         return calls.NoSuchJob()
-    if job.team != team and not queue.is_open:
+    queue = term.book.find_queue(job.queue)
+    is_open = queue is not None and queue.is_open
+    if not is_open and not caller.has_submitted(job):
         return calls.NoSuchJob()
     return job
 
@@ -253,8 +306,7 @@
     Returns:
         Number of the jobs, or the refusal.
     """
-    found = _identify_caller(term, call.host, call.path, call.key)
-    if not isinstance(found, tuple):
-        return found
-    queue, _ = found
-    return calls.Pending(term.book.pending.get(queue.name, 0))
+    caller = _identify_caller(term, call.host, call.path, call.key)
+    if not isinstance(caller, _Caller):
+        return caller
+    return calls.Pending(term.book.pending.get(caller.queue.name, 0))
--- a/bambookeel/jobs/commands.py
+++ b/bambookeel/jobs/commands.py
@@ -19,13 +19,27 @@
 
 
 class AdmitJob(msgspec.Struct, frozen=True, tag="admit"):
-    """Admits a job."""
+    """Admits a job.
+
+    Attributes:
+        job: Id that the caller chose.
+        queue: Name of the queue in the configuration in force.
+        team: Name of the team in it; empty for a caller without one.
+        spec: What the caller submitted.
+        at_wall_ms: Unix time in milliseconds.
+        place: Host and path of the queue at which it was submitted; None in
+            logs of earlier versions.
+        key: Key with which it was submitted; empty if it is no team's, and in
+            logs of earlier versions.
+    """
 
     job: str
     queue: str
     team: str
     spec: specs.JobSpec
     at_wall_ms: int
+    place: tuple[str, str] | None = None
+    key: str = ""
 
 
 class CancelJob(msgspec.Struct, frozen=True, tag="cancel"):
--- a/features/fakes/interface_actions.py
+++ b/features/fakes/interface_actions.py
@@ -7,6 +7,7 @@
 from features.fakes import interface_jobs
 from features.fakes import interface_oracle
 from features.fakes import interface_provider
+from features.fakes import interface_reach
 from features.fakes import interface_site
 
 _DOWN_MS = (300, 1_500, 4_000)
@@ -25,23 +26,6 @@
     _ACTIONS[action.kind](simulation, source)
 
 
-def find_key(simulation, known):
-    """Returns a key with which a job's team can reach it now, or None."""
-    account = simulation.site.accounts[known.account]
-    if not account.is_present or not find_path(simulation, known):
-        return None
-    return account.keys[0]
-
-
-def find_path(simulation, known):
-    """Returns where a job is reached now, or an empty string.
-
-    Its queue keeps its jobs when it moves. The pages do not say who has those
-    jobs if another queue takes the place afterwards.
-    """
-    return simulation.site.routes[known.route].path
-
-
 def _submit(simulation, source):
     site = simulation.site
     routes = [route for route in site.routes if route.path]
@@ -76,15 +60,15 @@
     simulation.specs[job] = spec
     simulation.reached[f"shape {shape}"] += 1
     simulation.note(job, f"{shape} job at {route.path} of {known.account}")
-    _send(simulation, known)
+    known.key = source.choice(site.accounts[known.account].keys)
+    _send(simulation, known, route.path, known.key)
 
 
-def _send(simulation, known):
-    key = find_key(simulation, known)
+def _send(simulation, known, path, key):
     answer = simulation.call(
         calls.SubmitJob(
             interface_site.HOST,
-            find_path(simulation, known) + known.job,
+            path + known.job,
             key,
             known.job,
             known.spec,
@@ -94,54 +78,45 @@
     simulation.oracle.check_submitted(known, answer)
 
 
-def _choose_job(simulation, source):
-    """Chooses a job that its team can reach, with its key."""
-    reachable = [
-        known
-        for known in simulation.oracle.jobs.values()
-        if find_key(simulation, known) is not None
-    ]
-    if not reachable:
-        return None, ""
-    known = source.choice(reachable)
-    return known, find_key(simulation, known)
-
-
 def _repeat(simulation, source):
-    known, _ = _choose_job(simulation, source)
+    known, _ = interface_reach.choose_job(simulation, source)
     if known is not None and known.may_be_accepted:
-        _send(simulation, known)
+        path = source.choice(interface_reach.list_paths(simulation, known))
+        key = source.choice(interface_reach.list_keys(simulation, known))
+        _send(simulation, known, path, key)
 
 
-def ask(simulation, known, key):
+def ask(simulation, known, key, path):
     """Asks for the state of a job and has the answer judged."""
     answer = simulation.call(
-        calls.AskJob(
-            interface_site.HOST,
-            find_path(simulation, known) + known.job,
-            key,
-            known.job,
-        )
+        calls.AskJob(interface_site.HOST, path + known.job, key, known.job)
     )
-    simulation.note(known.job, f"asked with {key}: {answer}")
+    simulation.note(known.job, f"asked at {path} with {key}: {answer}")
     simulation.oracle.check_state(known, answer)
 
 
+def ask_at_queue(simulation, known, key):
+    """Asks for the state of a job where its queue is now."""
+    ask(simulation, known, key, interface_reach.find_path(simulation, known))
+
+
 def _ask(simulation, source):
-    known, key = _choose_job(simulation, source)
+    known, _ = interface_reach.choose_job(simulation, source)
     if known is not None:
-        ask(simulation, known, key)
+        path = source.choice(interface_reach.list_paths(simulation, known))
+        key = source.choice(interface_reach.list_keys(simulation, known))
+        ask(simulation, known, key, path)
 
 
 def _cancel(simulation, source):
-    known, key = _choose_job(simulation, source)
+    known, key = interface_reach.choose_job(simulation, source)
     if known is None:
         return
     known.cancel_sent_ms = known.cancel_sent_ms or simulation.now_ms
     answer = simulation.call(
         calls.CancelJob(
             interface_site.HOST,
-            find_path(simulation, known) + known.job,
+            interface_reach.find_path(simulation, known) + known.job,
             key,
             known.job,
         )
@@ -152,7 +127,7 @@
 
 def _call_as_other_team(simulation, source):
     """Asks, cancels or counts with the key of another team, or none's."""
-    known, _ = _choose_job(simulation, source)
+    known, _ = interface_reach.choose_job(simulation, source)
     if known is None:
         return
     site = simulation.site
@@ -164,13 +139,32 @@
     gone = sorted(site.withdrawn)
     key = source.choice(keys + gone + ["never"])
     kind = source.choice([calls.AskJob, calls.CancelJob])
-    path = find_path(simulation, known) + known.job
+    path = interface_reach.find_path(simulation, known) + known.job
     answer = simulation.call(kind(interface_site.HOST, path, key, known.job))
     simulation.note(known.job, f"{kind.__name__} with {key}: {answer}")
-    if key not in keys and answer != calls.BadKey() and answer is not None:
+    expected = calls.NoSuchJob() if key in keys else calls.BadKey()
+    if answer is not None and answer != expected:
         simulation.oracle.add("CONFIG", known.job, f"{key} got {answer}")
 
 
+def _ask_other_queue(simulation, source):
+    """Asks for a job at the place of another queue."""
+    known, key = interface_reach.choose_job(simulation, source)
+    if known is None:
+        return
+    own = {interface_reach.find_path(simulation, known), known.path, ""}
+    paths = sorted({route.path for route in simulation.site.routes} - own)
+    if not paths:
+        return
+    path = source.choice(paths)
+    answer = simulation.call(
+        calls.AskJob(interface_site.HOST, path + known.job, key, known.job)
+    )
+    simulation.note(known.job, f"asked at {path} with {key}: {answer}")
+    if answer is not None and answer != calls.NoSuchJob():
+        simulation.oracle.add("CONFIG", known.job, f"at {path}: {answer}")
+
+
 def _count(simulation, source):
     paths = [r.path for r in simulation.site.routes if r.path]
     keys = [a.keys[0] for a in simulation.site.accounts if a.is_present]
@@ -201,6 +195,12 @@
     put(simulation, change)
 
 
+def _change_identity(simulation, source):
+    change = simulation.site.change_identity(source)
+    simulation.reached[change.partition(":")[0]] += 1
+    put(simulation, change)
+
+
 def put(simulation, change):
     """Puts the present configuration in force, again until it is accepted."""
     document = simulation.build_document()
@@ -353,6 +353,8 @@
 _ACTIONS = {
     "submit": _submit,
     "configure": _configure,
+    "identity": _change_identity,
+    "other_queue": _ask_other_queue,
     "ask": _ask,
     "repeat": _repeat,
     "count": _count,
--- a/features/fakes/interface_check.py
+++ b/features/fakes/interface_check.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from features.fakes import interface_actions
+from features.fakes import interface_reach
 from features.fakes import interface_run
 from features.fakes import jobs_simulation
 
@@ -73,8 +74,8 @@
         ask_at_ms = simulation.now_ms + _ASK_MS
         for known in simulation.oracle.jobs.values():
             if known.accepted_ms is not None and known.ended is None:
-                key = interface_actions.find_key(simulation, known)
-                interface_actions.ask(simulation, known, key)
+                key = interface_reach.find_key(simulation, known)
+                interface_actions.ask_at_queue(simulation, known, key)
         is_over = simulation.now_ms >= earliest_ms
         for number in simulation.provider.waves:
             is_over &= interface_actions.ask_wave(simulation, number)
@@ -84,8 +85,8 @@
     simulation.provider.check_end()
     for known in simulation.oracle.jobs.values():
         if known.accepted_ms is not None:
-            key = interface_actions.find_key(simulation, known)
-            interface_actions.ask(simulation, known, key)
+            key = interface_reach.find_key(simulation, known)
+            interface_actions.ask_at_queue(simulation, known, key)
     interface_actions.count_all(simulation)
 
 
--- a/features/fakes/interface_oracle.py
+++ b/features/fakes/interface_oracle.py
@@ -38,6 +38,7 @@
     spec: specs.JobSpec
     shape: str
     sent_ms: int
+    key: str = ""
     accepted_ms: int | None = None
     may_be_accepted: bool = False
     cancel_sent_ms: int | None = None
--- a/features/fakes/interface_run.py
+++ b/features/fakes/interface_run.py
@@ -49,6 +49,9 @@
     ask_wave=2,
     provider=2,
 )
+# Drawn by themselves beside all others, so that these stay as they are.
+IDENTITY_KINDS = collections.OrderedDict(identity=5, other_queue=2, ask=3)
+_IDENTITY_ACTIONS = 16
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,9 +71,15 @@
         kinds: Weight of each kind of action; None for all kinds.
         span_ms: Time over which the actions are spread.
     """
-    source = random.Random(seed)
-    kinds = kinds or KINDS
-    names = source.choices(list(kinds), list(kinds.values()), k=60)
+    actions = _draw(random.Random(seed), kinds or KINDS, 60, span_ms)
+    if kinds is None:
+        source = random.Random(f"identity {seed}")
+        actions += _draw(source, IDENTITY_KINDS, _IDENTITY_ACTIONS, span_ms)
+    return sorted(actions, key=lambda action: action.at_ms)
+
+
+def _draw(source, kinds, count, span_ms):
+    names = source.choices(list(kinds), list(kinds.values()), k=count)
     times = sorted(source.randrange(span_ms) for _ in names)
     return [
         Action(at_ms, name, source.randrange(2**31))
--- a/features/fakes/interface_site.py
+++ b/features/fakes/interface_site.py
@@ -14,6 +14,8 @@
 HOST = "jobs.example"
 SERVICES = ("pack", "sort")
 _PATHS = ("/a/", "/b/", "/c/", "/d/")
+# Places of queues that are added later.
+_LATER_PATHS = ("/e/", "/f/", "/g/")
 _CAP_MILLI = 6_000
 
 
@@ -127,6 +129,12 @@
         name, change = source.choice(_CHANGES)
         return f"{name}: {change(self, source)}"
 
+    def change_identity(self, source):
+        """Changes which queues or teams there are, or what they are called."""
+        self.version += source.randrange(1, 4)
+        name, change = source.choice(_IDENTITY_CHANGES)
+        return f"{name}: {change(self, source)}"
+
     def restore(self):
         """Puts all queues and teams back in force, without caps."""
         self.version += 1
@@ -219,8 +227,78 @@
         account.cap_milli = source.choice([0, _CAP_MILLI, 2 * _CAP_MILLI])
         return f"{account.name} {account.cap_milli}"
 
+    def _remove_all(self, source):
+        """Removes all queues, or all teams, in one version."""
+        if source.random() < 0.5:
+            for route in self.routes:
+                route.path = ""
+            return "queues"
+        for account in self.accounts:
+            account.is_present = False
+        return "teams"
+
+    def _return_route(self, source):
+        removed = [route for route in self.routes if not route.path]
+        if not removed:
+            return "none"
+        route = source.choice(removed)
+        route.path = route.home
+        return f"{self._name_again(self.routes, route, source)} at {route.path}"
+
+    def _return_team(self, source):
+        removed = [each for each in self.accounts if not each.is_present]
+        if not removed:
+            return "none"
+        account = source.choice(removed)
+        account.is_present = True
+        name = self._name_again(self.accounts, account, source)
+        return f"{name} with {account.keys}"
+
+    def _name_again(self, entries, entry, source):
+        """Gives a queue or team that is back its own name, or any other."""
+        other = source.choice(entries)
+        kind = source.choice(["own", "exchanged", "shared", "new"])
+        if kind == "exchanged":
+            entry.name, other.name = other.name, entry.name
+        elif kind == "shared":
+            entry.name = other.name
+        elif kind == "new":
+            entry.name = self._make_name("n")
+        return f"{kind} name {entry.name}"
+
+    def _add_route(self, source):
+        """Adds a queue at a new place under a name that there was before."""
+        taken = {route.home for route in self.routes}
+        free = [path for path in _LATER_PATHS if path not in taken]
+        if not free:
+            return "none"
+        name = source.choice(self.routes).name
+        service = source.choice(SERVICES)
+        self.routes.append(Route(name, free[0], service, home=free[0]))
+        return f"{name} at {free[0]}"
+
+    def _add_team(self, source):
+        """Adds a team with a new key under a name that there was before."""
+        if len(self.accounts) > 5:
+            return "none"
+        name = source.choice(self.accounts).name
+        key = f"key-{len(self.accounts)}"
+        self.accounts.append(Account(name, (key,)))
+        return f"{name} with {key}"
+
 
 # pylint: disable=protected-access
+_IDENTITY_CHANGES = (
+    ("remove all", Site._remove_all),
+    ("return route", Site._return_route),
+    ("return route", Site._return_route),
+    ("return team", Site._return_team),
+    ("return team", Site._return_team),
+    ("add route", Site._add_route),
+    ("add team", Site._add_team),
+    ("move route", Site._move_route),
+    ("move key", Site._move_key),
+)
 _CHANGES = (
     ("rename route", Site._rename_route),
     ("swap routes", Site._swap_routes),
--- a/features/steps/interface_steps.py
+++ b/features/steps/interface_steps.py
@@ -69,4 +69,5 @@
         for seed in range(20)
         for action in interface_run.draw_actions(seed)
     ]
-    assert set(actions) == set(interface_run.KINDS)
+    kinds = {*interface_run.KINDS, *interface_run.IDENTITY_KINDS}
+    assert set(actions) == kinds
