--- a/bambookeel/jobs/advice.py
+++ b/bambookeel/jobs/advice.py
@@ -9,7 +9,6 @@
 the advisor.
 """
 
-import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
@@ -232,11 +231,6 @@
             waiting tasks fit on the workers that have tickets.
         """
         step = candidate.step
-        assigned: collections.Counter[specs.WorkerIncarnation] = (
-            collections.Counter()
-        )
-        for task in step.tasks:
-            assigned.update(task.runs.values())
         unplaced = len(step.waiting)
         undecided = []
         for worker in candidate.workers:
@@ -248,7 +242,7 @@
                 undecided.append(worker)
                 continue
             unplaced -= _count_fitting_tasks(
-                step, worker, assigned[incarnation]
+                step, worker, step.count_runs(incarnation)
             )
         return undecided if unplaced > 0 else []
 
--- a/bambookeel/jobs/availability.py
+++ b/bambookeel/jobs/availability.py
@@ -82,9 +82,13 @@
         miss. A step that allows no missing task may still miss one; fillers
         may all be interrupted.
     """
-    for ref in book.assigned_runs.get(incarnation, {}):
-        job = book.jobs[ref.job]
-        step = job.steps[ref.occurrence, ref.step]
+    steps = {
+        (ref.job, ref.occurrence, ref.step)
+        for ref in book.assigned_runs.get(incarnation, {})
+    }
+    for name, occurrence, number in steps:
+        job = book.jobs[name]
+        step = job.steps[occurrence, number]
         if not job.is_open or not step.spec.is_standing:
             continue
         if step.spec.is_filler:
--- a/bambookeel/jobs/book.py
+++ b/bambookeel/jobs/book.py
@@ -271,7 +271,7 @@
             f" {task.last_run}",
         )
         task.last_run = assignment.run
-        task.runs[assignment.run] = incarnation
+        step.add_run(task, assignment.run, incarnation)
         step.waiting.pop(ref.task_index, None)
         self.assigned_runs.setdefault(incarnation, {})[ref] = (
             run_records.AssignedRun.from_command(command, assignment)
@@ -303,7 +303,7 @@
         job = self.jobs[ref.job]
         step = job.steps[ref.occurrence, ref.step]
         task = step.tasks[ref.task_index]
-        del task.runs[run]
+        step.remove_run(task, run)
         self.usage.remove(job, step.spec)
         return job, step, task
 
@@ -357,6 +357,7 @@
             step.waiting.pop(each.ref.task_index, None)
         step.done_count += len(completed)
         self.open_work.remove_tasks(job, step.spec, len(completed))
+        job.has_done_task = True
         job.note_done()
         self.update_ready(job, step)
         if not step.is_complete:
@@ -366,11 +367,10 @@
             self.end_job(job, specs.JobState.COMPLETED, at_wall_ms)
             return
         _, occurrence, number = step.key
-        for later in range(number + 1, len(job.spec.steps)):
-            if number in job.spec.steps[later].after:
-                following = job.steps[occurrence, later]
-                following.unfinished_dependencies -= 1
-                self.update_ready(job, following)
+        for later in job.list_followers(number):
+            following = job.steps[occurrence, later]
+            following.unfinished_dependencies -= 1
+            self.update_ready(job, following)
 
     def _requeue_task(
         self,
--- a/bambookeel/jobs/book_records.py
+++ b/bambookeel/jobs/book_records.py
@@ -1,5 +1,6 @@
 """Records of the job book: jobs, steps, tasks, assigned runs and waves."""
 
+import collections
 import dataclasses
 import typing
 
@@ -46,6 +47,36 @@
     has_worked: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class StepRuns:
+    """Counts of a step's assigned runs, which limits and gangs are based on.
+
+    Attributes:
+        by_worker: Number of the runs on each worker.
+        by_number: Number of the tasks with a run of each number.
+    """
+
+    by_worker: collections.Counter[specs.WorkerIncarnation]
+    by_number: collections.Counter[int]
+
+    def count(
+        self, life: specs.WorkerIncarnation, number: int, change: int
+    ) -> None:
+        """Counts a run that is assigned or removed.
+
+        Args:
+            life: Its worker.
+            number: Number of the run.
+            change: 1 for a run that is assigned, or -1.
+        """
+        self.by_worker[life] += change
+        if not self.by_worker[life]:
+            del self.by_worker[life]
+        self.by_number[number] += change
+        if not self.by_number[number]:
+            del self.by_number[number]
+
+
 @dataclasses.dataclass(slots=True)
 class Step:
     """State of one step in one occurrence of a job.
@@ -63,6 +94,7 @@
         last_failed_run: Number of the newest failed run of a gang; 0 for none.
         waiting: Indices of the tasks without a run, in the order in which they
             get one.
+        runs: Counts of the runs; None while no run is assigned.
     """
 
     key: StepKey
@@ -74,6 +106,56 @@
     failures: int = 0
     last_failed_run: int = 0
     waiting: dict[int, None] = dataclasses.field(default_factory=dict)
+    runs: StepRuns | None = None
+
+    def add_run(
+        self, task: Task, number: int, life: specs.WorkerIncarnation
+    ) -> None:
+        """Assigns a run of one of the tasks to a worker.
+
+        Args:
+            task: The task.
+            number: Number of the run.
+            life: The worker.
+        """
+        if self.runs is None:
+            self.runs = StepRuns(collections.Counter(), collections.Counter())
+        task.runs[number] = life
+        self.runs.count(life, number, 1)
+
+    def remove_run(self, task: Task, number: int) -> None:
+        """Removes a run of one of the tasks.
+
+        Args:
+            task: The task.
+            number: Number of the run, which is assigned.
+        """
+        assert self.runs is not None
+        self.runs.count(task.runs.pop(number), number, -1)
+        if not self.runs.by_worker:
+            self.runs = None
+
+    def count_runs(self, life: specs.WorkerIncarnation) -> int:
+        """Returns the number of runs that are assigned to a worker."""
+        return self.runs.by_worker[life] if self.runs is not None else 0
+
+    def is_gang_complete(self, run: int) -> bool:
+        """Returns whether no member of a gang has lost its part of a run.
+
+        The checkpoint of the gang may have changed with the loss, so that
+        another member would resume from a different one.
+
+        Args:
+            run: Number of the run.
+
+        Returns:
+            True for a step that is no gang.
+        """
+        if not self.spec.is_gang:
+            return True
+        if self.runs is None:
+            return False
+        return self.runs.by_number[run] == len(self.tasks)
 
     @property
     def is_complete(self) -> bool:
@@ -138,6 +220,7 @@
         end_reason: Why the job has failed, for its caller; empty otherwise.
         has_had_run: Whether a run has been assigned, which may not have
             started.
+        has_done_task: Whether a task has succeeded.
         standing: Specifications of its standing steps.
     """
 
@@ -154,7 +237,10 @@
     incomplete_steps: int
     end_reason: str = ""
     has_had_run: bool = False
+    has_done_task: bool = False
     standing: tuple[specs.StepSpec, ...] = ()
+    # Numbers of the steps that depend on each one; known once one is complete.
+    _followers: tuple[tuple[int, ...], ...] | None = None
     # Known since a step was last changed by the end of a task.
     _remaining_steps: RemainingSteps | None = None
 
@@ -169,6 +255,7 @@
             The job with all its steps and tasks.
         """
         spec = command.spec
+        dependencies = [len(set(step.after)) for step in spec.steps]
         steps: dict[tuple[int, int], Step] = {}
         for occurrence in range(max(1, spec.occurrences)):
             due_wall_ms = spec.get_due_wall_ms(occurrence)
@@ -182,7 +269,7 @@
                     step,
                     due_wall_ms,
                     tasks,
-                    len(set(step.after)),
+                    dependencies[i],
                     waiting=dict.fromkeys(range(step.count)),
                 )
         return cls(
@@ -206,6 +293,23 @@
             self._remaining_steps = self._list_remaining_steps()
         return self._remaining_steps
 
+    def list_followers(self, number: int) -> tuple[int, ...]:
+        """Lists the steps that depend on one directly.
+
+        Args:
+            number: Number of the step.
+
+        Returns:
+            Numbers of the later steps.
+        """
+        if self._followers is None:
+            followers: list[list[int]] = [[] for _ in self.spec.steps]
+            for later, step in enumerate(self.spec.steps):
+                for earlier in set(step.after):
+                    followers[earlier].append(later)
+            self._followers = tuple(map(tuple, followers))
+        return self._followers[number]
+
     def note_done(self) -> None:
         """Notes that tasks are done, so that other steps may be ready."""
         self._remaining_steps = None
--- a/bambookeel/jobs/book_snapshot.py
+++ b/bambookeel/jobs/book_snapshot.py
@@ -245,7 +245,7 @@
     """
     job = book.jobs[saved.task.job]
     step = job.steps[saved.task.occurrence, saved.task.step]
-    step.tasks[saved.task.task_index].runs[saved.run] = incarnation
+    step.add_run(step.tasks[saved.task.task_index], saved.run, incarnation)
     book.assigned_runs.setdefault(incarnation, {})[saved.task] = (
         run_records.AssignedRun(
             saved.task,
@@ -271,6 +271,7 @@
     job.incomplete_steps = 0
     for step in job.steps.values():
         step.done_count = sum(task.is_done for task in step.tasks)
+        job.has_done_task |= step.done_count > 0
         if job.is_open:
             book.open_work.remove_tasks(job, step.spec, step.done_count)
         step.waiting = {
--- a/bambookeel/jobs/bulkheads.py
+++ b/bambookeel/jobs/bulkheads.py
@@ -24,7 +24,7 @@
     """
     if job.queue not in queues:
         return True
-    return any(step.is_complete for step in job.steps.values())
+    return job.incomplete_steps < len(job.steps)
 
 
 def get_isolation(
@@ -54,21 +54,6 @@
     return placing.Isolation.ALONE
 
 
-def has_begun(job: book_records.Job) -> bool:
-    """Returns whether a task of a job has ended.
-
-    Such a job is less likely to crash its worker than a new one, and what it
-    has done would be lost.
-
-    Args:
-        job: The job.
-
-    Returns:
-        True if one has.
-    """
-    return any(step.done_count for step in job.steps.values())
-
-
 def note_occupants(
     term: term_state.Term,
     capacities: list[placing.FreeCapacity],
--- a/bambookeel/jobs/evacuation_steps.py
+++ b/bambookeel/jobs/evacuation_steps.py
@@ -87,7 +87,7 @@
             delivery.is_reported(worker, run)
             or delivery.may_be_on_way(term, worker, run)
         )
-        if cannot_start or not undelivered.is_gang_complete(step, run.run):
+        if cannot_start or not step.is_gang_complete(run.run):
             undelivered.withdraw_gang(term, worker, run, step)
 
 
@@ -168,10 +168,19 @@
         )
 
     for service, entries in by_service.items():
+        by_step: dict[
+            book_records.StepKey, tuple[book_records.Step, list[int]]
+        ] = {}
+        for _, step, index in entries:
+            by_step.setdefault(step.key, (step, []))[1].append(index)
+        movable = {
+            key: evacuations.find_movable(step, indices, is_available)
+            for key, (step, indices) in by_step.items()
+        }
         ready = [
             (worker, step, index)
             for worker, step, index in entries
-            if evacuations.may_move(step, step.tasks[index].ref, is_available)
+            if index in movable[step.key]
         ]
         if ready:
             _move_with_room(term, service, ready[:_MAX_SEARCHES], now)
--- a/bambookeel/jobs/evacuations.py
+++ b/bambookeel/jobs/evacuations.py
@@ -167,22 +167,25 @@
     return spec.max_missing > 0
 
 
-def may_move(
+def find_movable(
     step: book_records.Step,
-    ref: specs.TaskRef,
+    indices: Collection[int],
     is_available: Callable[[book_records.Task], bool],
-) -> bool:
-    """Returns whether a standing task may be stopped to run elsewhere.
+) -> frozenset[int]:
+    """Finds the tasks of a standing step that may be stopped to run elsewhere.
 
     The tasks of a step are moved one at a time, each once all others are
     available.
 
     Args:
         step: A step whose tasks are moved.
-        ref: The task.
+        indices: Those of its tasks that should move.
         is_available: Returns whether a task of the step is available.
 
     Returns:
-        False if another task of the step is missing.
+        Indices of the tasks beside which no other one is missing.
     """
-    return all(is_available(task) for task in step.tasks if task.ref != ref)
+    missing = {
+        task.ref.task_index for task in step.tasks if not is_available(task)
+    }
+    return frozenset(index for index in indices if missing <= {index})
--- a/bambookeel/jobs/gang_placing.py
+++ b/bambookeel/jobs/gang_placing.py
@@ -7,6 +7,10 @@
 from bambookeel.jobs import placing
 from bambookeel.jobs import specs
 
+# The tasks of a wide gang that are spread go to each worker in about as many
+# groups.
+_GROUPS_PER_WORKER = 4
+
 
 def place_gang(
     capacities: list[placing.FreeCapacity],
@@ -49,8 +53,8 @@
             )
             for c in group
         ]
-        places = []
-        for _ in step.tasks:
+        places: list[specs.WorkerIncarnation] = []
+        while len(places) < len(step.tasks):
             found = placing.choose_worker(
                 trial,
                 step,
@@ -61,10 +65,16 @@
             )
             if found is None:
                 break
+            left = len(step.tasks) - len(places)
+            count = _count_together(found, step, isolation, left, len(trial))
             found.reserve(
-                step.key, step.spec.reserved, isolation, step.spec.is_standing
+                step.key,
+                step.spec.reserved,
+                isolation,
+                step.spec.is_standing,
+                count,
             )
-            places.append(found.worker.incarnation)
+            places += [found.worker.incarnation] * count
         if len(places) < len(step.tasks):
             continue
         by_incarnation = {
@@ -77,3 +87,35 @@
             )
         return chosen
     return None
+
+
+def _count_together(
+    found: placing.FreeCapacity,
+    step: book_records.Step,
+    isolation: placing.Isolation,
+    left: int,
+    workers: int,
+) -> int:
+    """Counts the tasks that go to the chosen worker without another choice.
+
+    Where tasks are not spread, a worker that was chosen once is chosen until it
+    is full. Those of a wide gang are spread in groups.
+
+    Args:
+        found: Free capacity of the worker, on which one more task may run.
+        step: Step of the gang.
+        isolation: How far the gang must be kept apart.
+        left: Number of its tasks that have no worker.
+        workers: Number of workers to choose from.
+
+    Returns:
+        Number of tasks, at least 1.
+    """
+    if placing.is_spread(step, isolation):
+        left = max(1, left // (_GROUPS_PER_WORKER * workers))
+    limit = step.spec.max_per_instance
+    if limit:
+        used = step.count_runs(found.worker.incarnation)
+        used += found.placed_by_step.get(step.key, 0)
+        left = min(left, limit - used)
+    return found.count_fitting(step.spec.reserved, left)
--- a/bambookeel/jobs/kept_workers.py
+++ b/bambookeel/jobs/kept_workers.py
@@ -87,7 +87,6 @@
         Number of workers that are kept.
     """
     job = step.key[0]
-    assigned = placing.count_assigned(step)
     missing = len(step.tasks) if step.spec.is_gang else 1
     kept = 0
     for capacity in sorted(
@@ -101,7 +100,7 @@
             break
         if capacity.kept_for or not capacity.fits(step.spec.reserved):
             continue
-        if not placing.is_allowed(capacity, step, assigned, tickets):
+        if not placing.is_allowed(capacity, step, tickets):
             continue
         capacity.kept_for = job
         missing -= capacity.count_fitting(step.spec.reserved, missing)
--- a/bambookeel/jobs/place_waits.py
+++ b/bambookeel/jobs/place_waits.py
@@ -179,12 +179,16 @@
     Returns:
         True also if the plan has just placed it.
     """
-    remote_runs = term.place_waits.remote_runs
-    return any(
-        task.ref in choice.remote
-        or any((task.ref, run) in remote_runs for run in task.runs)
-        for task in step.tasks
-    )
+    is_remote = choice.remote_steps.get(step.key)
+    if is_remote is None:
+        remote_runs = term.place_waits.remote_runs
+        is_remote = any(
+            (task.ref, run) in remote_runs
+            for task in step.tasks
+            for run in task.runs
+        )
+        choice.remote_steps[step.key] = is_remote
+    return is_remote
 
 
 def _has_room_elsewhere(
@@ -198,7 +202,7 @@
         known is not None
         and known.fits(step.spec.reserved)
         and known.worker.incarnation.worker not in avoided
-        and placing.is_allowed(known, step, placing.count_assigned(step), None)
+        and placing.is_allowed(known, step, None)
         and known.admits(step, placing.Isolation.NONE)
     ):
         return True
--- a/bambookeel/jobs/placing.py
+++ b/bambookeel/jobs/placing.py
@@ -5,7 +5,6 @@
 find free capacity and instances stay empty; standing tasks are spread instead.
 """
 
-import collections
 from collections.abc import Mapping
 import dataclasses
 import enum
@@ -182,14 +181,16 @@
         needs: specs.Resources,
         isolation: Isolation = Isolation.NONE,
         is_standing: bool = False,
+        count: int = 1,
     ) -> None:
-        """Reserves the resources of a task.
+        """Reserves the resources of tasks.
 
         Args:
-            key: Key of the task's step.
-            needs: Resources of the task.
-            isolation: How far the task must be kept apart.
-            is_standing: Whether it is a standing task.
+            key: Key of the tasks' step.
+            needs: Resources of each task.
+            isolation: How far the tasks must be kept apart.
+            is_standing: Whether they are standing tasks.
+            count: Number of the tasks.
         """
         if isolation is not Isolation.NONE:
             self.isolated_jobs[key[0]] = isolation
@@ -198,10 +199,10 @@
             self.occupants[key[0]] = may_share and self.occupants.get(
                 key[0], True
             )
-        self.cpu_milli -= needs.cpu_milli
-        self.memory_mb -= needs.memory_mb
-        self.gpus -= needs.gpus
-        self.placed_by_step[key] = self.placed_by_step.get(key, 0) + 1
+        self.cpu_milli -= count * needs.cpu_milli
+        self.memory_mb -= count * needs.memory_mb
+        self.gpus -= count * needs.gpus
+        self.placed_by_step[key] = self.placed_by_step.get(key, 0) + count
 
 
 def measure_free(
@@ -252,7 +253,6 @@
 def is_allowed(
     capacity: FreeCapacity,
     step: book_records.Step,
-    assigned: collections.Counter[specs.WorkerIncarnation],
     tickets: Mapping[specs.WorkerIncarnation, str] | None,
 ) -> bool:
     """Returns whether one more task of a step may run on a worker.
@@ -260,7 +260,6 @@
     Args:
         capacity: Free capacity of the worker.
         step: Step of the task.
-        assigned: Number of the step's tasks on each worker, if it is limited.
         tickets: Workers that the advisor allows; None if all are allowed.
 
     Returns:
@@ -275,30 +274,12 @@
     if not limit:
         return True
     return (
-        assigned[capacity.worker.incarnation]
+        step.count_runs(capacity.worker.incarnation)
         + capacity.placed_by_step.get(step.key, 0)
         < limit
     )
 
 
-def count_assigned(
-    step: book_records.Step,
-) -> collections.Counter[specs.WorkerIncarnation]:
-    """Counts the tasks of a step on each worker if their number is limited.
-
-    Args:
-        step: A step with waiting tasks.
-
-    Returns:
-        Number of tasks by worker; empty for a step without a limit.
-    """
-    counts: collections.Counter[specs.WorkerIncarnation] = collections.Counter()
-    if step.spec.max_per_instance:
-        for task in step.tasks:
-            counts.update(task.runs.values())
-    return counts
-
-
 def _rate_other_rack(
     found: str, wanted: str, rack: str, awaited: frozenset[str]
 ) -> int:
@@ -324,6 +305,20 @@
     return penalty_milli
 
 
+def is_spread(step: book_records.Step, isolation: Isolation) -> bool:
+    """Returns whether the tasks of a step go to the emptiest workers.
+
+    Args:
+        step: The step.
+        isolation: How far its tasks must be kept apart.
+
+    Returns:
+        True for standing tasks, so that the loss of one instance interrupts few
+        of them, and for tasks that must be kept apart.
+    """
+    return step.spec.is_standing or isolation is not Isolation.NONE
+
+
 def choose_worker(
     capacities: list[FreeCapacity],
     step: book_records.Step,
@@ -357,20 +352,17 @@
         return None
     needs = step.spec.reserved
     wanted_rack = rack or step.spec.data_rack
-    assigned = count_assigned(step)
     best: FreeCapacity | None = None
     best_score = 0
     for capacity in capacities:
         if not capacity.fits(needs):
             continue
-        if not is_allowed(capacity, step, assigned, tickets):
+        if not is_allowed(capacity, step, tickets):
             continue
         if not capacity.admits(step, isolation):
             continue
         score = capacity.cpu_milli
-        if step.spec.is_standing or isolation is not Isolation.NONE:
-            # Spreads standing tasks, so that the loss of one instance
-            # interrupts few of them.
+        if is_spread(step, isolation):
             score = -score
         score += capacity.measure_risk_milli(step)
         if capacity.worker.incarnation.worker in avoided:
--- a/bambookeel/jobs/planning.py
+++ b/bambookeel/jobs/planning.py
@@ -22,9 +22,11 @@
 from bambookeel.jobs import no_room
 from bambookeel.jobs import place_waits
 from bambookeel.jobs import placing
+from bambookeel.jobs import plan_budget
 from bambookeel.jobs import rack_choice
 from bambookeel.jobs import ranking
 from bambookeel.jobs import service_plan
+from bambookeel.jobs import shares as team_shares
 from bambookeel.jobs import specs
 from bambookeel.jobs import starving
 from bambookeel.jobs import storms
@@ -64,9 +66,24 @@
     tasks = list(crashes.list_suspects(term))
     isolated = isolating.list_isolated_jobs(term, tasks, now)
     suspects = _Suspects(tasks, isolated, storms.find_queues(term, now))
-    for service, work in by_service.items():
+    budget = plan_budget.Budget()
+    for service, work in sorted(
+        by_service.items(), key=lambda pair: not _has_skipped(term, pair[1])
+    ):
         if work.steps or work.tasks_to_copy:
-            _plan_service(term, service, work, suspects, now)
+            _plan_service(term, service, work, suspects, budget, now)
+    steps = [step for work in by_service.values() for step in work.steps]
+    term.skipped_steps = budget.list_skipped(steps)
+    if term.skipped_steps:
+        term.log_event(
+            "plan_stopped",
+            steps=len(steps),
+            skipped=len(term.skipped_steps),
+        )
+
+
+def _has_skipped(term: term_state.Term, work: due_work.Work) -> bool:
+    return any(step.key in term.skipped_steps for step in work.steps)
 
 
 def _plan_service(
@@ -74,13 +91,14 @@
     service: str,
     work: due_work.Work,
     suspects: _Suspects,
+    budget: plan_budget.Budget,
     now: term_state.Now,
 ) -> None:
     usable, reserve = usable_workers.list_by_trust(term, service, now.steady_ms)
     if not usable and not reserve:
         return
     current = service_plan.Plan(
-        placing.measure_free(usable, suspects.isolated_jobs), now
+        placing.measure_free(usable, suspects.isolated_jobs), now, budget
     )
     current.queues = suspects.queues.get(service, frozenset())
     culprits: frozenset[str] = frozenset()
@@ -112,11 +130,13 @@
         ),
         key=lambda pair: pair[0],
     )
-    for _, group in itertools.groupby(ranked, key=lambda pair: pair[0][0]):
+    for _, group in itertools.groupby(ranked, key=lambda pair: pair[0][:2]):
         members = [step for _, step in group]
         skipped = _place_steps(term, current, members, within_shares=True)
         _place_steps(term, current, skipped, within_shares=False)
     for task in work.tasks_to_copy:
+        if budget.is_spent:
+            break
         copied_step = term.book.get_step(task.ref)
         if copied_step is not None:
             service_plan.place_task(term, current, copied_step, task)
@@ -132,9 +152,11 @@
     step: book_records.Step,
     deferred: frozenset[str],
     culprits: frozenset[str],
-) -> tuple[int, bool, float, int]:
+) -> tuple[bool, int, bool, float, int]:
     """Ranks a step by urgency; while workers crash, jobs that have begun first.
 
+    Steps that the last plan has not reached come before all others.
+
     Args:
         term: State of the leader's term.
         current: The plan.
@@ -148,10 +170,13 @@
     urgency, slack_ms, admitted_wall_ms = ranking.rank_step(
         term, step, current.now, deferred, culprits
     )
-    is_new = bool(current.queues) and not bulkheads.has_begun(
-        term.book.jobs[step.key[0]]
+    # A job that has done something is less likely to crash its worker than a
+    # new one, and what it has done would be lost.
+    is_new = (
+        bool(current.queues) and not term.book.jobs[step.key[0]].has_done_task
     )
-    return (urgency, is_new, slack_ms, admitted_wall_ms)
+    is_reached = step.key not in term.skipped_steps
+    return (is_reached, urgency, is_new, slack_ms, admitted_wall_ms)
 
 
 def _place_starving(
@@ -177,6 +202,7 @@
     found = starving.list_starving(term, service, steps, current.placed, now_ms)
     if not found:
         return
+    current.budget = plan_budget.Budget(plan_budget.MAX_STARVING_COST)
     found.sort(
         key=lambda step: (
             not step.spec.is_standing,
@@ -235,6 +261,8 @@
             service_plan.place_gang(term, current, step)
         return
     for index in step.waiting:
+        if current.budget.is_spent:
+            return
         task = step.tasks[index]
         if task.ref in current.placed or task.ref not in allowed:
             continue
@@ -268,6 +296,8 @@
     maximum = placing.find_maximum(current.capacities)
     placed = len(current.placed)
     for step in steps:
+        if not current.budget.begin_step(step):
+            break
         # Most steps of a long queue fit on no worker; they are skipped without
         # a check of every worker.
         if not step.spec.reserved.fits_in(maximum):
@@ -280,30 +310,52 @@
             service_plan.place_gang(term, current, step)
             continue
         step_shares = None if step.spec.is_standing else shares
-        for index in step.waiting:
-            task = step.tasks[index]
-            if task.ref in current.placed:
-                continue
-            if step_shares is not None and not step_shares.is_below(team):
-                skipped.append(step)
-                break
-            if service_plan.place_task(term, current, step, task):
-                continue
-            isolation = service_plan.get_isolation(term, current, step, [task])
-            is_unproven = not bulkheads.is_proven(
-                term.book.jobs[step.key[0]], current.queues
-            )
-            if isolation is placing.Isolation.NONE or (
-                is_unproven and isolation is placing.Isolation.ALONE
-            ):
-                # The others of the step fit nowhere either.
-                break
+        if not _place_tasks(term, current, step, step_shares):
+            skipped.append(step)
         if len(current.placed) != placed:
             maximum = placing.find_maximum(current.capacities)
             placed = len(current.placed)
     return skipped
 
 
+def _place_tasks(
+    term: term_state.Term,
+    current: service_plan.Plan,
+    step: book_records.Step,
+    shares: team_shares.Shares | None,
+) -> bool:
+    """Places the waiting tasks of a step that is no gang, as far as they fit.
+
+    Args:
+        term: State of the leader's term.
+        current: The plan, which is changed.
+        step: Step with waiting tasks.
+        shares: The teams' shares, if they limit the step; None otherwise.
+
+    Returns:
+        False if it was left because of its team's share.
+    """
+    job = term.book.jobs[step.key[0]]
+    for index in step.waiting:
+        task = step.tasks[index]
+        if task.ref in current.placed:
+            continue
+        if current.budget.is_spent:
+            break
+        if shares is not None and not shares.is_below(job.team):
+            return False
+        if service_plan.place_task(term, current, step, task):
+            continue
+        isolation = service_plan.get_isolation(term, current, step, [task])
+        is_unproven = not bulkheads.is_proven(job, current.queues)
+        if isolation is placing.Isolation.NONE or (
+            is_unproven and isolation is placing.Isolation.ALONE
+        ):
+            # The others of the step fit nowhere either.
+            break
+    return True
+
+
 def _assign(term: term_state.Term, current: service_plan.Plan) -> None:
     """Decides on the commands that assign the runs of a plan.
 
--- a/bambookeel/jobs/rack_choice.py
+++ b/bambookeel/jobs/rack_choice.py
@@ -40,6 +40,8 @@
         waiting: Waits that the plan has decided on, by task.
         elsewhere: Worker that has had room for a task that waits.
         remote: Tasks that the plan has placed away from their data or group.
+        remote_steps: Whether each step has a task away from its data or group,
+            where that was asked.
     """
 
     capacities: list[placing.FreeCapacity]
@@ -60,6 +62,9 @@
     )
     elsewhere: placing.FreeCapacity | None = None
     remote: set[specs.TaskRef] = dataclasses.field(default_factory=set)
+    remote_steps: dict[book_records.StepKey, bool] = dataclasses.field(
+        default_factory=dict
+    )
 
     def get_forecast(
         self, term: term_state.Term, rack: str
@@ -216,3 +221,4 @@
     for task, capacity in zip(tasks, places):
         if is_spread or (wanted and capacity.worker.rack != wanted):
             choice.remote.add(task.ref)
+            choice.remote_steps[step.key] = True
--- a/bambookeel/jobs/rack_forecasts.py
+++ b/bambookeel/jobs/rack_forecasts.py
@@ -141,12 +141,11 @@
         earliest_ms = self._earliest_ms.get(key, 0.0) if is_plain else 0.0
         if earliest_ms > limit_ms:
             return math.inf, None
-        assigned = placing.count_assigned(step)
         best_ms = math.inf
         best = None
         for worker in self._workers:
             capacity = worker.capacity
-            if not placing.is_allowed(capacity, step, assigned, None):
+            if not placing.is_allowed(capacity, step, None):
                 continue
             if not capacity.admits(step, placing.Isolation.NONE):
                 continue
--- a/bambookeel/jobs/run_records.py
+++ b/bambookeel/jobs/run_records.py
@@ -111,7 +111,9 @@
             for ref, run in adopted.items():
                 assigned_runs.setdefault(command.life, {})[ref] = run
                 step = jobs[ref.job].steps[ref.occurrence, ref.step]
-                step.tasks[ref.task_index].runs[run.run] = command.life
+                task = step.tasks[ref.task_index]
+                step.remove_run(task, run.run)
+                step.add_run(task, run.run, command.life)
             if not of_former:
                 assigned_runs.pop(command.former, None)
 
--- a/bambookeel/jobs/service_plan.py
+++ b/bambookeel/jobs/service_plan.py
@@ -12,6 +12,7 @@
 from bambookeel.jobs import no_room
 from bambookeel.jobs import place_waits
 from bambookeel.jobs import placing
+from bambookeel.jobs import plan_budget
 from bambookeel.jobs import rack_choice
 from bambookeel.jobs import shares as team_shares
 from bambookeel.jobs import specs
@@ -25,6 +26,7 @@
     Attributes:
         capacities: Free capacities of the service's workers.
         now: Current time.
+        budget: What the whole plan may still cost.
         team_usage: Resources that the plan has assigned to each team.
         assignments: Runs that the plan has assigned, by worker.
         shares: The teams' shares of the service; None while all waiting tasks
@@ -39,6 +41,7 @@
 
     capacities: list[placing.FreeCapacity]
     now: term_state.Now
+    budget: plan_budget.Budget
     team_usage: dict[str, specs.Resources] = dataclasses.field(
         default_factory=dict
     )
@@ -98,6 +101,7 @@
         it was placed, if it waits for room in its rack, or if only a worker
         that already runs it has room.
     """
+    current.budget.spend_on_task(len(current.capacities))
     if not caps.allows(term, step, 1, current.team_usage):
         return False
     now_ms = current.now.steady_ms
@@ -132,7 +136,8 @@
     )
     current.too_large.note_placed(step, isolation)
     _note_places(current, step, [task], [capacity])
-    _add_assignment(term, current, step, task, capacity, tickets)
+    run = task.last_run + 1
+    _add_assignment(term, current, step, task, run, capacity, tickets)
     return True
 
 
@@ -181,6 +186,7 @@
     current: Plan,
     step: book_records.Step,
     task: book_records.Task,
+    run: int,
     capacity: placing.FreeCapacity,
     tickets: Mapping[specs.WorkerIncarnation, str] | None,
 ) -> None:
@@ -191,9 +197,6 @@
     current.team_usage[job.team] = used + step.spec.needs
     if current.shares is not None and not step.spec.is_standing:
         current.shares.add_use(job.team, step.spec.needs.cpu_milli)
-    run = task.last_run + 1
-    if step.spec.is_gang:
-        run = max(each.last_run for each in step.tasks) + 1
     if current.racks is not None and task.ref in current.racks.remote:
         term.place_waits.remote_runs.add((task.ref, run))
     incarnation = capacity.worker.incarnation
@@ -215,6 +218,7 @@
     """
     if len(step.waiting) < len(step.tasks):
         return
+    current.budget.spend_on_gang(len(step.tasks), len(current.capacities))
     if not caps.allows(term, step, len(step.tasks), current.team_usage):
         return
     now_ms = current.now.steady_ms
@@ -239,5 +243,6 @@
         return
     current.too_large.note_placed(step, isolation)
     _note_places(current, step, step.tasks, places)
+    run = max(task.last_run for task in step.tasks) + 1
     for task, capacity in zip(step.tasks, places):
-        _add_assignment(term, current, step, task, capacity, tickets)
+        _add_assignment(term, current, step, task, run, capacity, tickets)
--- a/bambookeel/jobs/specs.py
+++ b/bambookeel/jobs/specs.py
@@ -162,6 +162,10 @@
         """Whether the steps run on a timetable instead of immediately."""
         return self.occurrences > 0
 
+    def count_tasks(self) -> int:
+        """Returns the number of tasks of all steps and occurrences."""
+        return sum(step.count for step in self.steps) * max(1, self.occurrences)
+
     def get_due_wall_ms(self, occurrence: int) -> int:
         """Returns when an occurrence is due.
 
@@ -235,7 +239,7 @@
         return "a job needs at least one step"
     if len(spec.steps) > MAX_STEPS:
         return f"{len(spec.steps)} steps; at most {MAX_STEPS} are taken"
-    tasks = sum(step.count for step in spec.steps) * max(1, spec.occurrences)
+    tasks = spec.count_tasks()
     if tasks > MAX_TASKS:
         return (
             f"{tasks} tasks in all occurrences; at most {MAX_TASKS} are taken"
--- a/bambookeel/jobs/term.py
+++ b/bambookeel/jobs/term.py
@@ -128,6 +128,8 @@
         self.place_waits = place_wait_state.PlaceWaits(now.steady_ms)
         self.evacuations = evacuations.TermState()
         self.planned_ms = 0
+        # Steps that the last plan has not reached.
+        self.skipped_steps: frozenset[book_records.StepKey] = frozenset()
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
         """Queues a log event.
--- a/bambookeel/jobs/undelivered.py
+++ b/bambookeel/jobs/undelivered.py
@@ -91,7 +91,7 @@
         and not worker.report.is_leaving
         and not evacuations.is_evacuated(term.book.instances, worker)
         and (assigned.task, assigned.run) not in term.withdrawn
-        and is_gang_complete(step, assigned.run)
+        and step.is_gang_complete(assigned.run)
     )
 
 
@@ -198,22 +198,6 @@
     return free
 
 
-def is_gang_complete(step: book_records.Step, run: int) -> bool:
-    """Returns whether no member of a gang has lost its part of a run.
-
-    The checkpoint of the gang may have changed with the loss, so that another
-    member would resume from a different one.
-
-    Args:
-        step: Step of the run.
-        run: Number of the run.
-
-    Returns:
-        True for a step that is no gang.
-    """
-    return not step.spec.is_gang or all(run in task.runs for task in step.tasks)
-
-
 def withdraw_gang(
     term: term_state.Term,
     worker: worker_table.Worker,
--- a/bambookeel/jobs/worker_orders.py
+++ b/bambookeel/jobs/worker_orders.py
@@ -73,6 +73,7 @@
             continue
         stops.append((run.task, run.run))
     starts = []
+    checkpoint = checkpoints.CheckpointChoice()
     listed = {(run.task, run.run) for run in report.running}
     # An evacuation may have begun after the report was handled.
     gets_none = report.is_leaving or evacuations.is_evacuated(
@@ -95,7 +96,7 @@
             f"task {each.task} of an assigned run does not exist",
         )
         assert task is not None and step is not None
-        saved = checkpoints.choose_checkpoint(step, task)
+        saved = checkpoint.choose(step, task)
         starts.append(
             calls.StartOrder(
                 each.task, each.run, job.spec.body, saved, each.ticket
--- a/bambookeel/node/call_turn.py
+++ b/bambookeel/node/call_turn.py
@@ -23,6 +23,49 @@
 _MAX_CHARS = 200
 
 
+# What the calls of one turn may cost: rows of reports and tasks of jobs, of
+# which each takes some ten microseconds, beside the calls themselves.
+_MAX_COST = 5_000
+
+
+def _measure_cost(call: calls.Call) -> int:
+    """Measures what handling a call costs, by what it lists.
+
+    Args:
+        call: The call.
+
+    Returns:
+        Number of its rows or tasks, at least 1.
+    """
+    match call:
+        case calls.WorkerReport():
+            return 1 + len(call.running) + len(call.ends)
+        case calls.SubmitJob() if call.spec is not None:
+            return 1 + call.spec.count_tasks()
+    return 1
+
+
+def split_calls(
+    waiting: list[WaitingCall], most: int
+) -> tuple[list[WaitingCall], list[WaitingCall]]:
+    """Splits the waiting calls into those of the next turn and the others.
+
+    Args:
+        waiting: Calls in the order of their arrival.
+        most: Maximum number of calls of a turn.
+
+    Returns:
+        The calls of the next turn, of which there is at least one if any waits,
+        and the others.
+    """
+    cost = 0
+    for i, (call, _) in enumerate(waiting[:most]):
+        cost += _measure_cost(call)
+        if cost > _MAX_COST and i:
+            return waiting[:i], waiting[i:]
+    return waiting[:most], waiting[most:]
+
+
 @dataclasses.dataclass(slots=True)
 class Turn:
     """Result of the calls of one turn.
--- a/bambookeel/node/replica.py
+++ b/bambookeel/node/replica.py
@@ -280,8 +280,9 @@
         if not self._calls and not self._plan_due:
             return
         now = self._read_now()
-        accepted_calls = self._calls[:_MAX_CALLS_PER_BATCH]
-        self._calls = self._calls[_MAX_CALLS_PER_BATCH:]
+        accepted_calls, self._calls = call_turn.split_calls(
+            self._calls, _MAX_CALLS_PER_BATCH
+        )
         term = int(self._runner.core.term)
         self.external_services.pass_results(scheduler, term, now)
         turn = call_turn.handle_calls(scheduler, accepted_calls, now)
