--- a/bambookeel/jobs/order_sizes.py
+++ b/bambookeel/jobs/order_sizes.py
@@ -14,8 +14,9 @@
 # Maximum number of runs that one answer stops, and that it sets the pace of.
 MAX_STOPS = 500
 MAX_PACES = 300
-# A checkpoint that is larger is not kept: its order must fit in an answer,
-# alone if it exceeds the maximum above.
+# Maximum size of a job's body, and of a checkpoint that is kept. Workers take
+# answers of up to 4 MiB; an order that exceeds the maximum above goes alone.
+MAX_BODY_BYTES = 2 * 1024 * 1024
 MAX_CHECKPOINT_BYTES = 1024 * 1024
 # Maximum size of the orders that start a gang. They go with successive answers,
 # and members that have started wait for the others for some seconds only.
--- a/bambookeel/jobs/specs.py
+++ b/bambookeel/jobs/specs.py
@@ -20,8 +20,6 @@
 MAX_OCCURRENCES = 10_000
 # Tasks of all steps and occurrences of a job; each replica holds them all.
 MAX_TASKS = 100_000
-# Limit of what is passed to the workers with each order.
-MAX_BODY_BYTES = 4_000
 
 
 class Resources(msgspec.Struct, frozen=True):
@@ -262,10 +260,13 @@
         return (
             f"{tasks} tasks in all occurrences; at most {MAX_TASKS} are taken"
         )
-    body_bytes = len(spec.body.encode("utf-8", "surrogatepass"))
-    if body_bytes > MAX_BODY_BYTES:
-        return f"a body of {body_bytes} bytes; at most {MAX_BODY_BYTES}"
-    order_bytes = order_sizes.measure_start(order_sizes.measure_text(spec.body))
+    body_bytes = order_sizes.measure_text(spec.body)
+    if body_bytes > order_sizes.MAX_BODY_BYTES:
+        return (
+            f"a body of {body_bytes} bytes in an order; at most"
+            f" {order_sizes.MAX_BODY_BYTES} are delivered"
+        )
+    order_bytes = order_sizes.measure_start(body_bytes)
     for i, step in enumerate(spec.steps):
         if step.is_gang and (
             step.count * order_bytes > order_sizes.MAX_GANG_BYTES
--- a/features/jobs/order_sizes.feature
+++ b/features/jobs/order_sizes.feature
@@ -58,16 +58,16 @@
     Then it is "<fault>"
 
     Examples:
-      | what                                     | fault                                  |
-      | 1 task with 4000 letters                 |                                        |
-      | 1 task with 4001 letters                 | a body of 4001 bytes; at most 4000     |
-      | 1 task with 2000 umlauts                 |                                        |
-      | 1 task with 2001 umlauts                 | a body of 4002 bytes; at most 4000     |
-      | 1 task with 4000 control characters      |                                        |
-      | a gang of 1000 tasks with 4000 letters   |                                        |
-      | a gang of 10000 tasks with 300 letters   |                                        |
+      | what                                     | fault                                                                                        |
+      | 1 task with 4000 letters                 |                                                                                              |
+      | 1 task with 2000000 letters              |                                                                                              |
+      | 1 task with 2097151 letters              | a body of 2097153 bytes in an order; at most 2097152 are delivered                           |
+      | 1 task with 400000 control characters    | a body of 2400002 bytes in an order; at most 2097152 are delivered                           |
+      | 10000 tasks with 4000 control characters |                                                                                              |
+      | a gang of 1000 tasks with 4000 letters   |                                                                                              |
+      | a gang of 10000 tasks with 300 letters   |                                                                                              |
       | a gang of 1100 tasks with 4000 letters   | step 0: the orders of a gang of 1100 tasks are 4494600 bytes; at most 4194304 arrive in time |
-      | 10000 tasks with 4000 letters            |                                        |
+      | 10000 tasks with 4000 letters            |                                                                                              |
 
   Scenario: A checkpoint that no order can carry is not kept
     Given a simulation of 1 wide worker
